--- /dev/null
+++ b/harness/childProcess.ts
@@ -0,0 +1,92 @@
+/** Child processes of the demo, the tests and the benchmarks. The product itself starts none. */
+import { type ChildProcess, spawn } from "node:child_process";
+import path from "node:path";
+import { fileURLToPath } from "node:url";
+
+/** A child process whose output is read line by line. */
+export interface Child {
+    readonly pid: number;
+    /** Resolves with the exit code, or the signal's name. */
+    readonly exited: Promise<number | string>;
+    /** Lines of its standard output so far; empty if they are not kept. */
+    readonly lines: string[];
+    readonly errors: () => string;
+    kill(signal: NodeJS.Signals): void;
+    /** Resolves with the first line, from the beginning, that passes. */
+    waitForLine(passes: (line: string) => boolean): Promise<string>;
+}
+
+export interface ChildOptions {
+    /** Path of the script below `dist`. */
+    script: string;
+    args: string[];
+    environment?: Record<string, string>;
+    /** Whether lines after the first are kept. */
+    keepsLines?: boolean;
+}
+
+const distFolder = path.resolve(path.dirname(fileURLToPath(import.meta.url)), "..");
+const children = new Set<ChildProcess>();
+process.once("exit", () => children.forEach(child => child.kill("SIGKILL")));
+
+function splitLines(onLine: (line: string) => void): (chunk: string) => void {
+    let rest = "";
+    return chunk => {
+        const lines = (rest + chunk).split("\n");
+        rest = lines.pop() ?? "";
+        lines.forEach(onLine);
+    };
+}
+
+/** Starts a script of this project as a process. */
+export function startChild(options: ChildOptions): Child {
+    const child = spawn(process.execPath, [path.join(distFolder, options.script), ...options.args], {
+        stdio: ["ignore", "pipe", "pipe"],
+        env: { PATH: process.env.PATH ?? "", ...options.environment },
+    });
+    children.add(child);
+    const lines: string[] = [];
+    const waiting = new Set<(line: string) => void>();
+    let errorText = "";
+    let hasExited = false;
+    child.stdout.setEncoding("utf8").on(
+        "data",
+        splitLines(line => {
+            if (options.keepsLines || lines.length === 0) {
+                lines.push(line);
+            }
+            waiting.forEach(check => check(line));
+        }),
+    );
+    child.stderr.setEncoding("utf8").on("data", (chunk: string) => errorText += chunk);
+    const exited = new Promise<number | string>(resolve =>
+        child.on("close", (code, signal) => {
+            hasExited = true;
+            children.delete(child);
+            resolve(code ?? signal ?? "");
+        })
+    );
+    return {
+        pid: child.pid ?? 0,
+        exited,
+        lines,
+        errors: () => errorText,
+        kill: signal => void (hasExited || child.kill(signal)),
+        waitForLine: passes =>
+            new Promise((resolve, reject) => {
+                const known = lines.find(passes);
+                if (known !== undefined) {
+                    resolve(known);
+                    return;
+                }
+                const check = (line: string): void => {
+                    if (passes(line)) {
+                        waiting.delete(check);
+                        resolve(line);
+                    }
+                };
+                waiting.add(check);
+                void exited.then(code => reject(new Error(`${options.script} ${options.args.join(" ")} ended with ${code}: ${errorText}`)));
+            }),
+    };
+}
--- /dev/null
+++ b/src/cli/commandTypes.ts
@@ -0,0 +1,24 @@
+/** What the commands share: exit codes, input and printing. */
+import type { OperatorSettings } from "../process/settings.js";
+
+export const exitCodes = {
+    ok: 0,
+    /** The call failed or was refused. */
+    failed: 1,
+    /** Bad settings or input; nothing was done. */
+    badInput: 2,
+    /** Written, but not yet in force everywhere. */
+    pending: 3,
+} as const;
+export type ExitCode = (typeof exitCodes)[keyof typeof exitCodes];
+
+export interface CommandInput {
+    /** Words after the command's name. */
+    words: string[];
+    settings: OperatorSettings;
+    isJson: boolean;
+    print(text: string): void;
+    printError(text: string): void;
+}
+
+export type Command = (input: CommandInput) => Promise<ExitCode>;
--- /dev/null
+++ b/src/common/timerService.ts
@@ -0,0 +1,115 @@
+/** The timer service: the one source of time that parts subscribe to. */
+
+/** Called at each due time with the monotonic time in milliseconds. */
+export type TimerCallback = (nowMs: number) => void;
+
+/** Time as parts see it. Tests hand in a manual one. */
+export interface TimerService {
+    /** Monotonic time in milliseconds. */
+    nowMs(): number;
+    /** Wall clock time in milliseconds since 1970, for times that leave the process. */
+    wallClockMs(): number;
+    /** Calls `callback` every `intervalMs` until `signal` aborts. */
+    every(intervalMs: number, signal: AbortSignal, callback: TimerCallback): void;
+    /** Calls `callback` once after `delayMs`, unless the returned function is called first. */
+    after(delayMs: number, callback: TimerCallback): () => void;
+}
+
+/** Resolves after `delayMs`, or as soon as `signal` aborts. */
+export function delay(timers: TimerService, delayMs: number, signal?: AbortSignal): Promise<void> {
+    return new Promise(resolve => {
+        if (signal?.aborted) {
+            resolve();
+            return;
+        }
+        const finish = (): void => {
+            cancel();
+            signal?.removeEventListener("abort", finish);
+            resolve();
+        };
+        const cancel = timers.after(delayMs, finish);
+        signal?.addEventListener("abort", finish, { once: true });
+    });
+}
+
+/** Subscribes to stalls: calls `onStall` when the process was paused for longer than `thresholdMs`. */
+export function watchStalls(
+    timers: TimerService,
+    options: { intervalMs: number; thresholdMs: number; signal: AbortSignal },
+    onStall: (stallMs: number) => void,
+): void {
+    let lastMs = timers.nowMs();
+    timers.every(options.intervalMs, options.signal, nowMs => {
+        const stallMs = nowMs - lastMs - options.intervalMs;
+        lastMs = nowMs;
+        if (stallMs > options.thresholdMs) {
+            onStall(stallMs);
+        }
+    });
+}
+
+/** Creates the timer service of a real process. */
+export function createTimerService(): TimerService {
+    return {
+        nowMs: () => performance.now(),
+        wallClockMs: () => Date.now(),
+        every: (intervalMs, signal, callback) => {
+            const handle = setInterval(() => callback(performance.now()), intervalMs);
+            signal.addEventListener("abort", () => clearInterval(handle), { once: true });
+        },
+        after: (delayMs, callback) => {
+            const handle = setTimeout(() => callback(performance.now()), delayMs);
+            return () => clearTimeout(handle);
+        },
+    };
+}
+
+/** A timer service whose time moves only by `advance`. */
+export interface ManualTimerService extends TimerService {
+    /** Moves time on by `durationMs` and makes every call that falls due, in order. */
+    advance(durationMs: number): void;
+}
+
+interface ManualTimer {
+    dueMs: number;
+    intervalMs: number | undefined;
+    callback: TimerCallback;
+}
+
+/** Creates a timer service that a seeded run or a test drives by hand. */
+export function createManualTimerService(): ManualTimerService {
+    let currentMs = 0;
+    const timers = new Set<ManualTimer>();
+    const add = (timer: ManualTimer): () => void => {
+        timers.add(timer);
+        return () => timers.delete(timer);
+    };
+    const nextDue = (untilMs: number): ManualTimer | undefined =>
+        [...timers].filter(timer => timer.dueMs <= untilMs).sort((a, b) => a.dueMs - b.dueMs)[0];
+    const fire = (timer: ManualTimer): void => {
+        currentMs = Math.max(currentMs, timer.dueMs);
+        if (timer.intervalMs === undefined) {
+            timers.delete(timer);
+        }
+        else {
+            timer.dueMs += timer.intervalMs;
+        }
+        timer.callback(currentMs);
+    };
+    return {
+        nowMs: () => currentMs,
+        wallClockMs: () => currentMs,
+        every: (intervalMs, signal, callback) => {
+            const remove = add({ dueMs: currentMs + intervalMs, intervalMs, callback });
+            signal.addEventListener("abort", remove, { once: true });
+        },
+        after: (delayMs, callback) => add({ dueMs: currentMs + delayMs, intervalMs: undefined, callback }),
+        advance: durationMs => {
+            const untilMs = currentMs + durationMs;
+            for (let timer = nextDue(untilMs); timer; timer = nextDue(untilMs)) {
+                fire(timer);
+            }
+            currentMs = untilMs;
+        },
+    };
+}
--- /dev/null
+++ b/src/connection/vmList.ts
@@ -0,0 +1,26 @@
+/** The platform's lagging list of live and leaving VMs. */
+import { request } from "undici";
+import { z } from "zod";
+import { Err, Ok, type Result } from "../common/results.js";
+
+export const vmStates = { live: "live", leaving: "leaving", gone: "gone" } as const;
+
+const vmListAnswer = z.object({
+    vms: z.array(z.object({ vmId: z.string(), availabilityZone: z.string(), state: z.enum(vmStates) })),
+});
+export type VmEntry = z.infer<typeof vmListAnswer>["vms"][number];
+
+const callTimeoutMs = 2_000;
+
+/** Reads the list once. */
+export async function readVmList(address: string, signal: AbortSignal): Promise<Result<VmEntry[], string>> {
+    try {
+        const response = await request(`http://${address}/v1/vms`, {
+            signal: AbortSignal.any([signal, AbortSignal.timeout(callTimeoutMs)]),
+        });
+        return Ok(vmListAnswer.parse(await response.body.json()).vms);
+    }
+    catch (error) {
+        return Err(error instanceof Error ? error.message : String(error));
+    }
+}
--- /dev/null
+++ b/src/decisions/allotments.ts
@@ -0,0 +1,148 @@
+/**
+ * The allotment state machine: how a team's limit is held in parts by gateway incarnations.
+ *
+ * A part ends only when its holder gives it back, or is reclaimed after the platform's word that the holder is gone and
+ * the longest run time of its requests. Every step is one compare-and-swap of the document.
+ */
+import { divideLimit } from "./divideLimit.js";
+
+/** One holder's part of a team's limit. */
+export interface Allotment {
+    grantedSlots: number;
+    /** What the holder could use, by its recent demand. */
+    wantedSlots: number;
+}
+
+export interface TeamAllotments {
+    limitSlots: number;
+    /** Configuration version that set `limitSlots`. */
+    limitVersion: number;
+    /** Parts by holder incarnation. */
+    holders: Record<string, Allotment>;
+}
+
+/** All allotments of one shard of teams. */
+export interface AllotmentDocument {
+    /** Identifies the last write. */
+    changeId: string;
+    teams: Record<string, TeamAllotments>;
+}
+
+/** What a holder knows of its own use of one team's slots. */
+export interface HolderDemand {
+    /** Requests that run now, or whose end is unknown. */
+    usedSlots: number;
+    /** Highest number that ran or waited lately. */
+    wantedSlots: number;
+}
+
+/** Slots that each holder keeps, where the limit allows. */
+const floorSlots = 1;
+/** Differences below this part of a holder's target are not worth a write. */
+const slackPart = 0.1;
+/** Demand is published with about this many binary digits, so that small changes cost no write. */
+const demandDigits = 3;
+
+export const emptyAllotments: AllotmentDocument = { changeId: "", teams: {} };
+
+/** Slots that all holders have together. */
+export function sumGranted(team: TeamAllotments): number {
+    return Object.values(team.holders).reduce((sum, allotment) => sum + allotment.grantedSlots, 0);
+}
+
+/** Whether the parts fit the limit, as they must before a lowered limit counts as accepted. */
+export function isWithinLimit(team: TeamAllotments): boolean {
+    return sumGranted(team) <= team.limitSlots;
+}
+
+function divide(team: TeamAllotments): Map<string, number> {
+    const claims = Object.entries(team.holders).map(([holderId, allotment]) => ({ holderId, wantedSlots: allotment.wantedSlots }));
+    return divideLimit(team.limitSlots, claims, floorSlots);
+}
+
+/** Smallest difference from a target that is worth a write. */
+function slackOf(targetSlots: number): number {
+    return Math.max(1, Math.floor(targetSlots * slackPart));
+}
+
+/** Whether some holder has clearly less than it wants and could get. */
+function isAnyoneShort(team: TeamAllotments, targets: Map<string, number>): boolean {
+    return Object.entries(team.holders).some(([holderId, allotment]) => {
+        const due = Math.min(allotment.wantedSlots, targets.get(holderId) ?? 0);
+        return due - allotment.grantedSlots >= slackOf(due);
+    });
+}
+
+/** Rounds demand up to a coarse number. */
+export function coarsenDemand(slots: number): number {
+    const step = 2 ** Math.max(0, Math.floor(Math.log2(Math.max(1, slots))) - demandDigits);
+    return Math.ceil(slots / step) * step;
+}
+
+function withDemand(team: TeamAllotments, holderId: string, wantedSlots: number): TeamAllotments {
+    const own = team.holders[holderId] ?? { grantedSlots: 0 };
+    return { ...team, holders: { ...team.holders, [holderId]: { ...own, wantedSlots } } };
+}
+
+/**
+ * Plans the next step of one holder: publish its demand, give back what others need, take what is free.
+ * Returns the holder's new part, or `undefined` if no write is due. Demand that would not change the division by more
+ * than the slack is not published: with many holders at work, each write costs the others a repeated one.
+ */
+export function planHolderStep(team: TeamAllotments, holderId: string, demand: HolderDemand): Allotment | undefined {
+    const own = team.holders[holderId];
+    const before = withDemand(team, holderId, own?.wantedSlots ?? 0);
+    const after = withDemand(team, holderId, coarsenDemand(demand.wantedSlots));
+    const targetBefore = divide(before).get(holderId) ?? 0;
+    const targetAfter = divide(after).get(holderId) ?? 0;
+    const isPublishing = own === undefined || Math.abs(targetAfter - targetBefore) >= slackOf(targetAfter);
+    const next = isPublishing ? after : before;
+    const targets = divide(next);
+    const grantedBefore = own?.grantedSlots ?? 0;
+    const grantedSlots = planGrant(next, targets, holderId, grantedBefore, demand.usedSlots);
+    const { wantedSlots } = next.holders[holderId]!;
+    return isPublishing || grantedSlots !== grantedBefore ? { grantedSlots, wantedSlots } : undefined;
+}
+
+function planGrant(team: TeamAllotments, targets: Map<string, number>, holderId: string, grantedSlots: number, usedSlots: number): number {
+    const targetSlots = targets.get(holderId) ?? 0;
+    const freeSlots = team.limitSlots - sumGranted(team);
+    if (targetSlots - grantedSlots >= slackOf(targetSlots)) {
+        return grantedSlots + Math.max(0, Math.min(targetSlots - grantedSlots, freeSlots));
+    }
+    const isAskedFor = freeSlots < 0 || isAnyoneShort(team, targets);
+    // Running requests keep their slots: only unused ones are given back.
+    return isAskedFor && targetSlots < grantedSlots ? Math.max(targetSlots, Math.min(grantedSlots, usedSlots)) : grantedSlots;
+}
+
+/** Replaces one holder's part. */
+export function setAllotment(document: AllotmentDocument, team: string, holderId: string, allotment: Allotment): AllotmentDocument {
+    const before = document.teams[team]!;
+    return { ...document, teams: { ...document.teams, [team]: { ...before, holders: { ...before.holders, [holderId]: allotment } } } };
+}
+
+/** Removes a holder that has given back everything, or that is gone and whose requests have ended. */
+export function removeHolder(document: AllotmentDocument, holderId: string): AllotmentDocument {
+    const teams = Object.entries(document.teams).map(([name, team]) => {
+        const holders = Object.fromEntries(Object.entries(team.holders).filter(([id]) => id !== holderId));
+        return [name, { ...team, holders }] as const;
+    });
+    return { ...document, teams: Object.fromEntries(teams) };
+}
+
+/** Takes in the limits of a configuration version; a limit that a later version set stays. Returns the same document if nothing changes. */
+export function setLimits(document: AllotmentDocument, limits: ReadonlyMap<string, number>, version: number): AllotmentDocument {
+    const names = new Set([...limits.keys(), ...Object.keys(document.teams)]);
+    const changed = [...names].flatMap(name => {
+        const before = document.teams[name];
+        const limitSlots = limits.get(name) ?? 0;
+        const isNewer = !before || (version > before.limitVersion && before.limitSlots !== limitSlots);
+        return isNewer ? [[name, { limitSlots, limitVersion: version, holders: before?.holders ?? {} }] as const] : [];
+    });
+    return changed.length === 0 ? document : { ...document, teams: { ...document.teams, ...Object.fromEntries(changed) } };
+}
+
+/** All holders named anywhere in the document. */
+export function listHolders(document: AllotmentDocument): Set<string> {
+    return new Set(Object.values(document.teams).flatMap(team => Object.keys(team.holders)));
+}
--- /dev/null
+++ b/src/process/admission.ts
@@ -0,0 +1,203 @@
+/**
+ * Admission: a request starts when its team has a free slot of its limit and a backend server has one of its own; else
+ * it waits in its service's queue until its deadline, or is refused.
+ */
+import type { TimerService } from "../common/timerService.js";
+import { chooseServer, noServerReasons, type RandomBelow, type ServerChoice } from "../decisions/chooseServer.js";
+import { worthDensity } from "../decisions/chooseTeam.js";
+import { type AdmissionRequest, type AdmissionResult, type Refusal, refusals } from "./admissionTypes.js";
+import type { AllotmentHolder } from "./allotmentHolder.js";
+import { logEvents } from "./logEvents.js";
+import type { Logger } from "./logger.js";
+import type { ServerTable } from "./serverTable.js";
+import { createServiceQueue, type ServiceQueue, type Waiter } from "./serviceQueue.js";
+import type { UsageLedger } from "./usageLedger.js";
+
+export interface Admission {
+    submit(request: AdmissionRequest): Promise<AdmissionResult>;
+    /** Refuses what waits and what comes. */
+    stop(): void;
+    waitingCount(): number;
+}
+
+export interface AdmissionOptions {
+    availabilityZone: string;
+    timers: TimerService;
+    logger: Logger;
+    servers: ServerTable;
+    allotments: AllotmentHolder;
+    usage: UsageLedger;
+    randomBelow: RandomBelow;
+}
+
+/** Creates the admission of a gateway. */
+export function createAdmission(options: AdmissionOptions): Admission {
+    const { timers, servers, allotments, usage, logger } = options;
+    const queues = new Map<string, ServiceQueue>();
+    let isStopping = false;
+    let isPumping = false;
+    let firstQueue = 0;
+
+    const queueOf = (request: AdmissionRequest): ServiceQueue => {
+        const queue = queues.get(request.service) ?? createServiceQueue();
+        queues.set(request.service, queue);
+        queue.setPool(request.pool);
+        return queue;
+    };
+
+    const canStart = (request: AdmissionRequest): boolean => !request.isLimited || allotments.canAcquire(request.team);
+
+    const start = (waiter: Waiter, choice: ServerChoice): void => {
+        const { request } = waiter;
+        const server = servers.get(choice.serverId)!;
+        if (request.isLimited) {
+            allotments.tryAcquire(request.team);
+        }
+        servers.noteStart(server);
+        usage.add(request.team, request.expectedRunMs);
+        const finish = (ranMs: number): void => {
+            usage.add(request.team, ranMs - request.expectedRunMs);
+            if (request.isLimited) {
+                allotments.release(request.team);
+            }
+            servers.noteEnd(server);
+        };
+        waiter.settle({ isGranted: true, server, choice, waitedMs: timers.nowMs() - waiter.sinceMs, finish });
+    };
+
+    /** Takes the waiter out of its queue. */
+    const leave = (queue: ServiceQueue, waiter: Waiter): boolean => {
+        const wasWaiting = queue.remove(waiter);
+        if (wasWaiting) {
+            waiter.cancelDeadline();
+            allotments.noteWaiting(waiter.request.team, -1);
+        }
+        return wasWaiting;
+    };
+
+    const refuse = (queue: ServiceQueue, waiter: Waiter, refusal: Refusal, detail: string): void => {
+        if (leave(queue, waiter)) {
+            waiter.settle({ isGranted: false, refusal, detail });
+        }
+    };
+
+    /** Starts one waiting request of a queue, if one can start. */
+    const startNext = (queue: ServiceQueue): boolean => {
+        const pool = servers.inPool(queue.pool());
+        if (!pool.some(server => server.isRoutable && server.outstandingCount < server.slotsCount)) {
+            return false;
+        }
+        const waiter = queue.next(canStart, usage.zoneUsageMs);
+        if (!waiter) {
+            return false;
+        }
+        if (waiter.request.isCallerGone()) {
+            refuse(queue, waiter, refusals.callerGone, "the caller has gone");
+            return true;
+        }
+        const choice = chooseServer(pool, options.availabilityZone, waiter.request.excludedServerIds, options.randomBelow);
+        if (typeof choice === "string") {
+            return false;
+        }
+        leave(queue, waiter);
+        queue.noteStart();
+        start(waiter, choice);
+        return true;
+    };
+
+    /** Starts what can start, one of each queue in turn. */
+    const pump = (): void => {
+        if (isPumping) {
+            return;
+        }
+        isPumping = true;
+        let open = [...queues.values()].filter(queue => queue.waitingCount() > 0);
+        firstQueue++;
+        open = open.map((_, index) => open[(index + firstQueue) % open.length]!);
+        while (open.length > 0) {
+            open = open.filter(queue => queue.waitingCount() > 0 && startNext(queue));
+        }
+        isPumping = false;
+    };
+
+    /** Makes room in a full queue for a request of more worth; tells whether there is room. */
+    const makeRoom = (queue: ServiceQueue, request: AdmissionRequest): boolean => {
+        if (queue.waitingCount() < request.queueCapacityCount) {
+            return true;
+        }
+        const least = queue.leastWorth();
+        if (!least || worthDensity(least.request) >= worthDensity(request)) {
+            return false;
+        }
+        const detail = `requests of more worth fill the queue of ${request.queueCapacityCount}; send it again later`;
+        refuse(queue, least, refusals.displaced, detail);
+        return true;
+    };
+
+    const wait = (queue: ServiceQueue, waiter: Waiter): void => {
+        const { request } = waiter;
+        const remainingMs = Math.max(0, request.deadlineMs - timers.nowMs());
+        const detail = `no slot was free within ${Math.round(remainingMs)} ms; send it again later`;
+        waiter.cancelDeadline = timers.after(remainingMs, () => refuse(queue, waiter, refusals.deadlinePassed, detail));
+        queue.add(waiter);
+        allotments.noteWaiting(request.team, 1);
+        logger.log(logEvents.requestQueued, {
+            requestId: request.requestId,
+            service: request.service,
+            team: request.team,
+            waitingCount: queue.waitingCount(),
+        });
+    };
+
+    /** Starts a request at once if nobody waits before it and slots are free. */
+    const startAtOnce = (queue: ServiceQueue, waiter: Waiter): boolean => {
+        const { request } = waiter;
+        if (queue.waitingCount() > 0 || !canStart(request)) {
+            return false;
+        }
+        const choice = chooseServer(servers.inPool(request.pool), options.availabilityZone, request.excludedServerIds, options.randomBelow);
+        if (choice === noServerReasons.allBusy || choice === noServerReasons.noneRoutable) {
+            return false;
+        }
+        queue.noteStart();
+        start(waiter, choice);
+        return true;
+    };
+
+    servers.onFreed(pump);
+    allotments.onGrown(pump);
+
+    return {
+        submit: request =>
+            new Promise(settle => {
+                if (isStopping) {
+                    settle({ isGranted: false, refusal: refusals.stopping, detail: "send it again to another gateway" });
+                    return;
+                }
+                const queue = queueOf(request);
+                const waiter: Waiter = { request, sinceMs: timers.nowMs(), settle, cancelDeadline: () => undefined };
+                if (startAtOnce(queue, waiter)) {
+                    return;
+                }
+                if (!makeRoom(queue, request)) {
+                    settle({
+                        isGranted: false,
+                        refusal: refusals.queueFull,
+                        detail: `${request.queueCapacityCount} requests wait already; send it again later`,
+                    });
+                    return;
+                }
+                wait(queue, waiter);
+                pump();
+            }),
+        stop: () => {
+            isStopping = true;
+            queues.forEach(queue => {
+                queue.waiters().forEach(waiter => {
+                    refuse(queue, waiter, refusals.stopping, "send it again to another gateway");
+                });
+            });
+        },
+        waitingCount: () => [...queues.values()].reduce((sum, queue) => sum + queue.waitingCount(), 0),
+    };
+}
--- /dev/null
+++ b/src/process/membership.ts
@@ -0,0 +1,118 @@
+/** This process's own record in the store, and the records of all others. */
+import type { TimerService } from "../common/timerService.js";
+import { memberKey, type MemberRecord, parseMembers, storeKeys } from "../connection/members.js";
+import type { PlatformStore, StoredValue } from "../connection/platformStore.js";
+import { type ActorSystemRef, spawnActor } from "./actors.js";
+import type { Logger } from "./logger.js";
+
+/** What a process says of itself when it starts. */
+export type OwnMember = Omit<MemberRecord, "replacedMemberIds" | "heldVersion">;
+
+export interface Membership {
+    /** Registers the process. Call it once the process listens on its own address, which proves all others there gone. */
+    start(): void;
+    /** Whether the store holds this process's record. */
+    isRegistered(): boolean;
+    /** All records, as last seen. */
+    members(): readonly MemberRecord[];
+    onChange(callback: (members: readonly MemberRecord[]) => void): void;
+    /** Deletes this process's record when it leaves for good; tells whether the store took it. */
+    leave(): Promise<boolean>;
+}
+
+export interface MembershipOptions {
+    own: OwnMember;
+    store: PlatformStore;
+    timers: TimerService;
+    logger: Logger;
+    system: ActorSystemRef;
+    signal: AbortSignal;
+    /** Configuration version in force in this process. */
+    heldVersion(): number;
+}
+
+const syncIntervalMs = 250;
+
+interface WrittenRecord {
+    revision: number;
+    text: string;
+}
+
+type Message = { type: "sync" } | { type: "leave"; done: (isDone: boolean) => void };
+
+/** Creates the membership; it follows the others' records at once. */
+export function createMembership(options: MembershipOptions): Membership {
+    const { own, store } = options;
+    const key = memberKey(own.memberId);
+    const callbacks: ((members: readonly MemberRecord[]) => void)[] = [];
+    let members: MemberRecord[] = [];
+    let replacedMemberIds: string[] | undefined;
+    let hasLeft = false;
+    let isRegistered = false;
+
+    /** Names the members that were registered at this address: this process listens there now, so they are gone. */
+    const findReplaced = async (): Promise<string[] | undefined> => {
+        const read = await store.readPrefix(storeKeys.membersPrefix);
+        return read.ok ?
+            parseMembers(read.val).filter(member => member.ownAddress === own.ownAddress && member.memberId !== own.memberId).map(member =>
+                member.memberId
+            ) :
+            undefined;
+    };
+
+    const write = async (written: WrittenRecord): Promise<WrittenRecord> => {
+        const record: MemberRecord = { ...own, replacedMemberIds: replacedMemberIds ?? [], heldVersion: options.heldVersion() };
+        const text = JSON.stringify(record);
+        if (text === written.text) {
+            return written;
+        }
+        const swapped = await store.swap([{ key, expectedRevision: written.revision }], [{ key, value: text }]);
+        if (swapped.err) {
+            return written;
+        }
+        if (swapped.val.isSwapped) {
+            isRegistered = true;
+            return { revision: swapped.val.revision, text };
+        }
+        // Only this process writes the key: a lost answer or a restored store explains another revision.
+        return { revision: swapped.val.current[0]?.revision ?? 0, text: "" };
+    };
+
+    const receive = async (state: WrittenRecord, message: Message): Promise<WrittenRecord> => {
+        if (message.type === "leave") {
+            hasLeft = true;
+            const removed = await store.swap([], [{ key, value: undefined }]);
+            message.done(removed.ok);
+            return state;
+        }
+        if (hasLeft) {
+            return state;
+        }
+        replacedMemberIds ??= await findReplaced();
+        return replacedMemberIds ? write(state) : state;
+    };
+    const send = spawnActor<WrittenRecord, Message>({
+        system: options.system,
+        name: "membership",
+        initialState: { revision: 0, text: "" },
+        logger: options.logger,
+        receive,
+    });
+
+    const takeMembers = (values: StoredValue[]): void => {
+        members = parseMembers(values);
+        callbacks.forEach(callback => callback(members));
+    };
+    store.watchPrefix(storeKeys.membersPrefix, options.signal, takeMembers);
+
+    return {
+        start: () => {
+            options.timers.every(syncIntervalMs, options.signal, () => send({ type: "sync" }));
+            send({ type: "sync" });
+        },
+        isRegistered: () => isRegistered && !hasLeft,
+        members: () => members,
+        onChange: callback => void callbacks.push(callback),
+        leave: () => new Promise(done => send({ type: "leave", done })),
+    };
+}
--- /dev/null
+++ b/src/process/metrics.ts
@@ -0,0 +1,75 @@
+/** The metrics of a process, with units in their names and bounded label sets. */
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+
+const latencyBucketsS = [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30];
+
+export type Metrics = ReturnType<typeof createMetrics>;
+
+/** Creates the metrics and their registry. */
+export function createMetrics() {
+    const registry = new Registry();
+    const registers = [registry];
+    return {
+        registry,
+        requestsTotal: new Counter({
+            name: "nutmegjunction_requests_total",
+            help: "Requests by service, team and outcome.",
+            labelNames: ["service", "team", "outcome"],
+            registers,
+        }),
+        requestDurationSeconds: new Histogram({
+            name: "nutmegjunction_request_duration_seconds",
+            help: "Time from a request's arrival to the end of its answer.",
+            labelNames: ["service"],
+            buckets: latencyBucketsS,
+            registers,
+        }),
+        queueDurationSeconds: new Histogram({
+            name: "nutmegjunction_queue_duration_seconds",
+            help: "Time that a request waited for a slot.",
+            labelNames: ["service"],
+            buckets: latencyBucketsS,
+            registers,
+        }),
+        retriesTotal: new Counter({
+            name: "nutmegjunction_retries_total",
+            help: "Requests that were sent again.",
+            labelNames: ["service"],
+            registers,
+        }),
+        allotmentSlots: new Gauge({
+            name: "nutmegjunction_allotment_slots",
+            help: "Slots of a team's limit that this process may use.",
+            labelNames: ["team"],
+            registers,
+        }),
+        configurationVersion: new Gauge({
+            name: "nutmegjunction_configuration_version",
+            help: "Configuration version in force in this process.",
+            registers,
+        }),
+        storeCallsTotal: new Gauge({
+            name: "nutmegjunction_store_calls_total",
+            help: "Calls of the platform's key-value service, by name.",
+            labelNames: ["call"],
+            registers,
+        }),
+        peerBytesTotal: new Counter({
+            name: "nutmegjunction_peer_bytes_total",
+            help: "Bytes sent to and received from peers.",
+            labelNames: ["direction"],
+            registers,
+        }),
+        processCpuSeconds: new Gauge({ name: "nutmegjunction_process_cpu_seconds", help: "Processor time used.", registers }),
+        processMemoryBytes: new Gauge({ name: "nutmegjunction_process_memory_bytes", help: "Resident memory.", registers }),
+    };
+}
+
+/** Renders the metrics in the text format of Prometheus. */
+export async function renderMetrics(metrics: Metrics, storeCalls: Readonly<Record<string, number>>): Promise<string> {
+    const usage = process.cpuUsage();
+    metrics.processCpuSeconds.set((usage.user + usage.system) / 1e6);
+    metrics.processMemoryBytes.set(process.memoryUsage.rss());
+    Object.entries(storeCalls).forEach(([call, count]) => metrics.storeCallsTotal.set({ call }, count));
+    return metrics.registry.metrics();
+}
--- /dev/null
+++ b/src/process/processContext.ts
@@ -0,0 +1,51 @@
+/** What every process has: timers, a logger, metrics, actors and the store, with one lifetime. */
+import { setMaxListeners } from "node:events";
+import { newIncarnationId } from "../common/ids.js";
+import { createTimerService, type TimerService } from "../common/timerService.js";
+import { createEtcdStore } from "../connection/etcdStore.js";
+import type { PlatformStore } from "../connection/platformStore.js";
+import { type ActorSystemRef, startActors } from "./actors.js";
+import { logEvents } from "./logEvents.js";
+import { createLogger, type Logger } from "./logger.js";
+import { createMetrics, type Metrics } from "./metrics.js";
+import type { SharedSettings } from "./settings.js";
+
+export interface ProcessContext {
+    memberId: string;
+    timers: TimerService;
+    logger: Logger;
+    metrics: Metrics;
+    system: ActorSystemRef;
+    store: PlatformStore;
+    /** Ends with the process. */
+    signal: AbortSignal;
+    /** Ends all parts. */
+    end(): void;
+}
+
+/** Creates the context of a process of the given role. */
+export function createProcessContext(role: string, settings: SharedSettings): ProcessContext {
+    const lifetime = new AbortController();
+    const { signal } = lifetime;
+    // Every part of the process listens for its end.
+    setMaxListeners(0, signal);
+    const memberId = newIncarnationId();
+    const timers = createTimerService();
+    const logger = createLogger({
+        minimumLevel: settings.logLevel,
+        processFields: { role, memberId, zone: settings.availabilityZone },
+        write: batch => void process.stdout.write(batch),
+        timers,
+        signal,
+    });
+    const store = createEtcdStore({
+        address: settings.storeAddress,
+        callTimeoutMs: settings.storeTimeoutMs,
+        timers,
+        signal,
+        onAvailability: (isAvailable, reason) =>
+            logger.log(isAvailable ? logEvents.storeAvailable : logEvents.storeUnavailable, { reason }),
+        onWatchRestart: (prefix, reason) => logger.log(logEvents.watchRestarted, { prefix, reason }),
+    });
+    return { memberId, timers, logger, metrics: createMetrics(), system: startActors(signal), store, signal, end: () => lifetime.abort() };
+}
--- /dev/null
+++ b/src/process/reclaim.ts
@@ -0,0 +1,80 @@
+/**
+ * The duty that reclaims what gone members held: their allotments and their records. A member is gone by the platform's
+ * word or by a newer process at its address; its requests may run on for their longest run time, which is waited for.
+ */
+import { newChangeId } from "../common/ids.js";
+import type { TimerService } from "../common/timerService.js";
+import { memberKey, parseMembers, storeKeys } from "../connection/members.js";
+import type { PlatformStore, StoredValue, StoreGuard, StoreWrite } from "../connection/platformStore.js";
+import { type AllotmentDocument, listHolders, removeHolder } from "../decisions/allotments.js";
+import { findGoneMembers, type GoneMember } from "../decisions/membership.js";
+import { logEvents } from "./logEvents.js";
+import type { Logger } from "./logger.js";
+
+export interface ReclaimOptions {
+    store: PlatformStore;
+    timers: TimerService;
+    logger: Logger;
+    goneVmIds(): ReadonlySet<string>;
+    /** Longest time that a request may run, or `undefined` while no configuration is held. */
+    longestRunMs(): number | undefined;
+}
+
+export interface Reclaim {
+    carryOut(fence: StoreGuard): Promise<void>;
+    /** Forgets since when members are gone: the wait begins anew. */
+    forget(): void;
+}
+
+/** Creates the duty. */
+export function createReclaim(options: ReclaimOptions): Reclaim {
+    const { store, timers, logger } = options;
+    /** When each gone member was first seen to be gone, on this process's monotonic clock. */
+    const goneSinceMs = new Map<string, number>();
+
+    const noteGone = (gone: readonly GoneMember[]): void => {
+        const ids = new Set(gone.map(member => member.memberId));
+        [...goneSinceMs.keys()].filter(id => !ids.has(id)).forEach(id => goneSinceMs.delete(id));
+        ids.forEach(id => goneSinceMs.set(id, goneSinceMs.get(id) ?? timers.nowMs()));
+    };
+
+    const remove = async (fence: StoreGuard, member: GoneMember, allotments: StoredValue | undefined): Promise<void> => {
+        const document = allotments ? JSON.parse(allotments.value) as AllotmentDocument : undefined;
+        const holdsAllotment = document !== undefined && listHolders(document).has(member.memberId);
+        const guards = [fence, { key: storeKeys.allotments, expectedRevision: allotments?.revision ?? 0 }];
+        const writes: StoreWrite[] = [{ key: memberKey(member.memberId), value: undefined }];
+        if (holdsAllotment) {
+            const next = { ...removeHolder(document, member.memberId), changeId: newChangeId() };
+            writes.push({ key: storeKeys.allotments, value: JSON.stringify(next) });
+        }
+        const swapped = await store.swap(guards, writes);
+        if (swapped.err || !swapped.val.isSwapped) {
+            return;
+        }
+        goneSinceMs.delete(member.memberId);
+        logger.log(holdsAllotment ? logEvents.allotmentReclaimed : logEvents.memberRemoved, {
+            goneMemberId: member.memberId,
+            reason: member.reason,
+        });
+    };
+
+    return {
+        forget: () => goneSinceMs.clear(),
+        carryOut: async fence => {
+            const waitMs = options.longestRunMs();
+            const members = await store.readPrefix(storeKeys.membersPrefix);
+            if (members.err || waitMs === undefined) {
+                return;
+            }
+            const gone = findGoneMembers(parseMembers(members.val), options.goneVmIds());
+            noteGone(gone);
+            const due = gone.filter(member => timers.nowMs() - goneSinceMs.get(member.memberId)! >= waitMs);
+            for (const member of due) {
+                const allotments = await store.read(storeKeys.allotments);
+                if (allotments.ok) {
+                    await remove(fence, member, allotments.val);
+                }
+            }
+        },
+    };
+}
--- /dev/null
+++ b/src/process/serverTable.ts
@@ -0,0 +1,170 @@
+/** The backend servers as this gateway sees them: load, health, and whether they may get new work. */
+import type { TimerService } from "../common/timerService.js";
+import { createServerConnections, type ServerConnections } from "../connection/serverConnections.js";
+import type { ServerLoad } from "../decisions/chooseServer.js";
+import { healthyServer, mayEject, mayReceive, recordFailure, type ServerHealth } from "../decisions/outlierEjection.js";
+import type { BackendServerConfiguration } from "../version/fleetDocument.js";
+import type { AppliedVersion } from "../version/fleetVersion.js";
+import { logEvents } from "./logEvents.js";
+import type { Logger } from "./logger.js";
+
+/** Why a server gets no new work. */
+export const leavingReasons = {
+    drained: "an operator drains it",
+    vmLeaving: "its VM leaves",
+    ownWord: "it says that it leaves",
+} as const;
+export type LeavingReason = (typeof leavingReasons)[keyof typeof leavingReasons];
+
+export interface ServerState extends ServerLoad {
+    readonly configuration: BackendServerConfiguration;
+    readonly connections: ServerConnections;
+    /** This gateway's own requests there, those of unknown end included. */
+    ownCount: number;
+    /** Requests there by peer, as they last reported. */
+    readonly peerCounts: Map<string, number>;
+    health: ServerHealth;
+    readonly leaving: Set<LeavingReason>;
+}
+
+export interface ServerTable {
+    /** Servers of a pool, with their loads as of now. */
+    inPool(pool: string): ServerState[];
+    get(serverId: string): ServerState | undefined;
+    all(): ServerState[];
+    /** Takes in a version: adds, removes and drains servers. */
+    apply(version: AppliedVersion): void;
+    /** Sets or clears one reason for which a server leaves. */
+    setLeaving(server: ServerState, reason: LeavingReason, isLeaving: boolean): void;
+    noteStart(server: ServerState): void;
+    noteEnd(server: ServerState): void;
+    noteOutcome(server: ServerState, isSuccess: boolean): void;
+    /** Takes in what a peer has running, by server; `undefined` forgets the peer. */
+    setPeerCounts(peerId: string, counts: ReadonlyMap<string, number> | undefined): void;
+    /** Calls back when a server may have a free slot. */
+    onFreed(callback: () => void): void;
+}
+
+const connectTimeoutMs = 1_000;
+
+/** Creates an empty table. */
+export function createServerTable(options: { timers: TimerService; logger: Logger; signal: AbortSignal }): ServerTable {
+    const { timers, logger } = options;
+    const servers = new Map<string, ServerState>();
+    const pools = new Map<string, ServerState[]>();
+    const freedCallbacks: (() => void)[] = [];
+    const notifyFreed = (): void => freedCallbacks.forEach(callback => callback());
+    options.signal.addEventListener("abort", () => servers.forEach(server => server.connections.close()), { once: true });
+
+    const refresh = (server: ServerState): void => {
+        let peersCount = 0;
+        server.peerCounts.forEach(count => peersCount += count);
+        server.outstandingCount = server.ownCount + peersCount;
+        server.isRoutable = server.leaving.size === 0 && mayReceive(server.health, timers.nowMs(), server.outstandingCount);
+    };
+
+    const createServer = (serverId: string, configuration: BackendServerConfiguration): ServerState => ({
+        serverId,
+        configuration,
+        availabilityZone: configuration.availabilityZone,
+        slotsCount: configuration.slotsCount,
+        outstandingCount: 0,
+        isRoutable: true,
+        ownCount: 0,
+        peerCounts: new Map(),
+        health: healthyServer,
+        leaving: new Set(),
+        connections: createServerConnections({
+            address: configuration.address,
+            timers,
+            connectTimeoutMs,
+            onRetired: retiredCount => logger.log(logEvents.connectionsRetired, { serverId, retiredCount }),
+        }),
+    });
+
+    const setLeaving = (server: ServerState, reason: LeavingReason, isLeaving: boolean): void => {
+        if (server.leaving.has(reason) === isLeaving) {
+            return;
+        }
+        if (isLeaving) {
+            server.leaving.add(reason);
+            logger.log(logEvents.serverLeaving, { serverId: server.serverId, reason });
+            return;
+        }
+        server.leaving.delete(reason);
+        logger.log(logEvents.serverReturned, { serverId: server.serverId, reason });
+        notifyFreed();
+    };
+
+    const isSameServer = (server: ServerState, configuration: BackendServerConfiguration): boolean =>
+        server.configuration.address === configuration.address && server.configuration.vmId === configuration.vmId;
+
+    const applyServer = (serverId: string, configuration: BackendServerConfiguration): void => {
+        const known = servers.get(serverId);
+        if (known && isSameServer(known, configuration)) {
+            servers.set(serverId, Object.assign(known, { configuration, slotsCount: configuration.slotsCount }));
+            return;
+        }
+        servers.set(serverId, createServer(serverId, configuration));
+    };
+
+    const groupByPool = (): void => {
+        pools.clear();
+        servers.forEach(server => pools.set(server.configuration.pool, [...(pools.get(server.configuration.pool) ?? []), server]));
+    };
+
+    return {
+        inPool: pool => {
+            const members = pools.get(pool) ?? [];
+            members.forEach(refresh);
+            return members;
+        },
+        get: serverId => servers.get(serverId),
+        all: () => [...servers.values()],
+        apply: version => {
+            const configured = version.fleet.backendServers;
+            // Requests that still run on a removed server end on its connections, which close when idle.
+            [...servers.keys()].filter(serverId => !configured[serverId]).forEach(serverId => servers.delete(serverId));
+            Object.entries(configured).forEach(([serverId, configuration]) => applyServer(serverId, configuration));
+            groupByPool();
+            servers.forEach(server => setLeaving(server, leavingReasons.drained, version.drainedServerIds.has(server.serverId)));
+            notifyFreed();
+        },
+        setLeaving,
+        noteStart: server => {
+            server.ownCount++;
+        },
+        noteEnd: server => {
+            server.ownCount--;
+            notifyFreed();
+        },
+        noteOutcome: (server, isSuccess) => {
+            if (isSuccess) {
+                server.health = healthyServer;
+                return;
+            }
+            const pool = pools.get(server.configuration.pool) ?? [];
+            const ejectedCount = pool.filter(other => other !== server && other.health.ejectionsCount > 0).length;
+            const before = server.health;
+            server.health = recordFailure(before, timers.nowMs(), mayEject(pool.length, ejectedCount));
+            if (server.health.ejectionsCount > before.ejectionsCount) {
+                const forMs = Math.round(server.health.ejectedUntilMs - timers.nowMs());
+                logger.log(logEvents.serverEjected, { serverId: server.serverId, failuresCount: server.health.consecutiveFailures, forMs });
+                timers.after(forMs, notifyFreed);
+            }
+        },
+        setPeerCounts: (peerId, counts) => {
+            servers.forEach(server => {
+                const count = counts?.get(server.serverId) ?? 0;
+                if (count > 0) {
+                    server.peerCounts.set(peerId, count);
+                }
+                else {
+                    server.peerCounts.delete(peerId);
+                }
+            });
+            notifyFreed();
+        },
+        onFreed: callback => void freedCallbacks.push(callback),
+    };
+}
--- /dev/null
+++ b/src/process/vmListWatch.ts
@@ -0,0 +1,59 @@
+/** Follows the platform's VM list; while it does not answer, the last one stays in force. */
+import type { TimerService } from "../common/timerService.js";
+import { readVmList, vmStates } from "../connection/vmList.js";
+import { logEvents } from "./logEvents.js";
+import type { Logger } from "./logger.js";
+
+export interface VmListWatch {
+    isLeaving(vmId: string): boolean;
+    /** VMs of which the platform says that they are gone; a VM that is not listed is not gone. */
+    goneVmIds(): ReadonlySet<string>;
+    onRead(callback: () => void): void;
+}
+
+export interface VmListWatchOptions {
+    /** Address of the list; without one no VM is ever leaving or gone by the platform's word. */
+    address: string | undefined;
+    timers: TimerService;
+    logger: Logger;
+    signal: AbortSignal;
+}
+
+const readIntervalMs = 1_000;
+
+/** Starts to follow the list. */
+export function createVmListWatch(options: VmListWatchOptions): VmListWatch {
+    const { address, signal, logger } = options;
+    const callbacks: (() => void)[] = [];
+    let leavingVmIds = new Set<string>();
+    let goneVmIds = new Set<string>();
+    let isAvailable = true;
+
+    const read = async (listAddress: string): Promise<void> => {
+        const list = await readVmList(listAddress, signal);
+        if (signal.aborted) {
+            return;
+        }
+        if (list.err) {
+            if (isAvailable) {
+                logger.log(logEvents.vmListUnavailable, { reason: list.val });
+            }
+            isAvailable = false;
+            return;
+        }
+        isAvailable = true;
+        goneVmIds = new Set(list.val.filter(vm => vm.state === vmStates.gone).map(vm => vm.vmId));
+        leavingVmIds = new Set(list.val.filter(vm => vm.state === vmStates.leaving).map(vm => vm.vmId));
+        callbacks.forEach(callback => callback());
+    };
+
+    if (address !== undefined) {
+        options.timers.every(readIntervalMs, signal, () => void read(address));
+        void read(address);
+    }
+    return {
+        isLeaving: vmId => leavingVmIds.has(vmId) || goneVmIds.has(vmId),
+        goneVmIds: () => goneVmIds,
+        onRead: callback => void callbacks.push(callback),
+    };
+}
--- /dev/null
+++ b/src/request/adminHandler.ts
@@ -0,0 +1,197 @@
+/** The administration API: configuration, team keys, drains and status. */
+import type http from "node:http";
+import { z } from "zod";
+import type { AcceptanceView } from "../process/acceptanceView.js";
+import type { ConfigurationHolder } from "../process/configurationHolder.js";
+import { type FleetChange, type FleetContent, type FleetWriter, type WriteFailure, writeFailures } from "../process/fleetWriter.js";
+import { describeDifferences } from "../version/describeDifferences.js";
+import { fleetDocument } from "../version/fleetDocument.js";
+import type { FleetVersion } from "../version/fleetVersion.js";
+import { resolveFleet } from "../version/resolveFleet.js";
+import { areSecretsEqual, mintKey } from "../version/teamKeys.js";
+import { readJsonBody, sendAdminProblem, sendJson } from "./jsonAnswers.js";
+
+export interface AdminOptions {
+    operatorKey: string;
+    configuration: ConfigurationHolder;
+    writer: FleetWriter;
+    acceptance: AcceptanceView;
+    /** How long an answer waits for acceptance before it names the zones still missing. */
+    acceptanceWaitMs: number;
+    nowMs(): number;
+    status(): object;
+}
+
+type Handler = (request: http.IncomingMessage, response: http.ServerResponse, id: string) => Promise<void> | void;
+
+const keyBody = z.strictObject({ team: z.string() });
+const drainBody = z.strictObject({ serverId: z.string(), reason: z.string().default("") });
+const operatorHeader = "nutmegjunction-operator";
+
+function readIfMatch(request: http.IncomingMessage): number | undefined | "missing" {
+    const text = request.headers["if-match"];
+    if (text === undefined) {
+        return "missing";
+    }
+    return text === "*" ? undefined : Number(text.replaceAll('"', ""));
+}
+
+/** Creates the handler; it tells whether the path was one of its own. */
+export function createAdminHandler(options: AdminOptions): (request: http.IncomingMessage, response: http.ServerResponse) => boolean {
+    const { configuration } = options;
+
+    const sendFailure = (response: http.ServerResponse, failure: WriteFailure, base: FleetVersion | undefined): void => {
+        if (failure.failure === writeFailures.storeUnavailable) {
+            sendAdminProblem(response, 503, "The platform's key-value service does not answer", {
+                detail: `${failure.detail}; send it again later`,
+            });
+            return;
+        }
+        const differences = failure.current ? describeDifferences(base, failure.current) : [];
+        const detail = `${failure.detail}; read the new version and make the change from it`;
+        sendAdminProblem(response, 412, "Another change came first", { detail, version: failure.current?.version, differences });
+    };
+
+    /** Writes a change, waits for its acceptance, and answers 200, or 202 with the zones still missing. */
+    const commit = async (response: http.ServerResponse, change: FleetChange, extra: object = {}): Promise<void> => {
+        const base = configuration.current()?.record;
+        const written = await options.writer.propose(change);
+        if (written.err) {
+            sendFailure(response, written.val, base);
+            return;
+        }
+        const acceptance = await options.acceptance.wait(written.val.version, options.acceptanceWaitMs);
+        sendJson(response, acceptance.isAccepted ? 200 : 202, { ...extra, ...acceptance }, { etag: `"${written.val.version}"` });
+    };
+
+    const operatorOf = (request: http.IncomingMessage): string => String(request.headers[operatorHeader] ?? "unnamed");
+
+    const getConfiguration: Handler = (_request, response) => {
+        const held = configuration.current();
+        const version = configuration.version();
+        const body = {
+            ...options.acceptance.of(version),
+            document: held?.record.document,
+            changedAtMs: held?.record.changedAtMs,
+            operator: held?.record.operator,
+        };
+        sendJson(response, 200, body, { etag: `"${version}"` });
+    };
+
+    const putConfiguration: Handler = async (request, response) => {
+        const expectedVersion = readIfMatch(request);
+        if (expectedVersion === "missing" || Number.isNaN(expectedVersion)) {
+            sendAdminProblem(response, 428, "The version is missing", {
+                detail: "header If-Match: send the version that the change was made from, or *",
+            });
+            return;
+        }
+        const body = await readJsonBody(request);
+        const parsed = body.ok ? fleetDocument.safeParse(body.val) : undefined;
+        if (!parsed?.success) {
+            sendAdminProblem(response, 400, "The configuration cannot be read", {
+                detail: body.err ? body.val : z.prettifyError(parsed!.error!),
+            });
+            return;
+        }
+        const document = parsed.data;
+        const resolved = resolveFleet(document);
+        if (resolved.err) {
+            sendAdminProblem(response, 422, "The configuration has findings", { findings: resolved.val });
+            return;
+        }
+        await commit(response, { operator: operatorOf(request), expectedVersion, change: content => ({ ...content, document }) });
+    };
+
+    const teamsOf = (): string[] => Object.keys(Object.values(configuration.current()?.fleet.sites ?? {})[0]?.teams ?? {});
+
+    const postKey: Handler = async (request, response) => {
+        const body = await readJsonBody(request);
+        const parsed = body.ok ? keyBody.safeParse(body.val) : undefined;
+        if (!parsed?.success || !teamsOf().includes(parsed.data.team)) {
+            sendAdminProblem(response, 422, "The team is not known", { detail: `send {"team": one of ${teamsOf().join(", ")}}` });
+            return;
+        }
+        const minted = mintKey(parsed.data.team);
+        const change = (content: FleetContent): FleetContent => ({ ...content, keys: [...content.keys, minted.record] });
+        await commit(response, { operator: operatorOf(request), expectedVersion: undefined, change }, {
+            key: minted.key,
+            keyId: minted.record.keyId,
+        });
+    };
+
+    const deleteKey: Handler = async (request, response, keyId) => {
+        if (!configuration.current()?.keysById.has(keyId)) {
+            sendAdminProblem(response, 404, "There is no such key", { detail: `found '${keyId}'; list them with GET /admin/v1/keys` });
+            return;
+        }
+        const change = (content: FleetContent): FleetContent => ({ ...content, keys: content.keys.filter(key => key.keyId !== keyId) });
+        await commit(response, { operator: operatorOf(request), expectedVersion: undefined, change });
+    };
+
+    const postDrain: Handler = async (request, response) => {
+        const body = await readJsonBody(request);
+        const parsed = body.ok ? drainBody.safeParse(body.val) : undefined;
+        const servers = Object.keys(configuration.current()?.fleet.backendServers ?? {});
+        if (!parsed?.success || !servers.includes(parsed.data.serverId)) {
+            sendAdminProblem(response, 422, "The backend server is not known", {
+                detail: `send {"serverId": one of ${servers.join(", ")}}`,
+            });
+            return;
+        }
+        const drain = { ...parsed.data, sinceMs: options.nowMs() };
+        const change = (content: FleetContent): FleetContent => ({
+            ...content,
+            drains: [...content.drains.filter(other => other.serverId !== drain.serverId), drain],
+        });
+        await commit(response, { operator: operatorOf(request), expectedVersion: undefined, change });
+    };
+
+    const deleteDrain: Handler = async (request, response, serverId) => {
+        const change = (content: FleetContent): FleetContent => ({
+            ...content,
+            drains: content.drains.filter(drain => drain.serverId !== serverId),
+        });
+        await commit(response, { operator: operatorOf(request), expectedVersion: undefined, change });
+    };
+
+    const handlers: Record<string, Handler> = {
+        "GET /admin/v1/configuration": getConfiguration,
+        "PUT /admin/v1/configuration": putConfiguration,
+        "GET /admin/v1/status": (_request, response) => sendJson(response, 200, options.status()),
+        "GET /admin/v1/keys": (_request, response) =>
+            sendJson(response, 200, {
+                keys: (configuration.current()?.record.keys ?? []).map(key => ({ keyId: key.keyId, team: key.team })),
+            }),
+        "POST /admin/v1/keys": postKey,
+        "DELETE /admin/v1/keys/": deleteKey,
+        "GET /admin/v1/drains": (_request, response) => sendJson(response, 200, { drains: configuration.current()?.record.drains ?? [] }),
+        "POST /admin/v1/drains": postDrain,
+        "DELETE /admin/v1/drains/": deleteDrain,
+    };
+
+    const isOperator = (request: http.IncomingMessage): boolean =>
+        areSecretsEqual(String(request.headers.authorization ?? "").replace(/^Bearer /, ""), options.operatorKey);
+
+    return (request, response) => {
+        const [, path = "", id = ""] = /^(\/admin\/v1\/[a-z]+\/?)([^/?]*)/.exec(request.url ?? "") ?? [];
+        if (path === "") {
+            return false;
+        }
+        const handler = handlers[`${request.method} ${path}`];
+        if (!isOperator(request)) {
+            sendAdminProblem(response, 401, "No valid operator's key came with the request", {
+                detail: "header Authorization: send 'Bearer <operator key>'",
+            });
+        }
+        else if (!handler) {
+            sendAdminProblem(response, 404, "There is no such call", {
+                detail: `found '${request.method} ${request.url}'; docs/API.md lists the calls`,
+            });
+        }
+        else {
+            void handler(request, response, decodeURIComponent(id));
+        }
+        return true;
+    };
+}
--- /dev/null
+++ b/src/request/callerHandler.ts
@@ -0,0 +1,219 @@
+/** Callers' requests: from the key to the whole answer, or a true problem. */
+import type http from "node:http";
+import { type Outcome, outcomes } from "../common/outcomes.js";
+import type { TimerService } from "../common/timerService.js";
+import { headerNames } from "../connection/httpHeaders.js";
+import type { ConfigurationHolder } from "../process/configurationHolder.js";
+import { logEvents } from "../process/logEvents.js";
+import type { Logger } from "../process/logger.js";
+import type { Metrics } from "../process/metrics.js";
+import type { TicketLedger } from "../process/ticketLedger.js";
+import type { SiteConfiguration } from "../version/fleetDocument.js";
+import type { AppliedVersion } from "../version/fleetVersion.js";
+import { findKey } from "../version/teamKeys.js";
+import { type AnswerSink, createCallerSink, sendProblem } from "./answerSink.js";
+import { type CallerRequest, readCallerRequest, type Refused } from "./callerRequest.js";
+import { readJsonBody, sendJson } from "./jsonAnswers.js";
+import { problems } from "./problems.js";
+import { hasBody, isBufferable, readBody } from "./requestBody.js";
+import type { RunnableRequest, RunResult } from "./runRequest.js";
+
+export interface CallerHandlerOptions {
+    availabilityZone: string;
+    timers: TimerService;
+    logger: Logger;
+    metrics: Metrics;
+    configuration: ConfigurationHolder;
+    ledger: TicketLedger;
+    nextRequestId(): string;
+    isStopping(): boolean;
+    run(request: RunnableRequest, sink: AnswerSink): Promise<RunResult>;
+    runKeyed(request: RunnableRequest, idempotencyKey: string, sink: AnswerSink): Promise<RunResult>;
+}
+
+/** Team of requests that come to an open service without a key. */
+export const openTeam = "open";
+const openShareWeight = 1;
+const largestTicketBatch = 1_000;
+const ticketsPath = "/v1/tickets";
+
+interface Caller {
+    team: string;
+    shareWeight: number;
+    isLimited: boolean;
+}
+
+/** Creates the handler of the caller listener; it resolves when the request has ended. */
+export function createCallerHandler(
+    options: CallerHandlerOptions,
+): (request: http.IncomingMessage, response: http.ServerResponse) => Promise<void> {
+    const { timers, logger, metrics, configuration } = options;
+
+    const presentedKey = (request: http.IncomingMessage): string | undefined => request.headers.authorization?.replace(/^Bearer +/i, "");
+
+    /** Finds the caller's team by its key; open services need none. */
+    const findCaller = (
+        request: http.IncomingMessage,
+        version: AppliedVersion,
+        site: SiteConfiguration,
+        isOpen: boolean,
+    ): Caller | undefined => {
+        const presented = presentedKey(request);
+        if (presented === undefined) {
+            return isOpen ? { team: openTeam, shareWeight: openShareWeight, isLimited: false } : undefined;
+        }
+        const record = findKey(version.keysById, presented);
+        const team = record && site.teams[record.team];
+        return team && { team: record.team, shareWeight: team.shareWeight, isLimited: true };
+    };
+
+    const refuse = (request: http.IncomingMessage, sink: AnswerSink, requestId: string, refused: Refused): void => {
+        // A refusal here comes before the idempotency key was looked up: an earlier request with it may have run.
+        const isKeyed = request.headers[headerNames.idempotencyKey] !== undefined && refused.type !== problems.badRequest;
+        const outcome = isKeyed ? outcomes.unknown : outcomes.notRun;
+        logger.log(logEvents.requestRefused, { requestId, problem: refused.type.id, outcome, detail: refused.detail });
+        metrics.requestsTotal.inc({ service: "", team: "", outcome });
+        sendProblem(sink, { ...refused, requestId, outcome });
+    };
+
+    /** Why no request can be taken now. */
+    const findObstacle = (): Refused | undefined => {
+        if (options.isStopping()) {
+            return { type: problems.stopping, detail: "send it again to another gateway" };
+        }
+        if (!configuration.isFresh()) {
+            return {
+                type: problems.noConfiguration,
+                detail: "the gateway refreshes its configuration after a pause; send it again at once",
+            };
+        }
+        return undefined;
+    };
+
+    const finishRun = (runnable: RunnableRequest, result: RunResult, sink: AnswerSink): Outcome => {
+        if (result.isAnswered) {
+            return result.outcome;
+        }
+        const { problem } = result;
+        logger.log(logEvents.requestRefused, {
+            requestId: runnable.requestId,
+            team: runnable.team,
+            service: runnable.serviceId,
+            problem: problem.type.id,
+            outcome: problem.outcome,
+            detail: problem.detail,
+        });
+        if (result.isAnswerStarted) {
+            sink.cut();
+        }
+        else {
+            sendProblem(sink, problem);
+        }
+        return problem.outcome;
+    };
+
+    const runRequest = async (runnable: RunnableRequest, sink: AnswerSink, startedMs: number): Promise<void> => {
+        const key = runnable.idempotencyKey;
+        const result = key === undefined ? await options.run(runnable, sink) : await options.runKeyed(runnable, key, sink);
+        const outcome = finishRun(runnable, result, sink);
+        metrics.requestsTotal.inc({ service: runnable.serviceId, team: runnable.team, outcome });
+        metrics.requestDurationSeconds.observe({ service: runnable.serviceId }, (timers.nowMs() - startedMs) / 1000);
+        logger.log(logEvents.requestEnded, { requestId: runnable.requestId, outcome });
+    };
+
+    const takeBody = async (request: http.IncomingMessage): Promise<RunnableRequest["body"]> => {
+        if (!hasBody(request)) {
+            return undefined;
+        }
+        return isBufferable(request) ? readBody(request) : request;
+    };
+
+    const serveService = async (
+        request: http.IncomingMessage,
+        response: http.ServerResponse,
+        version: AppliedVersion,
+        site: SiteConfiguration,
+    ): Promise<void> => {
+        const startedMs = timers.nowMs();
+        const requestId = options.nextRequestId();
+        const sink = createCallerSink(response);
+        const read = readCallerRequest(request, site);
+        if (read.err) {
+            refuse(request, sink, requestId, read.val);
+            return;
+        }
+        const callerRequest: CallerRequest = read.val;
+        const caller = findCaller(request, version, site, callerRequest.service.isOpen);
+        if (!caller) {
+            refuse(request, sink, requestId, {
+                type: problems.unauthorized,
+                detail: "header Authorization: send 'Bearer <key>' with a key of a team that is in force",
+            });
+            return;
+        }
+        let body: RunnableRequest["body"];
+        try {
+            body = await takeBody(request);
+        }
+        catch {
+            response.destroy();
+            return;
+        }
+        const runnable: RunnableRequest = {
+            ...callerRequest,
+            ...caller,
+            requestId,
+            rawHeaders: request.rawHeaders,
+            body,
+            deadlineMs: startedMs + callerRequest.timeoutMs,
+            isCallerGone: () => response.destroyed,
+        };
+        await runRequest(runnable, sink, startedMs);
+    };
+
+    const serveTickets = async (
+        request: http.IncomingMessage,
+        response: http.ServerResponse,
+        version: AppliedVersion,
+        site: SiteConfiguration,
+    ): Promise<void> => {
+        const sink = createCallerSink(response);
+        const requestId = options.nextRequestId();
+        const caller = findCaller(request, version, site, false);
+        if (!caller) {
+            refuse(request, sink, requestId, {
+                type: problems.unauthorized,
+                detail: "header Authorization: send 'Bearer <key>' with a key of a team that is in force",
+            });
+            return;
+        }
+        const body = await readJsonBody(request);
+        const count = body.ok ? (body.val as { count?: unknown }).count ?? 1 : undefined;
+        if (typeof count !== "number" || !Number.isInteger(count) || count < 1 || count > largestTicketBatch) {
+            refuse(request, sink, requestId, { type: problems.badRequest, detail: `body: send {"count": 1 to ${largestTicketBatch}}` });
+            return;
+        }
+        const tickets = Array.from({ length: count }, () => options.ledger.mint(caller.team)).filter(ticket => ticket !== undefined);
+        if (tickets.length < count) {
+            refuse(request, sink, requestId, { type: problems.ticketsFull, detail: "send it again later, or to another gateway" });
+            return;
+        }
+        sendJson(response, 201, { tickets });
+    };
+
+    return async (request, response) => {
+        const obstacle = findObstacle();
+        const version = configuration.current();
+        const site = version?.fleet.sites[options.availabilityZone];
+        if (obstacle || !version || !site) {
+            const missing = { type: problems.noConfiguration, detail: "no configuration names this zone yet; send it again later" };
+            refuse(request, createCallerSink(response), options.nextRequestId(), obstacle ?? missing);
+            return;
+        }
+        if (request.url === ticketsPath && request.method === "POST") {
+            await serveTickets(request, response, version, site);
+            return;
+        }
+        await serveService(request, response, version, site);
+    };
+}
--- /dev/null
+++ b/src/request/callerRequest.ts
@@ -0,0 +1,113 @@
+/** Reads a caller's request: service, path, kind, deadline and idempotency key. The boundary checks once. */
+import type http from "node:http";
+import { Err, Ok, type Result } from "../common/results.js";
+import { headerNames } from "../connection/httpHeaders.js";
+import type { RequestKindConfiguration, ServiceConfiguration, SiteConfiguration } from "../version/fleetDocument.js";
+import { problems, type ProblemType } from "./problems.js";
+
+export interface CallerRequest {
+    serviceId: string;
+    service: ServiceConfiguration;
+    kind: RequestKindConfiguration;
+    method: string;
+    /** Path and query for the backend server, which sees the service first. */
+    serverPath: string;
+    timeoutMs: number;
+    idempotencyKey: string | undefined;
+    /** Whether another gateway has forwarded it here. */
+    isForwarded: boolean;
+}
+
+export interface Refused {
+    type: ProblemType;
+    detail: string;
+}
+
+const servicesPrefix = "/v1/services/";
+const defaultKind = "default";
+const longestIdempotencyKeyChars = 512;
+
+function headerValue(request: http.IncomingMessage, name: string): string | undefined {
+    const value = request.headers[name];
+    return Array.isArray(value) ? value[0] : value;
+}
+
+function readKind(request: http.IncomingMessage, service: ServiceConfiguration): Result<RequestKindConfiguration, Refused> {
+    const names = Object.keys(service.requestKinds);
+    const name = headerValue(request, headerNames.requestKind) ?? (names.length === 1 ? names[0]! : defaultKind);
+    const kind = service.requestKinds[name];
+    if (!kind) {
+        return Err({ type: problems.badRequest, detail: `header Request-Kind: found '${name}'; send one of: ${names.join(", ")}` });
+    }
+    return Ok(kind);
+}
+
+function readTimeoutMs(request: http.IncomingMessage, service: ServiceConfiguration): Result<number, Refused> {
+    const text = headerValue(request, headerNames.requestTimeoutMs);
+    if (text === undefined) {
+        return Ok(service.requestTimeoutMs);
+    }
+    const timeoutMs = Number(text);
+    if (!Number.isInteger(timeoutMs) || timeoutMs < 1) {
+        return Err({ type: problems.badRequest, detail: `header Request-Timeout-Ms: found '${text}'; send whole milliseconds from 1` });
+    }
+    return Ok(Math.min(timeoutMs, service.requestTimeoutMs));
+}
+
+function readIdempotencyKey(request: http.IncomingMessage): Result<string | undefined, Refused> {
+    const key = headerValue(request, headerNames.idempotencyKey);
+    if (key !== undefined && (key === "" || key.length > longestIdempotencyKeyChars)) {
+        return Err({
+            type: problems.badRequest,
+            detail: `header Idempotency-Key: found ${key.length} characters; send 1 to ${longestIdempotencyKeyChars}`,
+        });
+    }
+    return Ok(key);
+}
+
+/** Reads the service id and the rest of the path, or `undefined` for a path of another kind. */
+function splitPath(url: string): { serviceId: string; rest: string } | undefined {
+    if (!url.startsWith(servicesPrefix)) {
+        return undefined;
+    }
+    const tail = url.slice(servicesPrefix.length);
+    const end = tail.search(/[/?]/);
+    return end < 0 ? { serviceId: tail, rest: "/" } : { serviceId: tail.slice(0, end), rest: tail.slice(end) };
+}
+
+/** Reads and checks a request; what cannot be understood is refused before anything runs. */
+export function readCallerRequest(request: http.IncomingMessage, site: SiteConfiguration): Result<CallerRequest, Refused> {
+    const split = splitPath(request.url ?? "");
+    if (!split) {
+        return Err({ type: problems.noSuchPath, detail: `found '${request.url}'; use ${servicesPrefix}<service>/<path>` });
+    }
+    const service = Object.hasOwn(site.services, split.serviceId) ? site.services[split.serviceId] : undefined;
+    if (!service) {
+        return Err({
+            type: problems.noSuchService,
+            detail: `found '${split.serviceId}'; use one of: ${Object.keys(site.services).join(", ")}`,
+        });
+    }
+    const kind = readKind(request, service);
+    const timeoutMs = readTimeoutMs(request, service);
+    const idempotencyKey = readIdempotencyKey(request);
+    if (kind.err) {
+        return kind;
+    }
+    if (timeoutMs.err) {
+        return timeoutMs;
+    }
+    if (idempotencyKey.err) {
+        return idempotencyKey;
+    }
+    return Ok({
+        serviceId: split.serviceId,
+        service,
+        kind: kind.val,
+        method: request.method ?? "GET",
+        serverPath: `/${split.serviceId}${split.rest}`,
+        timeoutMs: timeoutMs.val,
+        idempotencyKey: idempotencyKey.val,
+        isForwarded: request.headers[headerNames.forwardedBy] !== undefined,
+    });
+}
--- /dev/null
+++ b/src/request/forwardToOwner.ts
@@ -0,0 +1,105 @@
+/** Forwards a request to the gateway that owns its idempotency key, and passes that gateway's answer on. */
+import { outcomes } from "../common/outcomes.js";
+import type { TimerService } from "../common/timerService.js";
+import { headerNames } from "../connection/httpHeaders.js";
+import type { MemberRecord } from "../connection/members.js";
+import { createServerConnections, type ServerConnections } from "../connection/serverConnections.js";
+import { logEvents } from "../process/logEvents.js";
+import type { Logger } from "../process/logger.js";
+import type { AnswerSink } from "./answerSink.js";
+import { sendAttempt } from "./attempt.js";
+import { problems } from "./problems.js";
+import type { RunnableRequest, RunResult } from "./runRequest.js";
+
+export interface OwnerForwarderOptions {
+    ownId: string;
+    timers: TimerService;
+    logger: Logger;
+    signal: AbortSignal;
+    members(): readonly MemberRecord[];
+}
+
+const connectTimeoutMs = 1_000;
+const progressTimeoutMs = 5_000;
+/** The owner answers a little before this side gives up. */
+const answerGraceMs = 200;
+/** Headers that concern one connection, or that this side sets itself. */
+const ownHeaders: ReadonlySet<string> = new Set([
+    "connection",
+    "host",
+    "keep-alive",
+    "transfer-encoding",
+    "expect",
+    headerNames.requestTimeoutMs,
+    headerNames.forwardedBy,
+]);
+
+function copyAllHeaders(rawHeaders: readonly string[], own: readonly string[]): string[] {
+    const copied = [...own];
+    for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
+        if (!ownHeaders.has(rawHeaders[index]!.toLowerCase())) {
+            copied.push(rawHeaders[index]!, rawHeaders[index + 1]!);
+        }
+    }
+    return copied;
+}
+
+/** Creates the forwarder; it keeps connections to the owners it has forwarded to. */
+export function createOwnerForwarder(
+    options: OwnerForwarderOptions,
+): (ownerId: string, request: RunnableRequest, sink: AnswerSink) => Promise<RunResult> {
+    const { timers } = options;
+    const connections = new Map<string, ServerConnections>();
+    options.signal.addEventListener("abort", () => connections.forEach(each => each.close()), { once: true });
+
+    const connectionsOf = (owner: MemberRecord): ServerConnections => {
+        const known = connections.get(owner.memberId);
+        if (known) {
+            return known;
+        }
+        const present = new Set(options.members().map(member => member.memberId));
+        [...connections.keys()].filter(id => !present.has(id)).forEach(id => {
+            connections.get(id)!.close();
+            connections.delete(id);
+        });
+        const opened = createServerConnections({ address: owner.callerAddress, timers, connectTimeoutMs, onRetired: () => undefined });
+        connections.set(owner.memberId, opened);
+        return opened;
+    };
+
+    const unreachable = (request: RunnableRequest, detail: string, isAnswerStarted: boolean): RunResult => ({
+        isAnswered: false,
+        isAnswerStarted,
+        problem: { type: problems.ownerUnreachable, outcome: outcomes.unknown, detail, requestId: request.requestId },
+    });
+
+    return async (ownerId, request, sink) => {
+        const owner = options.members().find(member => member.memberId === ownerId);
+        if (!owner) {
+            return unreachable(request, `gateway ${ownerId} is gone; look at the result before sending it with a new key`, false);
+        }
+        options.logger.log(logEvents.requestForwarded, {
+            requestId: request.requestId,
+            team: request.team,
+            service: request.serviceId,
+            ownerId,
+        });
+        const remainingMs = Math.max(1, Math.round(request.deadlineMs - timers.nowMs()));
+        const own = [headerNames.forwardedBy, options.ownId, headerNames.requestTimeoutMs, String(remainingMs)];
+        const attempt = {
+            requestId: request.requestId,
+            method: request.method,
+            path: `/v1/services${request.serverPath}`,
+            headers: copyAllHeaders(request.rawHeaders, own),
+            body: request.body,
+            answerTimeoutMs: remainingMs + answerGraceMs,
+            progressTimeoutMs,
+            mustEchoRequestId: false,
+            isPeer: true,
+        };
+        const result = await sendAttempt(connectionsOf(owner).take(), timers, attempt, sink);
+        return result.isAnswered ?
+            result :
+            unreachable(request, `gateway ${ownerId}: ${result.detail}; send it again with the same key`, result.isAnswerStarted);
+    };
+}
--- /dev/null
+++ b/src/request/healthHandler.ts
@@ -0,0 +1,39 @@
+/** Health, readiness and metrics, which need no key. */
+import type http from "node:http";
+import { type Metrics, renderMetrics } from "../process/metrics.js";
+import { sendJson } from "./jsonAnswers.js";
+
+export interface HealthOptions {
+    metrics: Metrics;
+    storeCalls(): Readonly<Record<string, number>>;
+    /** Why the process takes no work, or `undefined` if it is ready. */
+    notReadyReason(): string | undefined;
+}
+
+const unavailableStatus = 503;
+
+/** Creates the handler; it tells whether the path was one of its own. */
+export function createHealthHandler(options: HealthOptions): (request: http.IncomingMessage, response: http.ServerResponse) => boolean {
+    const sendMetrics = async (response: http.ServerResponse): Promise<void> => {
+        const text = await renderMetrics(options.metrics, options.storeCalls());
+        response.writeHead(200, { "content-type": options.metrics.registry.contentType });
+        response.end(text);
+    };
+    return (request, response) => {
+        switch (request.url) {
+            case "/healthz":
+                sendJson(response, 200, { status: "ok" });
+                return true;
+            case "/readyz": {
+                const reason = options.notReadyReason();
+                sendJson(response, reason === undefined ? 200 : unavailableStatus, { isReady: reason === undefined, reason });
+                return true;
+            }
+            case "/metrics":
+                void sendMetrics(response);
+                return true;
+            default:
+                return false;
+        }
+    };
+}
--- /dev/null
+++ b/src/request/recordingSink.ts
@@ -0,0 +1,35 @@
+/** A sink that passes an answer on and keeps a copy of it. */
+import { type Outcome, outcomes } from "../common/outcomes.js";
+import type { KeptAnswer } from "../process/ticketLedger.js";
+import type { AnswerSink } from "./answerSink.js";
+
+/** Wraps a sink; bodies over `keptBodyBytes` are passed on and not kept. */
+export function createRecordingSink(sink: AnswerSink, keptBodyBytes: number): { sink: AnswerSink; answer(): KeptAnswer } {
+    const chunks: Buffer[] = [];
+    let length = 0;
+    let head: { statusCode: number; headers: Record<string, string | string[]>; outcome: Outcome } = {
+        statusCode: 0,
+        headers: {},
+        outcome: outcomes.unknown,
+    };
+    return {
+        answer: () => ({ ...head, body: length <= keptBodyBytes ? Buffer.concat(chunks) : undefined }),
+        sink: {
+            ...sink,
+            start: (statusCode, headers, outcome) => {
+                head = { statusCode, headers, outcome };
+                sink.start(statusCode, headers, outcome);
+            },
+            data: chunk => {
+                length += chunk.length;
+                if (length <= keptBodyBytes) {
+                    chunks.push(Buffer.from(chunk));
+                }
+                else {
+                    chunks.length = 0;
+                }
+                return sink.data(chunk);
+            },
+        },
+    };
+}
--- /dev/null
+++ b/src/request/runRequest.ts
@@ -0,0 +1,195 @@
+/** Runs a request: admission, attempts and retries, until it has an answer or a true problem. */
+import type { Readable } from "node:stream";
+import { type Outcome, outcomes } from "../common/outcomes.js";
+import type { TimerService } from "../common/timerService.js";
+import { copyRequestHeaders, headerNames } from "../connection/httpHeaders.js";
+import { attemptStages, isRepeatable, mayRetry } from "../decisions/retryPolicy.js";
+import type { Admission } from "../process/admission.js";
+import { type AdmissionRequest, type Grant, type Refusal, refusals } from "../process/admissionTypes.js";
+import { logEvents } from "../process/logEvents.js";
+import type { Logger } from "../process/logger.js";
+import type { Metrics } from "../process/metrics.js";
+import type { RetryBudget } from "../process/retryBudget.js";
+import type { ServerTable } from "../process/serverTable.js";
+import type { RequestKindConfiguration } from "../version/fleetDocument.js";
+import type { AnswerSink } from "./answerSink.js";
+import { type AttemptResult, sendAttempt } from "./attempt.js";
+import type { CallerRequest } from "./callerRequest.js";
+import { type Problem, problems, type ProblemType } from "./problems.js";
+
+/** A request that may start. */
+export interface RunnableRequest extends CallerRequest {
+    requestId: string;
+    team: string;
+    shareWeight: number;
+    /** Whether the team has an upper limit. */
+    isLimited: boolean;
+    rawHeaders: readonly string[];
+    body: Buffer | Readable | undefined;
+    /** Monotonic time by which the answer must have begun. */
+    deadlineMs: number;
+    isCallerGone(): boolean;
+}
+
+export interface RunOptions {
+    timers: TimerService;
+    logger: Logger;
+    metrics: Metrics;
+    admission: Admission;
+    servers: ServerTable;
+    retries: RetryBudget;
+}
+
+/** The end of a run: the answer went to the sink, or there is a problem to tell. */
+export type RunResult = { isAnswered: true; statusCode: number; outcome: Outcome } | {
+    isAnswered: false;
+    problem: Problem;
+    isAnswerStarted: boolean;
+};
+
+/** Longest silence within an answer, in milliseconds. */
+const progressTimeoutMs = 5_000;
+
+const refusalProblems: Record<Refusal, ProblemType> = {
+    [refusals.queueFull]: problems.queueFull,
+    [refusals.displaced]: problems.lessWorth,
+    [refusals.deadlinePassed]: problems.deadlinePassed,
+    [refusals.stopping]: problems.stopping,
+    [refusals.callerGone]: problems.deadlinePassed,
+};
+
+type FailedAttempt = Extract<AttemptResult, { isAnswered: false }>;
+
+function toAdmissionRequest(request: RunnableRequest, excludedServerIds: ReadonlySet<string>): AdmissionRequest {
+    const kind: RequestKindConfiguration = request.kind;
+    return {
+        requestId: request.requestId,
+        service: request.serviceId,
+        pool: request.service.pool,
+        queueCapacityCount: request.service.queueCapacityCount,
+        team: request.team,
+        isLimited: request.isLimited,
+        shareWeight: request.shareWeight,
+        priority: kind.priority,
+        worth: kind.worth,
+        expectedRunMs: kind.expectedRunMs,
+        deadlineMs: request.deadlineMs,
+        excludedServerIds,
+        isRetry: excludedServerIds.size > 0,
+        isCallerGone: request.isCallerGone,
+    };
+}
+
+/** Creates the function that runs requests. */
+export function createRequestRunner(options: RunOptions): (request: RunnableRequest, sink: AnswerSink) => Promise<RunResult> {
+    const { timers, logger, servers, retries } = options;
+
+    const logRouted = (request: RunnableRequest, grant: Grant): void =>
+        logger.log(logEvents.requestRouted, {
+            requestId: request.requestId,
+            team: request.team,
+            service: request.serviceId,
+            serverId: grant.server.serverId,
+            reason: grant.choice.reason,
+            candidatesCount: grant.choice.candidatesCount,
+            waitedMs: Math.round(grant.waitedMs),
+        });
+
+    const sendOnce = (request: RunnableRequest, grant: Grant, sink: AnswerSink): Promise<AttemptResult> => {
+        const own = [headerNames.requestId, request.requestId, headerNames.team, request.team];
+        const attempt = {
+            requestId: request.requestId,
+            method: request.method,
+            path: request.serverPath,
+            headers: copyRequestHeaders(request.rawHeaders, own),
+            body: request.body,
+            answerTimeoutMs: Math.max(1, request.deadlineMs - timers.nowMs()),
+            progressTimeoutMs,
+            mustEchoRequestId: request.service.echoesRequestId,
+            isPeer: false,
+        };
+        return sendAttempt(grant.server.connections.take(), timers, attempt, sink);
+    };
+
+    /** Gives the slots back; those of a request whose end is unknown only after its longest run time. */
+    const giveBack = (request: RunnableRequest, grant: Grant, startedMs: number, result: AttemptResult): void => {
+        const ranMs = timers.nowMs() - startedMs;
+        if (result.isAnswered || result.stage === attemptStages.refusedByServer) {
+            grant.finish(ranMs);
+            return;
+        }
+        if (result.stage === attemptStages.notSent) {
+            grant.finish(0);
+            return;
+        }
+        const holdMs = Math.max(0, request.service.longestRunMs - ranMs);
+        logger.log(logEvents.requestUnknown, {
+            requestId: request.requestId,
+            serverId: grant.server.serverId,
+            reason: result.detail,
+            holdMs: Math.round(holdMs),
+        });
+        timers.after(holdMs, () => grant.finish(ranMs));
+    };
+
+    const canRetry = (request: RunnableRequest, failed: FailedAttempt, attemptsCount: number): boolean =>
+        !failed.isAnswerStarted && mayRetry({
+            stage: failed.stage,
+            isRepeatable: isRepeatable(request.method, request.kind.isRepeatable),
+            canResend: request.body === undefined || Buffer.isBuffer(request.body),
+            attemptsCount,
+            hasBudget: retries.hasRetry(request.serviceId),
+            remainingMs: request.deadlineMs - timers.nowMs(),
+        });
+
+    const toProblem = (request: RunnableRequest, type: ProblemType, detail: string, hasMaybeRun: boolean): Problem => ({
+        type,
+        detail,
+        requestId: request.requestId,
+        outcome: hasMaybeRun ? outcomes.unknown : outcomes.notRun,
+    });
+
+    return async (request, sink) => {
+        const excludedServerIds = new Set<string>();
+        let hasMaybeRun = false;
+        retries.noteRequest(request.serviceId);
+        for (let attemptsCount = 1;; attemptsCount++) {
+            const grant = await options.admission.submit(toAdmissionRequest(request, excludedServerIds));
+            if (!grant.isGranted) {
+                return {
+                    isAnswered: false,
+                    problem: toProblem(request, refusalProblems[grant.refusal], grant.detail, hasMaybeRun),
+                    isAnswerStarted: false,
+                };
+            }
+            options.metrics.queueDurationSeconds.observe({ service: request.serviceId }, grant.waitedMs / 1000);
+            logRouted(request, grant);
+            const startedMs = timers.nowMs();
+            const result = await sendOnce(request, grant, sink);
+            giveBack(request, grant, startedMs, result);
+            if (result.isAnswered) {
+                servers.noteOutcome(grant.server, result.statusCode < 500);
+                return result;
+            }
+            if (result.stage !== attemptStages.refusedByServer) {
+                servers.noteOutcome(grant.server, false);
+            }
+            hasMaybeRun ||= result.stage === attemptStages.maybeRun;
+            if (!canRetry(request, result, attemptsCount)) {
+                return {
+                    isAnswered: false,
+                    problem: toProblem(request, result.problem, result.detail, hasMaybeRun),
+                    isAnswerStarted: result.isAnswerStarted,
+                };
+            }
+            excludedServerIds.add(grant.server.serverId);
+            retries.spend(request.serviceId);
+            options.metrics.retriesTotal.inc({ service: request.serviceId });
+            logger.log(logEvents.requestRetried, {
+                requestId: request.requestId,
+                afterServerId: grant.server.serverId,
+                reason: result.detail,
+            });
+        }
+    };
+}
--- /dev/null
+++ b/src/version/resolveFleet.ts
@@ -0,0 +1,113 @@
+/** Merges base and overlays, checks the result, and collects every finding with its place. */
+import { isDeepStrictEqual } from "node:util";
+import type { z } from "zod";
+import { type Finding, quoteValue } from "../common/findings.js";
+import { Err, Ok, type Result } from "../common/results.js";
+import { checkFleet } from "./checkFleet.js";
+import {
+    type BackendServerConfiguration,
+    type FleetDocument,
+    type SiteConfiguration,
+    siteConfiguration,
+    type Tree,
+} from "./fleetDocument.js";
+
+/** The configuration of all availability zones. */
+export interface ResolvedFleet {
+    sites: Record<string, SiteConfiguration>;
+    /** Backend servers of all zones by id. */
+    backendServers: Record<string, BackendServerConfiguration>;
+}
+
+/** Name of the base in findings; overlays are named by their zone. */
+export const baseSource = "base";
+
+/** Fields that hold for the whole fleet, so an overlay may not state them. */
+const fleetWideFields = ["teams", "formatVersion", "pools"];
+
+function isTree(value: unknown): value is Tree {
+    return typeof value === "object" && value !== null && !Array.isArray(value); // eslint-disable-line no-restricted-syntax -- values from outside
+}
+
+/** Lays an overlay over a base: trees are merged, any other value is replaced. */
+export function mergeTrees(base: Tree, overlay: Tree): Tree {
+    const merged: Tree = { ...base };
+    Object.entries(overlay).forEach(([key, value]) => {
+        const below = base[key];
+        merged[key] = isTree(value) && isTree(below) ? mergeTrees(below, value) : value;
+    });
+    return merged;
+}
+
+function readPath(tree: Tree, path: readonly PropertyKey[]): unknown {
+    return path.reduce<unknown>((value, key) => isTree(value) ? value[String(key)] : undefined, tree);
+}
+
+/** Findings for overlay values that say again what the base says. */
+function findRepeats(source: string, base: Tree, overlay: Tree, path: string[] = []): Finding[] {
+    return Object.entries(overlay).flatMap(([key, value]) => {
+        const below = base[key];
+        const here = [...path, key];
+        if (isTree(value) && isTree(below)) {
+            return findRepeats(source, below, value, here);
+        }
+        if (!isDeepStrictEqual(value, below)) {
+            return [];
+        }
+        return [{ source, path: here.join("."), found: quoteValue(value), allowed: "only values that differ from the base; remove it" }];
+    });
+}
+
+function findFleetWideFields(source: string, overlay: Tree): Finding[] {
+    return fleetWideFields.filter(field => field in overlay).map(field => ({
+        source,
+        path: field,
+        found: quoteValue(overlay[field]),
+        allowed: "a value in the base only: it holds for the whole fleet",
+    }));
+}
+
+function toFinding(issue: z.core.$ZodIssue, zone: string, overlay: Tree, merged: Tree): Finding {
+    const path = issue.code === "unrecognized_keys" ? [...issue.path, issue.keys[0] ?? ""] : issue.path;
+    const isFromOverlay = readPath(overlay, path) !== undefined;
+    const allowed = issue.code === "unrecognized_keys" ? "no such field; check its spelling" : issue.message;
+    return { source: isFromOverlay ? zone : baseSource, path: path.join("."), found: quoteValue(readPath(merged, path)), allowed };
+}
+
+function uniqueFindings(findings: Finding[]): Finding[] {
+    return [...new Map(findings.map(finding => [JSON.stringify(finding), finding])).values()];
+}
+
+function collectServers(sites: Record<string, SiteConfiguration>): Record<string, BackendServerConfiguration> {
+    const servers: Record<string, BackendServerConfiguration> = {};
+    Object.entries(sites).forEach(([zone, site]) => {
+        Object.entries(site.backendServers).forEach(([id, server]) => {
+            servers[id] = { ...server, availabilityZone: server.availabilityZone ?? zone };
+        });
+    });
+    return servers;
+}
+
+/** Resolves a fleet document, or returns all findings together. */
+export function resolveFleet(document: FleetDocument): Result<ResolvedFleet, Finding[]> {
+    const sites: Record<string, SiteConfiguration> = {};
+    const findings: Finding[] = [];
+    const zones = Object.entries(document.overlays);
+    if (zones.length === 0) {
+        findings.push({ source: baseSource, path: "overlays", found: "nothing", allowed: "one overlay per availability zone" });
+    }
+    zones.forEach(([zone, overlay]) => {
+        const merged = mergeTrees(document.base, overlay);
+        const parsed = siteConfiguration.safeParse(merged);
+        findings.push(...findRepeats(zone, document.base, overlay), ...findFleetWideFields(zone, overlay));
+        if (parsed.success) {
+            sites[zone] = parsed.data;
+        }
+        else {
+            findings.push(...parsed.error.issues.map(issue => toFinding(issue, zone, overlay, merged)));
+        }
+    });
+    const fleet = { sites, backendServers: collectServers(sites) };
+    findings.push(...checkFleet(fleet));
+    return findings.length > 0 ? Err(uniqueFindings(findings)) : Ok(fleet);
+}
--- /dev/null
+++ b/src/version/teamKeys.ts
@@ -0,0 +1,31 @@
+/** Keys that teams present: `nj_<key id>_<secret>`; only a hash of the secret is kept. */
+import { createHash, randomBytes, timingSafeEqual } from "node:crypto";
+import type { KeyRecord } from "./fleetVersion.js";
+
+const keyIdBytes = 6;
+const secretBytes = 24;
+const keyPattern = /^nj_([0-9a-f]+)_([0-9a-f]+)$/;
+
+/** Hashes a secret; the secrets are random, so a plain hash is enough. */
+export function hashSecret(secret: string): string {
+    return createHash("sha256").update(secret).digest("base64url");
+}
+
+/** Compares two secrets in a time that does not depend on where they differ. */
+export function areSecretsEqual(left: string, right: string): boolean {
+    return timingSafeEqual(createHash("sha256").update(left).digest(), createHash("sha256").update(right).digest());
+}
+
+/** Mints a key for a team. The key itself is shown once and not kept. */
+export function mintKey(team: string): { key: string; record: KeyRecord } {
+    const keyId = randomBytes(keyIdBytes).toString("hex");
+    const secret = randomBytes(secretBytes).toString("hex");
+    return { key: `nj_${keyId}_${secret}`, record: { keyId, team, secretHash: hashSecret(secret) } };
+}
+
+/** Returns the record of a presented key, or `undefined` if it is unknown or withdrawn. */
+export function findKey(keysById: ReadonlyMap<string, KeyRecord>, presented: string): KeyRecord | undefined {
+    const match = keyPattern.exec(presented);
+    const record = match ? keysById.get(match[1]!) : undefined;
+    return record && areSecretsEqual(hashSecret(match![2]!), record.secretHash) ? record : undefined;
+}
--- /dev/null
+++ b/stand-ins/main.ts
@@ -0,0 +1,64 @@
+/**
+ * Starts one stand-in as a process. Usage:
+ *
+ * - `main.js key-value-service --address ip:port`
+ * - `main.js vm-list --address ip:port [--lag-ms n]`
+ * - `main.js backend-server --address ip:port --id id [--slots n] [--connections n] [--late-by-ms n]`
+ * - `main.js relay --address ip:port --target ip:port`
+ */
+import { parseArgs } from "node:util";
+import { startBackendServer } from "./backendServer.js";
+import { startKeyValueService } from "./keyValueService.js";
+import { startRelay } from "./relay.js";
+import type { ListenAddress } from "./serving.js";
+import { startVmListService } from "./vmListService.js";
+
+const { positionals, values } = parseArgs({
+    allowPositionals: true,
+    options: {
+        "address": { type: "string" },
+        "target": { type: "string" },
+        "lag-ms": { type: "string", default: "500" },
+        "id": { type: "string", default: "server" },
+        "slots": { type: "string", default: "8" },
+        "connections": { type: "string", default: "64" },
+        "late-by-ms": { type: "string", default: "3000" },
+    },
+});
+
+function parseAddress(text: string | undefined): ListenAddress {
+    const [host = "127.0.0.1", port = "0"] = (text ?? "").split(":");
+    return { host, port: Number(port) };
+}
+
+const lifetime = new AbortController();
+const address = parseAddress(values.address);
+
+const kinds: Record<string, () => Promise<number>> = {
+    "key-value-service": () => startKeyValueService(address, lifetime.signal),
+    "vm-list": () => startVmListService(address, Number(values["lag-ms"]), lifetime.signal),
+    "backend-server": () =>
+        startBackendServer(
+            {
+                serverId: values.id,
+                slotsCount: Number(values.slots),
+                connectionsCount: Number(values.connections),
+                lateByMs: Number(values["late-by-ms"]),
+            },
+            address,
+            lifetime.signal,
+        ),
+    "relay": () => startRelay(address, parseAddress(values.target), lifetime.signal),
+};
+
+const start = kinds[positionals[0] ?? ""];
+if (!start) {
+    console.error(`no stand-in '${positionals[0]}'; use one of: ${Object.keys(kinds).join(", ")}`);
+    process.exit(2);
+}
+const port = await start();
+console.log(JSON.stringify({ standIn: positionals[0], host: address.host, port }));
+process.once("SIGTERM", () => {
+    lifetime.abort();
+    process.exit(0);
+});
