--- a/demo/main.ts
+++ b/demo/main.ts
@@ -23,7 +23,7 @@
     { name: "Fiesta Austral Animaciones S.A.", folder: "examples/fiesta-austral", addressPrefix: "127.30" },
 ];
 const gatewaysPerZone = 2;
-const openPerTeam = 60;
+const openPerTeam = 100;
 const loadDurationMs = 6_000;
 const drainAfterMs = 2_000;
 /** A drained server may get work for this long after the operator's call was answered. */
--- a/src/process/admission.ts
+++ b/src/process/admission.ts
@@ -136,8 +136,11 @@
 
     const wait = (queue: ServiceQueue, waiter: Waiter): void => {
         const { request } = waiter;
-        const remainingMs = Math.max(0, request.deadlineMs - timers.nowMs());
-        const detail = `no slot was free within ${Math.round(remainingMs)} ms; send it again later`;
+        // A request that starts too late for its answer would end with an unknown outcome: better it does not run.
+        const remainingMs = Math.max(0, request.deadlineMs - request.expectedRunMs - timers.nowMs());
+        const detail = `no slot was free within ${
+            Math.round(remainingMs)
+        } ms, and it needs ${request.expectedRunMs} ms; send it again later`;
         waiter.cancelDeadline = timers.after(remainingMs, () => refuse(queue, waiter, refusals.deadlinePassed, detail));
         queue.add(waiter);
         allotments.noteWaiting(request.team, 1);
