--- a/harness/fleet.ts
+++ b/harness/fleet.ts
@@ -16,6 +16,8 @@
 
 export interface FleetOptions {
     document: FleetDocument;
+    /** Names the servers to start, if relays stand between them and the document's addresses. */
+    serverDocument?: FleetDocument;
     /** First two numbers of all addresses, for example `127.40`. Fleets that run at the same time need different ones. */
     addressPrefix: string;
     gatewaysPerZone: number;
@@ -33,7 +35,7 @@
     gateways: GatewayProcess[];
     stewards: Child[];
     /** Starts a gateway, for example in the place of one that ended. */
-    startGateway(zone: string, index: number): Promise<GatewayProcess>;
+    startGateway(zone: string, index: number, environment?: Record<string, string>): Promise<GatewayProcess>;
     callAdmin(
         method: string,
         path: string,
@@ -94,7 +96,9 @@
     const store = await startStore(`${addressPrefix}.0.2:2379`);
     const vmList = await startVmList(`${addressPrefix}.0.3:2380`);
     const started = await Promise.all(
-        serversOf(document).map(async ([serverId, server]) => [serverId, await startServer({ serverId, ...server })] as const),
+        serversOf(options.serverDocument ?? document).map(async ([serverId, server]) =>
+            [serverId, await startServer({ serverId, ...server })] as const
+        ),
     );
     const servers = new Map(started);
 
@@ -107,7 +111,7 @@
     });
     const entryHost = (zone: string, index: number): string => `${addressPrefix}.${zones.indexOf(zone) + 1}.${11 + index}`;
 
-    const startGateway = async (zone: string, index: number): Promise<GatewayProcess> => {
+    const startGateway: Fleet["startGateway"] = async (zone, index, extra = {}) => {
         const host = entryHost(zone, index);
         const vmId = `${zone}-entry${index + 1}`;
         const callerAddress = `${host}:7001`;
@@ -119,6 +123,7 @@
             NUTMEGJUNCTION_PEER_ADDRESS: `${host}:7003`,
             NUTMEGJUNCTION_OPERATOR_KEY: operatorKey,
             NUTMEGJUNCTION_PEER_KEY: peerKey,
+            ...extra,
         };
         const child = startChild({ script: "src/cli/main.js", args: ["gateway"], environment, keepsLines: options.keepsLogLines });
         await child.waitForLine(line => line.includes('"event":1001'));
--- a/src/common/timerService.ts
+++ b/src/common/timerService.ts
@@ -32,20 +32,26 @@
     });
 }
 
-/** Subscribes to stalls: calls `onStall` when the process was paused for longer than `thresholdMs`. */
+/**
+ * Watches for stalls: calls `onStall` when the process was paused for longer than `thresholdMs`. The returned function
+ * checks at once: after a pause a request may be read before the timer fires.
+ */
 export function watchStalls(
     timers: TimerService,
     options: { intervalMs: number; thresholdMs: number; signal: AbortSignal },
     onStall: (stallMs: number) => void,
-): void {
+): () => void {
     let lastMs = timers.nowMs();
-    timers.every(options.intervalMs, options.signal, nowMs => {
+    const check = (): void => {
+        const nowMs = timers.nowMs();
         const stallMs = nowMs - lastMs - options.intervalMs;
         lastMs = nowMs;
         if (stallMs > options.thresholdMs) {
             onStall(stallMs);
         }
-    });
+    };
+    timers.every(options.intervalMs, options.signal, check);
+    return check;
 }
 
 /** Creates the timer service of a real process. */
--- a/src/daemons/gateway.ts
+++ b/src/daemons/gateway.ts
@@ -119,7 +119,7 @@
         )
     );
     watchServers({ availabilityZone, vmList, servers, timers, signal });
-    watchStalls(timers, { intervalMs: stallCheckIntervalMs, thresholdMs: stallThresholdMs, signal }, stallMs => {
+    const checkStall = watchStalls(timers, { intervalMs: stallCheckIntervalMs, thresholdMs: stallThresholdMs, signal }, stallMs => {
         logger.log(logEvents.processStalled, { stallMs: Math.round(stallMs) });
         configuration.markStale(refreshLimitMs);
         void configuration.refresh();
@@ -188,6 +188,7 @@
 
     const serveCounted = async (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> => {
         openRequestsCount++;
+        checkStall();
         if (isLeaving) {
             response.setHeader("connection", "close");
         }
--- /dev/null
+++ b/tests/proofs/leavingAndSilent.spec.ts
@@ -0,0 +1,136 @@
+/** Servers that leave get no new work, and connections that went silent stop no new work. Real processes. */
+import assert from "node:assert/strict";
+import { after, afterEach, before, beforeEach, describe, it } from "node:test";
+import { type CallResult, openCaller } from "../../harness/callService.js";
+import { waitUntil } from "../../harness/events.js";
+import { type Fleet, startFleet } from "../../harness/fleet.js";
+import { isClean, judge } from "../../harness/judge.js";
+import { makeSmallFleet, onceService, smallServerAddress } from "../../harness/smallFleet.js";
+import { setRelayMode, setServerFaults, setStoreFaults, setVms, type StandIn, startRelayTo } from "../../harness/standIns.js";
+import { startSteadyLoad, type SteadyLoad } from "../../harness/steadyLoad.js";
+import { machineNowMs } from "../../stand-ins/backendServer.js";
+
+const addressPrefix = "127.45";
+const limits = { vik: 24, selfoss: 24 };
+const openCount = 10;
+const settleCount = 200;
+/** A leaving server may get new work for this long: a VM list that lags 200 ms and checks every second. */
+const leavingGraceMs = 3_000;
+const relayedServer = "az-1-s3";
+
+describe("backend servers that leave or go silent", () => {
+    let fleet: Fleet;
+    let relay: StandIn;
+    let key: string;
+    let load: SteadyLoad;
+    let testNumber = 0;
+
+    before(async () => {
+        const relayAddress = `${addressPrefix}.0.9:8080`;
+        relay = await startRelayTo(smallServerAddress(addressPrefix, 0, 2), relayAddress);
+        const document = makeSmallFleet({
+            addressPrefix,
+            zones: ["az-1"],
+            serversPerZone: 3,
+            slotsPerServer: 8,
+            limits,
+            requestTimeoutMs: 1_000,
+            longestRunMs: 1_000,
+            serverAddress: (serverId, ownAddress) => serverId === relayedServer ? relayAddress : ownAddress,
+        });
+        // The servers themselves listen on their own addresses; only the configuration names the relay.
+        const own = makeSmallFleet({ addressPrefix, zones: ["az-1"], serversPerZone: 3, slotsPerServer: 8, limits });
+        fleet = await startFleet({ document, serverDocument: own, addressPrefix, gatewaysPerZone: 2 });
+        key = (await fleet.createKey("vik")).key;
+    });
+    after(async () => {
+        await fleet.stop();
+        relay.child.kill("SIGKILL");
+    });
+    beforeEach(async () => {
+        const name = `leave-${testNumber++}`;
+        load = startSteadyLoad({
+            callers: fleet.gateways.map(gateway => openCaller(gateway.callerAddress)),
+            openCount,
+            makeCall: number => ({ service: onceService, kind: "default", token: `${name}-${number}`, key, runMs: 10 }),
+        });
+        await load.waitForMore(settleCount);
+    });
+    afterEach(async () => {
+        const verdict = judge(await load.end(), await fleet.journal(), limits, () => false);
+        assert.ok(isClean(verdict), JSON.stringify(verdict));
+    });
+
+    const startsSince = async (serverId: string, sinceMs: number): Promise<number> =>
+        (await fleet.journal()).filter(entry => entry.serverId === serverId && entry.startMs > sinceMs).length;
+
+    /** Waits until the grace has passed, then checks that the server gets nothing more while others do. */
+    const assertGetsNoWork = async (serverId: string, sinceMs: number): Promise<void> => {
+        await waitUntil("the grace has passed", () => machineNowMs() > sinceMs + leavingGraceMs);
+        await load.waitForMore(settleCount);
+        assert.equal(await startsSince(serverId, sinceMs + leavingGraceMs), 0);
+    };
+    const assertGetsWork = (serverId: string, sinceMs: number): Promise<void> =>
+        waitUntil(`${serverId} gets work`, async () => await startsSince(serverId, sinceMs) > 0);
+
+    const words: { name: string; leave(): Promise<unknown>; come(): Promise<unknown> }[] = [
+        {
+            name: "an operator drains it",
+            leave: () => fleet.callAdmin("POST", "/admin/v1/drains", { serverId: "az-1-s1" }),
+            come: () => fleet.callAdmin("DELETE", "/admin/v1/drains/az-1-s1"),
+        },
+        {
+            name: "it says so itself while the store is down",
+            leave: async () => {
+                await setStoreFaults(fleet.store, { isDown: true });
+                await setServerFaults(fleet.servers.get("az-1-s1")!, { isLeaving: true });
+            },
+            come: async () => {
+                await setStoreFaults(fleet.store, { isDown: false });
+                await setServerFaults(fleet.servers.get("az-1-s1")!, { isLeaving: false });
+            },
+        },
+        {
+            name: "the VM list says so while the store is down",
+            leave: async () => {
+                await setStoreFaults(fleet.store, { isDown: true });
+                await setVms(fleet.vmList, [{ vmId: "az-1-s1", availabilityZone: "az-1", state: "leaving" }]);
+            },
+            come: async () => {
+                await setStoreFaults(fleet.store, { isDown: false });
+                await setVms(fleet.vmList, [{ vmId: "az-1-s1", availabilityZone: "az-1", state: "live" }]);
+            },
+        },
+    ];
+    words.forEach(({ name, leave, come }) => {
+        it(`should give a server no new work when ${name}`, async () => {
+            await leave();
+            await assertGetsNoWork("az-1-s1", machineNowMs());
+            const cameAtMs = machineNowMs();
+            await come();
+            await assertGetsWork("az-1-s1", cameAtMs);
+        });
+    });
+
+    it("should flow on, and use the server again, after its open connections went silent", async () => {
+        await assertGetsWork(relayedServer, machineNowMs());
+        const cutAtMs = machineNowMs();
+        await setRelayMode(relay, "silent");
+        await load.waitForMore(settleCount);
+        await assertGetsWork(relayedServer, cutAtMs + 1);
+        await load.waitForMore(settleCount);
+        const unknown = (results: CallResult[]): number => results.filter(result => result.outcome === "unknown").length;
+        assert.ok(unknown(load.results) <= 2 * openCount, `${unknown(load.results)} unknown`);
+    });
+
+    it("should eject a server that fails everything fast, and use it again when it works", async () => {
+        const server = fleet.servers.get("az-1-s2")!;
+        const servers = async () =>
+            (await fleet.callAdmin("GET", "/admin/v1/status")).body.servers as { serverId: string; isEjected: boolean }[];
+        const isEjected = async (): Promise<boolean> => (await servers()).some(each => each.serverId === "az-1-s2" && each.isEjected);
+        await setServerFaults(server, { mode: "failsEverything" });
+        await waitUntil("it is ejected", isEjected);
+        await setServerFaults(server, { mode: "none" });
+        await waitUntil("it is used again", async () => !await isEjected());
+    });
+});
