--- a/src/request/callerHandler.ts
+++ b/src/request/callerHandler.ts
@@ -98,7 +98,7 @@
         logger.log(logEvents.requestRefused, {
             requestId: runnable.requestId,
             team: runnable.team,
-            service: runnable.serviceId,
+            service: runnable.call.serviceId,
             problem: problem.type.id,
             outcome: problem.outcome,
             detail: problem.detail,
@@ -113,11 +113,11 @@
     };
 
     const runRequest = async (runnable: RunnableRequest, sink: AnswerSink, startedMs: number): Promise<void> => {
-        const key = runnable.idempotencyKey;
+        const key = runnable.call.idempotencyKey;
         const result = key === undefined ? await options.run(runnable, sink) : await options.runKeyed(runnable, key, sink);
         const outcome = finishRun(runnable, result, sink);
-        metrics.requestsTotal.inc({ service: runnable.serviceId, team: runnable.team, outcome });
-        metrics.requestDurationSeconds.observe({ service: runnable.serviceId }, (timers.nowMs() - startedMs) / 1000);
+        metrics.requestsTotal.inc({ service: runnable.call.serviceId, team: runnable.team, outcome });
+        metrics.requestDurationSeconds.observe({ service: runnable.call.serviceId }, (timers.nowMs() - startedMs) / 1000);
         logger.log(logEvents.requestEnded, { requestId: runnable.requestId, outcome });
     };
 
@@ -142,8 +142,8 @@
             refuse(request, sink, requestId, read.val);
             return;
         }
-        const callerRequest: CallerRequest = read.val;
-        const caller = findCaller(request, version, site, callerRequest.service.isOpen);
+        const call: CallerRequest = read.val;
+        const caller = findCaller(request, version, site, call.service.isOpen);
         if (!caller) {
             refuse(request, sink, requestId, {
                 type: problems.unauthorized,
@@ -160,12 +160,14 @@
             return;
         }
         const runnable: RunnableRequest = {
-            ...callerRequest,
-            ...caller,
+            call,
             requestId,
+            team: caller.team,
+            shareWeight: caller.shareWeight,
+            isLimited: caller.isLimited,
             rawHeaders: request.rawHeaders,
             body,
-            deadlineMs: startedMs + callerRequest.timeoutMs,
+            deadlineMs: startedMs + call.timeoutMs,
             isCallerGone: () => response.destroyed,
         };
         await runRequest(runnable, sink, startedMs);
--- a/src/request/forwardToOwner.ts
+++ b/src/request/forwardToOwner.ts
@@ -81,15 +81,15 @@
         options.logger.log(logEvents.requestForwarded, {
             requestId: request.requestId,
             team: request.team,
-            service: request.serviceId,
+            service: request.call.serviceId,
             ownerId,
         });
         const remainingMs = Math.max(1, Math.round(request.deadlineMs - timers.nowMs()));
         const own = [headerNames.forwardedBy, options.ownId, headerNames.requestTimeoutMs, String(remainingMs)];
         const attempt = {
             requestId: request.requestId,
-            method: request.method,
-            path: `/v1/services${request.serverPath}`,
+            method: request.call.method,
+            path: `/v1/services${request.call.serverPath}`,
             headers: copyAllHeaders(request.rawHeaders, own),
             body: request.body,
             answerTimeoutMs: remainingMs + answerGraceMs,
--- a/src/request/keyedRequest.ts
+++ b/src/request/keyedRequest.ts
@@ -25,7 +25,7 @@
 type KeyedRunner = (request: RunnableRequest, idempotencyKey: string, sink: AnswerSink) => Promise<RunResult>;
 
 function digestRequest(request: RunnableRequest): string {
-    const hash = createHash("sha256").update(`${request.method} ${request.serverPath}\n`);
+    const hash = createHash("sha256").update(`${request.call.method} ${request.call.serverPath}\n`);
     return (Buffer.isBuffer(request.body) ? hash.update(request.body) : hash).digest("base64url");
 }
 
@@ -109,7 +109,7 @@
     };
 
     const forward = (request: RunnableRequest, ownerId: string, sink: AnswerSink): Promise<RunResult> | RunResult => {
-        if (request.isForwarded) {
+        if (request.call.isForwarded) {
             return fail(
                 request,
                 problems.ownerUnreachable,
--- a/src/request/runRequest.ts
+++ b/src/request/runRequest.ts
@@ -18,7 +18,9 @@
 import { type Problem, problems, type ProblemType } from "./problems.js";
 
 /** A request that may start. */
-export interface RunnableRequest extends CallerRequest {
+export interface RunnableRequest {
+    /** What the caller asked for. */
+    call: CallerRequest;
     requestId: string;
     team: string;
     shareWeight: number;
@@ -61,12 +63,12 @@
 type FailedAttempt = Extract<AttemptResult, { isAnswered: false }>;
 
 function toAdmissionRequest(request: RunnableRequest, excludedServerIds: ReadonlySet<string>): AdmissionRequest {
-    const kind: RequestKindConfiguration = request.kind;
+    const kind: RequestKindConfiguration = request.call.kind;
     return {
         requestId: request.requestId,
-        service: request.serviceId,
-        pool: request.service.pool,
-        queueCapacityCount: request.service.queueCapacityCount,
+        service: request.call.serviceId,
+        pool: request.call.service.pool,
+        queueCapacityCount: request.call.service.queueCapacityCount,
         team: request.team,
         isLimited: request.isLimited,
         shareWeight: request.shareWeight,
@@ -88,7 +90,7 @@
         logger.log(logEvents.requestRouted, {
             requestId: request.requestId,
             team: request.team,
-            service: request.serviceId,
+            service: request.call.serviceId,
             serverId: grant.server.serverId,
             reason: grant.choice.reason,
             candidatesCount: grant.choice.candidatesCount,
@@ -99,13 +101,13 @@
         const own = [headerNames.requestId, request.requestId, headerNames.team, request.team];
         const attempt = {
             requestId: request.requestId,
-            method: request.method,
-            path: request.serverPath,
+            method: request.call.method,
+            path: request.call.serverPath,
             headers: copyRequestHeaders(request.rawHeaders, own),
             body: request.body,
             answerTimeoutMs: Math.max(1, request.deadlineMs - timers.nowMs()),
             progressTimeoutMs,
-            mustEchoRequestId: request.service.echoesRequestId,
+            mustEchoRequestId: request.call.service.echoesRequestId,
             isPeer: false,
         };
         return sendAttempt(grant.server.connections.take(), timers, attempt, sink);
@@ -122,7 +124,7 @@
             grant.finish(0);
             return;
         }
-        const holdMs = Math.max(0, request.service.longestRunMs - ranMs);
+        const holdMs = Math.max(0, request.call.service.longestRunMs - ranMs);
         logger.log(logEvents.requestUnknown, {
             requestId: request.requestId,
             serverId: grant.server.serverId,
@@ -135,10 +137,10 @@
     const canRetry = (request: RunnableRequest, failed: FailedAttempt, attemptsCount: number): boolean =>
         !failed.isAnswerStarted && mayRetry({
             stage: failed.stage,
-            isRepeatable: isRepeatable(request.method, request.kind.isRepeatable),
+            isRepeatable: isRepeatable(request.call.method, request.call.kind.isRepeatable),
             canResend: request.body === undefined || Buffer.isBuffer(request.body),
             attemptsCount,
-            hasBudget: retries.hasRetry(request.serviceId),
+            hasBudget: retries.hasRetry(request.call.serviceId),
             remainingMs: request.deadlineMs - timers.nowMs(),
         });
 
@@ -152,7 +154,7 @@
     return async (request, sink) => {
         const excludedServerIds = new Set<string>();
         let hasMaybeRun = false;
-        retries.noteRequest(request.serviceId);
+        retries.noteRequest(request.call.serviceId);
         for (let attemptsCount = 1;; attemptsCount++) {
             const grant = await options.admission.submit(toAdmissionRequest(request, excludedServerIds));
             if (!grant.isGranted) {
@@ -162,7 +164,7 @@
                     isAnswerStarted: false,
                 };
             }
-            options.metrics.queueDurationSeconds.observe({ service: request.serviceId }, grant.waitedMs / 1000);
+            options.metrics.queueDurationSeconds.observe({ service: request.call.serviceId }, grant.waitedMs / 1000);
             logRouted(request, grant);
             const startedMs = timers.nowMs();
             const result = await sendOnce(request, grant, sink);
@@ -183,8 +185,8 @@
                 };
             }
             excludedServerIds.add(grant.server.serverId);
-            retries.spend(request.serviceId);
-            options.metrics.retriesTotal.inc({ service: request.serviceId });
+            retries.spend(request.call.serviceId);
+            options.metrics.retriesTotal.inc({ service: request.call.serviceId });
             logger.log(logEvents.requestRetried, {
                 requestId: request.requestId,
                 afterServerId: grant.server.serverId,
--- a/src/version/teamKeys.ts
+++ b/src/version/teamKeys.ts
@@ -1,5 +1,5 @@
 /** Keys that teams present: `nj_<key id>_<secret>`; only a hash of the secret is kept. */
-import { createHash, randomBytes, timingSafeEqual } from "node:crypto";
+import { hash, randomBytes, timingSafeEqual } from "node:crypto";
 import type { KeyRecord } from "./fleetVersion.js";
 
 const keyIdBytes = 6;
@@ -8,12 +8,17 @@
 
 /** Hashes a secret; the secrets are random, so a plain hash is enough. */
 export function hashSecret(secret: string): string {
-    return createHash("sha256").update(secret).digest("base64url");
+    return hash("sha256", secret, "base64url");
 }
 
-/** Compares two secrets in a time that does not depend on where they differ. */
+/** Compares two hashes in a time that does not depend on where they differ. */
+function areHashesEqual(left: string, right: string): boolean {
+    return left.length === right.length && timingSafeEqual(Buffer.from(left), Buffer.from(right));
+}
+
+/** Compares two secrets of any length in a time that does not depend on where they differ. */
 export function areSecretsEqual(left: string, right: string): boolean {
-    return timingSafeEqual(createHash("sha256").update(left).digest(), createHash("sha256").update(right).digest());
+    return areHashesEqual(hashSecret(left), hashSecret(right));
 }
 
 /** Mints a key for a team. The key itself is shown once and not kept. */
@@ -27,5 +32,5 @@
 export function findKey(keysById: ReadonlyMap<string, KeyRecord>, presented: string): KeyRecord | undefined {
     const match = keyPattern.exec(presented);
     const record = match ? keysById.get(match[1]!) : undefined;
-    return record && areSecretsEqual(hashSecret(match![2]!), record.secretHash) ? record : undefined;
+    return record && areHashesEqual(hashSecret(match![2]!), record.secretHash) ? record : undefined;
 }
