--- /dev/null
+++ b/bench/limitUnderSkew.ts
@@ -0,0 +1,56 @@
+/**
+ * How much of a limit can be used when one zone gets all the demand, and how fast allotments follow, beside a fixed equal
+ * split: the most that ran at once, by time since the demand began. Usage: `node dist/bench/limitUnderSkew.js`.
+ */
+import { openCaller } from "../harness/callService.js";
+import { startFleet } from "../harness/fleet.js";
+import { highestConcurrency } from "../harness/judge.js";
+import { makeSmallFleet, onceService } from "../harness/smallFleet.js";
+import { setStoreFaults } from "../harness/standIns.js";
+import { startSteadyLoad } from "../harness/steadyLoad.js";
+import { machineNowMs } from "../stand-ins/backendServer.js";
+
+const addressPrefix = "127.63";
+const zones = ["az-1", "az-2", "az-3", "az-4"];
+const gatewaysPerZone = 2;
+const limits = { vik: 64, selfoss: 320 };
+const runMs = 40;
+const openCount = 120;
+const windowEndsMs = [100, 200, 300, 500, 1_000, 2_000, 4_000];
+
+const document = makeSmallFleet({ addressPrefix, zones, serversPerZone: 2, slotsPerServer: 48, limits, expectedRunMs: runMs });
+const fleet = await startFleet({ document, addressPrefix, gatewaysPerZone });
+const { key } = await fleet.createKey("vik");
+
+async function measure(name: string, zoneIndexes: number[]): Promise<Record<string, number>> {
+    const gateways = fleet.gateways.filter(gateway => zoneIndexes.includes(zones.indexOf(gateway.availabilityZone)));
+    const startedMs = machineNowMs();
+    const load = startSteadyLoad({
+        callers: gateways.map(gateway => openCaller(gateway.callerAddress)),
+        openCount,
+        makeCall: number => ({ service: onceService, kind: "default", token: `${name}${number}`, key, runMs }),
+    });
+    await new Promise(resolve => setTimeout(resolve, windowEndsMs.at(-1)));
+    await load.end();
+    const journal = (await fleet.journal()).filter(entry => entry.startMs >= startedMs);
+    const row: Record<string, number> = {};
+    windowEndsMs.forEach((endMs, index) => {
+        const fromMs = startedMs + (windowEndsMs[index - 1] ?? 0);
+        const inWindow = journal.filter(entry => entry.startMs < startedMs + endMs && (entry.endMs ?? Number.POSITIVE_INFINITY) > fromMs);
+        row[`to ${endMs} ms`] = highestConcurrency(inWindow).vik ?? 0;
+    });
+    return row;
+}
+
+const fixedSplitSlots = Math.floor(limits.vik / (zones.length * gatewaysPerZone)) * gatewaysPerZone;
+console.log(`limit ${limits.vik}; a fixed equal split lets one zone of ${zones.length} run ${fixedSplitSlots}`);
+const table: Record<string, Record<string, number>> = {};
+table["demand begins in zone 1"] = await measure("a", [0]);
+table["demand moves to zone 2"] = await measure("b", [1]);
+await setStoreFaults(fleet.store, { isDown: true });
+table["demand moves to zone 3, store down"] = await measure("c", [2]);
+await setStoreFaults(fleet.store, { isDown: false });
+table["demand is everywhere"] = await measure("d", [0, 1, 2, 3]);
+console.table(table);
+await fleet.stop();
+process.exit(0);
--- a/harness/fleet.ts
+++ b/harness/fleet.ts
@@ -3,6 +3,7 @@
 import type { FleetDocument, Tree } from "../src/version/fleetDocument.js";
 import type { JournalEntry } from "../stand-ins/backendServer.js";
 import { type Child, endAllChildren, startChild } from "./childProcess.js";
+import { waitUntil } from "./events.js";
 import { readJournal, type StandIn, startServer, startStore, startVmList } from "./standIns.js";
 
 export interface GatewayProcess {
@@ -73,6 +74,15 @@
     }
 }
 
+/** Resolves once a process listens; rejects if it ends before. */
+async function waitForListening(child: Child, address: string): Promise<void> {
+    const ended = child.exited.then(code => {
+        throw new Error(`the process at ${address} ended with ${code}: ${child.errors()}`);
+    });
+    await Promise.race([waitForStatus(`http://${address}/healthz`, 200), ended]);
+    ended.catch(() => undefined);
+}
+
 /** Calls the administration API of one gateway. */
 export async function callAdminAt(
     address: string,
@@ -126,14 +136,15 @@
             ...extra,
         };
         const child = startChild({ script: "src/cli/main.js", args: ["gateway"], environment, keepsLines: options.keepsLogLines });
-        await child.waitForLine(line => line.includes('"event":1001'));
+        await waitForListening(child, callerAddress);
         return { child, availabilityZone: zone, vmId, callerAddress, adminAddress, environment };
     };
 
     const startSteward = async (zone: string): Promise<Child> => {
-        const environment = { ...sharedEnvironment(zone, `${zone}-entry1`), NUTMEGJUNCTION_ADMIN_ADDRESS: `${entryHost(zone, 0)}:7004` };
+        const adminAddress = `${entryHost(zone, 0)}:7004`;
+        const environment = { ...sharedEnvironment(zone, `${zone}-entry1`), NUTMEGJUNCTION_ADMIN_ADDRESS: adminAddress };
         const child = startChild({ script: "src/cli/main.js", args: ["steward"], environment, keepsLines: options.keepsLogLines });
-        await child.waitForLine(line => line.includes('"event":1001'));
+        await waitForListening(child, adminAddress);
         return child;
     };
 
@@ -159,9 +170,13 @@
         callAdmin,
         createKey: async team => {
             const minted = await callAdmin("POST", "/admin/v1/keys", { team });
-            if (minted.statusCode !== 200) {
+            if (minted.statusCode >= 300) {
                 throw new Error(`no key for ${team}: ${JSON.stringify(minted.body)}`);
             }
+            await waitUntil("the key is in force everywhere", async () => {
+                const { body } = await callAdmin("GET", "/admin/v1/configuration");
+                return body.isAccepted === true && (body.version as number) >= (minted.body.version as number);
+            });
             return minted.body as { key: string; keyId: string };
         },
         journal: async () => (await Promise.all([...servers.values()].map(readJournal))).flat(),
--- a/src/process/configurationHolder.ts
+++ b/src/process/configurationHolder.ts
@@ -58,7 +58,7 @@
         if (state && offer.record.version <= state.record.version) {
             return state;
         }
-        const applied = applyVersion(offer.record);
+        const applied = applyVersion(offer.record, state);
         if (applied.err) {
             logger.log(logEvents.configurationRefused, { version: offer.record.version, source: offer.source, reason: applied.val });
             return state;
--- a/src/process/teamDemand.ts
+++ b/src/process/teamDemand.ts
@@ -10,7 +10,7 @@
 }
 
 /** The peak covers this window and the one before it. */
-const peakWindowMs = 1_000;
+const peakWindowMs = 500;
 
 export type TeamDemand = ReturnType<typeof createTeamDemand>;
 
--- a/src/version/checkFleet.ts
+++ b/src/version/checkFleet.ts
@@ -51,9 +51,16 @@
     });
 }
 
+function countServersByPool(fleet: ResolvedFleet): ReadonlyMap<string, number> {
+    const counts = new Map<string, number>();
+    Object.values(fleet.backendServers).forEach(server => counts.set(server.pool, (counts.get(server.pool) ?? 0) + 1));
+    return counts;
+}
+
 function checkBudgets(fleet: ResolvedFleet, site: SiteConfiguration): Finding[] {
+    const counts = countServersByPool(fleet);
     return Object.entries(site.pools).filter(([, pool]) => !pool.isSpare).flatMap(([id, pool]) => {
-        const servers = Object.values(fleet.backendServers).filter(server => server.pool === id).length;
+        const servers = counts.get(id) ?? 0;
         if (servers > pool.availabilityBudget.minimumAvailableCount) {
             return [];
         }
--- a/src/version/fleetVersion.ts
+++ b/src/version/fleetVersion.ts
@@ -1,5 +1,7 @@
 /** One version of all that operators decide: the fleet document, team keys and drains. */
+import { isDeepStrictEqual } from "node:util";
 import { z } from "zod";
+import type { Finding } from "../common/findings.js";
 import { Err, Ok, type Result } from "../common/results.js";
 import { type FleetDocument, fleetDocument } from "./fleetDocument.js";
 import { type ResolvedFleet, resolveFleet } from "./resolveFleet.js";
@@ -49,9 +51,14 @@
 /** The document of a fleet that no operator has configured yet. */
 export const emptyDocument: FleetDocument = { base: {}, overlays: {} };
 
+/** Resolves a version's document; most changes concern keys and drains only and leave the last one's result as it is. */
+function resolveAfter(record: FleetVersion, previous: AppliedVersion | undefined): Result<ResolvedFleet, Finding[]> {
+    return previous && isDeepStrictEqual(previous.record.document, record.document) ? Ok(previous.fleet) : resolveFleet(record.document);
+}
+
 /** Derives what a process needs of a version, or tells why it cannot be used. */
-export function applyVersion(record: FleetVersion): Result<AppliedVersion, string> {
-    const resolved = resolveFleet(record.document);
+export function applyVersion(record: FleetVersion, previous?: AppliedVersion): Result<AppliedVersion, string> {
+    const resolved = resolveAfter(record, previous);
     if (resolved.err) {
         return Err(`version ${record.version} has ${resolved.val.length} findings, the first at ${resolved.val[0]?.path}`);
     }
