Split the gateway into its state and its listeners, and add a worker stand-in

startGateway had grown to 200 lines; the process's state, the callers' path, the listeners and the end stand apart now. Headers are copied in one place, 'isTree' and the base's name stand once.

--- a/src/connection/httpHeaders.ts
+++ b/src/connection/httpHeaders.ts
@@ -19,7 +19,6 @@
     team: "nutmegjunction-team",
     /** Set by a gateway that forwards to the owner of an idempotency key. */
     forwardedBy: "nutmegjunction-forwarded-by",
-    forwardedTeam: "nutmegjunction-forwarded-team",
     requestId: "x-request-id",
     requestTimeoutMs: "request-timeout-ms",
     requestKind: "request-kind",
@@ -33,23 +32,35 @@
     "expect",
     headerNames.requestTimeoutMs,
     headerNames.forwardedBy,
-    headerNames.forwardedTeam,
     headerNames.team,
     headerNames.requestId,
 ]);
 
-/** Copies the caller's headers that go on to a backend server, as alternating names and values. */
-export function copyRequestHeaders(rawHeaders: readonly string[], own: readonly string[]): string[] {
+/** Caller headers that do not go on to the gateway that owns an idempotency key. */
+const gatewayOnlyHeaders: ReadonlySet<string> = new Set(["host", "expect", headerNames.requestTimeoutMs, headerNames.forwardedBy]);
+
+/** Copies headers as alternating names and values, after `own` ones, without those of the connection and `dropped` ones. */
+function copyHeaders(rawHeaders: readonly string[], own: readonly string[], dropped: ReadonlySet<string>): string[] {
     const copied = [...own];
     for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
         const name = rawHeaders[index]!.toLowerCase();
-        if (!connectionHeaders.has(name) && !callerOnlyHeaders.has(name)) {
+        if (!connectionHeaders.has(name) && !dropped.has(name)) {
             copied.push(name, rawHeaders[index + 1]!);
         }
     }
     return copied;
 }
 
+/** Copies the caller's headers that go on to a backend server. */
+export function copyRequestHeaders(rawHeaders: readonly string[], own: readonly string[]): string[] {
+    return copyHeaders(rawHeaders, own, callerOnlyHeaders);
+}
+
+/** Copies the caller's headers that go on to another gateway, its key among them. */
+export function copyForwardedHeaders(rawHeaders: readonly string[], own: readonly string[]): string[] {
+    return copyHeaders(rawHeaders, own, gatewayOnlyHeaders);
+}
+
 /** Copies the headers of an answer that go on to the caller. */
 export function copyAnswerHeaders(headers: Readonly<Record<string, string | string[] | undefined>>): Record<string, string | string[]> {
     const copied: Record<string, string | string[]> = {};
--- a/src/daemons/steward.ts
+++ b/src/daemons/steward.ts
@@ -20,15 +20,11 @@
 /** Starts a steward and resolves when it listens. */
 export async function startSteward(settings: StewardSettings): Promise<Daemon> {
     const context = createProcessContext("steward", settings);
-    const { memberId, timers, logger, metrics, store, system, signal } = context;
+    const { memberId, timers, logger, metrics, store } = context;
     const configuration = createConfigurationHolder(context);
     const vmList = createVmListWatch({ ...context, address: settings.vmListAddress });
     const membership = createMembership({
-        store,
-        timers,
-        logger,
-        system,
-        signal,
+        ...context,
         heldVersion: configuration.version,
         own: {
             memberId,
--- /dev/null
+++ b/src/process/gatewayState.ts
@@ -0,0 +1,134 @@
+/** The parts of a gateway that live as long as its process, wired to each other. */
+import { randomInt } from "node:crypto";
+import { watchStalls } from "../common/timerService.js";
+import { memberRoles } from "../connection/members.js";
+import { limitsOf, longestRunMsOf } from "../version/fleetVersion.js";
+import { type AcceptanceView, createAcceptanceView } from "./acceptanceView.js";
+import { type Admission, createAdmission } from "./admission.js";
+import { type AllotmentHolder, createAllotmentHolder } from "./allotmentHolder.js";
+import { type ConfigurationHolder, createConfigurationHolder } from "./configurationHolder.js";
+import { logEvents } from "./logEvents.js";
+import { createMembership, type Membership } from "./membership.js";
+import { createPeers, type Peers } from "./peers.js";
+import type { ProcessContext } from "./processContext.js";
+import { createServerTable, type ServerTable } from "./serverTable.js";
+import { watchServers } from "./serverWatch.js";
+import type { GatewaySettings } from "./settings.js";
+import { createTicketLedger, type TicketLedger } from "./ticketLedger.js";
+import { createUsageLedger } from "./usageLedger.js";
+import { createVmListWatch } from "./vmListWatch.js";
+
+export interface GatewayState {
+    configuration: ConfigurationHolder;
+    servers: ServerTable;
+    membership: Membership;
+    allotments: AllotmentHolder;
+    admission: Admission;
+    peers: Peers;
+    ledger: TicketLedger;
+    acceptance: AcceptanceView;
+    /** Notices a pause of the process at once, before the next request is served. */
+    checkStall(): void;
+}
+
+const stallCheckIntervalMs = 100;
+const stallThresholdMs = 1_000;
+/** After a pause the gateway serves again at the latest after this time, with what it holds. */
+const refreshLimitMs = 2_000;
+
+/** Creates the state; it follows the store, the VM list and the peers at once, and registers nothing yet. */
+export function createGatewayState(context: ProcessContext, settings: GatewaySettings): GatewayState {
+    const { memberId, timers, logger, metrics, signal } = context;
+    const { availabilityZone } = settings;
+    const configuration = createConfigurationHolder(context);
+    const vmList = createVmListWatch({ ...context, address: settings.vmListAddress });
+    const servers = createServerTable(context);
+    const usage = createUsageLedger(timers);
+    const membership = createMembership({
+        ...context,
+        heldVersion: configuration.version,
+        own: {
+            memberId,
+            availabilityZone,
+            role: memberRoles.gateway,
+            vmId: settings.vmId,
+            peerAddress: settings.peerAddress,
+            callerAddress: settings.callerAddress,
+            ownAddress: settings.callerAddress,
+        },
+    });
+    const allotments = createAllotmentHolder({
+        ...context,
+        holderId: memberId,
+        randomBelow: randomInt,
+        limits: () => {
+            const version = configuration.current();
+            return version && limitsOf(version);
+        },
+        isRegistered: membership.isRegistered,
+        longestRunMs: () => {
+            const version = configuration.current();
+            return version ? longestRunMsOf(version) : 0;
+        },
+        onCapChange: (team, capSlots) => metrics.allotmentSlots.set({ team }, capSlots),
+    });
+    const admission = createAdmission({ availabilityZone, timers, logger, servers, allotments, usage, randomBelow: randomInt });
+    const peers = createPeers({
+        ownId: memberId,
+        peerKey: settings.peerKey,
+        seeds: settings.peerSeeds ?? [],
+        timers,
+        logger,
+        configuration,
+        servers,
+        usage,
+        signal,
+        onBytes: (direction, bytes) => metrics.peerBytesTotal.inc({ direction }, bytes),
+    });
+    const ledger = createTicketLedger({ ownerId: memberId, timers, signal });
+    const acceptance = createAcceptanceView({ membership, vmList, allotments, configuration, timers });
+
+    configuration.onApplied(version => {
+        servers.apply(version);
+        metrics.configurationVersion.set(version.record.version);
+    });
+    membership.onChange(members =>
+        peers.setMembers(
+            members.filter(member =>
+                member.role === memberRoles.gateway && member.availabilityZone === availabilityZone && member.memberId !== memberId
+            ),
+        )
+    );
+    watchServers({ availabilityZone, vmList, servers, timers, signal });
+    const checkStall = watchStalls(timers, { intervalMs: stallCheckIntervalMs, thresholdMs: stallThresholdMs, signal }, stallMs => {
+        logger.log(logEvents.processStalled, { stallMs: Math.round(stallMs) });
+        configuration.markStale(refreshLimitMs);
+        void configuration.refresh();
+        peers.requestConfiguration();
+    });
+    return { configuration, servers, membership, allotments, admission, peers, ledger, acceptance, checkStall };
+}
+
+/** What the administration API shows of a gateway. */
+export function describeGateway(context: ProcessContext, availabilityZone: string, state: GatewayState): object {
+    const { configuration, servers, membership, allotments, admission, peers, ledger, acceptance } = state;
+    return {
+        memberId: context.memberId,
+        availabilityZone,
+        configuration: acceptance.of(configuration.version()),
+        members: membership.members(),
+        peers: peers.connectedIds(),
+        allotments: allotments.usage(),
+        servers: servers.all().map(server => ({
+            serverId: server.serverId,
+            zone: server.availabilityZone,
+            outstandingCount: server.outstandingCount,
+            slotsCount: server.slotsCount,
+            leaving: [...server.leaving],
+            isEjected: server.health.ejectionsCount > 0,
+        })),
+        waitingCount: admission.waitingCount(),
+        keptKeysCount: ledger.size(),
+        storeCalls: context.store.callCounts(),
+    };
+}
--- a/src/request/callerHandler.ts
+++ b/src/request/callerHandler.ts
@@ -26,7 +26,6 @@
     configuration: ConfigurationHolder;
     ledger: TicketLedger;
     nextRequestId(): string;
-    isStopping(): boolean;
     run(request: RunnableRequest, sink: AnswerSink): Promise<RunResult>;
     runKeyed(request: RunnableRequest, idempotencyKey: string, sink: AnswerSink): Promise<RunResult>;
 }
@@ -78,16 +77,8 @@
 
     /** Why no request can be taken now. */
     const findObstacle = (): Refused | undefined => {
-        if (options.isStopping()) {
-            return { type: problems.stopping, detail: "send it again to another gateway" };
-        }
-        if (!configuration.isFresh()) {
-            return {
-                type: problems.noConfiguration,
-                detail: "the gateway refreshes its configuration after a pause; send it again at once",
-            };
-        }
-        return undefined;
+        const detail = "the gateway refreshes its configuration after a pause; send it again at once";
+        return configuration.isFresh() ? undefined : { type: problems.noConfiguration, detail };
     };
 
     const finishRun = (runnable: RunnableRequest, result: RunResult, sink: AnswerSink): Outcome => {
--- a/src/request/forwardToOwner.ts
+++ b/src/request/forwardToOwner.ts
@@ -1,7 +1,7 @@
 /** Forwards a request to the gateway that owns its idempotency key, and passes that gateway's answer on. */
 import { outcomes } from "../common/outcomes.js";
 import type { TimerService } from "../common/timerService.js";
-import { headerNames } from "../connection/httpHeaders.js";
+import { copyForwardedHeaders, headerNames } from "../connection/httpHeaders.js";
 import type { MemberRecord } from "../connection/members.js";
 import { createServerConnections, type ServerConnections } from "../connection/serverConnections.js";
 import { logEvents } from "../process/logEvents.js";
@@ -23,27 +23,6 @@
 const progressTimeoutMs = 5_000;
 /** The owner answers a little before this side gives up. */
 const answerGraceMs = 200;
-/** Headers that concern one connection, or that this side sets itself. */
-const ownHeaders: ReadonlySet<string> = new Set([
-    "connection",
-    "host",
-    "keep-alive",
-    "transfer-encoding",
-    "expect",
-    headerNames.requestTimeoutMs,
-    headerNames.forwardedBy,
-]);
-
-function copyAllHeaders(rawHeaders: readonly string[], own: readonly string[]): string[] {
-    const copied = [...own];
-    for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
-        if (!ownHeaders.has(rawHeaders[index]!.toLowerCase())) {
-            copied.push(rawHeaders[index]!, rawHeaders[index + 1]!);
-        }
-    }
-    return copied;
-}
-
 /** Creates the forwarder; it keeps connections to the owners it has forwarded to. */
 export function createOwnerForwarder(
     options: OwnerForwarderOptions,
@@ -90,7 +69,7 @@
             requestId: request.requestId,
             method: request.call.method,
             path: `/v1/services${request.call.serverPath}`,
-            headers: copyAllHeaders(request.rawHeaders, own),
+            headers: copyForwardedHeaders(request.rawHeaders, own),
             body: request.body,
             answerTimeoutMs: remainingMs + answerGraceMs,
             progressTimeoutMs,
--- a/src/version/checkFleet.ts
+++ b/src/version/checkFleet.ts
@@ -1,10 +1,8 @@
 /** Checks of a fleet that concern more than one field: references, shares against limits, budgets against pools. */
 import { type Finding, quoteValue } from "../common/findings.js";
-import type { SiteConfiguration } from "./fleetDocument.js";
+import { baseSource, type SiteConfiguration } from "./fleetDocument.js";
 import type { ResolvedFleet } from "./resolveFleet.js";
 
-const baseSource = "base";
-
 /** Slots of all backend servers outside spare pools. */
 function countSlots(fleet: ResolvedFleet, pools: SiteConfiguration["pools"]): number {
     return Object.values(fleet.backendServers)
--- a/src/version/describeDifferences.ts
+++ b/src/version/describeDifferences.ts
@@ -1,21 +1,18 @@
 /** Describes what differs between two versions, one line a field. */
 import { isDeepStrictEqual } from "node:util";
 import { quoteValue } from "../common/findings.js";
+import { isTree } from "./fleetDocument.js";
 import type { FleetVersion } from "./fleetVersion.js";
 
 /** Differences that are listed before the rest is only counted. */
 const longestList = 100;
 
-function isObject(value: unknown): value is Record<string, unknown> {
-    return typeof value === "object" && !!value && !Array.isArray(value);
-}
-
 /** Lists the fields that differ between two values, with both values. */
 export function compareValues(before: unknown, after: unknown, path = ""): string[] {
     if (isDeepStrictEqual(before, after)) {
         return [];
     }
-    if (!isObject(before) || !isObject(after)) {
+    if (!isTree(before) || !isTree(after)) {
         return [`${path}: ${quoteValue(before)} -> ${quoteValue(after)}`];
     }
     const names = [...new Set([...Object.keys(before), ...Object.keys(after)])].sort();
--- a/src/version/fleetDocument.ts
+++ b/src/version/fleetDocument.ts
@@ -85,12 +85,21 @@
 /** A plain tree of values, as YAML and JSON give it. */
 export type Tree = { [key: string]: unknown };
 
+/** Whether a value has named fields. */
+export function isTree(value: unknown): value is Tree {
+    return typeof value === "object" && !!value && !Array.isArray(value);
+}
+
+/** Name of the base in findings; overlays are named by their zone. */
+export const baseSource = "base";
+
 /** The configuration as operators write it. */
 export interface FleetDocument {
     base: Tree;
     /** Overlay per availability zone; each states only what differs from the base. */
     overlays: Record<string, Tree>;
 }
+
 /** The shape of a fleet document at a boundary; its trees are checked by `resolveFleet`. */
 export const fleetDocument = z.strictObject({
     base: z.record(z.string(), z.unknown()),
--- a/src/version/loadFleetFiles.ts
+++ b/src/version/loadFleetFiles.ts
@@ -4,8 +4,7 @@
 import { type Document, isMap, isNode, LineCounter, parseDocument } from "yaml";
 import { type Finding, quoteValue } from "../common/findings.js";
 import { Err, Ok, type Result } from "../common/results.js";
-import type { FleetDocument, Tree } from "./fleetDocument.js";
-import { baseSource } from "./resolveFleet.js";
+import { baseSource, type FleetDocument, type Tree } from "./fleetDocument.js";
 
 /** A fleet document with the places of its values. */
 export interface LoadedFleet {
--- a/src/version/resolveFleet.ts
+++ b/src/version/resolveFleet.ts
@@ -6,7 +6,9 @@
 import { checkFleet } from "./checkFleet.js";
 import {
     type BackendServerConfiguration,
+    baseSource,
     type FleetDocument,
+    isTree,
     type SiteConfiguration,
     siteConfiguration,
     type Tree,
@@ -19,16 +21,9 @@
     backendServers: Record<string, BackendServerConfiguration>;
 }
 
-/** Name of the base in findings; overlays are named by their zone. */
-export const baseSource = "base";
-
 /** Fields that hold for the whole fleet, so an overlay may not state them. */
 const fleetWideFields = ["teams", "formatVersion", "pools"];
 
-function isTree(value: unknown): value is Tree {
-    return typeof value === "object" && value !== null && !Array.isArray(value); // eslint-disable-line no-restricted-syntax -- values from outside
-}
-
 /** Lays an overlay over a base: trees are merged, any other value is replaced. */
 export function mergeTrees(base: Tree, overlay: Tree): Tree {
     const merged: Tree = { ...base };
--- a/stand-ins/main.ts
+++ b/stand-ins/main.ts
@@ -4,6 +4,7 @@
  * - `main.js key-value-service --address ip:port`
  * - `main.js vm-list --address ip:port [--lag-ms n]`
  * - `main.js backend-server --address ip:port --id id [--slots n] [--connections n] [--late-by-ms n]`
+ * - `main.js worker --address ip:port [--lag-ms n]`
  * - `main.js relay --address ip:port --target ip:port`
  */
 import { parseArgs } from "node:util";
@@ -12,6 +13,7 @@
 import { startRelay } from "./relay.js";
 import type { ListenAddress } from "./serving.js";
 import { startVmListService } from "./vmListService.js";
+import { startWorker } from "./worker.js";
 
 const { positionals, values } = parseArgs({
     allowPositionals: true,
@@ -48,6 +50,7 @@
             address,
             lifetime.signal,
         ),
+    "worker": () => startWorker(address, Number(values["lag-ms"]), lifetime.signal),
     "relay": () => startRelay(address, parseAddress(values.target), lifetime.signal),
 };
 
