--- a/src/process/actors.ts
+++ b/src/process/actors.ts
@@ -19,11 +19,20 @@
     logger: Logger;
     /** Handles one message and returns the next state. An error is logged, and the state stays. */
     receive(state: State, message: Message): State | Promise<State>;
+    /**
+     * Whether a message is like any other of its kind, so that one in the mailbox is enough. Without it a timer would fill
+     * the mailbox of an actor that waits for a store which does not answer.
+     */
+    isCoalesced?(message: Message): boolean;
 }
 
 /** Spawns an actor and returns the function that sends to it. */
 export function spawnActor<State, Message>(options: ActorOptions<State, Message>): (message: Message) => void {
+    let isCoalescedWaiting = false;
     const receive = async (state: State, message: Message): Promise<State> => {
+        if (options.isCoalesced?.(message)) {
+            isCoalescedWaiting = false;
+        }
         try {
             return await options.receive(state, message);
         }
@@ -36,5 +45,12 @@
         }
     };
     const reference: Ref<Message> = spawn(options.system, receive, options.name, { initialState: options.initialState });
-    return message => dispatch(reference, message);
+    return message => {
+        const isCoalesced = options.isCoalesced?.(message) ?? false;
+        if (isCoalesced && isCoalescedWaiting) {
+            return;
+        }
+        isCoalescedWaiting ||= isCoalesced;
+        dispatch(reference, message);
+    };
 }
--- a/src/process/allotmentHolder.ts
+++ b/src/process/allotmentHolder.ts
@@ -160,7 +160,14 @@
         }
         return undefined;
     };
-    const send = spawnActor<undefined, Message>({ system: options.system, name: "allotments", initialState: undefined, logger, receive });
+    const send = spawnActor<undefined, Message>({
+        system: options.system,
+        name: "allotments",
+        initialState: undefined,
+        logger,
+        receive,
+        isCoalesced: message => message.type === "step",
+    });
 
     const step = (): void => {
         lastStepMs = timers.nowMs();
--- a/src/process/membership.ts
+++ b/src/process/membership.ts
@@ -97,6 +97,7 @@
         initialState: { revision: 0, text: "" },
         logger: options.logger,
         receive,
+        isCoalesced: message => message.type === "sync",
     });
 
     const takeMembers = (values: StoredValue[]): void => {
--- a/src/request/callerRequest.ts
+++ b/src/request/callerRequest.ts
@@ -35,7 +35,7 @@
 function readKind(request: http.IncomingMessage, service: ServiceConfiguration): Result<RequestKindConfiguration, Refused> {
     const names = Object.keys(service.requestKinds);
     const name = headerValue(request, headerNames.requestKind) ?? (names.length === 1 ? names[0]! : defaultKind);
-    const kind = service.requestKinds[name];
+    const kind = Object.hasOwn(service.requestKinds, name) ? service.requestKinds[name] : undefined;
     if (!kind) {
         return Err({ type: problems.badRequest, detail: `header Request-Kind: found '${name}'; send one of: ${names.join(", ")}` });
     }
