--- /dev/null
+++ b/tests/proofs/duties.spec.ts
@@ -0,0 +1,72 @@
+/** Duties go on when their holder is paused beyond its lease or killed, and a holder that wakes up harms nothing. Real processes. */
+import assert from "node:assert/strict";
+import { after, before, describe, it } from "node:test";
+import type { Child } from "../../harness/childProcess.js";
+import { waitUntil } from "../../harness/events.js";
+import { type Fleet, startFleet, waitForStatus } from "../../harness/fleet.js";
+import { makeSmallFleet } from "../../harness/smallFleet.js";
+import { setVms } from "../../harness/standIns.js";
+
+const addressPrefix = "127.50";
+const limits = { vik: 16, selfoss: 16 };
+const dutyTakenEvent = 6004;
+const dutyLostEvent = 6005;
+
+describe("duties", () => {
+    let fleet: Fleet;
+    before(async () => {
+        const document = makeSmallFleet({
+            addressPrefix,
+            zones: ["az-1", "az-2"],
+            serversPerZone: 1,
+            slotsPerServer: 16,
+            limits,
+            requestTimeoutMs: 500,
+            longestRunMs: 500,
+        });
+        fleet = await startFleet({
+            document,
+            addressPrefix,
+            gatewaysPerZone: 2,
+            keepsLogLines: true,
+            environment: { NUTMEGJUNCTION_DUTY_LEASE_S: "1" },
+        });
+    });
+    after(() => fleet.stop());
+
+    const count = (steward: Child, event: number): number => steward.lines.filter(line => line.includes(`"event":${event},`)).length;
+    const timesTaken = (): number => fleet.stewards.reduce((sum, steward) => sum + count(steward, dutyTakenEvent), 0);
+    const holder = (): Child | undefined => fleet.stewards.find(steward => count(steward, dutyTakenEvent) > count(steward, dutyLostEvent));
+    const recordsAt = async (callerAddress: string): Promise<number> => {
+        const { body } = await fleet.callAdmin("GET", "/admin/v1/status");
+        return (body.members as { callerAddress: string }[]).filter(member => member.callerAddress === callerAddress).length;
+    };
+
+    it("should be taken by another steward when the holder is paused beyond its lease", async () => {
+        await waitUntil("a steward holds the duty", () => holder() !== undefined);
+        const paused = holder()!;
+        paused.kill("SIGSTOP");
+        await waitUntil("the other one holds it too", () => timesTaken() === 2);
+        const replaced = fleet.gateways[1]!;
+        replaced.child.kill("SIGKILL");
+        await replaced.child.exited;
+        fleet.gateways[1] = await fleet.startGateway("az-1", 1);
+        await waitForStatus(`http://${replaced.callerAddress}/readyz`, 200);
+        await waitUntil("the replaced gateway is reclaimed", async () => await recordsAt(replaced.callerAddress) === 1);
+        paused.kill("SIGCONT");
+        await waitUntil("the paused one has noticed", () => count(paused, dutyLostEvent) === 1);
+        assert.equal(timesTaken(), 2);
+    });
+
+    it("should be taken by another steward when the holder is killed, which reclaims by the VM list's word", async () => {
+        const killed = holder()!;
+        const takenBefore = timesTaken();
+        killed.kill("SIGKILL");
+        await waitUntil("the other one holds it", () => timesTaken() === takenBefore + 1);
+        const lost = fleet.gateways[3]!;
+        lost.child.kill("SIGKILL");
+        await lost.child.exited;
+        await setVms(fleet.vmList, [{ vmId: lost.vmId, availabilityZone: lost.availabilityZone, state: "gone" }]);
+        await waitUntil("the lost gateway is reclaimed", async () => await recordsAt(lost.callerAddress) === 0);
+    });
+});
