Count only answers asked for after a pause as fresh configuration

Cause, found by reading: a process that had been paused took any watch event or any load of a peer as proof that its version was the newest, also those that had waited in a socket's buffer since before a withdrawal. Questions now carry the number of the pause, and only their answers, once applied, end the staleness.

--- a/src/connection/peerMessages.ts
+++ b/src/connection/peerMessages.ts
@@ -23,10 +23,10 @@
         /** Slot time used lately by each team, in milliseconds. */
         teamUsageMs: counts,
     }),
-    /** Asks for the configuration that the other side holds. */
-    z.object({ type: z.literal("configurationRequest") }),
+    /** Asks for the configuration that the other side holds; the answer repeats `epoch`. */
+    z.object({ type: z.literal("configurationRequest"), epoch: z.number() }),
     /** The configuration that the sender holds, as JSON. */
-    z.object({ type: z.literal("configuration"), record: z.string() }),
+    z.object({ type: z.literal("configuration"), epoch: z.number(), record: z.string() }),
 ]);
 export type PeerMessage = z.infer<typeof peerMessage>;
 
--- a/src/process/configurationHolder.ts
+++ b/src/process/configurationHolder.ts
@@ -1,5 +1,4 @@
 /** Holds the configuration version in force in this process; it only ever goes up. */
-import { Err, Ok, type Result } from "../common/results.js";
 import type { TimerService } from "../common/timerService.js";
 import { storeKeys } from "../connection/members.js";
 import type { PlatformStore, StoredValue } from "../connection/platformStore.js";
@@ -13,16 +12,19 @@
     current(): AppliedVersion | undefined;
     /** Version in force, 0 if none. */
     version(): number;
-    /** Offers a version from the store or a peer; it is applied if it is newer. */
-    offer(record: FleetVersion, source: string): void;
+    /** Offers a version from the store or a peer; it is applied if it is newer. `epoch`: see `markStale`. */
+    offer(record: FleetVersion, source: string, epoch?: number): void;
     /** Whether it was refreshed since the process last noticed that it had been paused. */
     isFresh(): boolean;
-    /** Reads the store and offers what it holds; tells whether the store answered. */
-    refresh(): Promise<Result<void, string>>;
-    /** Marks what is held as possibly outdated, after a pause, until a source has answered or `limitMs` have passed. */
+    /**
+     * Marks what is held as possibly outdated, after a pause, until a source that was asked after the pause has answered
+     * or `limitMs` have passed. What arrives unasked may have waited in a buffer during the pause, and proves nothing.
+     */
     markStale(limitMs: number): void;
-    /** Marks what is held as the newest that could be had. */
-    markFresh(): void;
+    /** Number of pauses so far. A question carries it, and its answer makes fresh what was made stale with it. */
+    epoch(): number;
+    /** Asks the store, and makes what is held fresh if it answers. */
+    refresh(): Promise<void>;
     /** Calls back after each newly applied version. */
     onApplied(callback: (version: AppliedVersion) => void): void;
 }
@@ -38,6 +40,7 @@
 interface Offer {
     record: FleetVersion;
     source: string;
+    epoch: number | undefined;
 }
 
 /** Creates the holder and starts its watch of the store. */
@@ -46,6 +49,11 @@
     const callbacks: ((version: AppliedVersion) => void)[] = [];
     let current: AppliedVersion | undefined;
     let isFresh = true;
+    let epoch = 0;
+
+    const markFresh = (answeredEpoch: number | undefined): void => {
+        isFresh ||= answeredEpoch === epoch;
+    };
 
     /** Writes the held version back over an older one: the store was restored, the version in force never reverts. */
     const writeBack = async (held: AppliedVersion, stored: StoredValue | undefined, storedVersion: number): Promise<void> => {
@@ -74,10 +82,14 @@
         name: "configuration",
         initialState: undefined,
         logger,
-        receive: apply,
+        receive: (state, offer) => {
+            const next = apply(state, offer);
+            markFresh(offer.epoch);
+            return next;
+        },
     });
 
-    const takeStored = (stored: StoredValue | undefined): void => {
+    const takeStored = (stored: StoredValue | undefined, askedEpoch?: number): void => {
         const parsed = stored ? parseVersion(stored.value) : undefined;
         if (parsed?.err) {
             logger.log(logEvents.configurationRefused, { source: "store", reason: parsed.val });
@@ -86,12 +98,13 @@
         const record = parsed?.val as FleetVersion | undefined;
         const heldVersion = current?.record.version ?? 0;
         if (record && record.version > heldVersion) {
-            send({ record, source: "store" });
+            send({ record, source: "store", epoch: askedEpoch });
+            return;
         }
-        else if (current && (record?.version ?? 0) < heldVersion) {
+        if (current && (record?.version ?? 0) < heldVersion) {
             void writeBack(current, stored, record?.version ?? 0);
         }
-        isFresh = true;
+        markFresh(askedEpoch);
     };
 
     store.watchPrefix(
@@ -103,22 +116,21 @@
     return {
         current: () => current,
         version: () => current?.record.version ?? 0,
-        offer: (record, source) => send({ record, source }),
+        offer: (record, source, askedEpoch) => send({ record, source, epoch: askedEpoch }),
         isFresh: () => isFresh,
+        epoch: () => epoch,
         refresh: async () => {
+            const askedEpoch = epoch;
             const read = await store.read(storeKeys.fleetVersion);
-            if (read.err) {
-                return Err(read.val.reason);
+            if (read.ok) {
+                takeStored(read.val, askedEpoch);
             }
-            takeStored(read.val);
-            return Ok(undefined);
         },
         markStale: limitMs => {
             isFresh = false;
-            timers.after(limitMs, () => isFresh = true);
-        },
-        markFresh: () => {
-            isFresh = true;
+            epoch++;
+            const staleEpoch = epoch;
+            timers.after(limitMs, () => markFresh(staleEpoch));
         },
         onApplied: callback => void callbacks.push(callback),
     };
--- a/src/process/peers.ts
+++ b/src/process/peers.ts
@@ -68,38 +68,34 @@
             case "load":
                 servers.setPeerCounts(peerId, new Map(Object.entries(message.serverCounts)));
                 usage.setPeerUsage(peerId, new Map(Object.entries(message.teamUsageMs)));
-                compareVersions(link, message.heldVersion);
+                if (message.heldVersion > configuration.version()) {
+                    askForConfiguration(link);
+                }
                 return;
             case "configurationRequest":
-                sendConfiguration(link);
+                sendConfiguration(link, message.epoch);
                 return;
             case "configuration":
-                takeConfiguration(peerId, message.record);
+                takeConfiguration(peerId, message.record, message.epoch);
         }
     };
 
-    const compareVersions = (link: PeerLink, peerVersion: number): void => {
-        if (peerVersion > configuration.version()) {
-            link.send({ type: "configurationRequest" });
-            return;
-        }
-        configuration.markFresh();
-    };
+    const askForConfiguration = (link: PeerLink): void => link.send({ type: "configurationRequest", epoch: configuration.epoch() });
 
-    const sendConfiguration = (link: PeerLink): void => {
+    const sendConfiguration = (link: PeerLink, epoch: number): void => {
         const held = configuration.current();
         if (held) {
-            link.send({ type: "configuration", record: JSON.stringify(held.record) });
+            link.send({ type: "configuration", epoch, record: JSON.stringify(held.record) });
         }
     };
 
-    const takeConfiguration = (peerId: string, record: string): void => {
+    const takeConfiguration = (peerId: string, record: string, epoch: number): void => {
         const parsed = parseVersion(record);
         if (parsed.err) {
             logger.log(logEvents.configurationRefused, { source: peerId, reason: parsed.val });
             return;
         }
-        configuration.offer(parsed.val, `peer ${peerId}`);
+        configuration.offer(parsed.val, `peer ${peerId}`, epoch);
     };
 
     const forget = (link: PeerLink, reason: string): void => {
@@ -201,7 +197,7 @@
                 dials.delete(address)
             );
         },
-        requestConfiguration: () => links.forEach(link => link.send({ type: "configurationRequest" })),
+        requestConfiguration: () => links.forEach(askForConfiguration),
         connectedIds: () => [...links.keys()].sort(),
         acceptUpgrade: (request, socket, head) => {
             const presented = String(request.headers.authorization ?? "").replace(/^Bearer /, "");
--- a/tests/contracts/peers.spec.ts
+++ b/tests/contracts/peers.spec.ts
@@ -83,8 +83,8 @@
     const messages: PeerMessage[] = [
         { type: "hello", protocolVersion: 1, memberId: "m", heldVersion: 3 },
         { type: "load", heldVersion: 1, serverCounts: { s: 2 }, teamUsageMs: { t: 1.5 } },
-        { type: "configurationRequest" },
-        { type: "configuration", record: "{}" },
+        { type: "configurationRequest", epoch: 2 },
+        { type: "configuration", epoch: 2, record: "{}" },
     ];
     messages.forEach(message => {
         it(`should read back a message of the type '${message.type}' as it was written`, () => {
