Let the replacement proof begin with gateways that are ready

Cause: the test before starts a gateway and waits only until it listens; the proof then sent to it before it was ready, which a balancer that checks readiness does not. Ruled out: the clean-up in the working tree at the time (unused types and a comment). The proof waits for readiness first; its assertions stay.

--- a/tests/proofs/gatewayEnds.spec.ts
+++ b/tests/proofs/gatewayEnds.spec.ts
@@ -50,6 +50,7 @@
     });
 
     it("should cut nothing while every gateway is replaced in turn", async () => {
+        await Promise.all(fleet.gateways.map(gateway => waitForStatus(`http://${gateway.callerAddress}/readyz`, 200)));
         // Stands for the balancer: it sends requests to the gateways that are ready.
         const ready = fleet.gateways.map(gateway => openCaller(gateway.callerAddress));
         const load = startSteadyLoad({
