--- a/src/process/peers.ts
+++ b/src/process/peers.ts
@@ -104,7 +104,7 @@
             return;
         }
         links.delete(peerId);
-        // What a lost peer has running is kept in mind by its last word only until here: its zone share is open again.
+        // A lost peer's last report is dropped: kept, it would hold its servers' slots for good.
         servers.setPeerCounts(peerId, undefined);
         usage.setPeerUsage(peerId, undefined);
         logger.log(logEvents.peerLost, { peerId, reason });
--- a/src/process/teamDemand.ts
+++ b/src/process/teamDemand.ts
@@ -12,8 +12,6 @@
 /** The peak covers this window and the one before it. */
 const peakWindowMs = 500;
 
-export type TeamDemand = ReturnType<typeof createTeamDemand>;
-
 /** Creates the counts; all start at zero. */
 export function createTeamDemand(timers: TimerService, signal: AbortSignal) {
     const teams = new Map<string, TeamCounts>();
--- a/src/process/ticketLedger.ts
+++ b/src/process/ticketLedger.ts
@@ -63,7 +63,6 @@
     const { timers } = options;
     const secret = randomBytes(32);
     const entries = new Map<string, LedgerEntry>();
-    let mintedCount = 0;
     let keptBytes = 0;
 
     const sign = (unsigned: string): string => createHmac("sha256", secret).update(unsigned).digest("base64url");
@@ -85,12 +84,10 @@
             if (entries.size >= ledgerLimits.entriesCount) {
                 return undefined;
             }
-            mintedCount++;
             const expiry = (timers.wallClockMs() + ledgerLimits.retentionMs).toString(36);
             const unsigned = [ticketPrefix, options.ownerId, expiry, team, randomBytes(nonceBytes).toString("base64url")].join("~");
             return `${unsigned}~${sign(unsigned)}`;
         },
-        mintedCount: () => mintedCount,
         /** Whether this process minted the ticket. */
         isGenuine: (text: string): boolean => {
             const cut = text.lastIndexOf("~");
--- a/src/request/forwardToOwner.ts
+++ b/src/request/forwardToOwner.ts
@@ -23,6 +23,7 @@
 const progressTimeoutMs = 5_000;
 /** The owner answers a little before this side gives up. */
 const answerGraceMs = 200;
+
 /** Creates the forwarder; it keeps connections to the owners it has forwarded to. */
 export function createOwnerForwarder(
     options: OwnerForwarderOptions,
--- a/src/version/fleetDocument.ts
+++ b/src/version/fleetDocument.ts
@@ -78,8 +78,6 @@
 export type SiteConfiguration = z.infer<typeof siteConfiguration>;
 export type ServiceConfiguration = z.infer<typeof service>;
 export type RequestKindConfiguration = z.infer<typeof requestKind>;
-export type TeamConfiguration = z.infer<typeof team>;
-export type PoolConfiguration = z.infer<typeof pool>;
 export type BackendServerConfiguration = z.infer<typeof backendServer> & { availabilityZone: string };
 
 /** A plain tree of values, as YAML and JSON give it. */
--- a/src/version/fleetVersion.ts
+++ b/src/version/fleetVersion.ts
@@ -17,7 +17,6 @@
 
 /** A drain that an operator asked for. */
 export const drainRecord = z.strictObject({ serverId: z.string(), reason: z.string(), sinceMs: z.number() });
-export type DrainRecord = z.infer<typeof drainRecord>;
 
 export const fleetVersion = z.strictObject({
     /** Counts up by one with each accepted write; 0 is the empty fleet. */
--- a/stand-ins/keyValueStore.ts
+++ b/stand-ins/keyValueStore.ts
@@ -30,8 +30,6 @@
     | { type: "delete"; key: string }
     | { type: "range"; key: string; rangeEnd: string | undefined };
 
-export type KeyValueStore = ReturnType<typeof createKeyValueStore>;
-
 /** Returns the test of a range: one key, or all keys from `key` up to `rangeEnd`. */
 function createRangeTest(key: string, rangeEnd: string | undefined): (candidate: string) => boolean {
     return rangeEnd === undefined ? candidate => candidate === key : candidate => candidate >= key && candidate < rangeEnd;
