--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -8,7 +8,7 @@
 ];
 
 export default tseslint.config(
-    { ignores: ["dist/", "node_modules/", "eslint.config.mjs"] },
+    { ignores: ["dist/", "target/", "node_modules/", "eslint.config.mjs"] },
     ...tseslint.configs.recommended,
     {
         languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
--- a/scripts/checkImports.ts
+++ b/scripts/checkImports.ts
@@ -6,7 +6,7 @@
 import path from "node:path";
 import ts from "typescript";
 
-const roots = ["src", "harness", "stand-ins", "demo", "bench", "scripts", "tests"];
+const roots = ["src", "platform", "harness", "stand-ins", "demo", "bench", "scripts", "tests"];
 
 function listFolders(folder: string): string[] {
     const children = readdirSync(folder, { withFileTypes: true }).filter(entry => entry.isDirectory());
--- a/src/connection/platformStore.ts
+++ b/src/connection/platformStore.ts
@@ -38,6 +38,30 @@
     /** Name of the call, for example `range`. */
     call: string;
     reason: string;
+    /** Whether the call was surely not carried out and never will be. */
+    hasSurelyNotRun?: boolean;
+}
+
+/** One change of a key; a value of `undefined` means that it was deleted. */
+export interface StoreChange {
+    key: string;
+    value: string | undefined;
+    revision: number;
+}
+
+/** Receives what a followed prefix holds and how it changes, in the order of revisions. */
+export interface StoreFeed {
+    /** All that the prefix holds: at first, and again when changes may have been missed. */
+    onSnapshot(values: readonly StoredValue[], revision: number): void;
+    onChanges(changes: readonly StoreChange[], revision: number): void;
+    /** The feed was complete at the time at which a call was sent. */
+    onConfirmed(sentAtMs: number): void;
+}
+
+/** A store that delivers single changes, for prefixes too large to be handed over whole. */
+export interface ChangeFeedStore extends PlatformStore {
+    /** Follows a prefix until `signal` aborts; waits `pauseMs()` between calls, which gathers changes. */
+    followChanges(prefix: string, signal: AbortSignal, feed: StoreFeed, pauseMs: () => number): void;
 }
 
 export interface PlatformStore {
--- /dev/null
+++ b/src/decisions/placeTask.ts
@@ -0,0 +1,60 @@
+/**
+ * On which worker a task runs. Load pattern: many small tasks beside a few long-running ones on workers that fail rack by
+ * rack. Short tasks go where they fit most closely, which keeps whole workers free for large ones; long-running tasks
+ * spread over workers and racks, so that one loss takes few of a step.
+ */
+
+/** A worker that may run the task. */
+export interface PlacementCandidate {
+    workerId: string;
+    rack: string;
+    zone: string;
+    freeCpuMillicores: number;
+    freeMemoryMb: number;
+    /** Tasks of the same step on the worker, and on its rack. */
+    sameStepCount: number;
+    sameStepOnRackCount: number;
+    longRunningCount: number;
+}
+
+export interface PlacementNeeds {
+    isLongRunning: boolean;
+    isFiller: boolean;
+    cpuMillicores: number;
+    preferredRack: string | undefined;
+}
+
+/** Lower is better, compared entry by entry. */
+function rank(needs: PlacementNeeds, candidate: PlacementCandidate): number[] {
+    const isOffRack = needs.preferredRack !== undefined && candidate.rack !== needs.preferredRack ? 1 : 0;
+    if (needs.isFiller) {
+        return [isOffRack, candidate.longRunningCount, candidate.sameStepCount, -candidate.freeCpuMillicores];
+    }
+    if (needs.isLongRunning) {
+        return [
+            isOffRack,
+            candidate.sameStepCount,
+            candidate.sameStepOnRackCount,
+            candidate.longRunningCount,
+            -candidate.freeCpuMillicores,
+        ];
+    }
+    return [isOffRack, candidate.freeCpuMillicores - needs.cpuMillicores, candidate.freeMemoryMb];
+}
+
+function isBefore(left: readonly number[], right: readonly number[]): boolean {
+    const index = left.findIndex((value, place) => value !== right[place]);
+    return index >= 0 && left[index]! < right[index]!;
+}
+
+/** The best of the candidates, `undefined` without any. */
+export function placeTask<T extends PlacementCandidate>(needs: PlacementNeeds, candidates: readonly T[]): T | undefined {
+    let best: { candidate: T; rank: number[] } | undefined;
+    for (const candidate of candidates) {
+        const ranked = rank(needs, candidate);
+        if (!best || isBefore(ranked, best.rank)) {
+            best = { candidate, rank: ranked };
+        }
+    }
+    return best?.candidate;
+}
--- /dev/null
+++ b/src/process/groupCommit.ts
@@ -0,0 +1,125 @@
+/**
+ * Creates keys in the store, those of a short time in one transaction. Each key is guarded by "does not exist", so that a
+ * repeated or late write of the same key changes nothing.
+ */
+import type { TimerService } from "../common/timerService.js";
+import type { PlatformStore, StoreGuard } from "../connection/platformStore.js";
+
+export const commitOutcomes = {
+    /** The store holds the key, written by this call or before. */
+    stored: "stored",
+    /** The store does not hold the key and never will by this call. */
+    notStored: "notStored",
+    /** A condition that all keys share no longer holds; nothing was written. */
+    outdated: "outdated",
+    /** The answer was lost, and the write may still land. */
+    unknown: "unknown",
+} as const;
+export type CommitOutcome = (typeof commitOutcomes)[keyof typeof commitOutcomes];
+
+export interface GroupCommit {
+    create(key: string, value: string): Promise<CommitOutcome>;
+}
+
+export interface GroupCommitOptions {
+    store: PlatformStore;
+    timers: TimerService;
+    /** The condition under which everything may be written, for example the configuration that it was checked against. */
+    sharedGuard(): StoreGuard | undefined;
+}
+
+interface WaitingKey {
+    key: string;
+    value: string;
+    attemptsCount: number;
+    settle(outcome: CommitOutcome): void;
+}
+
+/** Writes of this time share a transaction; a part of the store's answer time. */
+const gatherMs = 3;
+/** A transaction of the store takes 32 entries: a shared guard, and a guard and a write for each key. */
+const largestBatch = 15;
+/** Collisions after which a key is given up; each one settles at least one key of its batch. */
+const maximumAttempts = 4;
+
+export function createGroupCommit(options: GroupCommitOptions): GroupCommit {
+    const { store, timers } = options;
+    let waiting: WaitingKey[] = [];
+    let isScheduled = false;
+
+    const settleByRead = async (batch: readonly WaitingKey[]): Promise<void> => {
+        await Promise.all(batch.map(async each => {
+            const read = await store.read(each.key);
+            each.settle(read.ok && read.val ? commitOutcomes.stored : commitOutcomes.unknown);
+        }));
+    };
+
+    const writeBatch = async (batch: readonly WaitingKey[]): Promise<void> => {
+        const shared = options.sharedGuard();
+        const guards = batch.map(each => ({ key: each.key, expectedRevision: 0 }));
+        const swapped = await store.swap(shared ? [shared, ...guards] : guards, batch.map(({ key, value }) => ({ key, value })));
+        if (swapped.err) {
+            if (swapped.val.hasSurelyNotRun) {
+                batch.forEach(each => each.settle(commitOutcomes.notStored));
+                return;
+            }
+            await settleByRead(batch);
+            return;
+        }
+        if (swapped.val.isSwapped) {
+            batch.forEach(each => each.settle(commitOutcomes.stored));
+            return;
+        }
+        const present = new Map(swapped.val.current.map(each => [each.key, each.revision]));
+        if (shared && (present.get(shared.key) ?? 0) !== shared.expectedRevision) {
+            batch.forEach(each => each.settle(commitOutcomes.outdated));
+            return;
+        }
+        for (const each of batch) {
+            if ((present.get(each.key) ?? 0) > 0) {
+                each.settle(commitOutcomes.stored);
+            }
+            else if (each.attemptsCount >= maximumAttempts) {
+                each.settle(commitOutcomes.notStored);
+            }
+            else {
+                enqueue({ ...each, attemptsCount: each.attemptsCount + 1 });
+            }
+        }
+    };
+
+    const flush = (): void => {
+        isScheduled = false;
+        while (waiting.length > 0) {
+            const batch = new Map<string, WaitingKey>();
+            const rest: WaitingKey[] = [];
+            for (const each of waiting) {
+                const same = batch.get(each.key);
+                if (same) {
+                    batch.set(each.key, { ...same, settle: joinSettle(same, each) });
+                }
+                else if (batch.size < largestBatch) {
+                    batch.set(each.key, each);
+                }
+                else {
+                    rest.push(each);
+                }
+            }
+            waiting = rest;
+            void writeBatch([...batch.values()]);
+        }
+    };
+    const joinSettle = (first: WaitingKey, second: WaitingKey) => (outcome: CommitOutcome): void => {
+        first.settle(outcome);
+        second.settle(outcome);
+    };
+    const enqueue = (each: WaitingKey): void => {
+        waiting.push(each);
+        if (!isScheduled) {
+            isScheduled = true;
+            timers.after(gatherMs, flush);
+        }
+    };
+
+    return { create: (key, value) => new Promise(settle => enqueue({ key, value, attemptsCount: 1, settle })) };
+}
--- /dev/null
+++ b/src/process/jobService.ts
@@ -0,0 +1,124 @@
+/** Callers' operations on jobs: submit, ask, cancel. Answers from the process's copy of the store; writes go to the store. */
+import type { TimerService } from "../common/timerService.js";
+import type { ChangeFeedStore, StoreGuard } from "../connection/platformStore.js";
+import type { JobDirectory } from "../scheduling/jobDirectory.js";
+import { encodeSubmission, jobKeys } from "../scheduling/jobDocuments.js";
+import { type JobState, jobStates, type JobSubmission } from "../scheduling/jobTypes.js";
+import { commitOutcomes, createGroupCommit } from "./groupCommit.js";
+import { logEvents } from "./logEvents.js";
+import type { Logger } from "./logger.js";
+import type { StoreMirror } from "./storeMirror.js";
+
+export const jobAnswers = {
+    /** Done, and stored. */
+    ok: "ok",
+    notFound: "notFound",
+    /** Not carried out, and never will be; come back after `retryAfterMs`. */
+    refused: "refused",
+    /** Whether it was carried out is not known; the same call may be made again. */
+    unknown: "unknown",
+    /** The configuration has changed meanwhile; the call must be checked again. */
+    outdated: "outdated",
+} as const;
+export type JobAnswerKind = (typeof jobAnswers)[keyof typeof jobAnswers];
+
+export interface JobAnswer {
+    kind: JobAnswerKind;
+    state?: JobState;
+    reason?: string;
+    retryAfterMs?: number;
+}
+
+export interface JobService {
+    submit(submission: JobSubmission): Promise<JobAnswer>;
+    state(queueName: string, jobId: string): JobAnswer;
+    cancel(queueName: string, jobId: string): Promise<JobAnswer>;
+    countQueued(queueName: string): number;
+}
+
+export interface JobServiceOptions {
+    store: ChangeFeedStore;
+    mirror(): StoreMirror;
+    directory: JobDirectory;
+    timers: TimerService;
+    logger: Logger;
+    /** The configuration that callers' requests are checked against. */
+    configurationGuard(): StoreGuard | undefined;
+}
+
+/** Without contact to the store for so long, the copy may lack jobs that callers know of. */
+const staleAfterMs = 2_000;
+/** A short outage of the store is over by then; the calls of many callers spread over the rest by their own jitter. */
+const storeRetryAfterMs = 1_000;
+
+export function createJobService(options: JobServiceOptions): JobService {
+    const { directory, logger } = options;
+    const commit = createGroupCommit({ store: options.store, timers: options.timers, sharedGuard: options.configurationGuard });
+    const isStale = (): boolean => (options.mirror().ageMs() ?? Number.POSITIVE_INFINITY) > staleAfterMs;
+    const refuse = (reason: string): JobAnswer => ({ kind: jobAnswers.refused, reason, retryAfterMs: storeRetryAfterMs });
+
+    const create = async (key: string, value: string, jobId: string): Promise<JobAnswer> => {
+        const outcome = await commit.create(key, value);
+        switch (outcome) {
+            case commitOutcomes.stored:
+                return { kind: jobAnswers.ok };
+            case commitOutcomes.outdated:
+                return { kind: jobAnswers.outdated };
+            case commitOutcomes.notStored:
+                return refuse("the store did not take the write");
+            default:
+                logger.log(logEvents.jobOutcomeUnknown, { jobId, key });
+                return { kind: jobAnswers.unknown, reason: "the store's answer was lost" };
+        }
+    };
+
+    const known = (queueName: string, jobId: string) => {
+        const entry = directory.find(jobId);
+        return entry?.submission !== undefined && entry.queueName === queueName ? entry : undefined;
+    };
+
+    return {
+        submit: async submission => {
+            if (known(submission.queueName, submission.jobId)) {
+                return { kind: jobAnswers.ok };
+            }
+            const answer = await create(jobKeys.submissionPrefix + submission.jobId, encodeSubmission(submission), submission.jobId);
+            if (answer.kind === jobAnswers.ok) {
+                logger.log(logEvents.jobAccepted, { jobId: submission.jobId, queue: submission.queueName, team: submission.teamName });
+            }
+            return answer;
+        },
+        state: (queueName, jobId) => {
+            const entry = known(queueName, jobId);
+            if (entry) {
+                const isEnded = entry.state === jobStates.completed || entry.state === jobStates.failed;
+                return { kind: jobAnswers.ok, state: entry.isCancelled && !isEnded ? jobStates.cancelled : entry.state };
+            }
+            return isStale() ? refuse("the copy of the store is out of date") : { kind: jobAnswers.notFound };
+        },
+        cancel: async (queueName, jobId) => {
+            if (!known(queueName, jobId)) {
+                const read = await options.store.read(jobKeys.submissionPrefix + jobId);
+                if (read.err) {
+                    return refuse("the store does not answer");
+                }
+                if (!read.val) {
+                    return { kind: jobAnswers.notFound };
+                }
+            }
+            if (directory.find(jobId)?.isCancelled) {
+                return { kind: jobAnswers.ok };
+            }
+            const answer = await create(
+                jobKeys.cancellationPrefix + jobId,
+                JSON.stringify({ wallMs: options.timers.wallClockMs() }),
+                jobId,
+            );
+            if (answer.kind === jobAnswers.ok) {
+                logger.log(logEvents.jobCancelled, { jobId, queue: queueName });
+            }
+            return answer;
+        },
+        countQueued: queueName => directory.countQueued(queueName),
+    };
+}
--- a/src/process/metrics.ts
+++ b/src/process/metrics.ts
@@ -31,6 +31,13 @@
             buckets: latencyBucketsS,
             registers,
         }),
+        jobRequestDurationSeconds: new Histogram({
+            name: "nutmegjunction_job_request_duration_seconds",
+            help: "Time from the arrival of a call about a job to its answer.",
+            labelNames: ["method", "status"],
+            buckets: latencyBucketsS,
+            registers,
+        }),
         retriesTotal: new Counter({
             name: "nutmegjunction_retries_total",
             help: "Requests that were sent again.",
--- /dev/null
+++ b/src/process/schedulingService.ts
@@ -0,0 +1,236 @@
+/** Runs the scheduler in the process that owns it: feeds it from the store and the workers, and carries out its commands. */
+import type { TimerService } from "../common/timerService.js";
+import type { ChangeFeedStore } from "../connection/platformStore.js";
+import type { ConnectWorker } from "../connection/workerClient.js";
+import type { DirectoryEvent, JobDirectory } from "../scheduling/jobDirectory.js";
+import { jobKeys } from "../scheduling/jobDocuments.js";
+import type { SchedulingPolicy } from "../scheduling/jobTypes.js";
+import type { Moment } from "../scheduling/reconcileListing.js";
+import { createScheduler, type Scheduler } from "../scheduling/scheduler.js";
+import type { Decision } from "../scheduling/schedulerState.js";
+import type { WorkerEntry } from "../scheduling/workerRecord.js";
+import { logEvents } from "./logEvents.js";
+import type { Logger } from "./logger.js";
+import { createProgressWriter } from "./progressWriter.js";
+import type { OwnedTerm, SchedulingOwnership } from "./schedulingOwnership.js";
+import type { StoreMirror } from "./storeMirror.js";
+import { createWorkerSession, type WorkerSession } from "./workerSession.js";
+
+export interface SchedulingService {
+    onTaken(term: OwnedTerm): void;
+    onLost(): void;
+    onPolicy(policy: SchedulingPolicy): void;
+    onWorker(workerId: string, entry: WorkerEntry | undefined): void;
+    onJob(event: DirectoryEvent): void;
+    /** The mirror has applied a batch of changes. */
+    onStoreChanged(): void;
+    scheduler(): Scheduler | undefined;
+}
+
+export interface SchedulingServiceOptions {
+    store: ChangeFeedStore;
+    mirror(): StoreMirror;
+    directory: JobDirectory;
+    ownership(): SchedulingOwnership;
+    timers: TimerService;
+    logger: Logger;
+    signal: AbortSignal;
+    connectWorker: ConnectWorker;
+    workerLeaseMs: number;
+    /** Longest time that a lost owner goes on giving orders. */
+    ownerContinuationMs: number;
+    jobRetentionMs: number;
+    /** Called once a term's scheduler runs, and when it ends. */
+    onSchedulerChanged(scheduler: Scheduler | undefined): void;
+}
+
+const stepIntervalMs = 100;
+/** Progress of this time goes into one write; a part of what a step of work takes. */
+const saveIntervalMs = 20;
+const cleanIntervalMs = 5_000;
+/** Entries of a transaction that removes old jobs: three keys each. */
+const jobsPerRemoval = 8;
+/** Bound of the difference of clocks and of delivery that a worker's lease may outlast. */
+const leaseSlackMs = 400;
+
+export function createSchedulingService(options: SchedulingServiceOptions): SchedulingService {
+    const { store, directory, timers, logger } = options;
+    const sessions = new Map<string, WorkerSession>();
+    const announced = new Map<string, WorkerEntry>();
+    let policy: SchedulingPolicy | undefined;
+    let scheduler: Scheduler | undefined;
+    let waitingTerm: OwnedTerm | undefined;
+    let isPassScheduled = false;
+
+    const moment = (): Moment => ({ nowMs: timers.nowMs(), wallMs: timers.wallClockMs() });
+    const mayGiveOrders = (): boolean => options.ownership().mayGiveOrders();
+    const logDecision = (decision: Decision): void => logger.log(logEvents.schedulingDecided, { ...decision });
+
+    const writer = createProgressWriter({
+        store,
+        termRevision: () => scheduler && options.ownership().token(),
+        revisionOf: key => options.mirror().revisionOf(key),
+        takeUnsaved: atMost => scheduler?.takeUnsaved(atMost) ?? [],
+        onSaved: (jobId, version) => {
+            scheduler?.saved(jobId, version);
+            sessions.forEach(session => session.onSaved());
+        },
+        onNotSaved: jobId => scheduler?.notSaved(jobId),
+        onSuperseded: () => options.ownership().onStoreChanged(),
+        onFailed: (reason, jobsCount) => logger.log(logEvents.progressWriteFailed, { reason, jobsCount }),
+    });
+
+    const syncSessions = (): void => {
+        if (!scheduler) {
+            return;
+        }
+        for (const [workerId, session] of sessions) {
+            if (!scheduler.state.workers.has(workerId)) {
+                session.end();
+                sessions.delete(workerId);
+            }
+        }
+        for (const [workerId, worker] of scheduler.state.workers) {
+            if (!sessions.has(workerId)) {
+                sessions.set(
+                    workerId,
+                    createWorkerSession({
+                        workerId,
+                        client: options.connectWorker(worker.entry),
+                        scheduler,
+                        timers,
+                        leaseMs: options.workerLeaseMs,
+                        mayGiveOrders,
+                        onFenced: () => options.ownership().onStoreChanged(),
+                        onChanged: schedulePass,
+                    }),
+                );
+            }
+        }
+    };
+
+    const pass = (): void => {
+        isPassScheduled = false;
+        if (!scheduler) {
+            return;
+        }
+        syncSessions();
+        if (mayGiveOrders()) {
+            scheduler.step(moment());
+        }
+        for (const command of scheduler.takeCommands()) {
+            sessions.get("run" in command ? command.run.workerId : command.workerId)?.carryOut(command);
+        }
+    };
+    const schedulePass = (): void => {
+        if (!isPassScheduled) {
+            isPassScheduled = true;
+            setImmediate(pass);
+        }
+    };
+
+    const stopScheduler = (): void => {
+        sessions.forEach(session => session.end());
+        sessions.clear();
+        scheduler = undefined;
+        waitingTerm = undefined;
+        options.onSchedulerChanged(undefined);
+    };
+
+    /** Begins the term once the mirror shows everything that was written before it. */
+    const beginTerm = (): void => {
+        if (!waitingTerm || !policy || options.mirror().revision() < waitingTerm.token) {
+            return;
+        }
+        const { token } = waitingTerm;
+        waitingTerm = undefined;
+        const now = moment();
+        const oldLeaseMs = options.workerLeaseMs + leaseSlackMs;
+        const hasOldJobs = [...directory.entries.values()].some(entry => entry.progress !== undefined);
+        // A process that has followed the store for less than a lease cannot know which workers were there before.
+        const unknownForMs = hasOldJobs ? Math.max(0, oldLeaseMs - options.mirror().followedForMs()) : 0;
+        const begun = createScheduler({
+            policy,
+            term: { token, startedAtMs: now.nowMs, startedWallMs: now.wallMs, unknownWorkersUntilMs: now.nowMs + unknownForMs },
+            workerLeaseMs: options.workerLeaseMs,
+            unknownLeaseMs: options.ownerContinuationMs + oldLeaseMs,
+            onDecision: logDecision,
+        });
+        scheduler = begun;
+        for (const entry of directory.entries.values()) {
+            if (entry.submission !== undefined) {
+                begun.addJob(entry.submission, entry.acceptedRevision, entry.progress, entry.isCancelled, now.wallMs);
+            }
+        }
+        announced.forEach(entry => begun.announceWorker(entry, now));
+        options.onSchedulerChanged(begun);
+        schedulePass();
+    };
+
+    const removeOldJobs = async (): Promise<void> => {
+        const termRevision = options.ownership().token();
+        if (termRevision === undefined || !options.ownership().isProven()) {
+            return;
+        }
+        const beforeWallMs = timers.wallClockMs() - options.jobRetentionMs;
+        const old = [...directory.entries.values()].filter(entry => entry.endedWallMs !== undefined && entry.endedWallMs < beforeWallMs);
+        for (let index = 0; index < old.length; index += jobsPerRemoval) {
+            const keys = old.slice(index, index + jobsPerRemoval).flatMap(entry => [
+                jobKeys.submissionPrefix + entry.jobId,
+                jobKeys.progressPrefix + entry.jobId,
+                ...(entry.isCancelled ? [jobKeys.cancellationPrefix + entry.jobId] : []),
+            ]);
+            await store.swap([{ key: jobKeys.term, expectedRevision: termRevision }], keys.map(key => ({ key, value: undefined })));
+        }
+    };
+
+    timers.every(stepIntervalMs, options.signal, schedulePass);
+    timers.every(saveIntervalMs, options.signal, () => writer.pump());
+    timers.every(cleanIntervalMs, options.signal, () => void removeOldJobs());
+
+    return {
+        scheduler: () => scheduler,
+        onTaken: term => {
+            if (term.isContinued && scheduler) {
+                scheduler.renewTerm(term.token);
+                return;
+            }
+            stopScheduler();
+            waitingTerm = term;
+            beginTerm();
+        },
+        onLost: stopScheduler,
+        onPolicy: next => {
+            policy = next;
+            beginTerm();
+            scheduler?.setPolicy(next);
+            schedulePass();
+        },
+        onWorker: (workerId, entry) => {
+            if (entry) {
+                announced.set(workerId, entry);
+                scheduler?.announceWorker(entry, moment());
+            }
+            else {
+                announced.delete(workerId);
+                scheduler?.withdrawWorker(workerId);
+            }
+        },
+        onJob: event => {
+            if (!scheduler) {
+                return;
+            }
+            if (event.kind === "accepted") {
+                const { entry } = event;
+                scheduler.addJob(entry.submission!, entry.acceptedRevision, entry.progress, entry.isCancelled, timers.wallClockMs());
+            }
+            else if (event.kind === "cancelled") {
+                scheduler.cancelJob(event.entry.jobId, timers.wallClockMs());
+            }
+        },
+        onStoreChanged: () => {
+            beginTerm();
+            schedulePass();
+        },
+    };
+}
--- /dev/null
+++ b/src/scheduling/jobDirectory.ts
@@ -0,0 +1,125 @@
+/** All jobs that the store holds, as every process sees them: enough to answer callers and to hand over to an owner. */
+import { decodeProgress, decodeSubmission, jobKeys } from "./jobDocuments.js";
+import { type JobState, jobStates } from "./jobTypes.js";
+
+export interface DirectoryEntry {
+    jobId: string;
+    queueName: string;
+    teamName: string | undefined;
+    submission: string | undefined;
+    acceptedRevision: number;
+    progress: string | undefined;
+    progressRevision: number;
+    state: JobState;
+    endedWallMs: number | undefined;
+    isCancelled: boolean;
+}
+
+/** What a change of the store meant for the jobs. */
+export type DirectoryEvent =
+    | { kind: "accepted"; entry: DirectoryEntry }
+    | { kind: "cancelled"; entry: DirectoryEntry }
+    | { kind: "progressed"; entry: DirectoryEntry }
+    | { kind: "removed"; jobId: string };
+
+export interface JobDirectory {
+    entries: ReadonlyMap<string, DirectoryEntry>;
+    /** Applies a change of a key of the product; `undefined` for keys that are none of a job's. */
+    apply(key: string, value: string | undefined, revision: number): DirectoryEvent | undefined;
+    find(jobId: string): DirectoryEntry | undefined;
+    /** Jobs of the queue that have not begun. */
+    countQueued(queueName: string): number;
+}
+
+export interface JobDirectoryOptions {
+    /** Reports a stored document that cannot be read; the job is left out. */
+    onUnreadable(key: string, reason: string): void;
+}
+
+export function createJobDirectory(options: JobDirectoryOptions): JobDirectory {
+    const entries = new Map<string, DirectoryEntry>();
+
+    const entryOf = (jobId: string): DirectoryEntry => {
+        const known = entries.get(jobId) ?? {
+            jobId,
+            queueName: "",
+            teamName: undefined,
+            submission: undefined,
+            acceptedRevision: 0,
+            progress: undefined,
+            progressRevision: 0,
+            state: jobStates.queued,
+            endedWallMs: undefined,
+            isCancelled: false,
+        };
+        entries.set(jobId, known);
+        return known;
+    };
+    const removeIfEmpty = (entry: DirectoryEntry): DirectoryEvent => {
+        if (entry.submission === undefined && entry.progress === undefined && !entry.isCancelled) {
+            entries.delete(entry.jobId);
+        }
+        return { kind: "removed", jobId: entry.jobId };
+    };
+
+    const applySubmission = (jobId: string, value: string | undefined, revision: number): DirectoryEvent => {
+        const entry = entryOf(jobId);
+        entry.submission = value;
+        if (value === undefined) {
+            return removeIfEmpty(entry);
+        }
+        const submission = decodeSubmission(value);
+        entry.queueName = submission.queueName;
+        entry.teamName = submission.teamName;
+        entry.acceptedRevision = revision;
+        return { kind: "accepted", entry };
+    };
+    const applyProgress = (jobId: string, value: string | undefined, revision: number): DirectoryEvent => {
+        const entry = entryOf(jobId);
+        entry.progress = value;
+        entry.progressRevision = value === undefined ? 0 : revision;
+        if (value === undefined) {
+            return removeIfEmpty(entry);
+        }
+        const progress = decodeProgress(value);
+        entry.state = progress.state;
+        entry.endedWallMs = progress.endedWallMs;
+        return { kind: "progressed", entry };
+    };
+    const applyCancellation = (jobId: string, value: string | undefined): DirectoryEvent => {
+        const entry = entryOf(jobId);
+        entry.isCancelled = value !== undefined;
+        return value === undefined ? removeIfEmpty(entry) : { kind: "cancelled", entry };
+    };
+
+    return {
+        entries,
+        apply: (key, value, revision) => {
+            try {
+                if (key.startsWith(jobKeys.submissionPrefix)) {
+                    return applySubmission(key.slice(jobKeys.submissionPrefix.length), value, revision);
+                }
+                if (key.startsWith(jobKeys.progressPrefix)) {
+                    return applyProgress(key.slice(jobKeys.progressPrefix.length), value, revision);
+                }
+                if (key.startsWith(jobKeys.cancellationPrefix)) {
+                    return applyCancellation(key.slice(jobKeys.cancellationPrefix.length), value);
+                }
+            }
+            catch (error) {
+                options.onUnreadable(key, String(error));
+            }
+            return undefined;
+        },
+        find: jobId => entries.get(jobId),
+        countQueued: queueName => {
+            let count = 0;
+            for (const entry of entries.values()) {
+                if (entry.queueName === queueName && entry.state === jobStates.queued && !entry.isCancelled) {
+                    count += 1;
+                }
+            }
+            return count;
+        },
+    };
+}
--- /dev/null
+++ b/src/scheduling/jobDocuments.ts
@@ -0,0 +1,63 @@
+/**
+ * What the store keeps of a job: the submission, written once by the process that accepted it; the progress, written by
+ * the owner of the scheduling duty only; and the mark of a cancellation, written by any process.
+ */
+import type { JobState, JobSubmission } from "./jobTypes.js";
+
+export const jobKeys = {
+    submissionPrefix: "nutmegjunction/job/",
+    progressPrefix: "nutmegjunction/progress/",
+    cancellationPrefix: "nutmegjunction/cancel/",
+    /** Under the owner's lease: who schedules now. */
+    owner: "nutmegjunction/owner",
+    /** Rewritten by each new owner; its revision fences the owner's writes. */
+    term: "nutmegjunction/term",
+    prefix: "nutmegjunction/",
+} as const;
+
+/** Progress of one task that is not done. */
+export interface TaskProgress {
+    failedCount: number;
+    /** Checkpoint from which the next run resumes; empty without one. */
+    checkpoint: string;
+}
+
+/** Progress of one step in one occurrence. */
+export interface StepProgress {
+    /** Indices of the tasks that are done; `"all"` once the step is. */
+    done: number[] | "all";
+    /** Tasks that failed or saved a checkpoint, by index. */
+    tasks?: Record<string, TaskProgress>;
+}
+
+export interface JobProgress {
+    state: JobState;
+    /** Wall clock time at which the job reached its final state. */
+    endedWallMs?: number;
+    /** By occurrence, then by step. A missing entry has no progress. */
+    occurrences?: Record<string, StepProgress[]>;
+}
+
+export function encodeSubmission(submission: JobSubmission): string {
+    return JSON.stringify(submission);
+}
+
+export function decodeSubmission(text: string): JobSubmission {
+    const value = JSON.parse(text) as JobSubmission;
+    if (typeof value.jobId !== "string" || !Array.isArray(value.steps)) {
+        throw new Error(`stored job has no id or steps: ${text.slice(0, 80)}`);
+    }
+    return value;
+}
+
+export function encodeProgress(progress: JobProgress): string {
+    return JSON.stringify(progress);
+}
+
+export function decodeProgress(text: string): JobProgress {
+    const value = JSON.parse(text) as JobProgress;
+    if (typeof value.state !== "string") {
+        throw new Error(`stored progress has no state: ${text.slice(0, 80)}`);
+    }
+    return value;
+}
--- /dev/null
+++ b/src/scheduling/jobRecord.ts
@@ -0,0 +1,135 @@
+/** What the scheduler holds of one job: which tasks wait, run and are done, per occurrence and step. */
+import type { JobProgress, StepProgress, TaskProgress } from "./jobDocuments.js";
+import { estimateChainMs, estimateWork, type JobState, jobStates, type JobSubmission, type StepSpec } from "./jobTypes.js";
+import type { Run } from "./workerRecord.js";
+
+export interface StepRecord {
+    spec: StepSpec;
+    index: number;
+    occurrence: number;
+    /** Indices of tasks that wait for a worker. */
+    waiting: Set<number>;
+    done: Set<number>;
+    /** Runs that may be at work, by task index. */
+    runs: Map<number, Run[]>;
+    tasks: Map<number, TaskProgress>;
+    /** Estimated time from the start of this step to the end of the job. */
+    chainMs: number;
+}
+
+export interface OccurrenceRecord {
+    number: number;
+    dueWallMs: number;
+    steps: StepRecord[];
+}
+
+export interface JobRecord {
+    jobId: string;
+    submission: JobSubmission;
+    /** Store revision at which the job was accepted. */
+    acceptedRevision: number;
+    state: JobState;
+    hasStarted: boolean;
+    endedWallMs: number | undefined;
+    occurrences: Map<number, OccurrenceRecord>;
+    /** Occurrences that have ended and need no record any more. */
+    completedOccurrences: number;
+    workMillicoreS: number;
+    /** Longest chain of work by the estimates. */
+    chainMs: number;
+    /** Counts the changes that the store must hold; the progress that was written last has `persistedVersion`. */
+    version: number;
+    persistedVersion: number;
+}
+
+export function isFinalState(state: JobState): boolean {
+    return state === jobStates.completed || state === jobStates.failed || state === jobStates.cancelled;
+}
+
+function createStep(spec: StepSpec, index: number, occurrence: number, chainMs: number, progress: StepProgress | undefined): StepRecord {
+    const all = Array.from({ length: spec.taskCount }, (_, task) => task);
+    const done = new Set(progress?.done === "all" ? all : progress?.done ?? []);
+    const tasks = new Map(Object.entries(progress?.tasks ?? {}).map(([task, each]) => [Number(task), { ...each }]));
+    return { spec, index, occurrence, waiting: new Set(all.filter(task => !done.has(task))), done, runs: new Map(), tasks, chainMs };
+}
+
+export function createOccurrence(job: JobRecord, number: number, progress: readonly StepProgress[] | undefined): OccurrenceRecord {
+    const { steps, repeat, submittedWallMs } = job.submission;
+    const chainMs = estimateChainMs(steps);
+    const occurrence: OccurrenceRecord = {
+        number,
+        dueWallMs: repeat ? repeat.firstDueWallMs + number * repeat.intervalMs : submittedWallMs,
+        steps: steps.map((spec, index) => createStep(spec, index, number, chainMs[index]!, progress?.[index])),
+    };
+    job.occurrences.set(number, occurrence);
+    return occurrence;
+}
+
+/** Creates the record of an accepted job from what the store holds of it. */
+export function createJobRecord(submission: JobSubmission, acceptedRevision: number, progress: JobProgress | undefined): JobRecord {
+    const job: JobRecord = {
+        jobId: submission.jobId,
+        submission,
+        acceptedRevision,
+        state: progress?.state ?? jobStates.queued,
+        hasStarted: progress !== undefined && progress.state !== jobStates.queued,
+        endedWallMs: progress?.endedWallMs,
+        occurrences: new Map(),
+        completedOccurrences: 0,
+        workMillicoreS: estimateWork(submission.steps),
+        chainMs: Math.max(0, ...estimateChainMs(submission.steps)),
+        version: 0,
+        persistedVersion: 0,
+    };
+    const count = submission.repeat?.count ?? 1;
+    for (let number = 0; number < count && !isFinalState(job.state); number++) {
+        const occurrence = createOccurrence(job, number, progress?.occurrences?.[String(number)]);
+        if (isOccurrenceDone(occurrence)) {
+            job.occurrences.delete(number);
+            job.completedOccurrences += 1;
+        }
+    }
+    return job;
+}
+
+export function isStepDone(step: StepRecord): boolean {
+    return step.done.size === step.spec.taskCount;
+}
+
+export function isOccurrenceDone(occurrence: OccurrenceRecord): boolean {
+    return occurrence.steps.every(isStepDone);
+}
+
+/** Whether all steps that the given one depends on are done. */
+export function isStepReady(occurrence: OccurrenceRecord, step: StepRecord): boolean {
+    return step.spec.dependsOn.every(before => isStepDone(occurrence.steps[before]!));
+}
+
+function stepProgress(step: StepRecord): StepProgress {
+    const done = isStepDone(step) ? "all" as const : [...step.done];
+    const tasks = [...step.tasks].filter(([task]) => !step.done.has(task));
+    return tasks.length > 0 ? { done, tasks: Object.fromEntries(tasks.map(([task, each]) => [String(task), each])) } : { done };
+}
+
+/** The progress as the store is to hold it. */
+export function progressOf(job: JobRecord): JobProgress {
+    if (isFinalState(job.state)) {
+        return { state: job.state, endedWallMs: job.endedWallMs };
+    }
+    const count = job.submission.repeat?.count ?? 1;
+    const occurrences: Record<string, StepProgress[]> = {};
+    for (let number = 0; number < count; number++) {
+        const occurrence = job.occurrences.get(number);
+        occurrences[String(number)] = occurrence ?
+            occurrence.steps.map(stepProgress) :
+            job.submission.steps.map(() => ({ done: "all" }));
+    }
+    return { state: job.state, occurrences };
+}
+
+/** The progress of a task, created where there is none yet. */
+export function taskProgress(step: StepRecord, task: number): TaskProgress {
+    const known = step.tasks.get(task) ?? { failedCount: 0, checkpoint: "" };
+    step.tasks.set(task, known);
+    return known;
+}
--- /dev/null
+++ b/src/scheduling/reconcileListing.ts
@@ -0,0 +1,186 @@
+/** Compares what a worker says it runs with what the scheduler believes. */
+import { isFinalState } from "./jobRecord.js";
+import { reservedBy } from "./jobTypes.js";
+import {
+    applyEnd,
+    attachRun,
+    commandKinds,
+    detachRun,
+    findStep,
+    type RunEnd,
+    runEnds,
+    type SchedulerState,
+    stopRun,
+} from "./schedulerState.js";
+import { parseTaskName, type Run, runKey, runPhases, type WorkerRecord } from "./workerRecord.js";
+
+/** A run that a worker lists. */
+export interface ListedRun {
+    taskName: string;
+    runId: number;
+    checkpoint: string;
+    percent: number;
+    /** Tail latency in milliseconds of a serving task, processor use in millicores of any other. */
+    measured: number;
+}
+
+export interface ListedEnd {
+    endNumber: number;
+    taskName: string;
+    runId: number;
+    end: RunEnd;
+    checkpoint: string;
+}
+
+/** A worker's answer to a listing. */
+export interface Listing {
+    bornWallMs: number;
+    running: readonly ListedRun[];
+    ended: readonly ListedEnd[];
+}
+
+export interface Moment {
+    nowMs: number;
+    wallMs: number;
+}
+
+/** Ends all runs of a life of a worker that is over. */
+export function loseRuns(state: SchedulerState, worker: WorkerRecord, reason: string, moment: Moment): void {
+    for (const run of [...worker.runs.values()]) {
+        state.onDecision({ what: "run lost", jobId: run.jobId, taskName: run.taskName, runId: run.runId, workerId: run.workerId, reason });
+        applyEnd(state, { ...run, end: runEnds.lost, checkpoint: run.checkpoint }, moment.nowMs, moment.wallMs);
+        detachRun(state, run);
+    }
+}
+
+/** Starts the record of a worker anew for another life. */
+export function beginLife(state: SchedulerState, worker: WorkerRecord, bornWallMs: number, moment: Moment): void {
+    loseRuns(state, worker, "the worker started again", moment);
+    worker.entry = { ...worker.entry, bornWallMs };
+    worker.lastEndNumber = 0;
+    worker.unsavedEnds = [];
+    worker.failuresInRow = 0;
+}
+
+function takeEnds(state: SchedulerState, worker: WorkerRecord, listing: Listing, moment: Moment): void {
+    for (const listed of [...listing.ended].sort((a, b) => a.endNumber - b.endNumber)) {
+        if (listed.endNumber <= worker.lastEndNumber) {
+            continue;
+        }
+        worker.lastEndNumber = listed.endNumber;
+        const place = parseTaskName(listed.taskName);
+        const run = worker.runs.get(runKey(listed.taskName, listed.runId));
+        if (place) {
+            applyEnd(
+                state,
+                { ...place, workerId: worker.entry.workerId, end: listed.end, checkpoint: listed.checkpoint },
+                moment.nowMs,
+                moment.wallMs,
+            );
+        }
+        if (run) {
+            detachRun(state, run);
+        }
+        const job = place && state.jobs.get(place.jobId);
+        state.onDecision({
+            what: "run ended",
+            jobId: place?.jobId,
+            taskName: listed.taskName,
+            runId: listed.runId,
+            workerId: worker.entry.workerId,
+            reason: listed.end,
+        });
+        if (job && job.version > job.persistedVersion) {
+            worker.unsavedEnds.push({ endNumber: listed.endNumber, jobId: job.jobId, version: job.version });
+        }
+    }
+}
+
+/** Takes over a run that an earlier owner started, or stops it where nothing asks for it. */
+function adoptOrStop(state: SchedulerState, worker: WorkerRecord, listed: ListedRun, moment: Moment): void {
+    const place = parseTaskName(listed.taskName);
+    const job = place && state.jobs.get(place.jobId);
+    const step = place && findStep(state, place);
+    if (!place) {
+        return;
+    }
+    const isWanted = job && step && !isFinalState(job.state) && !step.done.has(place.taskIndex) && !step.runs.has(place.taskIndex);
+    const none = { cpuMillicores: 0, memoryMb: 0, accelerators: 0 };
+    const run: Run = {
+        ...place,
+        taskName: listed.taskName,
+        runId: listed.runId,
+        workerId: worker.entry.workerId,
+        phase: runPhases.running,
+        isServing: step !== undefined && step.spec.isLongRunning && !step.spec.isFiller,
+        teamName: job?.submission.teamName,
+        requested: step?.spec.request ?? none,
+        reserved: step ? reservedBy(step.spec) : none,
+        startedAtMs: moment.nowMs,
+        answeredAtMs: moment.nowMs,
+        percent: listed.percent,
+        measured: listed.measured,
+        pacePercent: 100,
+        checkpoint: listed.checkpoint,
+    };
+    attachRun(state, worker, isWanted ? step : undefined, run);
+    if (isWanted) {
+        job.hasStarted = true;
+        state.onDecision({ what: "adopt run", jobId: run.jobId, taskName: run.taskName, runId: run.runId, workerId: run.workerId });
+    }
+    else {
+        stopRun(state, run, "nothing asks for it");
+    }
+}
+
+/** Runs that a listing, asked for after they were answered, does not show have never started or are gone. */
+function dropAbsent(state: SchedulerState, worker: WorkerRecord, listing: Listing, sentAtMs: number, moment: Moment): void {
+    const shown = new Set(listing.running.map(listed => runKey(listed.taskName, listed.runId)));
+    for (const run of [...worker.runs.values()]) {
+        const isAnswered = run.answeredAtMs !== undefined && run.answeredAtMs < sentAtMs;
+        if (isAnswered && run.phase !== runPhases.starting && !shown.has(runKey(run.taskName, run.runId))) {
+            if (run.phase === runPhases.running) {
+                applyEnd(state, { ...run, end: runEnds.lost }, moment.nowMs, moment.wallMs);
+            }
+            state.onDecision({
+                what: "run absent",
+                jobId: run.jobId,
+                taskName: run.taskName,
+                runId: run.runId,
+                workerId: run.workerId,
+                reason: run.phase,
+            });
+            detachRun(state, run);
+        }
+    }
+}
+
+/** Applies a listing that was asked for at `sentAtMs`. */
+export function reconcileListing(state: SchedulerState, worker: WorkerRecord, listing: Listing, sentAtMs: number, moment: Moment): void {
+    if (listing.bornWallMs > worker.entry.bornWallMs) {
+        beginLife(state, worker, listing.bornWallMs, moment);
+    }
+    else if (listing.bornWallMs < worker.entry.bornWallMs) {
+        return;
+    }
+    takeEnds(state, worker, listing, moment);
+    for (const listed of listing.running) {
+        const run = worker.runs.get(runKey(listed.taskName, listed.runId));
+        if (!run) {
+            adoptOrStop(state, worker, listed, moment);
+            continue;
+        }
+        run.percent = listed.percent;
+        run.measured = listed.measured;
+        run.checkpoint = listed.checkpoint;
+        if (run.phase === runPhases.starting) {
+            run.phase = runPhases.running;
+        }
+    }
+    dropAbsent(state, worker, listing, sentAtMs, moment);
+    worker.isSettled = true;
+    worker.lastAnswerAtMs = moment.nowMs;
+    if (worker.unsavedEnds.length === 0 && listing.ended.length >= 500) {
+        state.commands.push({ kind: commandKinds.look, workerId: worker.entry.workerId });
+    }
+}
--- /dev/null
+++ b/src/scheduling/workerRecord.ts
@@ -0,0 +1,152 @@
+/** What the scheduler holds of one worker: its room, its runs, and which of its reported ends are safe in the store. */
+import { addResources, type Resources } from "./jobTypes.js";
+
+/** A worker as it announces itself. */
+export interface WorkerEntry {
+    workerId: string;
+    /** Start of this life, in Unix milliseconds; another value under the same id is another life. */
+    bornWallMs: number;
+    address: string;
+    poolName: string;
+    zone: string;
+    rack: string;
+    labels: readonly string[];
+    capacity: Resources;
+    isDraining: boolean;
+}
+
+export const runPhases = {
+    /** The order to start has no answer yet. */
+    starting: "starting",
+    running: "running",
+    /** The order to start was lost; whether the run exists, or will, is not known. */
+    unsettled: "unsettled",
+    /** An order to stop was sent. */
+    stopping: "stopping",
+} as const;
+export type RunPhase = (typeof runPhases)[keyof typeof runPhases];
+
+/** One run of one task on one worker. */
+export interface Run {
+    taskName: string;
+    jobId: string;
+    occurrence: number;
+    stepIndex: number;
+    taskIndex: number;
+    runId: number;
+    workerId: string;
+    phase: RunPhase;
+    /** Whether the task serves users until its job is cancelled. */
+    isServing: boolean;
+    teamName: string | undefined;
+    /** Counts toward the team's limit. */
+    requested: Resources;
+    /** Counts toward the worker's room. */
+    reserved: Resources;
+    startedAtMs: number;
+    /** When the start or the stop was answered: a listing asked for later must show the run or its end. */
+    answeredAtMs: number | undefined;
+    /** Part of full speed at which a long-running task works, 0 to 100. */
+    percent: number;
+    /** Tail latency of a serving task in milliseconds, processor use in millicores of any other. */
+    measured: number;
+    pacePercent: number;
+    checkpoint: string;
+}
+
+/** An end that the worker repeats until it is acknowledged. */
+interface UnsavedEnd {
+    endNumber: number;
+    jobId: string;
+    /** Version of the job's progress that holds the end. */
+    version: number;
+}
+
+export interface WorkerRecord {
+    entry: WorkerEntry;
+    /** Whether the entry stands in the store now. */
+    isAnnounced: boolean;
+    /** Whether the worker has answered the present owner, which fences earlier ones. */
+    isSettled: boolean;
+    used: Resources;
+    /** Runs by task name and run id. */
+    runs: Map<string, Run>;
+    /** Highest number of an end that was processed. */
+    lastEndNumber: number;
+    unsavedEnds: UnsavedEnd[];
+    lastAnswerAtMs: number | undefined;
+    /** By then, without another answer, all that runs there has lost its lease. */
+    leaseEndsAtMs: number;
+    /** Runs in a row that ended by failure, over different jobs. */
+    failuresInRow: number;
+    /** Until then the worker gets no new runs. */
+    avoidedUntilMs: number;
+    /** Kept free because its VM is to be moved or restarted. */
+    isCordoned: boolean;
+}
+
+export function createWorkerRecord(entry: WorkerEntry, leaseEndsAtMs: number): WorkerRecord {
+    return {
+        entry,
+        isAnnounced: true,
+        isSettled: false,
+        used: { cpuMillicores: 0, memoryMb: 0, accelerators: 0 },
+        runs: new Map(),
+        lastEndNumber: 0,
+        unsavedEnds: [],
+        lastAnswerAtMs: undefined,
+        leaseEndsAtMs,
+        failuresInRow: 0,
+        avoidedUntilMs: 0,
+        isCordoned: false,
+    };
+}
+
+export function runKey(taskName: string, runId: number): string {
+    return `${taskName}#${runId}`;
+}
+
+export function addRun(worker: WorkerRecord, run: Run): void {
+    worker.runs.set(runKey(run.taskName, run.runId), run);
+    addResources(worker.used, run.reserved, 1);
+}
+
+export function removeRun(worker: WorkerRecord, run: Run): void {
+    if (worker.runs.delete(runKey(run.taskName, run.runId))) {
+        addResources(worker.used, run.reserved, -1);
+    }
+}
+
+export function roomOf(worker: WorkerRecord): Resources {
+    const { capacity } = worker.entry;
+    return {
+        cpuMillicores: capacity.cpuMillicores - worker.used.cpuMillicores,
+        memoryMb: capacity.memoryMb - worker.used.memoryMb,
+        accelerators: capacity.accelerators - worker.used.accelerators,
+    };
+}
+
+/** The highest end number up to which every end is safe in the store. */
+export function acknowledgedEndNumber(worker: WorkerRecord): number {
+    return worker.unsavedEnds.reduce((lowest, end) => Math.min(lowest, end.endNumber - 1), worker.lastEndNumber);
+}
+
+/** Name of a task: job, occurrence, step and index. */
+export function formatTaskName(jobId: string, occurrence: number, stepIndex: number, taskIndex: number): string {
+    return `${jobId}.${occurrence}.${stepIndex}.${taskIndex}`;
+}
+
+export interface TaskPlace {
+    jobId: string;
+    occurrence: number;
+    stepIndex: number;
+    taskIndex: number;
+}
+
+/** Reads a task's name; `undefined` for one that this scheduler cannot have given. */
+export function parseTaskName(taskName: string): TaskPlace | undefined {
+    const match = /^([^.]+)\.(\d+)\.(\d+)\.(\d+)$/.exec(taskName);
+    return match ?
+        { jobId: match[1]!, occurrence: Number(match[2]), stepIndex: Number(match[3]), taskIndex: Number(match[4]) } :
+        undefined;
+}
