--- /dev/null
+++ b/src/decisions/planWave.ts
@@ -0,0 +1,86 @@
+/**
+ * Which VMs of a maintenance wave are emptied and which are restarted now. Load pattern: a wave over nearly half of the VMs
+ * while queues surge in turn and long-running tasks allow one absence at a time. As many VMs as may be down are in work at
+ * any time; those that carry least go first; a VM restarts once its short tasks have ended, and only while each
+ * long-running step that it carries can spare the tasks.
+ */
+
+/** A VM of the wave that has not been restarted. */
+export interface WaveVm {
+    vmId: string;
+    /** Whether it can be restarted at all now. */
+    isUp: boolean;
+    /** Since when it gets no new work; `undefined` while it does. */
+    cordonedSinceMs: number | undefined;
+    shortRunCount: number;
+    /** Long-running tasks at work on the VM, by step. */
+    servingByStep: ReadonlyMap<string, number>;
+    /** Part of the pool's room that is in use, 0 to 1. */
+    poolLoad: number;
+}
+
+export interface WavePlanInput {
+    nowMs: number;
+    vms: readonly WaveVm[];
+    /** VMs of the wave that are down for their restart, or may be. */
+    downCount: number;
+    maximumDown: number;
+    /** Tasks that each long-running step can spare now. */
+    spareByStep: ReadonlyMap<string, number>;
+    /** Time until the last VM must have begun its restart. */
+    timeLeftMs: number;
+    /** Time that one restart takes. */
+    restartMs: number;
+}
+
+export interface WavePlan {
+    cordon: string[];
+    restart: string[];
+    /** VMs with more long-running tasks of a step than it can spare at once: one of each such step is to move first. */
+    evacuate: string[];
+}
+
+/** Short tasks that run for longer are ended by the restart: the wave would be late. */
+const longestDrainMs = 2_500;
+/** With less time to spare than this per VM that is left, tasks are not waited for. */
+const hurryFactor = 1.3;
+
+function canSpare(vm: WaveVm, spare: ReadonlyMap<string, number>): boolean {
+    return [...vm.servingByStep].every(([step, count]) => count <= (spare.get(step) ?? Number.POSITIVE_INFINITY));
+}
+
+/** Plans the next actions of a wave. */
+export function planWave(input: WavePlanInput): WavePlan {
+    const plan: WavePlan = { cordon: [], restart: [], evacuate: [] };
+    const spare = new Map(input.spareByStep);
+    let slots = input.maximumDown - input.downCount;
+    const rounds = Math.ceil(input.vms.length / Math.max(1, input.maximumDown));
+    const isHurried = input.timeLeftMs < rounds * input.restartMs * hurryFactor + input.restartMs;
+
+    const ranked = input.vms.filter(vm => vm.isUp).sort((a, b) =>
+        Number(b.cordonedSinceMs !== undefined) - Number(a.cordonedSinceMs !== undefined) ||
+        a.poolLoad - b.poolLoad ||
+        a.servingByStep.size - b.servingByStep.size ||
+        a.shortRunCount - b.shortRunCount
+    );
+    for (const vm of ranked) {
+        if (slots <= 0) {
+            break;
+        }
+        slots -= 1;
+        const drainedForMs = vm.cordonedSinceMs === undefined ? 0 : input.nowMs - vm.cordonedSinceMs;
+        const isDrained = vm.shortRunCount === 0 || isHurried || drainedForMs > longestDrainMs;
+        if (isDrained && canSpare(vm, spare)) {
+            plan.restart.push(vm.vmId);
+            vm.servingByStep.forEach((count, step) => spare.set(step, (spare.get(step) ?? Number.POSITIVE_INFINITY) - count));
+            continue;
+        }
+        if (vm.cordonedSinceMs === undefined) {
+            plan.cordon.push(vm.vmId);
+        }
+        if ([...vm.servingByStep.values()].some(count => count > 1)) {
+            plan.evacuate.push(vm.vmId);
+        }
+    }
+    return plan;
+}
--- /dev/null
+++ b/src/scheduling/availability.ts
@@ -0,0 +1,65 @@
+/** How many tasks of a long-running step may be made unavailable now. */
+import { isFinalState, type StepRecord } from "./jobRecord.js";
+import type { SchedulerState } from "./schedulerState.js";
+import { type Run, runPhases, type WorkerRecord } from "./workerRecord.js";
+
+const atWorkPercent = 100;
+
+export function stepKey(place: { jobId: string; occurrence: number; stepIndex: number }): string {
+    return `${place.jobId}.${place.occurrence}.${place.stepIndex}`;
+}
+
+function isAtWork(run: Run): boolean {
+    return run.phase === runPhases.running && run.percent >= atWorkPercent;
+}
+
+/** Tasks of the step that are at work now, as last listed. */
+function countAtWork(step: StepRecord): number {
+    return [...step.runs.values()].filter(runs => runs.some(isAtWork)).length;
+}
+
+/** For each long-running step that limits absences: how many of its tasks may be ended now. */
+export function spareTasksByStep(state: SchedulerState): Map<string, number> {
+    const spare = new Map<string, number>();
+    for (const job of state.jobs.values()) {
+        if (isFinalState(job.state)) {
+            continue;
+        }
+        for (const occurrence of job.occurrences.values()) {
+            for (const step of occurrence.steps) {
+                if (step.spec.isLongRunning && step.spec.maxUnavailable !== undefined && step.spec.maxUnavailable > 0) {
+                    const awayCount = step.spec.taskCount - countAtWork(step);
+                    const key = stepKey({ jobId: job.jobId, occurrence: step.occurrence, stepIndex: step.index });
+                    spare.set(key, Math.max(0, step.spec.maxUnavailable - awayCount));
+                }
+            }
+        }
+    }
+    return spare;
+}
+
+/** Long-running tasks on the worker that limit absences, by step. */
+export function servingTasksByStep(state: SchedulerState, worker: WorkerRecord): Map<string, number> {
+    const counts = new Map<string, number>();
+    for (const run of worker.runs.values()) {
+        const spec = state.jobs.get(run.jobId)?.occurrences.get(run.occurrence)?.steps[run.stepIndex]?.spec;
+        if (spec?.isLongRunning && (spec.maxUnavailable ?? 0) > 0) {
+            const key = stepKey(run);
+            counts.set(key, (counts.get(key) ?? 0) + 1);
+        }
+    }
+    return counts;
+}
+
+/** Whether a long-running task waits to be seen at work, so that its worker should be asked again soon. */
+export function workersWithTasksComingUp(state: SchedulerState): string[] {
+    const workers = new Set<string>();
+    for (const worker of state.workers.values()) {
+        for (const run of worker.runs.values()) {
+            if (run.isServing && run.phase === runPhases.running && run.percent < atWorkPercent) {
+                workers.add(worker.entry.workerId);
+            }
+        }
+    }
+    return [...workers];
+}
