Conclude from a worker's silence only with a proven lease; count spare tasks once per wave step

Cause 1 (TWICE): an owner cut off with its zone took remote workers' leases for ended, though the next owner renewed them, and started their tasks again.

--- a/src/decisions/planWave.ts
+++ b/src/decisions/planWave.ts
@@ -36,8 +36,8 @@
 export interface WavePlan {
     cordon: string[];
     restart: string[];
-    /** VMs with more long-running tasks of a step than it can spare at once: one of each such step is to move first. */
-    evacuate: string[];
+    /** Long-running steps of which a VM carries more tasks than can be spared at once: one task is to move first. */
+    evacuate: { vmId: string; step: string }[];
 }
 
 /** Short tasks that run for longer are ended by the restart: the wave would be late. */
@@ -78,8 +78,12 @@
         if (vm.cordonedSinceMs === undefined) {
             plan.cordon.push(vm.vmId);
         }
-        if ([...vm.servingByStep.values()].some(count => count > 1)) {
-            plan.evacuate.push(vm.vmId);
+        for (const [step, count] of vm.servingByStep) {
+            const spareCount = spare.get(step) ?? 0;
+            if (count > 1 && spareCount > 0) {
+                plan.evacuate.push({ vmId: vm.vmId, step });
+                spare.set(step, spareCount - 1);
+            }
         }
     }
     return plan;
--- a/src/process/schedulingService.ts
+++ b/src/process/schedulingService.ts
@@ -57,6 +57,8 @@
     const { store, directory, timers, logger } = options;
     const sessions = new Map<string, WorkerSession>();
     const announced = new Map<string, WorkerEntry>();
+    /** Workers whose entries went of late: they may still run what an earlier owner started. */
+    const withdrawn = new Map<string, { entry: WorkerEntry; atMs: number }>();
     let policy: SchedulingPolicy | undefined;
     let scheduler: Scheduler | undefined;
     let waitingTerm: OwnedTerm | undefined;
@@ -116,7 +118,7 @@
         }
         syncSessions();
         if (mayGiveOrders()) {
-            scheduler.step(moment());
+            scheduler.step(moment(), options.ownership().isProven());
         }
         for (const command of scheduler.takeCommands()) {
             sessions.get("run" in command ? command.run.workerId : command.workerId)?.carryOut(command);
@@ -163,6 +165,12 @@
             }
         }
         announced.forEach(entry => begun.announceWorker(entry, now));
+        for (const [workerId, { entry, atMs }] of withdrawn) {
+            if (now.nowMs - atMs < options.ownerContinuationMs + oldLeaseMs) {
+                begun.announceWorker(entry, now);
+                begun.withdrawWorker(workerId);
+            }
+        }
         options.onSchedulerChanged(begun);
         schedulePass();
     };
@@ -207,12 +215,15 @@
             schedulePass();
         },
         onWorker: (workerId, entry) => {
+            const known = announced.get(workerId);
             if (entry) {
+                withdrawn.delete(workerId);
                 announced.set(workerId, entry);
                 scheduler?.announceWorker(entry, moment());
             }
-            else {
+            else if (known) {
                 announced.delete(workerId);
+                withdrawn.set(workerId, { entry: known, atMs: timers.nowMs() });
                 scheduler?.withdrawWorker(workerId);
             }
         },
--- a/src/process/vmManager.ts
+++ b/src/process/vmManager.ts
@@ -10,11 +10,11 @@
     type WaveRequest,
 } from "../connection/vmService.js";
 import { planWave, type WaveVm } from "../decisions/planWave.js";
-import { servingTasksByStep, spareTasksByStep, workersWithTasksComingUp } from "../scheduling/availability.js";
+import { servingTasksByStep, spareTasksByStep, stepKey, workersWithTasksComingUp } from "../scheduling/availability.js";
 import { loseRuns, type Moment } from "../scheduling/reconcileListing.js";
 import type { Scheduler } from "../scheduling/scheduler.js";
 import { commandKinds, stopRun } from "../scheduling/schedulerState.js";
-import type { WorkerRecord } from "../scheduling/workerRecord.js";
+import { runPhases, type WorkerRecord } from "../scheduling/workerRecord.js";
 import { logEvents } from "./logEvents.js";
 import type { Logger } from "./logger.js";
 import type { SchedulingOwnership } from "./schedulingOwnership.js";
@@ -154,6 +154,9 @@
             }
             if (isOver || isMissed) {
                 wave.ordered.delete(vmId);
+                if (vm && isMissed) {
+                    setEnding(vm, false);
+                }
                 uncordon(vmId);
                 logger.log(logEvents.waveChanged, {
                     wave: wave.request.waveNumber,
@@ -182,6 +185,13 @@
         }
     };
 
+    const setEnding = (vm: VmRecord, isEnding: boolean): void => {
+        const worker = workerOn(vm);
+        if (worker) {
+            worker.isEnding = isEnding;
+        }
+    };
+
     const poolLoad = (poolName: string): number => {
         let used = 0;
         let capacity = 0;
@@ -219,11 +229,13 @@
         cordon(vmId);
         const placed: RestartOrder = { workerId: vm.workerId, orderedAtMs: timers.nowMs(), isAccepted: false };
         wave.ordered.set(vmId, placed);
+        setEnding(vm, true);
         const outcome = await vmService.restart(vmId, wave.request.waveNumber, { name: options.nodeName, token });
         onOrderAnswered(vmId, outcome, `restart for wave ${wave.request.waveNumber}`);
         placed.isAccepted = outcome === vmOrderOutcomes.accepted;
         if (outcome !== vmOrderOutcomes.accepted && outcome !== vmOrderOutcomes.unknown) {
             wave.ordered.delete(vmId);
+            setEnding(vm, false);
             uncordon(vmId);
         }
     };
@@ -249,12 +261,9 @@
         }
     };
 
-    const evacuateOne = (running: Scheduler, vmId: string, spare: ReadonlyMap<string, number>): void => {
+    const evacuateOne = (running: Scheduler, vmId: string, step: string): void => {
         const worker = workerOn(vms.get(vmId));
-        const run = worker &&
-            [...worker.runs.values()].find(each =>
-                each.isServing && (spare.get(`${each.jobId}.${each.occurrence}.${each.stepIndex}`) ?? 1) > 0
-            );
+        const run = worker && [...worker.runs.values()].find(each => stepKey(each) === step && each.phase === runPhases.running);
         if (run) {
             stopRun(running.state, run, "its VM is to restart");
         }
@@ -277,7 +286,7 @@
             restartMs: options.restartMs,
         });
         plan.cordon.forEach(cordon);
-        plan.evacuate.forEach(vmId => evacuateOne(running, vmId, spareByStep));
+        plan.evacuate.forEach(({ vmId, step }) => evacuateOne(running, vmId, step));
         const restarts = plan.restart.map(vmId => restart(wave, vmId));
         await Promise.all(restarts);
         if (restarts.length > 0) {
--- a/src/scheduling/availability.ts
+++ b/src/scheduling/availability.ts
@@ -9,13 +9,13 @@
     return `${place.jobId}.${place.occurrence}.${place.stepIndex}`;
 }
 
-function isAtWork(run: Run): boolean {
-    return run.phase === runPhases.running && run.percent >= atWorkPercent;
+function isAtWork(state: SchedulerState, run: Run): boolean {
+    return run.phase === runPhases.running && run.percent >= atWorkPercent && state.workers.get(run.workerId)?.isEnding === false;
 }
 
 /** Tasks of the step that are at work now, as last listed. */
-function countAtWork(step: StepRecord): number {
-    return [...step.runs.values()].filter(runs => runs.some(isAtWork)).length;
+function countAtWork(state: SchedulerState, step: StepRecord): number {
+    return [...step.runs.values()].filter(runs => runs.some(run => isAtWork(state, run))).length;
 }
 
 /** For each long-running step that limits absences: how many of its tasks may be ended now. */
@@ -28,7 +28,7 @@
         for (const occurrence of job.occurrences.values()) {
             for (const step of occurrence.steps) {
                 if (step.spec.isLongRunning && step.spec.maxUnavailable !== undefined && step.spec.maxUnavailable > 0) {
-                    const awayCount = step.spec.taskCount - countAtWork(step);
+                    const awayCount = step.spec.taskCount - countAtWork(state, step);
                     const key = stepKey({ jobId: job.jobId, occurrence: step.occurrence, stepIndex: step.index });
                     spare.set(key, Math.max(0, step.spec.maxUnavailable - awayCount));
                 }
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -279,9 +279,14 @@
             const worker = state.workers.get(workerId);
             return worker ? acknowledgedEndNumber(worker) : 0;
         },
-        /** Starts what can start now and drops what has surely ended. */
-        step: (moment: Moment): void => {
-            dropSilentWorkers(moment);
+        /**
+         * Starts what can start now and drops what has surely ended. Only an owner whose lease is proven may conclude from a
+         * worker's silence: another owner may have renewed the leases there.
+         */
+        step: (moment: Moment, isOwnershipProven: boolean): void => {
+            if (isOwnershipProven) {
+                dropSilentWorkers(moment);
+            }
             leaveDrainingWorkers();
             dispatchWaiting(state, moment);
         },
--- a/src/scheduling/workerRecord.ts
+++ b/src/scheduling/workerRecord.ts
@@ -83,6 +83,8 @@
     avoidedUntilMs: number;
     /** Kept free because its VM is to be moved or restarted. */
     isCordoned: boolean;
+    /** An order that ends everything on its VM was sent. */
+    isEnding: boolean;
 }
 
 export function createWorkerRecord(entry: WorkerEntry, leaseEndsAtMs: number): WorkerRecord {
@@ -99,6 +101,7 @@
         failuresInRow: 0,
         avoidedUntilMs: 0,
         isCordoned: false,
+        isEnding: false,
     };
 }
 
