--- a/src/process/logEvents.ts
+++ b/src/process/logEvents.ts
@@ -76,5 +76,6 @@
     ),
     storeAvailable: defineEvent(7002, logLevels.info, "The platform's key-value service answers again."),
     watchRestarted: defineEvent(7003, logLevels.warn, "A watch was restarted; its keys were read again."),
+    vmListAvailable: defineEvent(7005, logLevels.info, "The platform's VM list answers again."),
     vmListUnavailable: defineEvent(7004, logLevels.warn, "The platform's VM list does not answer; the last one stays in force."),
 } as const satisfies Record<string, LogEvent>;
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -56,6 +56,7 @@
         jobs: new Map(),
         workers: new Map(),
         teamUsed: new Map(),
+        arrivedWork: new Map(),
         commands: [],
         unsavedJobs: new Set(),
         nextRunNumber: 1,
@@ -126,6 +127,10 @@
                 return;
             }
             state.jobs.set(job.jobId, job);
+            const poolName = state.policy.queues.get(decoded.queueName)?.poolName;
+            if (poolName !== undefined && acceptedRevision > state.term.token) {
+                state.arrivedWork.set(poolName, (state.arrivedWork.get(poolName) ?? 0) + job.workMillicoreS);
+            }
             if (isCancelled) {
                 endJob(state, job, jobStates.cancelled, wallMs);
             }
--- a/src/scheduling/schedulerState.ts
+++ b/src/scheduling/schedulerState.ts
@@ -49,6 +49,8 @@
     jobs: Map<string, JobRecord>;
     workers: Map<string, WorkerRecord>;
     teamUsed: Map<string, Resources>;
+    /** Work of all short jobs that came in this term, in millicore-seconds by pool. */
+    arrivedWork: Map<string, number>;
     commands: SchedulerCommand[];
     /** Jobs whose progress the store does not hold yet. */
     unsavedJobs: Set<string>;
