Model check the scheduler's own code; start nothing again that was lost while the ownership is unproven

Cause: the explorer found two paths on which a task could run twice. (1) A worker that starts again under its id forgets what was stopped there; an order that waited for a connection could still reach it. (2) An owner out of touch with the store took a restarted worker's runs for lost, which the next owner had seen end. Change: runs that never began outlive a restart of their worker and are stopped again; what is lost without proof of ownership waits for the proof. Ruled out: late orders to an old life (they end with its connections; the model says so in its comment).

--- a/src/process/schedulingService.ts
+++ b/src/process/schedulingService.ts
@@ -103,6 +103,7 @@
                         timers,
                         leaseMs: options.workerLeaseMs,
                         mayGiveOrders,
+                        isOwnershipProven: () => options.ownership().isProven(),
                         onFenced: () => options.ownership().onStoreChanged(),
                         onChanged: schedulePass,
                     }),
@@ -117,8 +118,9 @@
             return;
         }
         syncSessions();
+        scheduler.setOwnershipProven(options.ownership().isProven());
         if (mayGiveOrders()) {
-            scheduler.step(moment(), options.ownership().isProven());
+            scheduler.step(moment());
         }
         for (const command of scheduler.takeCommands()) {
             sessions.get("run" in command ? command.run.workerId : command.workerId)?.carryOut(command);
--- a/src/process/workerSession.ts
+++ b/src/process/workerSession.ts
@@ -22,6 +22,7 @@
     leaseMs: number;
     /** Whether orders may be given now. */
     mayGiveOrders(): boolean;
+    isOwnershipProven(): boolean;
     /** The worker has seen a higher token. */
     onFenced(): void;
     /** The scheduler's state has changed. */
@@ -55,6 +56,7 @@
             return;
         }
         const now = moment();
+        scheduler.setOwnershipProven(options.isOwnershipProven());
         if (answer.isFenced) {
             options.onFenced();
             return;
--- a/src/scheduling/dispatchWaiting.ts
+++ b/src/scheduling/dispatchWaiting.ts
@@ -122,6 +122,7 @@
         requested: step.spec.request,
         reserved: reservedBy(step.spec),
         startedAtMs: nowMs,
+        hasBegun: false,
         answeredAtMs: undefined,
         percent: 0,
         measured: 0,
--- a/src/scheduling/jobRecord.ts
+++ b/src/scheduling/jobRecord.ts
@@ -9,6 +9,8 @@
     occurrence: number;
     /** Indices of tasks that wait for a worker. */
     waiting: Set<number>;
+    /** Tasks that may not start again before the ownership is proven. */
+    heldBack: Set<number>;
     done: Set<number>;
     /** Runs that may be at work, by task index. */
     runs: Map<number, Run[]>;
@@ -50,7 +52,17 @@
     const all = Array.from({ length: spec.taskCount }, (_, task) => task);
     const done = new Set(progress?.done === "all" ? all : progress?.done ?? []);
     const tasks = new Map(Object.entries(progress?.tasks ?? {}).map(([task, each]) => [Number(task), { ...each }]));
-    return { spec, index, occurrence, waiting: new Set(all.filter(task => !done.has(task))), done, runs: new Map(), tasks, chainMs };
+    return {
+        spec,
+        index,
+        occurrence,
+        waiting: new Set(all.filter(task => !done.has(task))),
+        heldBack: new Set(),
+        done,
+        runs: new Map(),
+        tasks,
+        chainMs,
+    };
 }
 
 export function createOccurrence(job: JobRecord, number: number, progress: readonly StepProgress[] | undefined): OccurrenceRecord {
--- a/src/scheduling/reconcileListing.ts
+++ b/src/scheduling/reconcileListing.ts
@@ -46,7 +46,11 @@
 
 /** Ends all runs of a life of a worker that is over. */
 export function loseRuns(state: SchedulerState, worker: WorkerRecord, reason: string, moment: Moment): void {
-    for (const run of [...worker.runs.values()]) {
+    loseEach(state, [...worker.runs.values()], reason, moment);
+}
+
+function loseEach(state: SchedulerState, runs: readonly Run[], reason: string, moment: Moment): void {
+    for (const run of runs) {
         state.onDecision({ what: "run lost", jobId: run.jobId, taskName: run.taskName, runId: run.runId, workerId: run.workerId, reason });
         applyEnd(state, { ...run, end: runEnds.lost, checkpoint: run.checkpoint }, moment.nowMs, moment.wallMs);
         detachRun(state, run);
@@ -55,7 +59,13 @@
 
 /** Starts the record of a worker anew for another life. */
 export function beginLife(state: SchedulerState, worker: WorkerRecord, bornWallMs: number, moment: Moment): void {
-    loseRuns(state, worker, "the worker started again", moment);
+    const runs = [...worker.runs.values()];
+    loseEach(state, runs.filter(run => run.hasBegun), "the worker started again", moment);
+    for (const run of runs.filter(each => !each.hasBegun && each.phase === runPhases.stopping)) {
+        // The new life knows nothing of the stop, and the order to start may still reach it.
+        run.answeredAtMs = undefined;
+        state.commands.push({ kind: commandKinds.stop, run, reason: "the worker started again" });
+    }
     worker.entry = { ...worker.entry, bornWallMs };
     worker.lastEndNumber = 0;
     worker.unsavedEnds = [];
@@ -117,6 +127,7 @@
         requested: step?.spec.request ?? none,
         reserved: step ? reservedBy(step.spec) : none,
         startedAtMs: moment.nowMs,
+        hasBegun: true,
         answeredAtMs: moment.nowMs,
         percent: listed.percent,
         measured: listed.measured,
@@ -170,6 +181,7 @@
             adoptOrStop(state, worker, listed, moment);
             continue;
         }
+        run.hasBegun = true;
         run.percent = listed.percent;
         run.measured = listed.measured;
         run.checkpoint = listed.checkpoint;
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -15,6 +15,7 @@
     detachRun,
     endJob,
     markChanged,
+    releaseHeldBack,
     runEnds,
     type SchedulerCommand,
     type SchedulerState,
@@ -57,6 +58,7 @@
         workers: new Map(),
         teamUsed: new Map(),
         arrivedWork: new Map(),
+        isOwnershipProven: true,
         commands: [],
         unsavedJobs: new Set(),
         nextRunNumber: 1,
@@ -107,6 +109,13 @@
             state.term = { ...state.term, token };
             state.nextRunNumber = 1;
         },
+        /** To be called before events are handed in, whenever it changes. */
+        setOwnershipProven: (isProven: boolean): void => {
+            if (isProven && !state.isOwnershipProven) {
+                releaseHeldBack(state);
+            }
+            state.isOwnershipProven = isProven;
+        },
         setPolicy: (policy: SchedulingPolicy): void => {
             state.policy = policy;
         },
@@ -204,6 +213,7 @@
             }
             run.answeredAtMs = moment.nowMs;
             if (outcome === orderOutcomes.accepted) {
+                run.hasBegun = true;
                 if (run.phase === runPhases.starting) {
                     run.phase = runPhases.running;
                 }
@@ -288,8 +298,8 @@
          * Starts what can start now and drops what has surely ended. Only an owner whose lease is proven may conclude from a
          * worker's silence: another owner may have renewed the leases there.
          */
-        step: (moment: Moment, isOwnershipProven: boolean): void => {
-            if (isOwnershipProven) {
+        step: (moment: Moment): void => {
+            if (state.isOwnershipProven) {
                 dropSilentWorkers(moment);
             }
             leaveDrainingWorkers();
--- a/src/scheduling/schedulerState.ts
+++ b/src/scheduling/schedulerState.ts
@@ -51,6 +51,8 @@
     teamUsed: Map<string, Resources>;
     /** Work of all short jobs that came in this term, in millicore-seconds by pool. */
     arrivedWork: Map<string, number>;
+    /** Whether this process is sure to be the owner. Without proof, what was lost is not started again: another may have. */
+    isOwnershipProven: boolean;
     commands: SchedulerCommand[];
     /** Jobs whose progress the store does not hold yet. */
     unsavedJobs: Set<string>;
@@ -138,7 +140,19 @@
     }
     step.runs.delete(run.taskIndex);
     if (!step.done.has(run.taskIndex) && !isFinalState(job.state)) {
-        step.waiting.add(run.taskIndex);
+        (state.isOwnershipProven ? step.waiting : step.heldBack).add(run.taskIndex);
+    }
+}
+
+/** Lets tasks wait again that were held back while the ownership was not proven. */
+export function releaseHeldBack(state: SchedulerState): void {
+    for (const job of state.jobs.values()) {
+        for (const occurrence of job.occurrences.values()) {
+            for (const step of occurrence.steps) {
+                step.heldBack.forEach(taskIndex => step.waiting.add(taskIndex));
+                step.heldBack.clear();
+            }
+        }
     }
 }
 
@@ -164,6 +178,7 @@
     for (const occurrence of job.occurrences.values()) {
         for (const step of occurrence.steps) {
             step.waiting.clear();
+            step.heldBack.clear();
             [...step.runs.values()].flat().forEach(run => stopRun(state, run, `job ${jobState}`));
         }
     }
@@ -186,6 +201,7 @@
     for (const index of indices) {
         step.done.add(index);
         step.waiting.delete(index);
+        step.heldBack.delete(index);
         step.tasks.delete(index);
     }
     const occurrence = job.occurrences.get(step.occurrence)!;
--- a/src/scheduling/workerRecord.ts
+++ b/src/scheduling/workerRecord.ts
@@ -44,6 +44,8 @@
     /** Counts toward the worker's room. */
     reserved: Resources;
     startedAtMs: number;
+    /** Whether the worker is known to have begun the run; if not, its order may still be under way. */
+    hasBegun: boolean;
     /** When the start or the stop was answered: a listing asked for later must show the run or its end. */
     answeredAtMs: number | undefined;
     /** Part of full speed at which a long-running task works, 0 to 100. */
--- /dev/null
+++ b/tests/model/scheduling.spec.ts
@@ -0,0 +1,100 @@
+/** Explores the scheduler's own code: orders that are lost or late, a crash, a cut, and another owner at any moment. */
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { type Breakage, createSchedulingWorld, type SchedulingWorld } from "../scheduling/schedulingWorld.js";
+import { type Exploration, explore } from "./explore.js";
+
+interface Path {
+    actions: string[];
+    key: string;
+    violation: string | undefined;
+    possible: string[];
+}
+
+function follow(breakage: Breakage, actions: string[]): Path {
+    const world = createSchedulingWorld(breakage);
+    actions.forEach(action => world.act(action));
+    return { actions, key: world.key(), violation: world.violation(), possible: world.actions() };
+}
+
+function exploreWorld(breakage: Breakage, prefix: string[], actionsCount: number): Exploration<Path> {
+    return explore<Path>({
+        initial: follow(breakage, prefix),
+        key: path => path.key,
+        actionsCount,
+        next: path => path.possible.map(action => ({ action, next: follow(breakage, [...path.actions, action]) })),
+        isSafe: path => path.violation === undefined,
+    });
+}
+
+/** Both workers have answered the first owner, which has given its first order. */
+const settled = ["list 0 w1", "list 0 w2"];
+
+/** Follows the usual course: whatever can be delivered, listed, finished or saved is. */
+function finishCalmly(world: SchedulingWorld): void {
+    for (let round = 0; round < 30; round++) {
+        const action = ["deliver", "finish", "list 0 w1", "list 0 w2", "save"].flatMap(name =>
+            world.actions().filter(each => each.startsWith(name))
+        );
+        if (action.length > 0) {
+            world.act(action[round % action.length]!);
+        }
+    }
+}
+
+describe("scheduling under failure", () => {
+    it("should complete a job when nothing fails", () => {
+        const world = createSchedulingWorld({});
+        finishCalmly(world);
+        assert.equal(world.progress()?.state, "completed");
+        assert.equal(world.violation(), undefined);
+    });
+
+    it("should break no promise within the bound, from the first order on", () => {
+        const exploration = exploreWorld({}, settled, 6);
+        assert.deepEqual(exploration.counterexample, undefined, exploration.unsafeState?.violation);
+        assert.ok(exploration.statesCount > 5_000, `only ${exploration.statesCount} states were explored`);
+    });
+
+    it("should break no promise within the bound, after a takeover beside a run that has ended", () => {
+        const exploration = exploreWorld({}, [...settled, "deliver 0", "finish w1", "takeOver"], 6);
+        assert.deepEqual(exploration.counterexample, undefined, exploration.unsafeState?.violation);
+        assert.ok(exploration.statesCount > 5_000, `only ${exploration.statesCount} states were explored`);
+    });
+
+    const breakages: { title: string; breakage: Breakage; prefix: string[]; actionsCount: number }[] = [
+        {
+            title: "acknowledges ends before they are saved",
+            breakage: { acknowledgesBeforeSaving: true },
+            prefix: [...settled, "deliver 0", "finish w1", "list 0 w1"],
+            actionsCount: 6,
+        },
+        {
+            title: "takes over without waiting for workers out of reach",
+            breakage: { takesOverWithoutWaiting: true },
+            prefix: [...settled, "deliver 0", "takeOver", "cut 1 w1"],
+            actionsCount: 4,
+        },
+        {
+            title: "concludes from silence without a proven lease",
+            breakage: { concludesWithoutProof: true },
+            prefix: [...settled, "deliver 0", "cut 0 w1", "tick", "tick", "list 0 w2", "takeOver", "list 1 w1"],
+            actionsCount: 6,
+        },
+        {
+            title: "retries a start that was not answered",
+            breakage: { retriesUnansweredStarts: true },
+            prefix: settled,
+            actionsCount: 4,
+        },
+    ];
+    breakages.forEach(({ title, breakage, prefix, actionsCount }) => {
+        it(`should find the fault of a scheduler that ${title}`, () => {
+            const exploration = exploreWorld(breakage, prefix, actionsCount);
+            assert.notEqual(exploration.counterexample, undefined, `${exploration.statesCount} states, none unsafe`);
+        });
+        it(`should find no fault on the same paths of one that does not: ${title}`, () => {
+            assert.deepEqual(exploreWorld({}, prefix, actionsCount).counterexample, undefined);
+        });
+    });
+});
--- /dev/null
+++ b/tests/scheduling/schedulingWorld.ts
@@ -0,0 +1,440 @@
+/**
+ * A small world around the real scheduler: two owners one after the other, two workers, a store, and orders that are
+ * answered, lost, or carried out late. A run of it is a list of actions, so that an explorer can try all of them.
+ */
+import { decodeProgress, encodeProgress, encodeSubmission, type JobProgress } from "../../src/scheduling/jobDocuments.js";
+import { jobStates, type JobSubmission, type SchedulingPolicy, type StepSpec } from "../../src/scheduling/jobTypes.js";
+import { orderOutcomes } from "../../src/scheduling/orderOutcomes.js";
+import type { ListedEnd, Moment } from "../../src/scheduling/reconcileListing.js";
+import { createScheduler, type Scheduler } from "../../src/scheduling/scheduler.js";
+import { commandKinds, type RunEnd, runEnds, type SchedulerCommand } from "../../src/scheduling/schedulerState.js";
+import type { WorkerEntry } from "../../src/scheduling/workerRecord.js";
+
+/** Deliberate faults in the protocol that the checks must find. */
+export interface Breakage {
+    /** Ends are acknowledged to workers before the store holds them. */
+    acknowledgesBeforeSaving?: boolean;
+    /** A new owner starts tasks without waiting for workers that it cannot reach. */
+    takesOverWithoutWaiting?: boolean;
+    /** An owner that lost its lease goes on to conclude from workers' silence. */
+    concludesWithoutProof?: boolean;
+    /** A start that was not answered is given to another worker at once. */
+    retriesUnansweredStarts?: boolean;
+}
+
+const tickMs = 1_000;
+const workerLeaseMs = 2_000;
+const startValidityMs = 1_500;
+const ownerContinuationMs = 2_000;
+/** The scheduler's own allowances for slow clocks are below one tick. */
+const unknownLeaseMs = ownerContinuationMs + workerLeaseMs + tickMs;
+const tokens = [10, 20];
+
+const step = (dependsOn: number[]): StepSpec => ({
+    taskCount: 1,
+    request: { cpuMillicores: 1_000, memoryMb: 100, accelerators: 0 },
+    estimatedDurationMs: 500,
+    dependsOn,
+    isGang: false,
+    isRackBound: false,
+    requiredLabel: undefined,
+    preferredRack: undefined,
+    maxTasksPerWorker: undefined,
+    isSpeculative: false,
+    isLongRunning: false,
+    savesProgress: false,
+    image: undefined,
+    latencyTargetMs: undefined,
+    isFiller: false,
+    maxUnavailable: undefined,
+});
+const submission: JobSubmission = {
+    jobId: "job",
+    queueName: "queue",
+    teamName: undefined,
+    payload: "",
+    steps: [step([]), step([0])],
+    repeat: undefined,
+    submittedWallMs: 0,
+};
+const policy: SchedulingPolicy = {
+    queues: new Map([["queue", {
+        name: "queue",
+        poolName: "pool",
+        priority: 0,
+        maxAttempts: 2,
+        chainFactor: 2,
+        latencyObjectiveMs: 1_000,
+    }]]),
+    pools: new Map([["pool", { name: "pool", isStandby: false }]]),
+    teams: new Map(),
+};
+
+interface ModelWorker {
+    id: string;
+    bornWallMs: number;
+    highestToken: number;
+    leaseEndsAtMs: number;
+    /** Running tasks and their run ids. */
+    running: Map<string, number>;
+    /** Highest run id that was stopped or ended, by task. */
+    barred: Map<string, number>;
+    ends: ListedEnd[];
+    nextEndNumber: number;
+}
+
+interface ModelOwner {
+    token: number;
+    scheduler: Scheduler;
+    isProven: boolean;
+    startedAtMs: number;
+    lostAtMs: number | undefined;
+    cutFrom: Set<string>;
+}
+
+interface OpenOrder {
+    owner: number;
+    command: Extract<SchedulerCommand, { kind: "start" | "stop" }>;
+    sentAtMs: number;
+    /** The owner has given up waiting for the answer. */
+    isLate: boolean;
+}
+
+export interface SchedulingWorld {
+    /** Actions that are possible now. */
+    actions(): string[];
+    act(action: string): void;
+    /** Tells states apart. */
+    key(): string;
+    /** The first promise that was broken. */
+    violation(): string | undefined;
+    progress(): JobProgress | undefined;
+}
+
+export function createSchedulingWorld(breakage: Breakage): SchedulingWorld {
+    let nowMs = 0;
+    let violation: string | undefined;
+    let crashesLeft = 1;
+    let lossesLeft = 2;
+    let cutsLeft = 1;
+    let stored: JobProgress | undefined;
+    let highestTerm = tokens[0]!;
+    const doneTasks = new Set<string>();
+    const acknowledgedDone = new Set<string>();
+    let orders: OpenOrder[] = [];
+    const workers: ModelWorker[] = ["w1", "w2"].map(id => ({
+        id,
+        bornWallMs: 1,
+        highestToken: 0,
+        leaseEndsAtMs: 0,
+        running: new Map(),
+        barred: new Map(),
+        ends: [],
+        nextEndNumber: 1,
+    }));
+    const owners: ModelOwner[] = [];
+
+    const moment = (): Moment => ({ nowMs, wallMs: nowMs });
+    const entryOf = (worker: ModelWorker): WorkerEntry => ({
+        workerId: worker.id,
+        bornWallMs: worker.bornWallMs,
+        address: worker.id,
+        poolName: "pool",
+        zone: "zone",
+        rack: worker.id,
+        labels: [],
+        capacity: { cpuMillicores: 1_000, memoryMb: 1_000, accelerators: 0 },
+        isDraining: false,
+    });
+    const workerOf = (id: string): ModelWorker => workers.find(worker => worker.id === id)!;
+    const fail = (text: string): void => {
+        violation ??= text;
+    };
+
+    const pump = (index: number): void => {
+        const owner = owners[index]!;
+        const mayOrder = owner.lostAtMs === undefined || nowMs - owner.lostAtMs < ownerContinuationMs;
+        if (mayOrder) {
+            owner.scheduler.step(moment());
+        }
+        for (const command of owner.scheduler.takeCommands()) {
+            if (mayOrder && (command.kind === commandKinds.start || command.kind === commandKinds.stop)) {
+                orders.push({ owner: index, command, sentAtMs: nowMs, isLate: false });
+            }
+        }
+    };
+
+    const addOwner = (token: number): void => {
+        const scheduler = createScheduler({
+            policy,
+            term: { token, startedAtMs: nowMs, startedWallMs: nowMs, unknownWorkersUntilMs: 0 },
+            workerLeaseMs,
+            unknownLeaseMs: breakage.takesOverWithoutWaiting ? -1 : unknownLeaseMs,
+            onDecision: () => undefined,
+        });
+        scheduler.addJob(encodeSubmission(submission), 5, stored && encodeProgress(stored), false, nowMs);
+        workers.forEach(worker => scheduler.announceWorker(entryOf(worker), moment()));
+        owners.push({ token, scheduler, isProven: true, startedAtMs: nowMs, lostAtMs: undefined, cutFrom: new Set() });
+    };
+
+    const endRun = (worker: ModelWorker, taskName: string, end: RunEnd): void => {
+        const runId = worker.running.get(taskName)!;
+        worker.running.delete(taskName);
+        worker.barred.set(taskName, Math.max(runId, worker.barred.get(taskName) ?? 0));
+        worker.ends.push({ endNumber: worker.nextEndNumber++, taskName, runId, end, checkpoint: "" });
+        if (end === runEnds.done) {
+            doneTasks.add(taskName);
+        }
+    };
+
+    const executeStart = (order: OpenOrder, worker: ModelWorker): boolean => {
+        const { taskName, runId } = order.command.run;
+        const token = owners[order.owner]!.token;
+        const untilMs = order.sentAtMs + startValidityMs;
+        if (token < worker.highestToken || nowMs > untilMs || runId <= (worker.barred.get(taskName) ?? 0)) {
+            return false;
+        }
+        worker.highestToken = token;
+        if (worker.running.get(taskName) === runId) {
+            return true;
+        }
+        if (workers.some(each => each.running.has(taskName))) {
+            fail(`${taskName} runs twice`);
+        }
+        if (acknowledgedDone.has(taskName)) {
+            fail(`${taskName} starts after its end was acknowledged`);
+        }
+        if (taskName === "job.0.1.0" && !doneTasks.has("job.0.0.0")) {
+            fail("a step starts before the one that it depends on is done");
+        }
+        worker.running.set(taskName, runId);
+        worker.leaseEndsAtMs = Math.max(worker.leaseEndsAtMs, untilMs);
+        return true;
+    };
+    const executeStop = (order: OpenOrder, worker: ModelWorker): boolean => {
+        const { taskName, runId } = order.command.run;
+        const token = owners[order.owner]!.token;
+        if (token < worker.highestToken) {
+            return false;
+        }
+        worker.highestToken = token;
+        worker.barred.set(taskName, Math.max(runId, worker.barred.get(taskName) ?? 0));
+        if (worker.running.get(taskName) === runId) {
+            endRun(worker, taskName, runEnds.stopped);
+        }
+        return true;
+    };
+    const execute = (order: OpenOrder): boolean => {
+        const worker = workerOf(order.command.run.workerId);
+        return order.command.kind === commandKinds.start ? executeStart(order, worker) : executeStop(order, worker);
+    };
+
+    const answer = (order: OpenOrder, outcome: "accepted" | "refused" | "unknown"): void => {
+        const { scheduler } = owners[order.owner]!;
+        const { run, kind } = order.command;
+        if (kind === commandKinds.start) {
+            const told = breakage.retriesUnansweredStarts && outcome === "unknown" ? orderOutcomes.refused : orderOutcomes[outcome];
+            scheduler.startAnswered(run, told, "", moment());
+        }
+        else {
+            scheduler.stopAnswered(run, orderOutcomes[outcome], moment());
+        }
+        pump(order.owner);
+    };
+
+    const list = (index: number, workerId: string): void => {
+        const owner = owners[index]!;
+        const worker = workerOf(workerId);
+        if (owner.token < worker.highestToken) {
+            return;
+        }
+        worker.highestToken = owner.token;
+        const seen = owner.scheduler.state.workers.get(workerId);
+        const acknowledged = breakage.acknowledgesBeforeSaving ? seen?.lastEndNumber ?? 0 : owner.scheduler.acknowledgedEndNumber(workerId);
+        for (const end of worker.ends.filter(each => each.endNumber <= acknowledged && each.end === runEnds.done)) {
+            acknowledgedDone.add(end.taskName);
+        }
+        worker.ends = worker.ends.filter(end => end.endNumber > acknowledged);
+        owner.scheduler.holdSent(workerId, workerLeaseMs, nowMs);
+        worker.leaseEndsAtMs = Math.max(worker.leaseEndsAtMs, nowMs + workerLeaseMs);
+        const running = [...worker.running].map(([taskName, runId]) => ({ taskName, runId, checkpoint: "", percent: 100, measured: 0 }));
+        // The listing was asked for after every answer so far.
+        owner.scheduler.listed(workerId, { bornWallMs: worker.bornWallMs, running, ended: [...worker.ends] }, nowMs + 0.5, moment());
+        pump(index);
+    };
+
+    const save = (index: number): void => {
+        const owner = owners[index]!;
+        for (const job of owner.scheduler.takeUnsaved(10)) {
+            if (owner.token < highestTerm) {
+                owner.scheduler.notSaved(job.jobId);
+                return;
+            }
+            stored = decodeProgress(encodeProgress(job.progress));
+            if (stored.state === jobStates.completed && doneTasks.size < 2) {
+                fail("the job shows as completed before its tasks are done");
+            }
+            owner.scheduler.saved(job.jobId, job.version);
+        }
+        pump(index);
+    };
+
+    const tick = (): void => {
+        nowMs += tickMs;
+        for (const worker of workers) {
+            if (nowMs > worker.leaseEndsAtMs) {
+                [...worker.running.keys()].forEach(taskName => endRun(worker, taskName, runEnds.lapsed));
+            }
+        }
+        orders.filter(order => !order.isLate).forEach(order => {
+            order.isLate = true;
+            answer(order, "unknown");
+        });
+        owners.forEach((_, index) => pump(index));
+    };
+
+    const crash = (worker: ModelWorker): void => {
+        crashesLeft -= 1;
+        worker.running.clear();
+        worker.barred.clear();
+        worker.ends = [];
+        worker.nextEndNumber = 1;
+        worker.highestToken = 0;
+        worker.bornWallMs += 1;
+        // Orders end with the connections to the old life. Only an owner that still calls may reach the new one with an order
+        // that waited for a connection.
+        orders = orders.filter(order =>
+            order.command.run.workerId !== worker.id || (!order.isLate && owners[order.owner]!.token === highestTerm)
+        );
+        owners.filter(owner => !owner.cutFrom.has(worker.id)).forEach(owner => owner.scheduler.announceWorker(entryOf(worker), moment()));
+        owners.forEach((_, index) => pump(index));
+    };
+
+    addOwner(tokens[0]!);
+
+    const handlers: Record<string, (argument: string, second: string) => void> = {
+        deliver: index => {
+            const [order] = orders.splice(Number(index), 1);
+            answer(order!, execute(order!) ? "accepted" : "refused");
+        },
+        loseAnswer: index => {
+            lossesLeft -= 1;
+            const [order] = orders.splice(Number(index), 1);
+            execute(order!);
+            answer(order!, "unknown");
+        },
+        late: index => void execute(orders.splice(Number(index), 1)[0]!),
+        list: (index, workerId) => list(Number(index), workerId),
+        save: index => save(Number(index)),
+        finish: workerId => {
+            const worker = workerOf(workerId);
+            endRun(worker, [...worker.running.keys()][0]!, runEnds.done);
+        },
+        crash: workerId => crash(workerOf(workerId)),
+        cut: (index, workerId) => {
+            cutsLeft -= 1;
+            owners[Number(index)]!.cutFrom.add(workerId);
+        },
+        takeOver: () => {
+            owners[0]!.isProven = false;
+            owners[0]!.scheduler.setOwnershipProven(breakage.concludesWithoutProof === true);
+            owners[0]!.lostAtMs = nowMs;
+            highestTerm = tokens[1]!;
+            addOwner(tokens[1]!);
+            pump(1);
+        },
+        tick,
+    };
+
+    return {
+        progress: () => stored,
+        violation: () => violation,
+        actions: () => {
+            const possible: string[] = ["tick"];
+            orders.forEach((order, index) => {
+                const isCut = owners[order.owner]!.cutFrom.has(order.command.run.workerId);
+                if (order.isLate) {
+                    possible.push(`late ${index}`);
+                }
+                else if (!isCut) {
+                    possible.push(`deliver ${index}`, ...(lossesLeft > 0 ? [`loseAnswer ${index}`] : []));
+                }
+            });
+            owners.forEach((owner, index) => {
+                const mayOrder = owner.lostAtMs === undefined || nowMs - owner.lostAtMs < ownerContinuationMs;
+                for (const worker of workers) {
+                    if (mayOrder && !owner.cutFrom.has(worker.id)) {
+                        possible.push(`list ${index} ${worker.id}`);
+                    }
+                    if (cutsLeft > 0) {
+                        possible.push(`cut ${index} ${worker.id}`);
+                    }
+                }
+                if (owner.scheduler.state.unsavedJobs.size > 0) {
+                    possible.push(`save ${index}`);
+                }
+            });
+            for (const worker of workers) {
+                possible.push(
+                    ...(worker.running.size > 0 ? [`finish ${worker.id}`] : []),
+                    ...(crashesLeft > 0 ? [`crash ${worker.id}`] : []),
+                );
+            }
+            return owners.length === 1 ? [...possible, "takeOver"] : possible;
+        },
+        act: action => {
+            const [name, first, second] = action.split(" ");
+            handlers[name!]!(first ?? "", second ?? "");
+        },
+        key: () =>
+            JSON.stringify([
+                nowMs,
+                crashesLeft,
+                lossesLeft,
+                cutsLeft,
+                stored,
+                [...doneTasks],
+                [...acknowledgedDone],
+                orders.map(
+                    order => [
+                        order.owner,
+                        order.command.kind,
+                        order.command.run.taskName,
+                        order.command.run.runId,
+                        order.command.run.workerId,
+                        order.sentAtMs,
+                        order.isLate,
+                    ],
+                ),
+                workers.map(
+                    worker => [
+                        worker.bornWallMs,
+                        worker.highestToken,
+                        worker.leaseEndsAtMs,
+                        [...worker.running],
+                        [...worker.barred],
+                        worker.ends,
+                    ],
+                ),
+                owners.map(owner => [
+                    owner.isProven,
+                    [...owner.cutFrom],
+                    [...owner.scheduler.state.workers.values()].map(worker => [
+                        worker.isSettled,
+                        worker.entry.bornWallMs,
+                        worker.leaseEndsAtMs,
+                        worker.lastEndNumber,
+                        worker.unsavedEnds,
+                        worker.avoidedUntilMs,
+                        worker.lastAnswerAtMs,
+                        [...worker.runs.values()].map(run => [run.taskName, run.runId, run.phase, run.answeredAtMs]),
+                    ]),
+                    [...owner.scheduler.state.jobs.values()].map(job => [
+                        job.state,
+                        job.version - job.persistedVersion,
+                        [...job.occurrences.values()].map(each => each.steps.map(one => [[...one.waiting], [...one.done]])),
+                    ]),
+                ]),
+            ]),
+    };
+}
