Count the lease that a start carries, so that runs on a worker that answers again are not taken for lost

Ruled out: late orders, a second owner (one token throughout). Test: silentWorkers.spec, red before, green after.

--- a/src/process/workerSession.ts
+++ b/src/process/workerSession.ts
@@ -3,7 +3,7 @@
 import type { ListAnswer, WorkerClient } from "../connection/workerClient.js";
 import { type OrderOutcome, orderOutcomes } from "../scheduling/orderOutcomes.js";
 import type { Moment } from "../scheduling/reconcileListing.js";
-import type { Scheduler } from "../scheduling/scheduler.js";
+import { type Scheduler, startValidityMs } from "../scheduling/scheduler.js";
 import { commandKinds, type SchedulerCommand } from "../scheduling/schedulerState.js";
 
 export interface WorkerSession {
@@ -31,8 +31,6 @@
 
 /** How long a hold waits for an end; each one also renews the leases. */
 const holdWaitMs = 1_500;
-/** After the last answer, an order is void on the worker's clock: longer than any answer takes, short for those lost. */
-const startValidityMs = 2_500;
 const retryPauseMs = 100;
 /** A worker that did not answer gets no new runs for so long. */
 const silentPauseMs = 1_000;
--- a/src/scheduling/dispatchWaiting.ts
+++ b/src/scheduling/dispatchWaiting.ts
@@ -130,6 +130,7 @@
         checkpoint: "",
     };
     attachRun(state, worker, step, run);
+    worker.leaseEndsAtMs = Math.max(worker.leaseEndsAtMs, nowMs + state.startLeaseMs);
     return run;
 }
 
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -43,6 +43,8 @@
 
 export type Scheduler = ReturnType<typeof createScheduler>;
 
+/** After this time on the worker's clock, an order to start is void: longer than any answer takes, short for those lost. */
+export const startValidityMs = 2_500;
 /** A worker that has failed to start a run is passed over for so long: its next answer may tell more. */
 const refusedPauseMs = 300;
 /** A worker's own clock may run slower than ours by this part, and its lease then ends later. */
@@ -58,6 +60,7 @@
         workers: new Map(),
         teamUsed: new Map(),
         arrivedWork: new Map(),
+        startLeaseMs: startValidityMs * (1 + slowClockPart) + clockEstimateSlackMs,
         isOwnershipProven: true,
         commands: [],
         unsavedJobs: new Set(),
--- /dev/null
+++ b/tests/scheduling/drivenScheduler.ts
@@ -0,0 +1,178 @@
+/** A scheduler whose workers, clock and store a test plays by hand. */
+import { encodeSubmission } from "../../src/scheduling/jobDocuments.js";
+import type { SchedulingPolicy, StepSpec, TeamPolicy } from "../../src/scheduling/jobTypes.js";
+import type { OrderOutcome } from "../../src/scheduling/orderOutcomes.js";
+import type { Moment } from "../../src/scheduling/reconcileListing.js";
+import { createScheduler, type Scheduler } from "../../src/scheduling/scheduler.js";
+import { commandKinds, type RunEnd, type SchedulerCommand } from "../../src/scheduling/schedulerState.js";
+import type { Run } from "../../src/scheduling/workerRecord.js";
+
+export interface DrivenOptions {
+    workers: number;
+    cpuMillicores?: number;
+    token?: number;
+    teams?: readonly TeamPolicy[];
+}
+
+export interface ListedByTest {
+    sentAtMs?: number;
+    /** Tasks that run; those that the scheduler started keep their run id. */
+    running?: readonly (string | { taskName: string; runId: number })[];
+    ended?: readonly { taskName: string; runId?: number; end: RunEnd; checkpoint?: string }[];
+}
+
+export interface SubmittedByTest extends Partial<StepSpec> {
+    acceptedRevision?: number;
+    teamName?: string;
+    /** Steps after the first, each after the one before. */
+    laterSteps?: readonly Partial<StepSpec>[];
+}
+
+export interface DrivenScheduler {
+    scheduler: Scheduler;
+    nowMs(): number;
+    advance(durationMs: number): void;
+    submit(jobId: string, step: SubmittedByTest): void;
+    hold(workerId: string): void;
+    list(workerId: string, listed: ListedByTest): void;
+    answerStarts(outcome: OrderOutcome): void;
+    answerStops(outcome: OrderOutcome): void;
+    saveAll(): void;
+    /** Names of the tasks that were started, in order. */
+    startedTasks(): string[];
+    commands(kind: "start" | "stop" | "pace"): Run[];
+}
+
+export const workerLeaseMs = 6_000;
+
+const defaultStep: StepSpec = {
+    taskCount: 1,
+    request: { cpuMillicores: 1_000, memoryMb: 100, accelerators: 0 },
+    estimatedDurationMs: 1_000,
+    dependsOn: [],
+    isGang: false,
+    isRackBound: false,
+    requiredLabel: undefined,
+    preferredRack: undefined,
+    maxTasksPerWorker: undefined,
+    isSpeculative: false,
+    isLongRunning: false,
+    savesProgress: false,
+    image: undefined,
+    latencyTargetMs: undefined,
+    isFiller: false,
+    maxUnavailable: undefined,
+};
+
+export function createDrivenScheduler(options: DrivenOptions): DrivenScheduler {
+    const token = options.token ?? 10;
+    const policy: SchedulingPolicy = {
+        queues: new Map([["queue", {
+            name: "queue",
+            poolName: "pool",
+            priority: 0,
+            maxAttempts: 2,
+            chainFactor: 2,
+            latencyObjectiveMs: 1_000,
+        }]]),
+        pools: new Map([["pool", { name: "pool", isStandby: false }]]),
+        teams: new Map((options.teams ?? []).map(team => [team.name, team])),
+    };
+    let nowMs = 0;
+    const moment = (): Moment => ({ nowMs, wallMs: nowMs });
+    const scheduler = createScheduler({
+        policy,
+        term: { token, startedAtMs: 0, startedWallMs: 0, unknownWorkersUntilMs: 0 },
+        workerLeaseMs,
+        unknownLeaseMs: 10_000,
+        onDecision: () => undefined,
+    });
+    const given: SchedulerCommand[] = [];
+    const unanswered: SchedulerCommand[] = [];
+    const nextEndNumbers = new Map<string, number>();
+
+    const pump = (): void => {
+        scheduler.step(moment());
+        const commands = scheduler.takeCommands();
+        given.push(...commands);
+        unanswered.push(...commands);
+    };
+    const answer = (kind: "start" | "stop", outcome: OrderOutcome): void => {
+        for (const command of unanswered.splice(0)) {
+            if (command.kind !== kind) {
+                unanswered.push(...(command.kind === commandKinds.look ? [] : [command]));
+            }
+            else if (command.kind === commandKinds.start) {
+                scheduler.startAnswered(command.run, outcome, "", moment());
+            }
+            else if (command.kind === commandKinds.stop) {
+                scheduler.stopAnswered(command.run, outcome, moment());
+            }
+        }
+        pump();
+    };
+    const lastRunId = (taskName: string): number =>
+        given.flatMap(command => command.kind === commandKinds.start && command.run.taskName === taskName ? [command.run.runId] : []).at(
+            -1,
+        ) ?? 0;
+
+    for (let number = 1; number <= options.workers; number++) {
+        scheduler.announceWorker({
+            workerId: `w${number}`,
+            bornWallMs: 0,
+            address: "",
+            poolName: "pool",
+            zone: "zone",
+            rack: `rack${number}`,
+            labels: [],
+            capacity: { cpuMillicores: options.cpuMillicores ?? 16_000, memoryMb: 64_000, accelerators: 0 },
+            isDraining: false,
+        }, moment());
+    }
+
+    return {
+        scheduler,
+        nowMs: () => nowMs,
+        advance: durationMs => {
+            nowMs += durationMs;
+            pump();
+        },
+        submit: (jobId, { acceptedRevision, teamName, laterSteps, ...step }) => {
+            const steps = [
+                { ...defaultStep, ...step },
+                ...(laterSteps ?? []).map((later, index) => ({ ...defaultStep, dependsOn: [index], ...later })),
+            ];
+            const submission = { jobId, queueName: "queue", teamName, payload: "", steps, repeat: undefined, submittedWallMs: nowMs };
+            scheduler.addJob(encodeSubmission(submission), acceptedRevision ?? token + 1, undefined, false, nowMs);
+            pump();
+        },
+        hold: workerId => scheduler.holdSent(workerId, workerLeaseMs, nowMs),
+        list: (workerId, { sentAtMs, running, ended }) => {
+            const ends = (ended ?? []).map(each => {
+                const endNumber = nextEndNumbers.get(workerId) ?? 1;
+                nextEndNumbers.set(workerId, endNumber + 1);
+                return {
+                    endNumber,
+                    taskName: each.taskName,
+                    runId: each.runId ?? lastRunId(each.taskName),
+                    end: each.end,
+                    checkpoint: each.checkpoint ?? "",
+                };
+            });
+            const runs = (running ?? []).map(each => {
+                const { taskName, runId } = typeof each === "string" ? { taskName: each, runId: lastRunId(each) } : each;
+                return { taskName, runId, checkpoint: "", percent: 100, measured: 0 };
+            });
+            scheduler.listed(workerId, { bornWallMs: 0, running: runs, ended: ends }, sentAtMs ?? nowMs, moment());
+            pump();
+        },
+        answerStarts: outcome => answer(commandKinds.start, outcome),
+        answerStops: outcome => answer(commandKinds.stop, outcome),
+        saveAll: () => {
+            scheduler.takeUnsaved(100).forEach(job => scheduler.saved(job.jobId, job.version));
+            pump();
+        },
+        startedTasks: () => given.flatMap(command => command.kind === commandKinds.start ? [command.run.taskName] : []),
+        commands: kind => given.flatMap(command => command.kind === kind && "run" in command ? [command.run] : []),
+    };
+}
--- /dev/null
+++ b/tests/scheduling/silentWorkers.spec.ts
@@ -0,0 +1,106 @@
+/** Workers that fall silent, answer again, start anew or lose orders. */
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { orderOutcomes } from "../../src/scheduling/orderOutcomes.js";
+import { commandKinds } from "../../src/scheduling/schedulerState.js";
+import { createDrivenScheduler } from "./drivenScheduler.js";
+
+describe("silent workers", () => {
+    it("should not take new runs for lost on a worker that answers after its lease has ended", () => {
+        const driven = createDrivenScheduler({ workers: 1 });
+        driven.list("w1", { sentAtMs: 0 });
+        driven.hold("w1");
+        driven.advance(20_000);
+        driven.submit("job", { taskCount: 1 });
+        driven.list("w1", {});
+        assert.deepEqual(driven.startedTasks(), ["job.0.0.0"]);
+        driven.advance(100);
+        assert.deepEqual(driven.startedTasks(), ["job.0.0.0"], "the task was started again");
+    });
+
+    it("should start a task elsewhere once the lease of a silent worker has surely ended, and not before", () => {
+        const driven = createDrivenScheduler({ workers: 2 });
+        driven.list("w1", { sentAtMs: 0 });
+        driven.submit("job", { taskCount: 1 });
+        driven.hold("w1");
+        driven.answerStarts(orderOutcomes.accepted);
+        driven.advance(5_900);
+        driven.list("w2", {});
+        assert.equal(driven.startedTasks().length, 1);
+        driven.advance(600);
+        driven.list("w2", {});
+        assert.equal(driven.startedTasks().length, 2);
+    });
+
+    it("should conclude nothing from silence while the ownership is not proven", () => {
+        const driven = createDrivenScheduler({ workers: 2 });
+        driven.list("w1", { sentAtMs: 0 });
+        driven.submit("job", { taskCount: 1 });
+        driven.answerStarts(orderOutcomes.accepted);
+        driven.scheduler.setOwnershipProven(false);
+        driven.advance(30_000);
+        driven.list("w2", {});
+        assert.equal(driven.startedTasks().length, 1);
+        driven.scheduler.setOwnershipProven(true);
+        driven.advance(100);
+        assert.equal(driven.startedTasks().length, 2);
+    });
+
+    it("should stop a start that was not answered and wait until the worker is known not to run it", () => {
+        const driven = createDrivenScheduler({ workers: 2 });
+        driven.list("w1", { sentAtMs: 0 });
+        driven.submit("job", { taskCount: 1 });
+        driven.answerStarts(orderOutcomes.unknown);
+        driven.list("w2", {});
+        assert.equal(driven.startedTasks().length, 1);
+        assert.deepEqual(driven.commands(commandKinds.stop).map(run => run.taskName), ["job.0.0.0"]);
+        driven.answerStops(orderOutcomes.accepted);
+        driven.advance(10);
+        driven.list("w1", {});
+        assert.equal(driven.startedTasks().length, 2);
+    });
+
+    it("should reserve the room of a run until its end is listed", () => {
+        const driven = createDrivenScheduler({ workers: 1, cpuMillicores: 1_000 });
+        driven.list("w1", { sentAtMs: 0 });
+        driven.submit("first", { taskCount: 1 });
+        driven.answerStarts(orderOutcomes.accepted);
+        driven.scheduler.cancelJob("first", driven.nowMs());
+        driven.submit("second", { taskCount: 1 });
+        driven.answerStops(orderOutcomes.accepted);
+        driven.advance(10);
+        assert.deepEqual(driven.startedTasks(), ["first.0.0.0"]);
+        driven.list("w1", { ended: [{ taskName: "first.0.0.0", end: "stopped" }] });
+        assert.deepEqual(driven.startedTasks(), ["first.0.0.0", "second.0.0.0"]);
+    });
+
+    it("should acknowledge an end only once the store holds it", () => {
+        const driven = createDrivenScheduler({ workers: 1 });
+        driven.list("w1", { sentAtMs: 0 });
+        driven.submit("job", { taskCount: 2 });
+        driven.answerStarts(orderOutcomes.accepted);
+        driven.list("w1", { ended: [{ taskName: "job.0.0.0", end: "done" }], running: ["job.0.0.1"] });
+        assert.equal(driven.scheduler.acknowledgedEndNumber("w1"), 0);
+        driven.saveAll();
+        assert.equal(driven.scheduler.acknowledgedEndNumber("w1"), 1);
+    });
+
+    it("should adopt what an earlier owner started, and hold its jobs back until every worker has answered", () => {
+        const driven = createDrivenScheduler({ workers: 2, token: 100 });
+        driven.submit("old", { taskCount: 1, acceptedRevision: 50 });
+        driven.list("w1", { sentAtMs: 0 });
+        assert.deepEqual(driven.startedTasks(), []);
+        driven.list("w2", { running: [{ taskName: "old.0.0.0", runId: 7 }] });
+        assert.deepEqual(driven.startedTasks(), [], "the run was not adopted");
+        driven.list("w2", { ended: [{ taskName: "old.0.0.0", runId: 7, end: "failed" }] });
+        assert.deepEqual(driven.startedTasks(), ["old.0.0.0"]);
+        assert.ok(driven.commands(commandKinds.start)[0]!.runId > 7);
+    });
+
+    it("should start jobs that came after the takeover at once", () => {
+        const driven = createDrivenScheduler({ workers: 2, token: 100 });
+        driven.submit("new", { taskCount: 1, acceptedRevision: 101 });
+        driven.list("w1", { sentAtMs: 0 });
+        assert.deepEqual(driven.startedTasks(), ["new.0.0.0"]);
+    });
+});
