--- a/src/process/progressWriter.ts
+++ b/src/process/progressWriter.ts
@@ -10,6 +10,7 @@
 
 export interface ProgressWriterOptions {
     store: ChangeFeedStore;
+    nowMs(): number;
     /** Revision of the owner's term; a write under another one must not land. */
     termRevision(): number | undefined;
     revisionOf(key: string): number;
@@ -24,12 +25,17 @@
 /** A transaction takes 32 entries: the term's guard, and a guard and a write for each job. */
 const jobsPerWrite = 15;
 const maximumOpenWrites = 3;
+/** After a failure the next write waits, longer each time. */
+const firstPauseMs = 50;
+const longestPauseMs = 400;
 
 export function createProgressWriter(options: ProgressWriterOptions): ProgressWriter {
     /** Revisions that this process wrote, which the mirror may not show yet. */
     const writtenRevisions = new Map<string, number>();
     const open = new Set<string>();
     let openWrites = 0;
+    let pauseMs = 0;
+    let pausedUntilMs = 0;
 
     const expectedRevision = (key: string): number => Math.max(writtenRevisions.get(key) ?? 0, options.revisionOf(key));
 
@@ -43,11 +49,14 @@
         if (swapped.ok && swapped.val.isSwapped) {
             const { revision } = swapped.val;
             keys.forEach(key => writtenRevisions.set(key, revision));
+            pauseMs = 0;
             jobs.forEach(job => options.onSaved(job.jobId, job.version));
             return;
         }
         jobs.forEach(job => options.onNotSaved(job.jobId));
         if (swapped.err) {
+            pauseMs = Math.min(longestPauseMs, Math.max(firstPauseMs, pauseMs * 2));
+            pausedUntilMs = options.nowMs() + pauseMs;
             options.onFailed(swapped.val.reason, jobs.length);
             return;
         }
@@ -61,7 +70,7 @@
 
     const pump = (): void => {
         const termRevision = options.termRevision();
-        while (termRevision !== undefined && openWrites < maximumOpenWrites) {
+        while (termRevision !== undefined && openWrites < maximumOpenWrites && options.nowMs() >= pausedUntilMs) {
             const taken = options.takeUnsaved(jobsPerWrite);
             const ready = taken.filter(job => !open.has(job.jobId));
             const waiting = taken.filter(job => open.has(job.jobId));
--- a/src/process/schedulingOwnership.ts
+++ b/src/process/schedulingOwnership.ts
@@ -26,6 +26,8 @@
     token(): number | undefined;
     /** Must be called when the mirror has applied changes. */
     onStoreChanged(): void;
+    /** A worker has refused an order for its token: another process has taken over, whatever the store says here. */
+    onFenced(): void;
     /** Gives up the ownership, so that another process takes over at once. */
     release(): Promise<void>;
 }
@@ -58,11 +60,11 @@
     renewedWallMs: number;
 }
 
-const checkIntervalMs = 100;
+const checkIntervalMs = 60;
 /** Part of the lease after which it is renewed: two renewals may fail. */
 const renewAfterPart = 0.3;
 /** Processes other than the last owner wait up to this long before they try, so that they do not all write at once. */
-const longestStaggerMs = 250;
+const longestStaggerMs = 120;
 
 export function createSchedulingOwnership(options: SchedulingOwnershipOptions): SchedulingOwnership {
     const { store, timers, logger, signal } = options;
@@ -86,8 +88,25 @@
         }
     };
 
+    /** Revision of the owner's key if an earlier life of this very process wrote it, which surely is over. */
+    const ownFormerRevision = (): number => {
+        const [owner] = options.mirror().values(jobKeys.owner);
+        if (!owner) {
+            return 0;
+        }
+        try {
+            const { memberId, nodeName } = JSON.parse(owner.value) as { memberId: string; nodeName: string };
+            return nodeName === options.nodeName && memberId !== options.memberId ? owner.revision : 0;
+        }
+        catch (error) {
+            logger.log(logEvents.documentUnreadable, { key: jobKeys.owner, reason: String(error) });
+            return 0;
+        }
+    };
+
     const take = async (): Promise<void> => {
         const mirror = options.mirror();
+        const formerRevision = held ? 0 : ownFormerRevision();
         const termRevision = mirror.revisionOf(jobKeys.term);
         const sentAtMs = timers.nowMs();
         const sentWallMs = timers.wallClockMs();
@@ -97,7 +116,7 @@
         }
         const value = JSON.stringify({ memberId: options.memberId, nodeName: options.nodeName });
         const swapped = await store.swap([
-            { key: jobKeys.owner, expectedRevision: 0 },
+            { key: jobKeys.owner, expectedRevision: formerRevision },
             { key: jobKeys.term, expectedRevision: termRevision },
         ], [{ key: jobKeys.owner, value, leaseId: lease.val }, { key: jobKeys.term, value }]);
         if (swapped.err || !swapped.val.isSwapped) {
@@ -133,8 +152,14 @@
 
     const tryToTake = async (): Promise<void> => {
         const mirror = options.mirror();
-        if (mirror.revision() === 0 || mirror.revisionOf(jobKeys.owner) !== 0) {
+        if (mirror.revision() === 0) {
+            return;
+        }
+        if (mirror.revisionOf(jobKeys.owner) !== 0) {
             vacantSinceMs = undefined;
+            if (ownFormerRevision() !== 0) {
+                await take();
+            }
             return;
         }
         vacantSinceMs ??= timers.nowMs();
@@ -169,6 +194,7 @@
         mayGiveOrders: () => held !== undefined && sinceRenewalMs(held) < options.leaseMs + options.continuationMs,
         token: () => held?.token,
         onStoreChanged,
+        onFenced: () => lose("a worker has had orders from a later owner"),
         release: async () => {
             isReleased = true;
             const term = held;
--- a/src/process/schedulingService.ts
+++ b/src/process/schedulingService.ts
@@ -1,5 +1,5 @@
 /** Runs the scheduler in the process that owns it: feeds it from the store and the workers, and carries out its commands. */
-import type { TimerService } from "../common/timerService.js";
+import { delay, type TimerService } from "../common/timerService.js";
 import type { ChangeFeedStore } from "../connection/platformStore.js";
 import type { ConnectWorker } from "../connection/workerClient.js";
 import type { DirectoryEvent, JobDirectory } from "../scheduling/jobDirectory.js";
@@ -7,7 +7,8 @@
 import type { SchedulingPolicy } from "../scheduling/jobTypes.js";
 import type { Moment } from "../scheduling/reconcileListing.js";
 import { createScheduler, type Scheduler } from "../scheduling/scheduler.js";
-import type { Decision } from "../scheduling/schedulerState.js";
+import { commandKinds, type Decision } from "../scheduling/schedulerState.js";
+import { decodeNote, encodeNote, noteStates, type SilentWorkerNote } from "../scheduling/silentWorkers.js";
 import type { WorkerEntry } from "../scheduling/workerRecord.js";
 import { logEvents } from "./logEvents.js";
 import type { Logger } from "./logger.js";
@@ -47,6 +48,10 @@
 const stepIntervalMs = 100;
 /** Progress of this time goes into one write; a part of what a step of work takes. */
 const saveIntervalMs = 20;
+/** A note that could not be written waits for the store to answer again. */
+const noteRetryMs = 200;
+/** Value of a note of which the worker answers again. */
+const emptyNote = "";
 const cleanIntervalMs = 5_000;
 /** Entries of a transaction that removes old jobs: three keys each. */
 const jobsPerRemoval = 8;
@@ -63,6 +68,8 @@
     let scheduler: Scheduler | undefined;
     let waitingTerm: OwnedTerm | undefined;
     let isPassScheduled = false;
+    /** Revisions of notes that this process wrote, which the mirror may not show yet. */
+    const noteRevisions = new Map<string, number>();
 
     const moment = (): Moment => ({ nowMs: timers.nowMs(), wallMs: timers.wallClockMs() });
     const mayGiveOrders = (): boolean => options.ownership().mayGiveOrders();
@@ -70,6 +77,7 @@
 
     const writer = createProgressWriter({
         store,
+        nowMs: timers.nowMs,
         termRevision: () => scheduler && options.ownership().token(),
         revisionOf: key => options.mirror().revisionOf(key),
         takeUnsaved: atMost => scheduler?.takeUnsaved(atMost) ?? [],
@@ -104,7 +112,7 @@
                         leaseMs: options.workerLeaseMs,
                         mayGiveOrders,
                         isOwnershipProven: () => options.ownership().isProven(),
-                        onFenced: () => options.ownership().onStoreChanged(),
+                        onFenced: () => options.ownership().onFenced(),
                         onChanged: schedulePass,
                     }),
                 );
@@ -112,6 +120,31 @@
         }
     };
 
+    /**
+     * Writes or empties the note of a silent worker. A note is emptied, not deleted, and each write names the revision before
+     * it: an earlier write that lands late would otherwise bring an outdated note back.
+     */
+    const changeNote = async (owner: Scheduler, workerId: string, note: SilentWorkerNote | undefined): Promise<void> => {
+        const key = jobKeys.silentPrefix + workerId;
+        const token = options.ownership().token();
+        const expectedRevision = Math.max(noteRevisions.get(key) ?? 0, options.mirror().revisionOf(key));
+        const swapped = token === undefined ? undefined : await store.swap(
+            [{ key: jobKeys.term, expectedRevision: token }, { key, expectedRevision }],
+            [{ key, value: note ? encodeNote(note) : emptyNote }],
+        );
+        const isDone = swapped?.ok === true && swapped.val.isSwapped;
+        if (swapped?.ok) {
+            const current = swapped.val.current.find(each => each.key === key)?.revision ?? 0;
+            noteRevisions.set(key, swapped.val.isSwapped ? swapped.val.revision : current);
+        }
+        if (!isDone) {
+            await delay(timers, noteRetryMs, options.signal);
+        }
+        // After a lost answer the note may stand or not: taken as standing, it is emptied before anything starts there.
+        owner.noteChanged(workerId, note === undefined && isDone ? noteStates.none : noteStates.written);
+        schedulePass();
+    };
+
     const pass = (): void => {
         isPassScheduled = false;
         if (!scheduler) {
@@ -123,7 +156,12 @@
             scheduler.step(moment());
         }
         for (const command of scheduler.takeCommands()) {
-            sessions.get("run" in command ? command.run.workerId : command.workerId)?.carryOut(command);
+            if (command.kind === commandKinds.writeNote || command.kind === commandKinds.removeNote) {
+                void changeNote(scheduler, command.workerId, command.kind === commandKinds.writeNote ? command.note : undefined);
+            }
+            else {
+                sessions.get("run" in command ? command.run.workerId : command.workerId)?.carryOut(command);
+            }
         }
     };
     const schedulePass = (): void => {
@@ -173,6 +211,17 @@
                 begun.withdrawWorker(workerId);
             }
         }
+        for (const { key, value } of options.mirror().values(jobKeys.silentPrefix)) {
+            if (value === emptyNote) {
+                continue;
+            }
+            try {
+                begun.takeNote(decodeNote(value), announced.has(key.slice(jobKeys.silentPrefix.length)), now);
+            }
+            catch (error) {
+                logger.log(logEvents.documentUnreadable, { key, reason: String(error) });
+            }
+        }
         options.onSchedulerChanged(begun);
         schedulePass();
     };
--- a/src/process/workerSession.ts
+++ b/src/process/workerSession.ts
@@ -6,8 +6,11 @@
 import { type Scheduler, startValidityMs } from "../scheduling/scheduler.js";
 import { commandKinds, type SchedulerCommand } from "../scheduling/schedulerState.js";
 
+/** Commands that are orders to the worker. */
+export type WorkerCommand = Extract<SchedulerCommand, { kind: "start" | "stop" | "pace" | "look" }>;
+
 export interface WorkerSession {
-    carryOut(command: SchedulerCommand): void;
+    carryOut(command: WorkerCommand): void;
     /** Progress was saved: ends that the worker repeats may be acknowledged now. */
     onSaved(): void;
     end(): void;
@@ -30,10 +33,8 @@
 }
 
 /** How long a hold waits for an end; each one also renews the leases. */
-const holdWaitMs = 1_500;
+const holdWaitMs = 1_000;
 const retryPauseMs = 100;
-/** A worker that did not answer gets no new runs for so long. */
-const silentPauseMs = 1_000;
 /** Bound of the wait for ends to be saved before the next hold, which would return at once with the same ends. */
 const savePauseMs = 40;
 
@@ -67,7 +68,7 @@
             scheduler.listed(workerId, answer.listing, sentAtMs, now);
         }
         else {
-            scheduler.workerSilent(workerId, now.nowMs + silentPauseMs);
+            scheduler.workerSilent(workerId, now.nowMs);
         }
         options.onChanged();
     };
@@ -129,6 +130,7 @@
         });
         if (answer.isFenced) {
             options.onFenced();
+            return;
         }
         scheduler.startAnswered(ordered, answer.outcome, answer.reason, moment());
         options.onChanged();
--- a/src/scheduling/dispatchWaiting.ts
+++ b/src/scheduling/dispatchWaiting.ts
@@ -58,7 +58,8 @@
 }
 
 function isUsable(worker: WorkerRecord, poolName: string, nowMs: number): boolean {
-    return worker.entry.poolName === poolName && worker.isAnnounced && !worker.entry.isDraining && !worker.isCordoned &&
+    return worker.entry.poolName === poolName && worker.isAnnounced && worker.note === "none" && !worker.entry.isDraining &&
+        !worker.isCordoned &&
         worker.avoidedUntilMs <= nowMs && worker.lastAnswerAtMs !== undefined && nowMs - worker.lastAnswerAtMs < silentAfterMs;
 }
 
@@ -122,6 +123,7 @@
         requested: step.spec.request,
         reserved: reservedBy(step.spec),
         startedAtMs: nowMs,
+        isPresumed: false,
         hasBegun: false,
         answeredAtMs: undefined,
         percent: 0,
--- a/src/scheduling/jobDocuments.ts
+++ b/src/scheduling/jobDocuments.ts
@@ -12,6 +12,8 @@
     owner: "nutmegjunction/owner",
     /** Rewritten by each new owner; its revision fences the owner's writes. */
     term: "nutmegjunction/term",
+    /** Workers that do not answer, with what may run on them. */
+    silentPrefix: "nutmegjunction/silent/",
     prefix: "nutmegjunction/",
 } as const;
 
--- a/src/scheduling/reconcileListing.ts
+++ b/src/scheduling/reconcileListing.ts
@@ -114,6 +114,9 @@
     if (!place) {
         return;
     }
+    // An earlier owner that gave the task a higher run id was sure that the run before had ended.
+    const known = step?.runs.get(place.taskIndex) ?? [];
+    known.filter(run => run.isPresumed && run.runId < listed.runId).forEach(run => detachRun(state, run));
     const isWanted = job && step && !isFinalState(job.state) && !step.done.has(place.taskIndex) && !step.runs.has(place.taskIndex);
     const none = { cpuMillicores: 0, memoryMb: 0, accelerators: 0 };
     const run: Run = {
@@ -127,6 +130,7 @@
         requested: step?.spec.request ?? none,
         reserved: step ? reservedBy(step.spec) : none,
         startedAtMs: moment.nowMs,
+        isPresumed: false,
         hasBegun: true,
         answeredAtMs: moment.nowMs,
         percent: listed.percent,
@@ -182,6 +186,7 @@
             continue;
         }
         run.hasBegun = true;
+        run.isPresumed = false;
         run.percent = listed.percent;
         run.measured = listed.measured;
         run.checkpoint = listed.checkpoint;
@@ -191,6 +196,7 @@
     }
     dropAbsent(state, worker, listing, sentAtMs, moment);
     worker.isSettled = true;
+    worker.silentSinceMs = undefined;
     worker.lastAnswerAtMs = moment.nowMs;
     if (worker.unsavedEnds.length === 0 && listing.ended.length >= 500) {
         state.commands.push({ kind: commandKinds.look, workerId: worker.entry.workerId });
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -22,6 +22,7 @@
     stopRun,
     type Term,
 } from "./schedulerState.js";
+import { adoptNote, keepNotes, type NoteState, noteStates, type SilentWorkerNote } from "./silentWorkers.js";
 import { acknowledgedEndNumber, createWorkerRecord, type Run, runPhases, type WorkerEntry, type WorkerRecord } from "./workerRecord.js";
 
 export interface SchedulerOptions {
@@ -88,7 +89,10 @@
                 loseRuns(state, worker, "its lease has ended", moment);
             }
             worker.isSettled = true;
-            if (!worker.isAnnounced) {
+            if (!worker.isAnnounced && worker.note !== noteStates.changing) {
+                if (worker.note === noteStates.written) {
+                    state.commands.push({ kind: commandKinds.removeNote, workerId: worker.entry.workerId });
+                }
                 state.workers.delete(worker.entry.workerId);
                 state.onDecision({ what: "worker left", workerId: worker.entry.workerId });
             }
@@ -195,10 +199,34 @@
             }
         },
         /** The worker did not answer; it gets no new runs until it does. */
-        workerSilent: (workerId: string, untilMs: number): void => {
+        workerSilent: (workerId: string, nowMs: number): void => {
+            const worker = state.workers.get(workerId);
+            if (worker) {
+                worker.silentSinceMs ??= nowMs;
+            }
+        },
+        /** Takes over what an earlier owner wrote of a silent worker; to be called when the term begins. */
+        takeNote: (note: SilentWorkerNote, isAnnounced: boolean, moment: Moment): void => {
+            const { workerId, bornWallMs } = note.entry;
+            if (!state.workers.has(workerId)) {
+                addWorker(note.entry, moment.nowMs);
+            }
+            const worker = state.workers.get(workerId)!;
+            worker.isAnnounced = isAnnounced;
+            const leaseEndsAtMs = moment.nowMs + options.workerLeaseMs * (1 + slowClockPart) + clockEstimateSlackMs;
+            if (worker.entry.bornWallMs === bornWallMs) {
+                worker.leaseEndsAtMs = leaseEndsAtMs;
+                adoptNote(state, worker, note, moment.nowMs);
+            }
+            else {
+                worker.note = noteStates.written;
+            }
+        },
+        /** The store holds the note, or no longer, or the write is to be tried again. */
+        noteChanged: (workerId: string, noteState: NoteState): void => {
             const worker = state.workers.get(workerId);
             if (worker) {
-                worker.avoidedUntilMs = Math.max(worker.avoidedUntilMs, untilMs);
+                worker.note = noteState;
             }
         },
         /** The address of the worker belongs to another life, so that all it ran is gone. */
@@ -237,6 +265,7 @@
                 reason,
             });
             if (outcome === orderOutcomes.unknown) {
+                worker.silentSinceMs ??= moment.nowMs;
                 if (run.phase === runPhases.starting || run.phase === runPhases.running) {
                     run.phase = runPhases.unsettled;
                     stopRun(state, run, "its start was not answered");
@@ -306,6 +335,7 @@
                 dropSilentWorkers(moment);
             }
             leaveDrainingWorkers();
+            keepNotes(state);
             dispatchWaiting(state, moment);
         },
         takeCommands: (): SchedulerCommand[] => state.commands.splice(0),
--- a/src/scheduling/schedulerState.ts
+++ b/src/scheduling/schedulerState.ts
@@ -1,9 +1,19 @@
 /** The state of the scheduler and the changes that its parts share. */
 import { isFinalState, isOccurrenceDone, type JobRecord, type StepRecord, taskProgress } from "./jobRecord.js";
 import { addResources, type JobState, jobStates, noResources, type Resources, type SchedulingPolicy } from "./jobTypes.js";
+import type { SilentWorkerNote } from "./silentWorkers.js";
 import { removeRun, type Run, runPhases, type WorkerRecord } from "./workerRecord.js";
 
-export const commandKinds = { start: "start", stop: "stop", pace: "pace", look: "look" } as const;
+export const commandKinds = {
+    start: "start",
+    stop: "stop",
+    pace: "pace",
+    /** Asks for a listing at once. */
+    look: "look",
+    /** Writes down that a worker is silent, and removes that. */
+    writeNote: "writeNote",
+    removeNote: "removeNote",
+} as const;
 
 export interface StartCommand {
     kind: typeof commandKinds.start;
@@ -12,12 +22,14 @@
     checkpoint: string;
 }
 
-/** What the scheduler asks of a worker. `look` asks for a listing at once. */
+/** What the scheduler asks of a worker, or of the store about one. */
 export type SchedulerCommand =
     | StartCommand
     | { kind: typeof commandKinds.stop; run: Run; reason: string }
     | { kind: typeof commandKinds.pace; run: Run; percent: number }
-    | { kind: typeof commandKinds.look; workerId: string };
+    | { kind: typeof commandKinds.look; workerId: string }
+    | { kind: typeof commandKinds.writeNote; workerId: string; note: SilentWorkerNote }
+    | { kind: typeof commandKinds.removeNote; workerId: string };
 
 /** One period for which this process owns the scheduling. */
 export interface Term {
--- a/src/scheduling/workerRecord.ts
+++ b/src/scheduling/workerRecord.ts
@@ -44,6 +44,8 @@
     /** Counts toward the worker's room. */
     reserved: Resources;
     startedAtMs: number;
+    /** Known only from an earlier owner's note; the worker has not been heard of since. */
+    isPresumed: boolean;
     /** Whether the worker is known to have begun the run; if not, its order may still be under way. */
     hasBegun: boolean;
     /** When the start or the stop was answered: a listing asked for later must show the run or its end. */
@@ -83,6 +85,10 @@
     failuresInRow: number;
     /** Until then the worker gets no new runs. */
     avoidedUntilMs: number;
+    /** Since when it does not answer; `undefined` while it does. */
+    silentSinceMs: number | undefined;
+    /** Whether the store holds a note of its silence; without `none` it gets no new runs. */
+    note: "none" | "changing" | "written";
     /** Kept free because its VM is to be moved or restarted. */
     isCordoned: boolean;
     /** An order that ends everything on its VM was sent. */
@@ -102,6 +108,8 @@
         leaseEndsAtMs,
         failuresInRow: 0,
         avoidedUntilMs: 0,
+        silentSinceMs: undefined,
+        note: "none",
         isCordoned: false,
         isEnding: false,
     };
--- a/tests/scheduling/drivenScheduler.ts
+++ b/tests/scheduling/drivenScheduler.ts
@@ -38,6 +38,8 @@
     answerStarts(outcome: OrderOutcome): void;
     answerStops(outcome: OrderOutcome): void;
     saveAll(): void;
+    /** Hands in what an earlier owner wrote of a silent worker. */
+    takeNote(workerId: string, runs: readonly (readonly [string, number])[]): void;
     /** Names of the tasks that were started, in order. */
     startedTasks(): string[];
     commands(kind: "start" | "stop" | "pace"): Run[];
@@ -172,6 +174,8 @@
             scheduler.takeUnsaved(100).forEach(job => scheduler.saved(job.jobId, job.version));
             pump();
         },
+        takeNote: (workerId, runs) =>
+            scheduler.takeNote({ entry: scheduler.state.workers.get(workerId)!.entry, runs: [...runs] }, true, moment()),
         startedTasks: () => given.flatMap(command => command.kind === commandKinds.start ? [command.run.taskName] : []),
         commands: kind => given.flatMap(command => command.kind === kind && "run" in command ? [command.run] : []),
     };
--- a/tests/scheduling/silentWorkers.spec.ts
+++ b/tests/scheduling/silentWorkers.spec.ts
@@ -3,6 +3,7 @@
 import { describe, it } from "node:test";
 import { orderOutcomes } from "../../src/scheduling/orderOutcomes.js";
 import { commandKinds } from "../../src/scheduling/schedulerState.js";
+import { noteStates } from "../../src/scheduling/silentWorkers.js";
 import { createDrivenScheduler } from "./drivenScheduler.js";
 
 describe("silent workers", () => {
@@ -103,4 +104,43 @@
         driven.list("w1", { sentAtMs: 0 });
         assert.deepEqual(driven.startedTasks(), ["new.0.0.0"]);
     });
+
+    it("should start nothing on a worker before the note of its silence is emptied", () => {
+        const driven = createDrivenScheduler({ workers: 1 });
+        driven.list("w1", { sentAtMs: 0 });
+        driven.scheduler.workerSilent("w1", driven.nowMs());
+        driven.advance(10);
+        driven.scheduler.noteChanged("w1", noteStates.written);
+        driven.submit("job", { taskCount: 1 });
+        driven.list("w1", {});
+        assert.deepEqual(driven.startedTasks(), []);
+        driven.scheduler.noteChanged("w1", noteStates.none);
+        driven.advance(10);
+        assert.deepEqual(driven.startedTasks(), ["job.0.0.0"]);
+    });
+
+    it("should wait only for the tasks of a silent worker that an earlier owner wrote down", () => {
+        const driven = createDrivenScheduler({ workers: 2, token: 100 });
+        driven.submit("noted", { taskCount: 1, acceptedRevision: 50 });
+        driven.submit("other", { taskCount: 1, acceptedRevision: 51 });
+        driven.takeNote("w1", [["noted.0.0.0", 7]]);
+        driven.list("w2", { sentAtMs: 0 });
+        driven.answerStarts(orderOutcomes.accepted);
+        assert.deepEqual(driven.startedTasks(), ["other.0.0.0"]);
+        driven.advance(2_000);
+        driven.hold("w2");
+        driven.advance(4_500);
+        driven.list("w2", { running: ["other.0.0.0"] });
+        assert.deepEqual(driven.startedTasks(), ["other.0.0.0", "noted.0.0.0"]);
+    });
+
+    it("should keep the later of two runs when a note names the earlier one", () => {
+        const driven = createDrivenScheduler({ workers: 2, token: 100 });
+        driven.submit("job", { taskCount: 1, acceptedRevision: 50 });
+        driven.takeNote("w1", [["job.0.0.0", 7]]);
+        driven.list("w2", { running: [{ taskName: "job.0.0.0", runId: 8 }] });
+        assert.deepEqual(driven.commands(commandKinds.stop), []);
+        driven.list("w1", { running: [{ taskName: "job.0.0.0", runId: 7 }] });
+        assert.deepEqual(driven.commands(commandKinds.stop).map(run => run.runId), [7]);
+    });
 });
