Repeat refused stops, count silent workers as absent, reserve room for runs of unknown size

A node out of touch answers a hand-in that it could not store with 504: it cannot know of an earlier attempt elsewhere. Tests: three in silentWorkers.spec, red before, green after.

--- a/src/process/jobService.ts
+++ b/src/process/jobService.ts
@@ -65,7 +65,10 @@
             case commitOutcomes.outdated:
                 return { kind: jobAnswers.outdated };
             case commitOutcomes.notStored:
-                return refuse("the store did not take the write");
+                // Out of touch, this process cannot know whether the caller's earlier attempt was accepted elsewhere.
+                return isStale() ?
+                    { kind: jobAnswers.unknown, reason: "out of touch with the store" } :
+                    refuse("the store did not take the write");
             default:
                 logger.log(logEvents.jobOutcomeUnknown, { jobId, key });
                 return { kind: jobAnswers.unknown, reason: "the store's answer was lost" };
--- a/src/process/workerSession.ts
+++ b/src/process/workerSession.ts
@@ -142,7 +142,10 @@
             options.onFenced();
             return;
         }
-        if (answer.outcome === orderOutcomes.unknown) {
+        if (answer.outcome === orderOutcomes.otherWorker) {
+            scheduler.workerReplaced(workerId, moment());
+        }
+        if (answer.outcome !== orderOutcomes.accepted) {
             await delay(timers, retryPauseMs, signal);
         }
         scheduler.stopAnswered(ordered, answer.outcome, moment());
--- a/src/scheduling/availability.ts
+++ b/src/scheduling/availability.ts
@@ -10,7 +10,9 @@
 }
 
 function isAtWork(state: SchedulerState, run: Run): boolean {
-    return run.phase === runPhases.running && run.percent >= atWorkPercent && state.workers.get(run.workerId)?.isEnding === false;
+    const worker = state.workers.get(run.workerId);
+    return run.phase === runPhases.running && run.percent >= atWorkPercent && worker?.isEnding === false &&
+        worker.silentSinceMs === undefined;
 }
 
 /** Tasks of the step that are at work now, as last listed. */
--- a/src/scheduling/reconcileListing.ts
+++ b/src/scheduling/reconcileListing.ts
@@ -128,7 +128,8 @@
         isServing: step !== undefined && step.spec.isLongRunning && !step.spec.isFiller,
         teamName: job?.submission.teamName,
         requested: step?.spec.request ?? none,
-        reserved: step ? reservedBy(step.spec) : none,
+        // Of a run whose job is over the size is not known: nothing fits beside it until it has ended.
+        reserved: step ? reservedBy(step.spec) : worker.entry.capacity,
         startedAtMs: moment.nowMs,
         isPresumed: false,
         hasBegun: true,
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -284,8 +284,9 @@
                 run.answeredAtMs = moment.nowMs;
                 state.commands.push({ kind: commandKinds.look, workerId: run.workerId });
             }
-            else if (outcome === orderOutcomes.unknown) {
-                state.commands.push({ kind: commandKinds.stop, run, reason: "the order to stop was not answered" });
+            else {
+                // The run may still start, or go on: only an answered stop, or the end of the lease, settles it.
+                state.commands.push({ kind: commandKinds.stop, run, reason: "the order to stop was not carried out" });
             }
         },
         /** The store holds the job's progress up to this version. */
--- a/tests/scheduling/silentWorkers.spec.ts
+++ b/tests/scheduling/silentWorkers.spec.ts
@@ -1,6 +1,7 @@
 /** Workers that fall silent, answer again, start anew or lose orders. */
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { spareTasksByStep } from "../../src/scheduling/availability.js";
 import { orderOutcomes } from "../../src/scheduling/orderOutcomes.js";
 import { commandKinds } from "../../src/scheduling/schedulerState.js";
 import { noteStates } from "../../src/scheduling/silentWorkers.js";
@@ -143,4 +144,45 @@
         driven.list("w1", { running: [{ taskName: "job.0.0.0", runId: 7 }] });
         assert.deepEqual(driven.commands(commandKinds.stop).map(run => run.runId), [7]);
     });
+
+    it("should repeat a stop until it is answered", () => {
+        const driven = createDrivenScheduler({ workers: 2 });
+        driven.list("w1", { sentAtMs: 0 });
+        driven.submit("job", { taskCount: 1 });
+        driven.answerStarts(orderOutcomes.unknown);
+        driven.answerStops(orderOutcomes.refused);
+        driven.answerStops(orderOutcomes.unknown);
+        driven.answerStops(orderOutcomes.accepted);
+        assert.equal(driven.commands(commandKinds.stop).length, 3);
+        driven.advance(10);
+        driven.list("w1", {});
+        driven.list("w2", {});
+        assert.equal(driven.startedTasks().length, 2);
+    });
+
+    it("should count long-running tasks on a silent worker as unavailable", () => {
+        const driven = createDrivenScheduler({ workers: 2 });
+        driven.list("w1", { sentAtMs: 0 });
+        driven.list("w2", { sentAtMs: 0 });
+        driven.submit("job", { taskCount: 2, isLongRunning: true, maxUnavailable: 1, maxTasksPerWorker: 1 });
+        driven.answerStarts(orderOutcomes.accepted);
+        const [first, second] = driven.startedTasks();
+        driven.advance(10);
+        driven.list(driven.commands(commandKinds.start)[0]!.workerId, { running: [first!] });
+        driven.list(driven.commands(commandKinds.start)[1]!.workerId, { running: [second!] });
+        assert.deepEqual([...spareTasksByStep(driven.scheduler.state).values()], [1]);
+        driven.scheduler.workerSilent("w1", driven.nowMs());
+        assert.deepEqual([...spareTasksByStep(driven.scheduler.state).values()], [0]);
+    });
+
+    it("should start nothing beside a run of unknown size until it has ended", () => {
+        const driven = createDrivenScheduler({ workers: 1 });
+        driven.list("w1", { running: [{ taskName: "over.0.0.0", runId: 3 }], sentAtMs: 0 });
+        driven.submit("job", { taskCount: 1 });
+        assert.deepEqual(driven.startedTasks(), []);
+        driven.answerStops(orderOutcomes.accepted);
+        driven.advance(10);
+        driven.list("w1", { ended: [{ taskName: "over.0.0.0", runId: 3, end: "stopped" }] });
+        assert.deepEqual(driven.startedTasks(), ["job.0.0.0"]);
+    });
 });
