--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -6,24 +6,13 @@
 import { decodeProgress, decodeSubmission, type JobProgress } from "./jobDocuments.js";
 import { createJobRecord, isFinalState, progressOf } from "./jobRecord.js";
 import { jobStates, type SchedulingPolicy } from "./jobTypes.js";
-import { type OrderOutcome, orderOutcomes } from "./orderOutcomes.js";
+import { takeStartAnswer, takeStopAnswer } from "./orderAnswers.js";
+import type { OrderOutcome } from "./orderOutcomes.js";
 import { beginLife, type Listing, loseRuns, type Moment, reconcileListing } from "./reconcileListing.js";
-import {
-    applyEnd,
-    commandKinds,
-    type Decision,
-    detachRun,
-    endJob,
-    markChanged,
-    releaseHeldBack,
-    runEnds,
-    type SchedulerCommand,
-    type SchedulerState,
-    stopRun,
-    type Term,
-} from "./schedulerState.js";
+import { type Decision, endJob, releaseHeldBack, type SchedulerCommand, type SchedulerState, type Term } from "./schedulerState.js";
 import { adoptNote, keepNotes, type NoteState, noteStates, type SilentWorkerNote } from "./silentWorkers.js";
-import { acknowledgedEndNumber, createWorkerRecord, type Run, runPhases, type WorkerEntry, type WorkerRecord } from "./workerRecord.js";
+import { addWorker, dropSilentWorkers, leaveDrainingWorkers, longestLeaseMs } from "./workerLife.js";
+import { acknowledgedEndNumber, type Run, type WorkerEntry } from "./workerRecord.js";
 
 export interface SchedulerOptions {
     policy: SchedulingPolicy;
@@ -46,13 +35,6 @@
 
 /** After this time on the worker's clock, an order to start is void: longer than any answer takes, short for those lost. */
 export const startValidityMs = 2_500;
-/** A worker that has failed to start a run is passed over for so long: its next answer may tell more. */
-const refusedPauseMs = 300;
-/** A worker's own clock may run slower than ours by this part, and its lease then ends later. */
-const slowClockPart = 0.02;
-/** Bound of the time between the estimate of a worker's clock and the order that carries it. */
-const clockEstimateSlackMs = 200;
-
 export function createScheduler(options: SchedulerOptions) {
     const state: SchedulerState = {
         policy: options.policy,
@@ -61,7 +43,7 @@
         workers: new Map(),
         teamUsed: new Map(),
         arrivedWork: new Map(),
-        startLeaseMs: startValidityMs * (1 + slowClockPart) + clockEstimateSlackMs,
+        startLeaseMs: longestLeaseMs(startValidityMs),
         isOwnershipProven: true,
         commands: [],
         unsavedJobs: new Set(),
@@ -69,46 +51,6 @@
         onDecision: options.onDecision,
     };
 
-    const workerOf = (run: Run): WorkerRecord | undefined => state.workers.get(run.workerId);
-    const isKnown = (run: Run): boolean => workerOf(run)?.runs.get(`${run.taskName}#${run.runId}`) === run;
-
-    const addWorker = (entry: WorkerEntry, nowMs: number): void => {
-        const worker = createWorkerRecord(entry, nowMs + options.unknownLeaseMs);
-        // A life that began during this term cannot hold runs of an earlier owner.
-        worker.isSettled = entry.bornWallMs > state.term.startedWallMs + clockEstimateSlackMs;
-        state.workers.set(entry.workerId, worker);
-        state.onDecision({ what: "worker joined", workerId: entry.workerId, detail: `${entry.poolName} ${entry.rack} ${entry.address}` });
-    };
-
-    const dropSilentWorkers = (moment: Moment): void => {
-        for (const worker of [...state.workers.values()]) {
-            if (moment.nowMs <= worker.leaseEndsAtMs) {
-                continue;
-            }
-            if (worker.runs.size > 0) {
-                loseRuns(state, worker, "its lease has ended", moment);
-            }
-            worker.isSettled = true;
-            if (!worker.isAnnounced && worker.note !== noteStates.changing) {
-                if (worker.note === noteStates.written) {
-                    state.commands.push({ kind: commandKinds.removeNote, workerId: worker.entry.workerId });
-                }
-                state.workers.delete(worker.entry.workerId);
-                state.onDecision({ what: "worker left", workerId: worker.entry.workerId });
-            }
-        }
-    };
-
-    /** Long-running tasks leave a draining worker before it ends them. */
-    const leaveDrainingWorkers = (): void => {
-        for (const worker of state.workers.values()) {
-            if (worker.entry.isDraining) {
-                [...worker.runs.values()].filter(run => run.isServing && run.phase === runPhases.running)
-                    .forEach(run => stopRun(state, run, "the worker is draining"));
-            }
-        }
-    };
-
     return {
         state,
         /** Begins another term of the same process, with which no other owner came between. */
@@ -161,7 +103,7 @@
         announceWorker: (entry: WorkerEntry, moment: Moment): void => {
             const worker = state.workers.get(entry.workerId);
             if (!worker) {
-                addWorker(entry, moment.nowMs);
+                addWorker(state, entry, options.unknownLeaseMs, moment.nowMs);
                 return;
             }
             if (entry.bornWallMs > worker.entry.bornWallMs) {
@@ -183,8 +125,7 @@
         holdSent: (workerId: string, durationMs: number, nowMs: number): void => {
             const worker = state.workers.get(workerId);
             if (worker) {
-                const endsAtMs = nowMs + durationMs * (1 + slowClockPart) + clockEstimateSlackMs;
-                worker.leaseEndsAtMs = Math.max(worker.leaseEndsAtMs, endsAtMs);
+                worker.leaseEndsAtMs = Math.max(worker.leaseEndsAtMs, nowMs + longestLeaseMs(durationMs));
             }
         },
         listed: (workerId: string, listing: Listing, sentAtMs: number, moment: Moment): void => {
@@ -194,7 +135,7 @@
                 reconcileListing(state, worker, listing, sentAtMs, moment);
                 if (!wasSettled && worker.isSettled) {
                     // From here on only this term's holds extend the leases.
-                    worker.leaseEndsAtMs = moment.nowMs + options.workerLeaseMs * (1 + slowClockPart) + clockEstimateSlackMs;
+                    worker.leaseEndsAtMs = moment.nowMs + longestLeaseMs(options.workerLeaseMs);
                 }
             }
         },
@@ -208,14 +149,10 @@
         /** Takes over what an earlier owner wrote of a silent worker; to be called when the term begins. */
         takeNote: (note: SilentWorkerNote, isAnnounced: boolean, moment: Moment): void => {
             const { workerId, bornWallMs } = note.entry;
-            if (!state.workers.has(workerId)) {
-                addWorker(note.entry, moment.nowMs);
-            }
-            const worker = state.workers.get(workerId)!;
+            const worker = state.workers.get(workerId) ?? addWorker(state, note.entry, options.unknownLeaseMs, moment.nowMs);
             worker.isAnnounced = isAnnounced;
-            const leaseEndsAtMs = moment.nowMs + options.workerLeaseMs * (1 + slowClockPart) + clockEstimateSlackMs;
             if (worker.entry.bornWallMs === bornWallMs) {
-                worker.leaseEndsAtMs = leaseEndsAtMs;
+                worker.leaseEndsAtMs = moment.nowMs + longestLeaseMs(options.workerLeaseMs);
                 adoptNote(state, worker, note, moment.nowMs);
             }
             else {
@@ -237,58 +174,9 @@
                 worker.isSettled = true;
             }
         },
-        startAnswered: (run: Run, outcome: OrderOutcome, reason: string, moment: Moment): void => {
-            const worker = workerOf(run);
-            if (!worker || !isKnown(run)) {
-                return;
-            }
-            run.answeredAtMs = moment.nowMs;
-            if (outcome === orderOutcomes.accepted) {
-                run.hasBegun = true;
-                if (run.phase === runPhases.starting) {
-                    run.phase = runPhases.running;
-                }
-                const job = state.jobs.get(run.jobId);
-                if (job && !job.hasStarted && !isFinalState(job.state)) {
-                    job.hasStarted = true;
-                    job.state = jobStates.running;
-                    markChanged(state, job);
-                }
-                return;
-            }
-            state.onDecision({
-                what: `start ${outcome}`,
-                jobId: run.jobId,
-                taskName: run.taskName,
-                runId: run.runId,
-                workerId: run.workerId,
-                reason,
-            });
-            if (outcome === orderOutcomes.unknown) {
-                worker.silentSinceMs ??= moment.nowMs;
-                if (run.phase === runPhases.starting || run.phase === runPhases.running) {
-                    run.phase = runPhases.unsettled;
-                    stopRun(state, run, "its start was not answered");
-                }
-                return;
-            }
-            worker.avoidedUntilMs = Math.max(worker.avoidedUntilMs, moment.nowMs + refusedPauseMs);
-            applyEnd(state, { ...run, end: runEnds.lost }, moment.nowMs, moment.wallMs);
-            detachRun(state, run);
-        },
-        stopAnswered: (run: Run, outcome: OrderOutcome, moment: Moment): void => {
-            if (!isKnown(run)) {
-                return;
-            }
-            if (outcome === orderOutcomes.accepted) {
-                run.answeredAtMs = moment.nowMs;
-                state.commands.push({ kind: commandKinds.look, workerId: run.workerId });
-            }
-            else {
-                // The run may still start, or go on: only an answered stop, or the end of the lease, settles it.
-                state.commands.push({ kind: commandKinds.stop, run, reason: "the order to stop was not carried out" });
-            }
-        },
+        startAnswered: (run: Run, outcome: OrderOutcome, reason: string, moment: Moment): void =>
+            takeStartAnswer(state, run, outcome, reason, moment),
+        stopAnswered: (run: Run, outcome: OrderOutcome, moment: Moment): void => takeStopAnswer(state, run, outcome, moment),
         /** The store holds the job's progress up to this version. */
         saved: (jobId: string, version: number): void => {
             const job = state.jobs.get(jobId);
@@ -333,9 +221,9 @@
          */
         step: (moment: Moment): void => {
             if (state.isOwnershipProven) {
-                dropSilentWorkers(moment);
+                dropSilentWorkers(state, moment);
             }
-            leaveDrainingWorkers();
+            leaveDrainingWorkers(state);
             keepNotes(state);
             dispatchWaiting(state, moment);
         },
--- /dev/null
+++ b/tests/decisions/schedulingPolicy.spec.ts
@@ -0,0 +1,209 @@
+/** The decisions of the scheduler, each under the load that it answers. */
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { lateness, orderSteps, type StepOrderInput } from "../../src/decisions/orderSteps.js";
+import { type PlacementCandidate, placeTask } from "../../src/decisions/placeTask.js";
+import { neededVms, planMoves, type PoolDemand } from "../../src/decisions/planMoves.js";
+import { planWave, type WavePlanInput, type WaveVm } from "../../src/decisions/planWave.js";
+
+const step = (changes: Partial<StepOrderInput>): StepOrderInput => ({
+    isLongRunning: false,
+    priority: 0,
+    workMillicoreS: 1_000,
+    submittedWallMs: 0,
+    objectiveWallMs: 2_000,
+    chainMs: 1_000,
+    hasStarted: false,
+    ...changes,
+});
+
+describe("the order of waiting steps", () => {
+    it("should put work that can meet its objective before work that cannot", () => {
+        const [onTime, late] = [step({ workMillicoreS: 9_000 }), step({ objectiveWallMs: 500 })];
+        assert.deepEqual(orderSteps([late, onTime], 100), [onTime, late]);
+    });
+
+    it("should put long-running tasks first", () => {
+        const serving = step({ isLongRunning: true, workMillicoreS: 99_000 });
+        assert.equal(orderSteps([step({}), serving], 0)[0], serving);
+    });
+
+    it("should serve more callers in a surge than first come first served", () => {
+        // One worker, twenty jobs at once of one to twenty units of work; each objective allows forty units of waiting.
+        const jobs = Array.from(
+            { length: 20 },
+            (_, index) => step({ workMillicoreS: 20 - index, submittedWallMs: index / 100, chainMs: 20 - index, objectiveWallMs: 60 }),
+        );
+        const servedInTime = (ordered: readonly StepOrderInput[]): number => {
+            let endMs = 0;
+            return ordered.filter(job => (endMs += job.workMillicoreS) <= job.objectiveWallMs).length;
+        };
+        assert.ok(servedInTime(orderSteps(jobs, 0)) >= 2 * servedInTime(jobs));
+    });
+
+    it("should tell what is late from what has no value left", () => {
+        assert.deepEqual([0, 1_500, 6_000].map(wallMs => lateness(step({}), wallMs)), [0, 1, 2]);
+    });
+});
+
+const candidate = (changes: Partial<PlacementCandidate>): PlacementCandidate => ({
+    workerId: "w",
+    rack: "r1",
+    zone: "z",
+    freeCpuMillicores: 16_000,
+    freeMemoryMb: 64_000,
+    sameStepCount: 0,
+    sameStepOnRackCount: 0,
+    longRunningCount: 0,
+    ...changes,
+});
+
+describe("the placement of tasks", () => {
+    const short = { isLongRunning: false, isFiller: false, cpuMillicores: 1_000, preferredRack: undefined };
+
+    it("should fill a worker before it opens another, so that whole workers stay empty", () => {
+        const [empty, half] = [candidate({ workerId: "empty" }), candidate({ workerId: "half", freeCpuMillicores: 8_000 })];
+        assert.equal(placeTask(short, [empty, half]), half);
+    });
+
+    it("should spread a long-running step over workers and racks", () => {
+        const serving = { ...short, isLongRunning: true };
+        const taken = candidate({ sameStepCount: 1, sameStepOnRackCount: 1 });
+        const sameRack = candidate({ sameStepOnRackCount: 1 });
+        const otherRack = candidate({ rack: "r2", freeCpuMillicores: 2_000 });
+        assert.equal(placeTask(serving, [taken, sameRack, otherRack]), otherRack);
+    });
+
+    it("should stay near the data", () => {
+        const near = candidate({ rack: "r2", freeCpuMillicores: 15_000 });
+        assert.equal(placeTask({ ...short, preferredRack: "r2" }, [candidate({ freeCpuMillicores: 1_000 }), near]), near);
+    });
+});
+
+const pool = (poolName: string, changes: Partial<PoolDemand>): PoolDemand => ({
+    poolName,
+    isStandby: false,
+    vmCount: 4,
+    incomingCount: 0,
+    vmCpuMillicores: 16_000,
+    busyCpuMillicores: 0,
+    waitingCpuMillicores: 0,
+    arrivingCpuMillicores: 0,
+    servingCpuMillicores: 0,
+    ...changes,
+});
+const emptyVms = (poolName: string, count: number, emptySinceMs: number) =>
+    Array.from({ length: count }, (_, index) => ({ vmId: `${poolName}-${index}`, poolName, emptySinceMs, vmCpuMillicores: 16_000 }));
+
+describe("moves of VMs between pools", () => {
+    it("should lend a surging pool the empty VMs of a quiet one, and then those of standby", () => {
+        const moves = planMoves({
+            nowMs: 1_000,
+            pools: [
+                pool("surging", { busyCpuMillicores: 60_000, waitingCpuMillicores: 40_000 }),
+                pool("quiet", { vmCount: 3, servingCpuMillicores: 3_000 }),
+                pool("spare", { isStandby: true }),
+            ],
+            emptyVms: [...emptyVms("quiet", 2, 0), ...emptyVms("spare", 4, 0)],
+        });
+        assert.deepEqual(moves.map(move => [move.fromPool, move.toPool]), [
+            ["quiet", "surging"],
+            ["quiet", "surging"],
+            ["spare", "surging"],
+            ["spare", "surging"],
+        ]);
+    });
+
+    it("should not move more VMs while the ones it moved are on their way", () => {
+        const pools = [
+            pool("surging", { busyCpuMillicores: 60_000, waitingCpuMillicores: 20_000, incomingCount: 2 }),
+            pool("spare", { isStandby: true }),
+        ];
+        assert.deepEqual(planMoves({ nowMs: 1_000, pools, emptyVms: emptyVms("spare", 4, 0) }), []);
+    });
+
+    it("should leave VMs alone that were busy a moment ago", () => {
+        const pools = [pool("surging", { waitingCpuMillicores: 99_000 }), pool("quiet", {})];
+        assert.deepEqual(planMoves({ nowMs: 1_000, pools, emptyVms: emptyVms("quiet", 2, 900) }), []);
+    });
+
+    it("should send VMs to standby only after they were empty for long, and keep one", () => {
+        const pools = [pool("quiet", { vmCount: 2 }), pool("spare", { isStandby: true, vmCount: 0 })];
+        assert.deepEqual(planMoves({ nowMs: 1_000, pools, emptyVms: emptyVms("quiet", 2, 0) }), []);
+        assert.equal(planMoves({ nowMs: 9_000, pools, emptyVms: emptyVms("quiet", 1, 0) }).length, 1);
+    });
+
+    it("should keep up with a surge that wanders from queue to queue", () => {
+        // Four queues in turn ask for 1.5 times what their pool holds; what is idle elsewhere covers it after one move.
+        const names = ["a", "b", "c", "d"];
+        const counts = new Map(names.map(name => [name, 4]));
+        for (const surging of names) {
+            const pools = names.map(name =>
+                pool(name, { vmCount: counts.get(name)!, busyCpuMillicores: name === surging ? 96_000 : 3_000 })
+            );
+            const idle = names.flatMap(name => name === surging ? [] : emptyVms(name, counts.get(name)! - 1, 0));
+            for (const move of planMoves({ nowMs: 1_000, pools, emptyVms: idle })) {
+                counts.set(move.fromPool, counts.get(move.fromPool)! - 1);
+                counts.set(move.toPool, counts.get(move.toPool)! + 1);
+            }
+            const needed = neededVms(pools.find(each => each.poolName === surging)!);
+            assert.equal(counts.get(surging), needed, `pool ${surging} has ${counts.get(surging)} of ${needed} VMs`);
+        }
+        assert.equal([...counts.values()].reduce((sum, count) => sum + count, 0), 16);
+    });
+});
+
+const waveVm = (vmId: string, changes: Partial<WaveVm>): WaveVm => ({
+    vmId,
+    isUp: true,
+    cordonedSinceMs: undefined,
+    shortRunCount: 0,
+    servingByStep: new Map(),
+    poolLoad: 0,
+    ...changes,
+});
+const waveInput = (changes: Partial<WavePlanInput>): WavePlanInput => ({
+    nowMs: 10_000,
+    vms: [],
+    downCount: 0,
+    maximumDown: 2,
+    spareByStep: new Map(),
+    timeLeftMs: 60_000,
+    restartMs: 2_000,
+    ...changes,
+});
+
+describe("a maintenance wave", () => {
+    it("should never have more VMs down than it may", () => {
+        const vms = ["a", "b", "c", "d"].map(vmId => waveVm(vmId, {}));
+        assert.equal(planWave(waveInput({ vms, downCount: 1 })).restart.length, 1);
+        assert.equal(planWave(waveInput({ vms, downCount: 2 })).restart.length, 0);
+    });
+
+    it("should end only as many tasks of a long-running step as it can spare, over all VMs together", () => {
+        const vms = ["a", "b"].map(vmId => waveVm(vmId, { servingByStep: new Map([["step", 1]]) }));
+        assert.deepEqual(planWave(waveInput({ vms, spareByStep: new Map([["step", 1]]) })).restart, ["a"]);
+        assert.deepEqual(planWave(waveInput({ vms, spareByStep: new Map([["step", 0]]) })).restart, []);
+    });
+
+    it("should move one task away from a VM that carries more of a step than can be spared", () => {
+        const vms = [waveVm("a", { servingByStep: new Map([["step", 2]]) })];
+        const plan = planWave(waveInput({ vms, spareByStep: new Map([["step", 1]]) }));
+        assert.deepEqual([plan.restart, plan.evacuate], [[], [{ vmId: "a", step: "step" }]]);
+    });
+
+    it("should count a planned restart and an evacuation of one step together", () => {
+        const vms = [
+            waveVm("a", { servingByStep: new Map([["step", 1]]) }),
+            waveVm("b", { servingByStep: new Map([["step", 2]]), shortRunCount: 1 }),
+        ];
+        const plan = planWave(waveInput({ vms, spareByStep: new Map([["step", 1]]) }));
+        assert.deepEqual([plan.restart, plan.evacuate], [["a"], []]);
+    });
+
+    it("should wait for short tasks while there is time, and not when there is none", () => {
+        const vms = [waveVm("a", { shortRunCount: 3, cordonedSinceMs: 9_500 })];
+        assert.deepEqual(planWave(waveInput({ vms })).restart, []);
+        assert.deepEqual(planWave(waveInput({ vms, timeLeftMs: 3_000 })).restart, ["a"]);
+    });
+});
--- /dev/null
+++ b/tests/scheduling/modelJob.ts
@@ -0,0 +1,57 @@
+/** The one job of the model: two steps of one task, the second after the first. */
+import type { JobSubmission, SchedulingPolicy, StepSpec } from "../../src/scheduling/jobTypes.js";
+import type { WorkerEntry } from "../../src/scheduling/workerRecord.js";
+import type { ModelWorker } from "./modelWorker.js";
+
+const step = (dependsOn: number[]): StepSpec => ({
+    taskCount: 1,
+    request: { cpuMillicores: 1_000, memoryMb: 100, accelerators: 0 },
+    estimatedDurationMs: 500,
+    dependsOn,
+    isGang: false,
+    isRackBound: false,
+    requiredLabel: undefined,
+    preferredRack: undefined,
+    maxTasksPerWorker: undefined,
+    isSpeculative: false,
+    isLongRunning: false,
+    savesProgress: false,
+    image: undefined,
+    latencyTargetMs: undefined,
+    isFiller: false,
+    maxUnavailable: undefined,
+});
+export const modelSubmission: JobSubmission = {
+    jobId: "job",
+    queueName: "queue",
+    teamName: undefined,
+    payload: "",
+    steps: [step([]), step([0])],
+    repeat: undefined,
+    submittedWallMs: 0,
+};
+export const modelPolicy: SchedulingPolicy = {
+    queues: new Map([["queue", {
+        name: "queue",
+        poolName: "pool",
+        priority: 0,
+        maxAttempts: 2,
+        chainFactor: 2,
+        latencyObjectiveMs: 1_000,
+    }]]),
+    pools: new Map([["pool", { name: "pool", isStandby: false }]]),
+    teams: new Map(),
+};
+
+/** A worker as it announces itself: room for one task. */
+export const entryOf = (worker: ModelWorker): WorkerEntry => ({
+    workerId: worker.id,
+    bornWallMs: worker.bornWallMs,
+    address: worker.id,
+    poolName: "pool",
+    zone: "zone",
+    rack: worker.id,
+    labels: [],
+    capacity: { cpuMillicores: 1_000, memoryMb: 1_000, accelerators: 0 },
+    isDraining: false,
+});
--- /dev/null
+++ b/tests/scheduling/modelWorker.ts
@@ -0,0 +1,81 @@
+/** A worker of the model: fenced by tokens, it runs tasks under one lease and repeats ends until they are acknowledged. */
+import type { ListedEnd } from "../../src/scheduling/reconcileListing.js";
+import { type RunEnd, runEnds } from "../../src/scheduling/schedulerState.js";
+
+export interface ModelOrder {
+    taskName: string;
+    runId: number;
+    token: number;
+}
+
+export interface ModelWorker {
+    id: string;
+    bornWallMs: number;
+    highestToken: number;
+    leaseEndsAtMs: number;
+    /** Running tasks and their run ids. */
+    running: Map<string, number>;
+    /** Highest run id that was stopped or ended, by task. */
+    barred: Map<string, number>;
+    ends: ListedEnd[];
+    /** Carries out an order to start; `false` if it is refused. */
+    start(order: ModelOrder & { untilMs: number }, nowMs: number): boolean;
+    stop(order: ModelOrder): boolean;
+    end(taskName: string, end: RunEnd): void;
+    /** Begins another life, which knows nothing of the one before. */
+    restart(): void;
+}
+
+export function createModelWorker(id: string, onStart: (taskName: string) => void, onDone: (taskName: string) => void): ModelWorker {
+    let nextEndNumber = 1;
+    const worker: ModelWorker = {
+        id,
+        bornWallMs: 1,
+        highestToken: 0,
+        leaseEndsAtMs: 0,
+        running: new Map(),
+        barred: new Map(),
+        ends: [],
+        start: ({ taskName, runId, token, untilMs }, nowMs) => {
+            if (token < worker.highestToken || nowMs > untilMs || runId <= (worker.barred.get(taskName) ?? 0)) {
+                return false;
+            }
+            worker.highestToken = token;
+            if (worker.running.get(taskName) !== runId) {
+                onStart(taskName);
+                worker.running.set(taskName, runId);
+                worker.leaseEndsAtMs = Math.max(worker.leaseEndsAtMs, untilMs);
+            }
+            return true;
+        },
+        stop: ({ taskName, runId, token }) => {
+            if (token < worker.highestToken) {
+                return false;
+            }
+            worker.highestToken = token;
+            worker.barred.set(taskName, Math.max(runId, worker.barred.get(taskName) ?? 0));
+            if (worker.running.get(taskName) === runId) {
+                worker.end(taskName, runEnds.stopped);
+            }
+            return true;
+        },
+        end: (taskName, end) => {
+            const runId = worker.running.get(taskName)!;
+            worker.running.delete(taskName);
+            worker.barred.set(taskName, Math.max(runId, worker.barred.get(taskName) ?? 0));
+            worker.ends.push({ endNumber: nextEndNumber++, taskName, runId, end, checkpoint: "" });
+            if (end === runEnds.done) {
+                onDone(taskName);
+            }
+        },
+        restart: () => {
+            worker.running.clear();
+            worker.barred.clear();
+            worker.ends = [];
+            nextEndNumber = 1;
+            worker.highestToken = 0;
+            worker.bornWallMs += 1;
+        },
+    };
+    return worker;
+}
--- a/tests/scheduling/schedulingWorld.ts
+++ b/tests/scheduling/schedulingWorld.ts
@@ -3,12 +3,14 @@
  * answered, lost, or carried out late. A run of it is a list of actions, so that an explorer can try all of them.
  */
 import { decodeProgress, encodeProgress, encodeSubmission, type JobProgress } from "../../src/scheduling/jobDocuments.js";
-import { jobStates, type JobSubmission, type SchedulingPolicy, type StepSpec } from "../../src/scheduling/jobTypes.js";
+import { jobStates } from "../../src/scheduling/jobTypes.js";
 import { orderOutcomes } from "../../src/scheduling/orderOutcomes.js";
-import type { ListedEnd, Moment } from "../../src/scheduling/reconcileListing.js";
+import type { Moment } from "../../src/scheduling/reconcileListing.js";
 import { createScheduler, type Scheduler } from "../../src/scheduling/scheduler.js";
-import { commandKinds, type RunEnd, runEnds, type SchedulerCommand } from "../../src/scheduling/schedulerState.js";
-import type { WorkerEntry } from "../../src/scheduling/workerRecord.js";
+import { commandKinds, runEnds, type SchedulerCommand } from "../../src/scheduling/schedulerState.js";
+import { describeScheduler } from "./describeScheduler.js";
+import { entryOf, modelPolicy, modelSubmission } from "./modelJob.js";
+import { createModelWorker, type ModelWorker } from "./modelWorker.js";
 
 /** Deliberate faults in the protocol that the checks must find. */
 export interface Breakage {
@@ -30,59 +32,6 @@
 const unknownLeaseMs = ownerContinuationMs + workerLeaseMs + tickMs;
 const tokens = [10, 20];
 
-const step = (dependsOn: number[]): StepSpec => ({
-    taskCount: 1,
-    request: { cpuMillicores: 1_000, memoryMb: 100, accelerators: 0 },
-    estimatedDurationMs: 500,
-    dependsOn,
-    isGang: false,
-    isRackBound: false,
-    requiredLabel: undefined,
-    preferredRack: undefined,
-    maxTasksPerWorker: undefined,
-    isSpeculative: false,
-    isLongRunning: false,
-    savesProgress: false,
-    image: undefined,
-    latencyTargetMs: undefined,
-    isFiller: false,
-    maxUnavailable: undefined,
-});
-const submission: JobSubmission = {
-    jobId: "job",
-    queueName: "queue",
-    teamName: undefined,
-    payload: "",
-    steps: [step([]), step([0])],
-    repeat: undefined,
-    submittedWallMs: 0,
-};
-const policy: SchedulingPolicy = {
-    queues: new Map([["queue", {
-        name: "queue",
-        poolName: "pool",
-        priority: 0,
-        maxAttempts: 2,
-        chainFactor: 2,
-        latencyObjectiveMs: 1_000,
-    }]]),
-    pools: new Map([["pool", { name: "pool", isStandby: false }]]),
-    teams: new Map(),
-};
-
-interface ModelWorker {
-    id: string;
-    bornWallMs: number;
-    highestToken: number;
-    leaseEndsAtMs: number;
-    /** Running tasks and their run ids. */
-    running: Map<string, number>;
-    /** Highest run id that was stopped or ended, by task. */
-    barred: Map<string, number>;
-    ends: ListedEnd[];
-    nextEndNumber: number;
-}
-
 interface ModelOwner {
     token: number;
     scheduler: Scheduler;
@@ -100,6 +49,19 @@
     isLate: boolean;
 }
 
+function describeOrder(order: OpenOrder): unknown {
+    const { kind, run } = order.command;
+    return [order.owner, kind, run.taskName, run.runId, run.workerId, order.sentAtMs, order.isLate];
+}
+
+function describeWorker(worker: ModelWorker): unknown {
+    return [worker.bornWallMs, worker.highestToken, worker.leaseEndsAtMs, [...worker.running], [...worker.barred], worker.ends];
+}
+
+function describeOwner(owner: ModelOwner): unknown {
+    return [owner.isProven, [...owner.cutFrom], describeScheduler(owner.scheduler)];
+}
+
 export interface SchedulingWorld {
     /** Actions that are possible now. */
     actions(): string[];
@@ -122,30 +84,12 @@
     const doneTasks = new Set<string>();
     const acknowledgedDone = new Set<string>();
     let orders: OpenOrder[] = [];
-    const workers: ModelWorker[] = ["w1", "w2"].map(id => ({
-        id,
-        bornWallMs: 1,
-        highestToken: 0,
-        leaseEndsAtMs: 0,
-        running: new Map(),
-        barred: new Map(),
-        ends: [],
-        nextEndNumber: 1,
-    }));
+    const workers: ModelWorker[] = ["w1", "w2"].map(id =>
+        createModelWorker(id, taskName => checkStart(taskName), taskName => doneTasks.add(taskName))
+    );
     const owners: ModelOwner[] = [];
 
     const moment = (): Moment => ({ nowMs, wallMs: nowMs });
-    const entryOf = (worker: ModelWorker): WorkerEntry => ({
-        workerId: worker.id,
-        bornWallMs: worker.bornWallMs,
-        address: worker.id,
-        poolName: "pool",
-        zone: "zone",
-        rack: worker.id,
-        labels: [],
-        capacity: { cpuMillicores: 1_000, memoryMb: 1_000, accelerators: 0 },
-        isDraining: false,
-    });
     const workerOf = (id: string): ModelWorker => workers.find(worker => worker.id === id)!;
     const fail = (text: string): void => {
         violation ??= text;
@@ -166,38 +110,26 @@
 
     const addOwner = (token: number): void => {
         const scheduler = createScheduler({
-            policy,
+            policy: modelPolicy,
             term: { token, startedAtMs: nowMs, startedWallMs: nowMs, unknownWorkersUntilMs: 0 },
             workerLeaseMs,
             unknownLeaseMs: breakage.takesOverWithoutWaiting ? -1 : unknownLeaseMs,
             onDecision: () => undefined,
         });
-        scheduler.addJob(encodeSubmission(submission), 5, stored && encodeProgress(stored), false, nowMs);
+        scheduler.addJob(encodeSubmission(modelSubmission), 5, stored && encodeProgress(stored), false, nowMs);
         workers.forEach(worker => scheduler.announceWorker(entryOf(worker), moment()));
         owners.push({ token, scheduler, isProven: true, startedAtMs: nowMs, lostAtMs: undefined, cutFrom: new Set() });
     };
 
-    const endRun = (worker: ModelWorker, taskName: string, end: RunEnd): void => {
-        const runId = worker.running.get(taskName)!;
-        worker.running.delete(taskName);
-        worker.barred.set(taskName, Math.max(runId, worker.barred.get(taskName) ?? 0));
-        worker.ends.push({ endNumber: worker.nextEndNumber++, taskName, runId, end, checkpoint: "" });
-        if (end === runEnds.done) {
-            doneTasks.add(taskName);
-        }
-    };
-
-    const executeStart = (order: OpenOrder, worker: ModelWorker): boolean => {
+    const execute = (order: OpenOrder): boolean => {
+        const worker = workerOf(order.command.run.workerId);
         const { taskName, runId } = order.command.run;
-        const token = owners[order.owner]!.token;
-        const untilMs = order.sentAtMs + startValidityMs;
-        if (token < worker.highestToken || nowMs > untilMs || runId <= (worker.barred.get(taskName) ?? 0)) {
-            return false;
-        }
-        worker.highestToken = token;
-        if (worker.running.get(taskName) === runId) {
-            return true;
-        }
+        const { token } = owners[order.owner]!;
+        return order.command.kind === commandKinds.start ?
+            worker.start({ taskName, runId, token, untilMs: order.sentAtMs + startValidityMs }, nowMs) :
+            worker.stop({ taskName, runId, token });
+    };
+    const checkStart = (taskName: string): void => {
         if (workers.some(each => each.running.has(taskName))) {
             fail(`${taskName} runs twice`);
         }
@@ -207,26 +139,6 @@
         if (taskName === "job.0.1.0" && !doneTasks.has("job.0.0.0")) {
             fail("a step starts before the one that it depends on is done");
         }
-        worker.running.set(taskName, runId);
-        worker.leaseEndsAtMs = Math.max(worker.leaseEndsAtMs, untilMs);
-        return true;
-    };
-    const executeStop = (order: OpenOrder, worker: ModelWorker): boolean => {
-        const { taskName, runId } = order.command.run;
-        const token = owners[order.owner]!.token;
-        if (token < worker.highestToken) {
-            return false;
-        }
-        worker.highestToken = token;
-        worker.barred.set(taskName, Math.max(runId, worker.barred.get(taskName) ?? 0));
-        if (worker.running.get(taskName) === runId) {
-            endRun(worker, taskName, runEnds.stopped);
-        }
-        return true;
-    };
-    const execute = (order: OpenOrder): boolean => {
-        const worker = workerOf(order.command.run.workerId);
-        return order.command.kind === commandKinds.start ? executeStart(order, worker) : executeStop(order, worker);
     };
 
     const answer = (order: OpenOrder, outcome: "accepted" | "refused" | "unknown"): void => {
@@ -283,7 +195,7 @@
         nowMs += tickMs;
         for (const worker of workers) {
             if (nowMs > worker.leaseEndsAtMs) {
-                [...worker.running.keys()].forEach(taskName => endRun(worker, taskName, runEnds.lapsed));
+                [...worker.running.keys()].forEach(taskName => worker.end(taskName, runEnds.lapsed));
             }
         }
         orders.filter(order => !order.isLate).forEach(order => {
@@ -295,12 +207,7 @@
 
     const crash = (worker: ModelWorker): void => {
         crashesLeft -= 1;
-        worker.running.clear();
-        worker.barred.clear();
-        worker.ends = [];
-        worker.nextEndNumber = 1;
-        worker.highestToken = 0;
-        worker.bornWallMs += 1;
+        worker.restart();
         // Orders end with the connections to the old life. Only an owner that still calls may reach the new one with an order
         // that waited for a connection.
         orders = orders.filter(order =>
@@ -328,7 +235,7 @@
         save: index => save(Number(index)),
         finish: workerId => {
             const worker = workerOf(workerId);
-            endRun(worker, [...worker.running.keys()][0]!, runEnds.done);
+            worker.end([...worker.running.keys()][0]!, runEnds.done);
         },
         crash: workerId => crash(workerOf(workerId)),
         cut: (index, workerId) => {
@@ -395,46 +302,8 @@
                 stored,
                 [...doneTasks],
                 [...acknowledgedDone],
-                orders.map(
-                    order => [
-                        order.owner,
-                        order.command.kind,
-                        order.command.run.taskName,
-                        order.command.run.runId,
-                        order.command.run.workerId,
-                        order.sentAtMs,
-                        order.isLate,
-                    ],
-                ),
-                workers.map(
-                    worker => [
-                        worker.bornWallMs,
-                        worker.highestToken,
-                        worker.leaseEndsAtMs,
-                        [...worker.running],
-                        [...worker.barred],
-                        worker.ends,
-                    ],
-                ),
-                owners.map(owner => [
-                    owner.isProven,
-                    [...owner.cutFrom],
-                    [...owner.scheduler.state.workers.values()].map(worker => [
-                        worker.isSettled,
-                        worker.entry.bornWallMs,
-                        worker.leaseEndsAtMs,
-                        worker.lastEndNumber,
-                        worker.unsavedEnds,
-                        worker.avoidedUntilMs,
-                        worker.lastAnswerAtMs,
-                        [...worker.runs.values()].map(run => [run.taskName, run.runId, run.phase, run.answeredAtMs]),
-                    ]),
-                    [...owner.scheduler.state.jobs.values()].map(job => [
-                        job.state,
-                        job.version - job.persistedVersion,
-                        [...job.occurrences.values()].map(each => each.steps.map(one => [[...one.waiting], [...one.done]])),
-                    ]),
-                ]),
-            ]),
+                orders.map(describeOrder),
+            ]) +
+            JSON.stringify([workers.map(describeWorker), owners.map(describeOwner)]),
     };
 }
