Let the explorer write and take notes of silent workers; hold no lease of a noted worker without proof

Cause, found by the explorer: an owner that lost its proof went on to extend the leases of a worker that it had written down, beyond the time that the next owner reckons with; the task could run twice.

--- a/src/process/workerSession.ts
+++ b/src/process/workerSession.ts
@@ -76,7 +76,7 @@
     const list = async (waitMs: number): Promise<OrderOutcome> => {
         const sentAtMs = timers.nowMs();
         // A worker that has fallen silent gets no longer leases: its runs must be given up some time.
-        const clockMs = wasAnswered ? workerClockMs() : undefined;
+        const clockMs = wasAnswered && scheduler.mayExtendLeases(workerId) ? workerClockMs() : undefined;
         if (clockMs !== undefined) {
             scheduler.holdSent(workerId, options.leaseMs, sentAtMs);
         }
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -121,6 +121,11 @@
                 worker.isAnnounced = false;
             }
         },
+        /**
+         * Whether a hold may extend the leases of a worker. Without proof of ownership not those of a noted one: the next owner
+         * reckons with the leases that stood when it took over.
+         */
+        mayExtendLeases: (workerId: string): boolean => state.isOwnershipProven || state.workers.get(workerId)?.note === noteStates.none,
         /** A hold that may extend the leases of the worker was sent. */
         holdSent: (workerId: string, durationMs: number, nowMs: number): void => {
             const worker = state.workers.get(workerId);
--- a/tests/model/scheduling.spec.ts
+++ b/tests/model/scheduling.spec.ts
@@ -1,7 +1,8 @@
 /** Explores the scheduler's own code: orders that are lost or late, a crash, a cut, and another owner at any moment. */
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { type Breakage, createSchedulingWorld, type SchedulingWorld } from "../scheduling/schedulingWorld.js";
+import type { Breakage } from "../scheduling/breakage.js";
+import { createSchedulingWorld, type SchedulingWorld } from "../scheduling/schedulingWorld.js";
 import { type Exploration, explore } from "./explore.js";
 
 interface Path {
@@ -62,6 +63,12 @@
         assert.ok(exploration.statesCount > 5_000, `only ${exploration.statesCount} states were explored`);
     });
 
+    it("should break no promise within the bound, after a takeover while a worker with a run is silent", () => {
+        const exploration = exploreWorld({}, [...settled, "loseAnswer 0", "takeOver"], 6);
+        assert.deepEqual(exploration.counterexample, undefined, exploration.unsafeState?.violation);
+        assert.ok(exploration.statesCount > 5_000, `only ${exploration.statesCount} states were explored`);
+    });
+
     const breakages: { title: string; breakage: Breakage; prefix: string[]; actionsCount: number }[] = [
         {
             title: "acknowledges ends before they are saved",
--- /dev/null
+++ b/tests/scheduling/breakage.ts
@@ -0,0 +1,11 @@
+/** Deliberate faults in the protocol that the checks must find. */
+export interface Breakage {
+    /** Ends are acknowledged to workers before the store holds them. */
+    acknowledgesBeforeSaving?: boolean;
+    /** A new owner starts tasks without waiting for workers that it cannot reach. */
+    takesOverWithoutWaiting?: boolean;
+    /** An owner that lost its lease goes on to conclude from workers' silence. */
+    concludesWithoutProof?: boolean;
+    /** A start that was not answered is given to another worker at once. */
+    retriesUnansweredStarts?: boolean;
+}
--- a/tests/scheduling/schedulingWorld.ts
+++ b/tests/scheduling/schedulingWorld.ts
@@ -6,24 +6,15 @@
 import { jobStates } from "../../src/scheduling/jobTypes.js";
 import { orderOutcomes } from "../../src/scheduling/orderOutcomes.js";
 import type { Moment } from "../../src/scheduling/reconcileListing.js";
-import { createScheduler, type Scheduler } from "../../src/scheduling/scheduler.js";
+import { createScheduler } from "../../src/scheduling/scheduler.js";
 import { commandKinds, runEnds, type SchedulerCommand } from "../../src/scheduling/schedulerState.js";
+import { noteStates, type SilentWorkerNote } from "../../src/scheduling/silentWorkers.js";
+import type { Breakage } from "./breakage.js";
 import { describeScheduler } from "./describeScheduler.js";
 import { entryOf, modelPolicy, modelSubmission } from "./modelJob.js";
+import type { ModelOwner, OpenOrder } from "./modelOwner.js";
 import { createModelWorker, type ModelWorker } from "./modelWorker.js";
 
-/** Deliberate faults in the protocol that the checks must find. */
-export interface Breakage {
-    /** Ends are acknowledged to workers before the store holds them. */
-    acknowledgesBeforeSaving?: boolean;
-    /** A new owner starts tasks without waiting for workers that it cannot reach. */
-    takesOverWithoutWaiting?: boolean;
-    /** An owner that lost its lease goes on to conclude from workers' silence. */
-    concludesWithoutProof?: boolean;
-    /** A start that was not answered is given to another worker at once. */
-    retriesUnansweredStarts?: boolean;
-}
-
 const tickMs = 1_000;
 const workerLeaseMs = 2_000;
 const startValidityMs = 1_500;
@@ -32,23 +23,6 @@
 const unknownLeaseMs = ownerContinuationMs + workerLeaseMs + tickMs;
 const tokens = [10, 20];
 
-interface ModelOwner {
-    token: number;
-    scheduler: Scheduler;
-    isProven: boolean;
-    startedAtMs: number;
-    lostAtMs: number | undefined;
-    cutFrom: Set<string>;
-}
-
-interface OpenOrder {
-    owner: number;
-    command: Extract<SchedulerCommand, { kind: "start" | "stop" }>;
-    sentAtMs: number;
-    /** The owner has given up waiting for the answer. */
-    isLate: boolean;
-}
-
 function describeOrder(order: OpenOrder): unknown {
     const { kind, run } = order.command;
     return [order.owner, kind, run.taskName, run.runId, run.workerId, order.sentAtMs, order.isLate];
@@ -81,6 +55,7 @@
     let cutsLeft = 1;
     let stored: JobProgress | undefined;
     let highestTerm = tokens[0]!;
+    const notes = new Map<string, SilentWorkerNote>();
     const doneTasks = new Set<string>();
     const acknowledgedDone = new Set<string>();
     let orders: OpenOrder[] = [];
@@ -95,6 +70,18 @@
         violation ??= text;
     };
 
+    /** Notes of silent workers are written at once, by the present owner only. */
+    const changeNote = (owner: ModelOwner, command: SchedulerCommand): void => {
+        if (owner.token === highestTerm && command.kind === commandKinds.writeNote) {
+            notes.set(command.workerId, command.note);
+            owner.scheduler.noteChanged(command.workerId, noteStates.written);
+        }
+        else if (owner.token === highestTerm && command.kind === commandKinds.removeNote) {
+            notes.delete(command.workerId);
+            owner.scheduler.noteChanged(command.workerId, noteStates.none);
+        }
+    };
+
     const pump = (index: number): void => {
         const owner = owners[index]!;
         const mayOrder = owner.lostAtMs === undefined || nowMs - owner.lostAtMs < ownerContinuationMs;
@@ -102,6 +89,7 @@
             owner.scheduler.step(moment());
         }
         for (const command of owner.scheduler.takeCommands()) {
+            changeNote(owner, command);
             if (mayOrder && (command.kind === commandKinds.start || command.kind === commandKinds.stop)) {
                 orders.push({ owner: index, command, sentAtMs: nowMs, isLate: false });
             }
@@ -118,6 +106,7 @@
         });
         scheduler.addJob(encodeSubmission(modelSubmission), 5, stored && encodeProgress(stored), false, nowMs);
         workers.forEach(worker => scheduler.announceWorker(entryOf(worker), moment()));
+        notes.forEach(note => scheduler.takeNote(note, true, moment()));
         owners.push({ token, scheduler, isProven: true, startedAtMs: nowMs, lostAtMs: undefined, cutFrom: new Set() });
     };
 
@@ -167,8 +156,10 @@
             acknowledgedDone.add(end.taskName);
         }
         worker.ends = worker.ends.filter(end => end.endNumber > acknowledged);
-        owner.scheduler.holdSent(workerId, workerLeaseMs, nowMs);
-        worker.leaseEndsAtMs = Math.max(worker.leaseEndsAtMs, nowMs + workerLeaseMs);
+        if (owner.scheduler.mayExtendLeases(workerId)) {
+            owner.scheduler.holdSent(workerId, workerLeaseMs, nowMs);
+            worker.leaseEndsAtMs = Math.max(worker.leaseEndsAtMs, nowMs + workerLeaseMs);
+        }
         const running = [...worker.running].map(([taskName, runId]) => ({ taskName, runId, checkpoint: "", percent: 100, measured: 0 }));
         // The listing was asked for after every answer so far.
         owner.scheduler.listed(workerId, { bornWallMs: worker.bornWallMs, running, ended: [...worker.ends] }, nowMs + 0.5, moment());
@@ -304,6 +295,6 @@
                 [...acknowledgedDone],
                 orders.map(describeOrder),
             ]) +
-            JSON.stringify([workers.map(describeWorker), owners.map(describeOwner)]),
+            JSON.stringify([workers.map(describeWorker), owners.map(describeOwner), [...notes]]),
     };
 }
