Pace fillers beside serving tasks; test the platform's documents and store by contract

Tests: paceFillers replays a load whose effect trebles; contract tests of the store client, group commit and ownership with 429, 503, silence, lost answers, pages and a lost history; decoding of all documents.

--- a/src/scheduling/reconcileListing.ts
+++ b/src/scheduling/reconcileListing.ts
@@ -1,4 +1,5 @@
 /** Compares what a worker says it runs with what the scheduler believes. */
+import { paceFillers } from "../decisions/paceFillers.js";
 import { isFinalState } from "./jobRecord.js";
 import { reservedBy } from "./jobTypes.js";
 import {
@@ -14,6 +15,9 @@
 } from "./schedulerState.js";
 import { parseTaskName, type Run, runKey, runPhases, type WorkerRecord } from "./workerRecord.js";
 
+/** What is measured covers half a second: a pace shows in the figures after that. */
+const paceIntervalMs = 500;
+
 /** A run that a worker lists. */
 export interface ListedRun {
     taskName: string;
@@ -171,6 +175,33 @@
     }
 }
 
+/** Adapts the pace of the fillers to the serving tasks beside them. */
+function adaptPace(state: SchedulerState, worker: WorkerRecord, nowMs: number): void {
+    const running = [...worker.runs.values()].filter(run => run.phase === runPhases.running);
+    const fillers = running.filter(run => findStep(state, run)?.spec.isFiller);
+    if (fillers.length === 0 || nowMs - worker.pacedAtMs < paceIntervalMs) {
+        return;
+    }
+    worker.pacedAtMs = nowMs;
+    const serving = running.flatMap(run => {
+        const targetMs = findStep(state, run)?.spec.latencyTargetMs;
+        return run.isServing && targetMs !== undefined ? [{ tailLatencyMs: run.measured, targetMs }] : [];
+    });
+    const percent = paceFillers(Math.min(...fillers.map(run => run.pacePercent)), serving);
+    for (const run of fillers.filter(each => each.pacePercent !== percent)) {
+        run.pacePercent = percent;
+        state.commands.push({ kind: commandKinds.pace, run, percent });
+        state.onDecision({
+            what: "pace",
+            jobId: run.jobId,
+            taskName: run.taskName,
+            runId: run.runId,
+            workerId: run.workerId,
+            detail: `${percent} %`,
+        });
+    }
+}
+
 /** Applies a listing that was asked for at `sentAtMs`. */
 export function reconcileListing(state: SchedulerState, worker: WorkerRecord, listing: Listing, sentAtMs: number, moment: Moment): void {
     if (listing.bornWallMs > worker.entry.bornWallMs) {
@@ -196,6 +227,7 @@
         }
     }
     dropAbsent(state, worker, listing, sentAtMs, moment);
+    adaptPace(state, worker, moment.nowMs);
     worker.isSettled = true;
     worker.silentSinceMs = undefined;
     worker.lastAnswerAtMs = moment.nowMs;
--- a/src/scheduling/workerRecord.ts
+++ b/src/scheduling/workerRecord.ts
@@ -89,6 +89,8 @@
     silentSinceMs: number | undefined;
     /** Whether the store holds a note of its silence; without `none` it gets no new runs. */
     note: "none" | "changing" | "written";
+    /** When the pace of its fillers was last reconsidered. */
+    pacedAtMs: number;
     /** Kept free because its VM is to be moved or restarted. */
     isCordoned: boolean;
     /** An order that ends everything on its VM was sent. */
@@ -110,6 +112,7 @@
         avoidedUntilMs: 0,
         silentSinceMs: undefined,
         note: "none",
+        pacedAtMs: Number.NEGATIVE_INFINITY,
         isCordoned: false,
         isEnding: false,
     };
--- a/tests/decisions/schedulingPolicy.spec.ts
+++ b/tests/decisions/schedulingPolicy.spec.ts
@@ -2,6 +2,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { lateness, orderSteps, type StepOrderInput } from "../../src/decisions/orderSteps.js";
+import { paceFillers } from "../../src/decisions/paceFillers.js";
 import { type PlacementCandidate, placeTask } from "../../src/decisions/placeTask.js";
 import { neededVms, planMoves, type PoolDemand } from "../../src/decisions/planMoves.js";
 import { planWave, type WavePlanInput, type WaveVm } from "../../src/decisions/planWave.js";
@@ -69,9 +70,9 @@
     it("should spread a long-running step over workers and racks", () => {
         const serving = { ...short, isLongRunning: true };
         const taken = candidate({ sameStepCount: 1, sameStepOnRackCount: 1 });
-        const sameRack = candidate({ sameStepOnRackCount: 1 });
+        const onSameRack = candidate({ sameStepOnRackCount: 1 });
         const otherRack = candidate({ rack: "r2", freeCpuMillicores: 2_000 });
-        assert.equal(placeTask(serving, [taken, sameRack, otherRack]), otherRack);
+        assert.equal(placeTask(serving, [taken, onSameRack, otherRack]), otherRack);
     });
 
     it("should stay near the data", () => {
@@ -207,3 +208,28 @@
         assert.deepEqual(planWave(waveInput({ vms, timeLeftMs: 3_000 })).restart, ["a"]);
     });
 });
+
+describe("the pace of fillers", () => {
+    it("should bring a serving task below its target within four listings, and keep it there", () => {
+        // The tail grows with the fillers' share of full speed, and their effect trebles in the middle of the run.
+        let percent = 100;
+        const overTarget: number[] = [];
+        for (let listing = 0; listing < 40; listing++) {
+            const tailLatencyMs = 20 + percent * (listing < 20 ? 0.5 : 1.5);
+            overTarget.push(...(tailLatencyMs > 60 ? [listing] : []));
+            percent = paceFillers(percent, [{ tailLatencyMs, targetMs: 60 }]);
+        }
+        assert.ok(
+            overTarget.every(listing => listing < 4 || (listing >= 20 && listing < 24)),
+            `over the target at ${overTarget.join(", ")}`,
+        );
+    });
+
+    it("should let fillers work at full speed where nothing serves", () => {
+        let percent = 0;
+        for (let listing = 0; listing < 10; listing++) {
+            percent = paceFillers(percent, []);
+        }
+        assert.equal(percent, 100);
+    });
+});
--- /dev/null
+++ b/tests/platform/documents.spec.ts
@@ -0,0 +1,125 @@
+/** What the platform's documents and messages mean in the product's terms. */
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { decodeConfiguration, findRoute } from "../../platform/configurationDocument.js";
+import { decodeJobBody } from "../../platform/jobBody.js";
+import { parseSettings } from "../../platform/settingsFile.js";
+import { decodeWave, encodeWaveStatus } from "../../platform/vmCalls.js";
+import { decodeWorkerEntry } from "../../platform/workerEntry.js";
+
+const route = (name: string, host: string, prefix: string): object => ({
+    name,
+    host,
+    prefix,
+    service: "pool",
+    priority: 0,
+    maxAttempts: 2,
+    stretch: 1.5,
+    sloMs: 600,
+});
+const configurationText = JSON.stringify({
+    version: 7,
+    routes: [route("short", "a.example", "/q/"), route("long", "a.example", "/q/deep/"), {
+        ...route("open", "b.example", "/o/"),
+        public: true,
+    }],
+    services: [{ name: "pool" }, { name: "spare", standby: true }],
+    limits: {},
+    tenants: [{ name: "team", apiKeys: ["k1", "k2"], weight: 3, maxCount: { cpu: 1_000, memMb: 0, gpu: 0 } }],
+    somethingNew: true,
+});
+
+describe("the operator's configuration", () => {
+    const configuration = decodeConfiguration(configurationText);
+
+    it("should route by host and longest prefix", () => {
+        assert.equal(findRoute(configuration, "A.example:80", "/q/deep/x")?.queueName, "long");
+        assert.equal(findRoute(configuration, "a.example", "/q/x")?.queueName, "short");
+        assert.equal(findRoute(configuration, "b.example", "/q/x"), undefined);
+    });
+
+    it("should give keys, limits and standby pools their own names", () => {
+        assert.equal(configuration.teamByKey.get("k2"), "team");
+        assert.equal(configuration.policy.teams.get("team")?.limit.cpuMillicores, 1_000);
+        assert.equal(configuration.policy.pools.get("spare")?.isStandby, true);
+        assert.equal(configuration.policy.queues.get("short")?.chainFactor, 1.5);
+    });
+
+    it("should refuse a document without routes", () => {
+        assert.throws(() => decodeConfiguration('{"version":1}'));
+    });
+});
+
+describe("the body of a job", () => {
+    it("should take missing fields, 0, false and empty text for none", () => {
+        const decoded = decodeJobBody(JSON.stringify({ spec: "s", steps: [{ count: 2, cpu: 500, dataRack: "", antiAffinity: 0 }] }));
+        assert.ok(decoded.isValid);
+        const [step] = decoded.job.steps;
+        assert.deepEqual([step?.preferredRack, step?.maxTasksPerWorker, step?.isGang, step?.dependsOn], [undefined, undefined, false, []]);
+        assert.equal(decoded.job.repeat, undefined);
+    });
+
+    const invalid = [
+        { title: "text that is no JSON", text: "{" },
+        { title: "no steps", text: '{"steps":[]}' },
+        { title: "a step that depends on itself", text: '{"steps":[{"count":1,"after":[0]}]}' },
+        { title: "a negative count", text: '{"steps":[{"count":-1}]}' },
+    ];
+    invalid.forEach(({ title, text }) => {
+        it(`should refuse ${title}, and say where`, () => {
+            const decoded = decodeJobBody(text);
+            assert.ok(!decoded.isValid && decoded.findings.length > 0);
+        });
+    });
+});
+
+describe("a worker's entry", () => {
+    const entry = {
+        service: "pool",
+        address: "10.0.0.1:80",
+        zone: "z",
+        state: "ready",
+        capacity: { cpu: 16_000, memMb: 1 },
+        labels: ["a", "r1"],
+        born: 5,
+    };
+
+    it("should name pool, rack and life", () => {
+        const decoded = decodeWorkerEntry("w", JSON.stringify({ ...entry, state: "draining" }));
+        assert.ok("entry" in decoded);
+        assert.deepEqual([decoded.entry.poolName, decoded.entry.rack, decoded.entry.bornWallMs, decoded.entry.isDraining], [
+            "pool",
+            "r1",
+            5,
+            true,
+        ]);
+    });
+
+    const foreign = [
+        { title: "bytes that are no JSON", text: "\u0000" },
+        { title: "an unknown state", text: JSON.stringify({ ...entry, state: "resting" }) },
+        { title: "a field of another type", text: JSON.stringify({ ...entry, capacity: "large" }) },
+        { title: "no start time", text: JSON.stringify({ ...entry, born: undefined }) },
+    ];
+    foreign.forEach(({ title, text }) => {
+        it(`should name no worker with ${title}`, () => assert.ok("reason" in decodeWorkerEntry("w", text)));
+    });
+});
+
+describe("a maintenance wave", () => {
+    it("should be read and answered in the operator's form", () => {
+        const wave = decodeWave('{"wave":3,"machines":["m1"],"withinS":20,"maxCount":2}');
+        assert.deepEqual(wave, { waveNumber: 3, vmIds: ["m1"], withinMs: 20_000, maximumDown: 2 });
+        assert.deepEqual(JSON.parse(encodeWaveStatus(3, true)), { wave: 3, state: "completed" });
+    });
+});
+
+describe("the settings file", () => {
+    it("should report all findings together", () => {
+        const parsed = parseSettings('{"nodeName":"n","listenAddrs":{"front":"nowhere"}}');
+        assert.ok(!parsed.isValid);
+        ["zone", "listenAddrs.front", "limits", "platform"].forEach(place =>
+            assert.ok(parsed.findings.some(finding => finding.startsWith(place)), `no finding for ${place}`)
+        );
+    });
+});
--- /dev/null
+++ b/tests/platform/storeClient.spec.ts
@@ -0,0 +1,212 @@
+/** The platform's key-value service through the product's store interface, and what is built on it. */
+import assert from "node:assert/strict";
+import { after, before, describe, it } from "node:test";
+import { createStoreClient } from "../../platform/storeClient.js";
+import { createTimerService, delay } from "../../src/common/timerService.js";
+import type { ChangeFeedStore } from "../../src/connection/platformStore.js";
+import { commitOutcomes, createGroupCommit } from "../../src/process/groupCommit.js";
+import { createSilentLogger } from "../../src/process/logger.js";
+import { createSchedulingOwnership, type OwnedTerm, type SchedulingOwnership } from "../../src/process/schedulingOwnership.js";
+import { createStoreMirror, type StoreMirror } from "../../src/process/storeMirror.js";
+import { startStoreStandIn, type StoreStandIn } from "./storeStandIn.js";
+
+const timers = createTimerService();
+
+async function until(what: string, isSo: () => boolean): Promise<void> {
+    const deadlineMs = timers.nowMs() + 8_000;
+    while (!isSo()) {
+        assert.ok(timers.nowMs() < deadlineMs, `still waiting until ${what}`);
+        await delay(timers, 5);
+    }
+}
+
+describe("the platform's key-value service", () => {
+    const lifetime = new AbortController();
+    let standIn: StoreStandIn;
+    let store: ChangeFeedStore;
+
+    const open = (): ChangeFeedStore =>
+        createStoreClient({
+            address: standIn.address,
+            timers,
+            signal: lifetime.signal,
+            onAvailability: () => undefined,
+            onWatchRestart: () => undefined,
+        });
+    const put = async (key: string, value: string): Promise<void> => {
+        const present = (await store.read(key)).unwrap();
+        const swapped = await store.swap([{ key, expectedRevision: present?.revision ?? 0 }], [{ key, value }]);
+        assert.ok(swapped.unwrap().isSwapped);
+    };
+    const mirrorOf = (prefix: string, signal: AbortSignal): StoreMirror =>
+        createStoreMirror({ store, prefix, timers, signal, pauseMs: () => 5, onChange: () => undefined, onBatch: () => undefined });
+
+    before(async () => {
+        standIn = await startStoreStandIn();
+        store = open();
+    });
+    after(() => {
+        lifetime.abort();
+        standIn.close();
+    });
+
+    it("should read what it wrote, and nothing where nothing is", async () => {
+        await put("a/text", "þjónusta ñandú");
+        assert.equal((await store.read("a/text")).unwrap()?.value, "þjónusta ñandú");
+        assert.equal((await store.read("a/none")).unwrap(), undefined);
+    });
+
+    it("should read all pages of a prefix", async () => {
+        standIn.faults.itemsPerPage = 2;
+        for (const key of ["b/1", "b/2", "b/3", "b/4", "b/5"]) {
+            await put(key, key);
+        }
+        assert.equal((await store.readPrefix("b/")).unwrap().length, 5);
+        standIn.faults.itemsPerPage = 500;
+    });
+
+    it("should tell what stands where a guard does not hold", async () => {
+        await put("c/key", "first");
+        const swapped = (await store.swap([{ key: "c/key", expectedRevision: 0 }], [{ key: "c/key", value: "second" }])).unwrap();
+        assert.deepEqual([swapped.isSwapped, swapped.current[0]?.value], [false, "first"]);
+    });
+
+    [429, 503].forEach(status => {
+        it(`should say that a write answered with ${status} has surely not run`, async () => {
+            standIn.faults.refuseWith = status;
+            const swapped = await store.swap([], [{ key: "d/key", value: "x" }]);
+            standIn.faults.refuseWith = undefined;
+            assert.equal(swapped.err && swapped.val.hasSurelyNotRun, true);
+        });
+    });
+
+    it("should not say so of a write whose answer was lost", async () => {
+        standIn.faults.loseAnswers = 1;
+        const swapped = await store.swap([], [{ key: "d/lost", value: "x" }]);
+        assert.equal(swapped.err && swapped.val.hasSurelyNotRun, false);
+        assert.equal((await store.read("d/lost")).unwrap()?.value, "x");
+    });
+
+    it("should give up a call that is never answered, and work on a new connection", async () => {
+        standIn.faults.isSilent = true;
+        assert.equal((await store.read("a/text")).err, true);
+        standIn.faults.isSilent = false;
+        assert.equal((await store.read("a/text")).ok, true);
+    });
+
+    it("should follow changes, also those of a history that is gone", async () => {
+        const following = new AbortController();
+        const mirror = mirrorOf("e/", following.signal);
+        await put("e/1", "first");
+        await until("the first value shows", () => mirror.values("e/").length === 1);
+        standIn.faults.isSilent = true;
+        await delay(timers, 20);
+        standIn.faults.isSilent = false;
+        await put("e/2", "second");
+        (await store.swap([], [{ key: "e/1", value: undefined }])).unwrap();
+        standIn.compact();
+        await until("the deletion shows", () => mirror.values("e/").map(each => each.key).join() === "e/2");
+        following.abort();
+    });
+
+    it("should store keys of a short time in one transaction, each once", async () => {
+        const commit = createGroupCommit({ store, timers, sharedGuard: () => undefined });
+        const callsBefore = standIn.callCount("/api/kv-txn");
+        const outcomes = await Promise.all(["f/1", "f/2", "f/2", "f/3"].map(key => commit.create(key, key)));
+        assert.deepEqual(outcomes, Array.from({ length: 4 }, () => commitOutcomes.stored));
+        assert.equal(standIn.callCount("/api/kv-txn") - callsBefore, 1);
+        assert.equal(await commit.create("f/1", "again"), commitOutcomes.stored);
+        assert.equal((await store.read("f/1")).unwrap()?.value, "f/1");
+    });
+
+    it("should find out by a read what became of a commit without an answer", async () => {
+        const commit = createGroupCommit({ store, timers, sharedGuard: () => undefined });
+        standIn.faults.loseAnswers = 1;
+        assert.equal(await commit.create("g/1", "x"), commitOutcomes.stored);
+    });
+
+    it("should commit nothing that was checked against an older configuration", async () => {
+        await put("h/configuration", "1");
+        const outdated = (await store.read("h/configuration")).unwrap()!;
+        await put("h/configuration", "2");
+        const commit = createGroupCommit({
+            store,
+            timers,
+            sharedGuard: () => ({ key: "h/configuration", expectedRevision: outdated.revision }),
+        });
+        assert.equal(await commit.create("h/job", "x"), commitOutcomes.outdated);
+        assert.equal((await store.read("h/job")).unwrap(), undefined);
+    });
+
+    describe("the ownership of the scheduling", () => {
+        const contest = (names: readonly string[], signal: AbortSignal) => {
+            const mirror = mirrorOf("nutmegjunction/", signal);
+            return names.map(name => {
+                const terms: OwnedTerm[] = [];
+                const ownership: SchedulingOwnership = createSchedulingOwnership({
+                    memberId: name,
+                    nodeName: name.replace(/\d$/, ""),
+                    store,
+                    mirror: () => mirror,
+                    timers,
+                    logger: createSilentLogger(),
+                    signal,
+                    leaseMs: 1_500,
+                    continuationMs: 1_000,
+                    random: () => 0,
+                    onTaken: term => terms.push(term),
+                    onLost: () => undefined,
+                });
+                return { terms, ownership };
+            });
+        };
+
+        it("should have one owner, a successor with a higher token, and no wait after a release", async () => {
+            const signal = new AbortController();
+            const [first, second] = contest(["p1", "q1"], signal.signal);
+            await until("there is an owner", () => [first!, second!].some(each => each.ownership.isProven()));
+            const [owner, other] = first!.ownership.isProven() ? [first!, second!] : [second!, first!];
+            assert.equal(other.ownership.mayGiveOrders(), false);
+            await owner.ownership.release();
+            await until("the other took over", () => other.ownership.isProven());
+            assert.ok(other.terms[0]!.token > owner.terms[0]!.token);
+            await other.ownership.release();
+            signal.abort();
+        });
+
+        it("should let a restarted process take over the lease of its own former life at once", async () => {
+            const [former, latter] = [new AbortController(), new AbortController()];
+            const [old] = contest(["r1"], former.signal);
+            await until("there is an owner", () => old!.ownership.isProven());
+            former.abort();
+            const startedAtMs = timers.nowMs();
+            const [restarted] = contest(["r2"], latter.signal);
+            await until("the restarted process owns", () => restarted!.ownership.isProven());
+            assert.ok(timers.nowMs() - startedAtMs < 1_500, "it waited for the lease to end");
+            await restarted!.ownership.release();
+            latter.abort();
+        });
+
+        it("should continue its term when only its own lease had ended", async () => {
+            const signal = new AbortController();
+            const [owner] = contest(["s1"], signal.signal);
+            await until("there is an owner", () => owner!.ownership.isProven());
+            for (let leaseId = 100; leaseId < 140; leaseId++) {
+                standIn.endLease(leaseId);
+            }
+            await until("it owns again", () => owner!.terms.length === 2);
+            assert.equal(owner!.terms[1]!.isContinued, true);
+            await owner!.ownership.release();
+            signal.abort();
+        });
+
+        it("should lose the ownership when a worker refuses its token", async () => {
+            const signal = new AbortController();
+            const [owner] = contest(["t1"], signal.signal);
+            await until("there is an owner", () => owner!.ownership.isProven());
+            owner!.ownership.onFenced();
+            assert.equal(owner!.ownership.mayGiveOrders(), false);
+            signal.abort();
+        });
+    });
+});
--- /dev/null
+++ b/tests/platform/storeStandIn.ts
@@ -0,0 +1,162 @@
+/** A stand-in of the platform's key-value service, by its wire, with faults that a test turns on. */
+import http from "node:http";
+import type { AddressInfo } from "node:net";
+
+interface Item {
+    key: string;
+    value: string;
+    revision: number;
+    leaseId: number;
+}
+
+type Event = Item | { key: string; revision: number; tombstone: true };
+
+export interface StoreStandInFaults {
+    /** Answers all calls with this status and does nothing. */
+    refuseWith?: number;
+    /** Carries out this many transactions without an answer. */
+    loseAnswers: number;
+    /** Never answers. */
+    isSilent: boolean;
+    itemsPerPage: number;
+}
+
+export interface StoreStandIn {
+    address: string;
+    faults: StoreStandInFaults;
+    /** Forgets the history, as after a compaction. */
+    compact(): void;
+    endLease(leaseId: number): void;
+    callCount(path: string): number;
+    close(): void;
+}
+
+const watchPollMs = 5;
+
+export async function startStoreStandIn(): Promise<StoreStandIn> {
+    const items = new Map<string, Item>();
+    const faults: StoreStandInFaults = { loseAnswers: 0, isSilent: false, itemsPerPage: 500 };
+    const calls = new Map<string, number>();
+    const leases = new Set<number>();
+    let history: Event[] = [];
+    let compactedRevision = 0;
+    let revision = 1;
+    let nextLeaseId = 100;
+
+    const remove = (key: string): void => {
+        if (items.delete(key)) {
+            history.push({ key, revision, tombstone: true });
+        }
+    };
+    const transact = (body: Record<string, unknown[]>): [number, object] => {
+        const guards = body["expectedRev"] as { key: string; revision: number }[];
+        if (guards.some(guard => (items.get(guard.key)?.revision ?? 0) !== guard.revision)) {
+            return [412, { items: guards.flatMap(guard => items.get(guard.key) ?? []) }];
+        }
+        const writes = body["writes"] as { key: string; value: string; leaseId?: number }[];
+        if (writes.some(write => write.leaseId !== undefined && !leases.has(write.leaseId))) {
+            return [404, {}];
+        }
+        revision += 1;
+        for (const { key, value, leaseId } of writes) {
+            const item = { key, value, revision, leaseId: leaseId ?? 0 };
+            items.set(key, item);
+            history.push(item);
+        }
+        (body["deletes"] as string[]).forEach(remove);
+        return [200, { revision }];
+    };
+    const range = (query: URLSearchParams): [number, object] => {
+        const all = [...items.values()].filter(item => item.key.startsWith(query.get("prefix")!) && item.key > (query.get("after") ?? ""))
+            .sort((a, b) => a.key < b.key ? -1 : 1);
+        return [200, { items: all.slice(0, faults.itemsPerPage), hasMore: all.length > faults.itemsPerPage, atRev: revision }];
+    };
+    const watch = async (query: URLSearchParams): Promise<[number, object]> => {
+        const after = Number(query.get("after"));
+        const endsAtMs = Date.now() + Number(query.get("waitMs"));
+        for (;;) {
+            if (after < compactedRevision) {
+                return [410, {}];
+            }
+            const events = history.filter(event => event.revision > after && event.key.startsWith(query.get("prefix")!));
+            if (events.length > 0 || Date.now() > endsAtMs) {
+                return [200, { events, atRev: revision }];
+            }
+            await new Promise(resolve => setTimeout(resolve, watchPollMs));
+        }
+    };
+    const endLease = (leaseId: number): boolean => {
+        const isKnown = leases.delete(leaseId);
+        revision += 1;
+        [...items.values()].filter(item => item.leaseId === leaseId).forEach(item => remove(item.key));
+        return isKnown;
+    };
+    const grant = (body: { ttlMs: number }): [number, object] => {
+        leases.add(nextLeaseId);
+        return [200, { leaseId: nextLeaseId++, ttlMs: body.ttlMs }];
+    };
+
+    const handle = async (method: string, url: URL, text: string): Promise<[number, object]> => {
+        const body = text === "" ? {} : JSON.parse(text) as Record<string, unknown[]>;
+        const leaseId = Number(url.pathname.split("/").at(-1));
+        switch (`${method} ${url.pathname.replace(/\/\d+$/, "")}`) {
+            case "POST /api/kv-txn":
+                return transact(body);
+            case "GET /api/kv-key": {
+                const item = items.get(url.searchParams.get("key")!);
+                return item ? [200, { ...item, atRev: revision }] : [404, {}];
+            }
+            case "GET /api/kv-range":
+                return range(url.searchParams);
+            case "GET /api/kv-watch":
+                return watch(url.searchParams);
+            case "POST /api/kv-lease":
+                return grant(body as unknown as { ttlMs: number });
+            case "POST /api/kv-keep":
+                return leases.has(leaseId) ? [200, {}] : [404, {}];
+            case "DELETE /api/kv-lease-end":
+                return endLease(leaseId) ? [200, {}] : [404, {}];
+            default:
+                return [404, {}];
+        }
+    };
+
+    const server = http.createServer((request, response) => {
+        let text = "";
+        request.on("data", (chunk: Buffer) => text += chunk.toString());
+        request.on("end", () => {
+            const url = new URL(request.url!, "http://store");
+            calls.set(url.pathname, (calls.get(url.pathname) ?? 0) + 1);
+            if (faults.isSilent) {
+                return;
+            }
+            if (faults.refuseWith !== undefined) {
+                response.writeHead(faults.refuseWith).end("{}");
+                return;
+            }
+            void handle(request.method!, url, text).then(([status, body]) => {
+                if (url.pathname === "/api/kv-txn" && faults.loseAnswers > 0) {
+                    faults.loseAnswers -= 1;
+                    response.destroy();
+                    return;
+                }
+                response.writeHead(status, { "content-type": "application/json" }).end(JSON.stringify(body));
+            });
+        });
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    return {
+        address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+        faults,
+        compact: () => {
+            compactedRevision = revision;
+            history = [];
+        },
+        endLease,
+        callCount: path => calls.get(path) ?? 0,
+        close: () => {
+            server.closeAllConnections();
+            server.close();
+        },
+    };
+}
