Avoid a worker for the failures of several jobs only; test the scheduler's promises

Cause, found by a test of long-running restarts: three failures of one job made its worker avoided for 4 s, though the comment said 'over different jobs'; one bad job of six tasks took a whole worker away.

--- a/src/scheduling/reconcileListing.ts
+++ b/src/scheduling/reconcileListing.ts
@@ -73,7 +73,7 @@
     worker.entry = { ...worker.entry, bornWallMs };
     worker.lastEndNumber = 0;
     worker.unsavedEnds = [];
-    worker.failuresInRow = 0;
+    worker.failedJobIds.clear();
 }
 
 function takeEnds(state: SchedulerState, worker: WorkerRecord, listing: Listing, moment: Moment): void {
--- a/src/scheduling/schedulerState.ts
+++ b/src/scheduling/schedulerState.ts
@@ -90,7 +90,7 @@
 
 /** Run ids of one term lie between its token times this and the next; more than a term ever starts. */
 const runsPerTerm = 1_000_000;
-/** Failures in a row, over different jobs, after which a worker is avoided: fewer would be one bad job's. */
+/** Jobs that fail in a row on a worker before it is avoided: some jobs fail anywhere. */
 const failuresBeforeAvoiding = 3;
 /** How long a worker that fails everything is avoided; it is then tried again. */
 const avoidDurationMs = 4_000;
@@ -198,15 +198,21 @@
     }
 }
 
-function noteWorkerHealth(state: SchedulerState, workerId: string, end: RunEnd, nowMs: number): void {
+/** Avoids a worker that fails the tasks of several jobs in a row; one job's failures are its own. */
+function noteWorkerHealth(state: SchedulerState, { workerId, jobId, end }: EndedRun, nowMs: number): void {
     const worker = state.workers.get(workerId);
     if (!worker || (end !== runEnds.done && end !== runEnds.failed)) {
         return;
     }
-    worker.failuresInRow = end === runEnds.done ? 0 : worker.failuresInRow + 1;
-    if (worker.failuresInRow >= failuresBeforeAvoiding && worker.avoidedUntilMs <= nowMs) {
+    if (end === runEnds.done) {
+        worker.failedJobIds.clear();
+        return;
+    }
+    worker.failedJobIds.add(jobId);
+    if (worker.failedJobIds.size >= failuresBeforeAvoiding && worker.avoidedUntilMs <= nowMs) {
+        worker.failedJobIds.clear();
         worker.avoidedUntilMs = nowMs + avoidDurationMs;
-        state.onDecision({ what: "avoid worker", workerId, reason: `${worker.failuresInRow} failures in a row` });
+        state.onDecision({ what: "avoid worker", workerId, reason: `${failuresBeforeAvoiding} jobs failed there in a row` });
     }
 }
 
@@ -244,7 +250,7 @@
 export function applyEnd(state: SchedulerState, ended: EndedRun, nowMs: number, wallMs: number): void {
     const job = state.jobs.get(ended.jobId);
     const step = findStep(state, ended);
-    noteWorkerHealth(state, ended.workerId, ended.end, nowMs);
+    noteWorkerHealth(state, ended, nowMs);
     if (!job || !step || isFinalState(job.state) || step.done.has(ended.taskIndex)) {
         return;
     }
--- a/src/scheduling/workerRecord.ts
+++ b/src/scheduling/workerRecord.ts
@@ -81,8 +81,8 @@
     lastAnswerAtMs: number | undefined;
     /** By then, without another answer, all that runs there has lost its lease. */
     leaseEndsAtMs: number;
-    /** Runs in a row that ended by failure, over different jobs. */
-    failuresInRow: number;
+    /** Jobs of which a run failed since one was done here. */
+    failedJobIds: Set<string>;
     /** Until then the worker gets no new runs. */
     avoidedUntilMs: number;
     /** Since when it does not answer; `undefined` while it does. */
@@ -108,7 +108,7 @@
         unsavedEnds: [],
         lastAnswerAtMs: undefined,
         leaseEndsAtMs,
-        failuresInRow: 0,
+        failedJobIds: new Set(),
         avoidedUntilMs: 0,
         silentSinceMs: undefined,
         note: "none",
--- a/tests/scheduling/drivenScheduler.ts
+++ b/tests/scheduling/drivenScheduler.ts
@@ -1,6 +1,6 @@
 /** A scheduler whose workers, clock and store a test plays by hand. */
 import { encodeSubmission } from "../../src/scheduling/jobDocuments.js";
-import type { SchedulingPolicy, StepSpec, TeamPolicy } from "../../src/scheduling/jobTypes.js";
+import type { RepeatSpec, SchedulingPolicy, StepSpec, TeamPolicy } from "../../src/scheduling/jobTypes.js";
 import type { OrderOutcome } from "../../src/scheduling/orderOutcomes.js";
 import type { Moment } from "../../src/scheduling/reconcileListing.js";
 import { createScheduler, type Scheduler } from "../../src/scheduling/scheduler.js";
@@ -24,6 +24,7 @@
 export interface SubmittedByTest extends Partial<StepSpec> {
     acceptedRevision?: number;
     teamName?: string;
+    repeat?: RepeatSpec;
     /** Steps after the first, each after the one before. */
     laterSteps?: readonly Partial<StepSpec>[];
 }
@@ -139,12 +140,12 @@
             nowMs += durationMs;
             pump();
         },
-        submit: (jobId, { acceptedRevision, teamName, laterSteps, ...step }) => {
+        submit: (jobId, { acceptedRevision, teamName, repeat, laterSteps, ...step }) => {
             const steps = [
                 { ...defaultStep, ...step },
                 ...(laterSteps ?? []).map((later, index) => ({ ...defaultStep, dependsOn: [index], ...later })),
             ];
-            const submission = { jobId, queueName: "queue", teamName, payload: "", steps, repeat: undefined, submittedWallMs: nowMs };
+            const submission = { jobId, queueName: "queue", teamName, payload: "", steps, repeat, submittedWallMs: nowMs };
             scheduler.addJob(encodeSubmission(submission), acceptedRevision ?? token + 1, undefined, false, nowMs);
             pump();
         },
