--- a/tests/scheduling/drivenScheduler.ts
+++ b/tests/scheduling/drivenScheduler.ts
@@ -6,6 +6,7 @@
 import { createScheduler, type Scheduler } from "../../src/scheduling/scheduler.js";
 import { commandKinds, type RunEnd, type SchedulerCommand } from "../../src/scheduling/schedulerState.js";
 import type { Run } from "../../src/scheduling/workerRecord.js";
+import { defaultStep } from "./defaultStep.js";
 
 export interface DrivenOptions {
     workers: number;
@@ -48,25 +49,6 @@
 
 export const workerLeaseMs = 6_000;
 
-const defaultStep: StepSpec = {
-    taskCount: 1,
-    request: { cpuMillicores: 1_000, memoryMb: 100, accelerators: 0 },
-    estimatedDurationMs: 1_000,
-    dependsOn: [],
-    isGang: false,
-    isRackBound: false,
-    requiredLabel: undefined,
-    preferredRack: undefined,
-    maxTasksPerWorker: undefined,
-    isSpeculative: false,
-    isLongRunning: false,
-    savesProgress: false,
-    image: undefined,
-    latencyTargetMs: undefined,
-    isFiller: false,
-    maxUnavailable: undefined,
-};
-
 export function createDrivenScheduler(options: DrivenOptions): DrivenScheduler {
     const token = options.token ?? 10;
     const policy: SchedulingPolicy = {
--- a/tests/scheduling/modelJob.ts
+++ b/tests/scheduling/modelJob.ts
@@ -1,26 +1,10 @@
 /** The one job of the model: two steps of one task, the second after the first. */
 import type { JobSubmission, SchedulingPolicy, StepSpec } from "../../src/scheduling/jobTypes.js";
 import type { WorkerEntry } from "../../src/scheduling/workerRecord.js";
+import { defaultStep } from "./defaultStep.js";
 import type { ModelWorker } from "./modelWorker.js";
 
-const step = (dependsOn: number[]): StepSpec => ({
-    taskCount: 1,
-    request: { cpuMillicores: 1_000, memoryMb: 100, accelerators: 0 },
-    estimatedDurationMs: 500,
-    dependsOn,
-    isGang: false,
-    isRackBound: false,
-    requiredLabel: undefined,
-    preferredRack: undefined,
-    maxTasksPerWorker: undefined,
-    isSpeculative: false,
-    isLongRunning: false,
-    savesProgress: false,
-    image: undefined,
-    latencyTargetMs: undefined,
-    isFiller: false,
-    maxUnavailable: undefined,
-});
+const step = (dependsOn: number[]): StepSpec => ({ ...defaultStep, estimatedDurationMs: 500, dependsOn });
 export const modelSubmission: JobSubmission = {
     jobId: "job",
     queueName: "queue",
