--- a/src/scheduling/jobRecord.ts
+++ b/src/scheduling/jobRecord.ts
@@ -34,8 +34,6 @@
     hasStarted: boolean;
     endedWallMs: number | undefined;
     occurrences: Map<number, OccurrenceRecord>;
-    /** Occurrences that have ended and need no record any more. */
-    completedOccurrences: number;
     workMillicoreS: number;
     /** Longest chain of work by the estimates. */
     chainMs: number;
@@ -87,7 +85,6 @@
         hasStarted: progress !== undefined && progress.state !== jobStates.queued,
         endedWallMs: progress?.endedWallMs,
         occurrences: new Map(),
-        completedOccurrences: 0,
         workMillicoreS: estimateWork(submission.steps),
         chainMs: Math.max(0, ...estimateChainMs(submission.steps)),
         version: 0,
@@ -98,7 +95,6 @@
         const occurrence = createOccurrence(job, number, progress?.occurrences?.[String(number)]);
         if (isOccurrenceDone(occurrence)) {
             job.occurrences.delete(number);
-            job.completedOccurrences += 1;
         }
     }
     return job;
--- a/src/scheduling/reconcileListing.ts
+++ b/src/scheduling/reconcileListing.ts
@@ -56,7 +56,7 @@
 function loseEach(state: SchedulerState, runs: readonly Run[], reason: string, moment: Moment): void {
     for (const run of runs) {
         state.onDecision({ what: "run lost", jobId: run.jobId, taskName: run.taskName, runId: run.runId, workerId: run.workerId, reason });
-        applyEnd(state, { ...run, end: runEnds.lost, checkpoint: run.checkpoint }, moment.nowMs, moment.wallMs);
+        applyEnd(state, { ...run, end: runEnds.lost }, moment.nowMs, moment.wallMs);
         detachRun(state, run);
     }
 }
--- a/src/scheduling/schedulerState.ts
+++ b/src/scheduling/schedulerState.ts
@@ -2,7 +2,7 @@
 import { isFinalState, isOccurrenceDone, type JobRecord, type StepRecord, taskProgress } from "./jobRecord.js";
 import { addResources, type JobState, jobStates, noResources, type Resources, type SchedulingPolicy } from "./jobTypes.js";
 import type { SilentWorkerNote } from "./silentWorkers.js";
-import { removeRun, type Run, runPhases, type WorkerRecord } from "./workerRecord.js";
+import { addRun, removeRun, type Run, runKey, runPhases, type WorkerRecord } from "./workerRecord.js";
 
 export const commandKinds = {
     start: "start",
@@ -126,8 +126,7 @@
 
 /** Registers a run with its worker, its step and its team. */
 export function attachRun(state: SchedulerState, worker: WorkerRecord, step: StepRecord | undefined, run: Run): void {
-    worker.runs.set(`${run.taskName}#${run.runId}`, run);
-    addResources(worker.used, run.reserved, 1);
+    addRun(worker, run);
     addResources(teamUse(state, run.teamName), run.requested, 1);
     if (step) {
         step.waiting.delete(run.taskIndex);
@@ -138,7 +137,7 @@
 /** Forgets a run that has surely ended, and lets its task wait again where it must run again. */
 export function detachRun(state: SchedulerState, run: Run): void {
     const worker = state.workers.get(run.workerId);
-    if (worker?.runs.has(`${run.taskName}#${run.runId}`)) {
+    if (worker?.runs.has(runKey(run.taskName, run.runId))) {
         removeRun(worker, run);
         addResources(teamUse(state, run.teamName), run.requested, -1);
     }
@@ -229,7 +228,6 @@
         return;
     }
     job.occurrences.delete(step.occurrence);
-    job.completedOccurrences += 1;
     if (job.occurrences.size === 0) {
         endJob(state, job, jobStates.completed, wallMs);
     }
