--- a/src/decisions/orderSteps.ts
+++ b/src/decisions/orderSteps.ts
@@ -26,7 +26,10 @@
 const valueLossFactor = 3;
 
 /** Returns 0 if the job can meet its deadline, 1 if it is late but still has value, 2 if it has none but must still run. */
-export function latenessClass(step: StepOrderInput, wallMs: number): 0 | 1 | 2 {
+export function latenessClass(
+    step: Pick<StepOrderInput, "criticalPathMs" | "deadlineWallMs" | "submittedWallMs">,
+    wallMs: number,
+): 0 | 1 | 2 {
     const endWallMs = wallMs + step.criticalPathMs;
     if (endWallMs <= step.deadlineWallMs) {
         return 0;
--- a/src/process/logEvents.ts
+++ b/src/process/logEvents.ts
@@ -77,6 +77,11 @@
     progressWriteFailed: defineEvent(6104, logLevels.warn, "Job progress could not be written; the write is retried."),
     vmOrderAnswered: defineEvent(6105, logLevels.info, "The platform responded to a request to move or restart a VM."),
     waveChanged: defineEvent(6106, logLevels.info, "A maintenance wave started, progressed or ended."),
+    schedulingSummarized: defineEvent(
+        6107,
+        logLevels.info,
+        "Load of the process that owns the scheduling since the previous summary, and what waits and runs in each pool.",
+    ),
     jobAccepted: defineEvent(2101, logLevels.info, "A job was accepted and is stored."),
     jobCallRejected: defineEvent(2102, logLevels.info, "A call of the job API was rejected; 'reason' tells why."),
     jobOutcomeUnknown: defineEvent(
@@ -95,6 +100,11 @@
     ),
     storeAvailable: defineEvent(7002, logLevels.info, "The platform's key-value service responds again."),
     watchRestarted: defineEvent(7003, logLevels.warn, "A watch was restarted and its keys were reread."),
+    changesReceivedLate: defineEvent(
+        7006,
+        logLevels.info,
+        "A watch returned many changes, or the first ones after a gap; 'newestKnownRevision' is the newest that the store has reported.",
+    ),
     vmListAvailable: defineEvent(7005, logLevels.info, "The platform's VM list responds again."),
     vmListUnavailable: defineEvent(7004, logLevels.warn, "The platform's VM list does not respond; the last one received stays in effect."),
 } as const satisfies Record<string, LogEvent>;
--- a/src/process/schedulingService.ts
+++ b/src/process/schedulingService.ts
@@ -7,7 +7,7 @@
 import type { SchedulingPolicy } from "../scheduling/jobTypes.js";
 import type { Moment } from "../scheduling/reconcileListing.js";
 import { createScheduler, type Scheduler } from "../scheduling/scheduler.js";
-import { commandKinds, type Decision } from "../scheduling/schedulerState.js";
+import { commandKinds } from "../scheduling/schedulerState.js";
 import { decodeSnapshot, type WorkerSnapshot } from "../scheduling/unresponsiveWorkers.js";
 import type { WorkerEntry } from "../scheduling/workerRecord.js";
 import type { DemandTracker } from "./demandTracker.js";
@@ -16,6 +16,7 @@
 import { createProgressWriter } from "./progressWriter.js";
 import { removeOldJobs } from "./removeOldJobs.js";
 import type { OwnershipTerm, SchedulingOwnership } from "./schedulingOwnership.js";
+import { createSchedulingSummary } from "./schedulingSummary.js";
 import type { StoreMirror } from "./storeMirror.js";
 import { createWorkerSession, type WorkerSession } from "./workerSession.js";
 import { createWorkerSnapshotWriter, emptySnapshotValue } from "./workerSnapshotWriter.js";
@@ -75,7 +76,7 @@
 
     const moment = (): Moment => ({ nowMs: timers.nowMs(), wallMs: timers.wallClockMs() });
     const maySendOrders = (): boolean => options.ownership().maySendOrders();
-    const logDecision = (decision: Decision): void => logger.log(logEvents.schedulingDecided, { ...decision });
+    const summary = createSchedulingSummary(timers, logger);
 
     const progressWriter = createProgressWriter({
         store,
@@ -150,6 +151,7 @@
         if (!scheduler) {
             return;
         }
+        const startedAtMs = timers.nowMs();
         syncSessions();
         scheduler.setOwnershipProven(options.ownership().isLeaseValid());
         scheduler.setStoreWritable(progressWriter.isHealthy());
@@ -167,6 +169,7 @@
                 sessions.get("run" in command ? command.run.workerId : command.workerId)?.execute(command);
             }
         }
+        summary.recordPass(timers.nowMs() - startedAtMs);
     };
     const scheduleStep = (): void => {
         if (!isStepScheduled) {
@@ -178,6 +181,7 @@
     /** Timers run only in the owner: in any other process a timer wake-up would cost as much as handling a message. */
     const startTimers = (signal: AbortSignal): void => {
         timers.every(stepIntervalMs, signal, scheduleStep);
+        summary.start(signal, () => scheduler?.state);
         timers.every(saveIntervalMs, signal, () => progressWriter.flush());
         timers.every(cleanupIntervalMs, signal, () => {
             const termRevision = options.ownership().token();
@@ -213,7 +217,7 @@
             workerLeaseMs: options.workerLeaseMs,
             taskStopMs: options.taskStopMs,
             unknownLeaseMs,
-            onDecision: logDecision,
+            onDecision: decision => logger.log(logEvents.schedulingDecided, { ...decision }),
         });
         scheduler = newScheduler;
         termLifetime = new AbortController();
--- /dev/null
+++ b/src/process/schedulingSummary.ts
@@ -0,0 +1,113 @@
+/** Collects the load of the process that owns the scheduling, and what waits and runs in each pool, for the log. */
+import type { TimerService } from "../common/timerService.js";
+import { latenessClass } from "../decisions/orderSteps.js";
+import { isFinalState, isStepReady } from "../scheduling/jobRecord.js";
+import type { SchedulerState } from "../scheduling/schedulerState.js";
+import { logEvents } from "./logEvents.js";
+import type { Logger } from "./logger.js";
+
+export interface SchedulingSummary {
+    /** Records the duration of one scheduling pass. */
+    recordPass(durationMs: number): void;
+    /** Logs a summary every second until `signal` aborts. */
+    start(signal: AbortSignal, state: () => SchedulerState | undefined): void;
+}
+
+const summaryIntervalMs = 1_000;
+
+interface PoolSummary {
+    workersCount: number;
+    freeCpuMillicores: number;
+    capacityCpuMillicores: number;
+    runsCount: number;
+    /** Waiting tasks by lateness class. */
+    waitingCounts: [number, number, number];
+}
+
+function summarizePools(state: SchedulerState, wallMs: number): Map<string, PoolSummary> {
+    const pools = new Map<string, PoolSummary>();
+    const poolOf = (poolName: string): PoolSummary => {
+        const known = pools.get(poolName) ??
+            { workersCount: 0, freeCpuMillicores: 0, capacityCpuMillicores: 0, runsCount: 0, waitingCounts: [0, 0, 0] };
+        pools.set(poolName, known);
+        return known;
+    };
+    for (const { entry, used, runs, isRegistered } of state.workers.values()) {
+        const pool = poolOf(entry.poolName);
+        pool.workersCount += isRegistered ? 1 : 0;
+        pool.capacityCpuMillicores += entry.capacity.cpuMillicores;
+        pool.freeCpuMillicores += entry.capacity.cpuMillicores - used.cpuMillicores;
+        pool.runsCount += runs.size;
+    }
+    for (const job of state.jobs.values()) {
+        const queue = state.policy.queues.get(job.submission.queueName);
+        if (!queue || isFinalState(job.state)) {
+            continue;
+        }
+        const pool = poolOf(queue.poolName);
+        for (const occurrence of job.occurrences.values()) {
+            const { dueWallMs } = occurrence;
+            const deadlineWallMs = dueWallMs + queue.criticalPathFactor * job.criticalPathMs + queue.latencyObjectiveMs;
+            for (
+                const step of occurrence.steps.filter(each => dueWallMs <= wallMs && each.waiting.size > 0 && isStepReady(occurrence, each))
+            ) {
+                const { criticalPathMs } = step;
+                pool.waitingCounts[latenessClass({ criticalPathMs, deadlineWallMs, submittedWallMs: dueWallMs }, wallMs)] +=
+                    step.waiting.size;
+            }
+        }
+    }
+    return pools;
+}
+
+function formatPool(poolName: string, pool: PoolSummary): string {
+    const [inTime, late, worthless] = pool.waitingCounts;
+    return `${poolName}: ${pool.workersCount} workers, ${pool.runsCount} runs, ` +
+        `${Math.round(pool.freeCpuMillicores / 1000)} of ${Math.round(pool.capacityCpuMillicores / 1000)} cores free, ` +
+        `tasks waiting: ${inTime} in time, ${late} late, ${worthless} too late`;
+}
+
+export function createSchedulingSummary(timers: TimerService, logger: Logger): SchedulingSummary {
+    let passesCount = 0;
+    let passMs = 0;
+    let longestPassMs = 0;
+    let loggedAtMs = timers.nowMs();
+    let cpuUsage = process.cpuUsage();
+
+    const logSummary = (state: SchedulerState): void => {
+        const used = process.cpuUsage(cpuUsage);
+        logger.log(logEvents.schedulingSummarized, {
+            periodMs: Math.round(timers.nowMs() - loggedAtMs),
+            processorMs: Math.round((used.user + used.system) / 1000),
+            passesCount,
+            passMs: Math.round(passMs),
+            longestPassMs: Math.round(longestPassMs),
+            jobsCount: state.jobs.size,
+            unsavedJobsCount: state.unsavedJobs.size,
+            pools: [...summarizePools(state, timers.wallClockMs())].map(([name, pool]) => formatPool(name, pool)),
+        });
+        passesCount = 0;
+        passMs = 0;
+        longestPassMs = 0;
+        loggedAtMs = timers.nowMs();
+        cpuUsage = process.cpuUsage();
+    };
+
+    return {
+        recordPass: durationMs => {
+            passesCount += 1;
+            passMs += durationMs;
+            longestPassMs = Math.max(longestPassMs, durationMs);
+        },
+        start: (signal, state) => {
+            loggedAtMs = timers.nowMs();
+            cpuUsage = process.cpuUsage();
+            timers.every(summaryIntervalMs, signal, () => {
+                const current = state();
+                if (current) {
+                    logSummary(current);
+                }
+            });
+        },
+    };
+}
--- a/tests/platform/storeClient.spec.ts
+++ b/tests/platform/storeClient.spec.ts
@@ -32,6 +32,7 @@
             signal: lifetime.signal,
             onAvailabilityChange: () => undefined,
             onWatchRestart: () => undefined,
+            onWatchResponse: () => undefined,
         });
     const put = async (key: string, value: string): Promise<void> => {
         const present = (await store.read(key)).unwrap();
