--- a/src/connection/platformStore.ts
+++ b/src/connection/platformStore.ts
@@ -54,14 +54,16 @@
     /** Called with all values of the prefix, at first and whenever changes may have been missed. */
     onSnapshot(values: readonly StoredValue[], revision: number): void;
     onChanges(changes: readonly StoreChange[], revision: number): void;
-    /** Called when the observer has received all changes made before `sentAtMs`, the time at which a call was sent. */
-    onUpToDate(sentAtMs: number): void;
+    /** Called when the observer has received all changes made before `currentSinceMs`. */
+    onUpToDate(currentSinceMs: number): void;
 }
 
 /** A store that delivers individual changes, for prefixes too large to deliver completely on each change. */
 export interface ChangeFeedStore extends PlatformStore {
     /** Follows a prefix until `signal` aborts; waits `pauseMs()` between calls, to batch changes. */
     followChanges(prefix: string, signal: AbortSignal, feed: ChangeFeedObserver, pauseMs: () => number): void;
+    /** Time since the last successful response of the store; `undefined` before the first one. */
+    unresponsiveForMs(): number | undefined;
 }
 
 export interface PlatformStore {
--- a/src/process/jobService.ts
+++ b/src/process/jobService.ts
@@ -47,10 +47,10 @@
 }
 
 /**
- * Age at which the mirror counts as stale: writes are not attempted, and jobs that callers know of may be missing. A working
- * watch confirms the mirror at least every 0.7 s, or some hundred milliseconds later if the store is slow.
+ * The store counts as unreachable after this time without a response. A working watch returns at least every 0.7 s, or some
+ * hundred milliseconds later if the store is slow.
  */
-const staleAfterMs = 1_300;
+const unreachableAfterMs = 1_300;
 /** Covers a short outage of the store; the callers' own jitter spreads their retries. */
 const storeRetryAfterMs = 1_000;
 
@@ -60,9 +60,9 @@
         store: options.store,
         timers: options.timers,
         sharedGuard: options.configurationGuard,
-        isStoreReachable: () => !isStale(),
+        isStoreReachable: () => isStoreReachable(),
     });
-    const isStale = (): boolean => (options.mirror().ageMs() ?? Number.POSITIVE_INFINITY) > staleAfterMs;
+    const isStoreReachable = (): boolean => (options.store.unresponsiveForMs() ?? Number.POSITIVE_INFINITY) <= unreachableAfterMs;
     // Without the store, this process cannot know whether another process accepted an earlier attempt of the caller.
     const storeUnreachable: JobResult = {
         kind: jobResultKinds.unknown,
@@ -79,7 +79,7 @@
             case commitOutcomes.outdated:
                 return { kind: jobResultKinds.outdated };
             case commitOutcomes.notStored:
-                return isStale() ? storeUnreachable : refuse("the store did not take the write");
+                return isStoreReachable() ? refuse("the store did not take the write") : storeUnreachable;
             default:
                 logger.log(logEvents.jobOutcomeUnknown, { jobId, key });
                 return { kind: jobResultKinds.unknown, reason: "the response of the store was lost", retryAfterMs: storeRetryAfterMs };
@@ -96,7 +96,7 @@
             if (findSubmittedJob(submission.queueName, submission.jobId)) {
                 return { kind: jobResultKinds.ok };
             }
-            if (isStale()) {
+            if (!isStoreReachable()) {
                 return storeUnreachable;
             }
             const answer = await create(jobKeys.submissionPrefix + submission.jobId, encodeSubmission(submission), submission.jobId);
@@ -111,13 +111,14 @@
                 const isEnded = entry.state === jobStates.completed || entry.state === jobStates.failed;
                 return { kind: jobResultKinds.ok, state: entry.isCancelled && !isEnded ? jobStates.cancelled : entry.state };
             }
-            return isStale() ? refuse("the mirror of the store is stale") : { kind: jobResultKinds.notFound };
+            const isMirrorCurrent = (options.mirror().ageMs() ?? Number.POSITIVE_INFINITY) <= unreachableAfterMs;
+            return isMirrorCurrent ? { kind: jobResultKinds.notFound } : refuse("the mirror of the store is not current");
         },
         cancel: async (queueName, jobId) => {
             if (directory.find(jobId)?.isCancelled) {
                 return { kind: jobResultKinds.ok };
             }
-            if (isStale()) {
+            if (!isStoreReachable()) {
                 return storeUnreachable;
             }
             if (!findSubmittedJob(queueName, jobId)) {
--- a/src/process/storeMirror.ts
+++ b/src/process/storeMirror.ts
@@ -65,8 +65,8 @@
             revision = Math.max(revision, atRevision);
             options.onBatchApplied();
         },
-        onUpToDate: sentAtMs => {
-            confirmedAtMs = Math.max(confirmedAtMs ?? sentAtMs, sentAtMs);
+        onUpToDate: currentSinceMs => {
+            confirmedAtMs = Math.max(confirmedAtMs ?? currentSinceMs, currentSinceMs);
         },
     }, options.pauseMs);
 
--- a/tests/platform/storeClient.spec.ts
+++ b/tests/platform/storeClient.spec.ts
@@ -110,6 +110,58 @@
         following.abort();
     });
 
+    it("should not count the mirror as current while watch responses return only a part of the missing changes", async () => {
+        const following = new AbortController();
+        let writtenAtMs = Number.POSITIVE_INFINITY;
+        const ageWhileIncomplete: { ageMs: number; leastMs: number }[] = [];
+        const mirror: StoreMirror = createStoreMirror({
+            store,
+            prefix: "m/",
+            timers,
+            signal: following.signal,
+            // The changes are made during the first pause.
+            pauseMs: () => 300,
+            onChange: () => undefined,
+            onBatchApplied: () =>
+                queueMicrotask(() => {
+                    const count = mirror.values("m/").length;
+                    if (count > 1 && count < 11) {
+                        ageWhileIncomplete.push({ ageMs: mirror.ageMs()!, leastMs: timers.nowMs() - writtenAtMs });
+                    }
+                }),
+        });
+        await put("m/0", "first");
+        await waitUntil("the first value is visible", () => mirror.values("m/").length === 1);
+        standIn.faults.revisionsPerWatch = 1;
+        for (let index = 1; index <= 10; index++) {
+            await put(`m/${index}`, "later");
+        }
+        writtenAtMs = timers.nowMs();
+        await waitUntil("all changes are visible", () => mirror.values("m/").length === 11);
+        standIn.faults.revisionsPerWatch = Number.POSITIVE_INFINITY;
+        assert.ok(ageWhileIncomplete.length > 0, "all changes came in one response");
+        for (const { ageMs, leastMs } of ageWhileIncomplete) {
+            assert.ok(ageMs >= leastMs, `confirmed ${ageMs} ms ago, but changes of ${leastMs} ms ago were missing`);
+        }
+        await waitUntil("the mirror counts as current again", () => mirror.ageMs()! < timers.nowMs() - writtenAtMs);
+        following.abort();
+    });
+
+    it("should count the mirror as current under a load that never lets a watch wait", async () => {
+        const following = new AbortController();
+        const mirror = mirrorOf("n/", following.signal);
+        await put("n/0", "first");
+        await waitUntil("the first value is visible", () => mirror.values("n/").length === 1);
+        let highestAgeMs = 0;
+        for (let index = 1; index <= 300; index++) {
+            (await store.swap([], [{ key: "n/0", value: String(index) }])).unwrap();
+            highestAgeMs = Math.max(highestAgeMs, mirror.ageMs()!);
+            await delay(timers, 5);
+        }
+        assert.ok(highestAgeMs < 1_000, `the mirror was ${highestAgeMs} ms old`);
+        following.abort();
+    });
+
     it("should store concurrent keys in one transaction, each once", async () => {
         const commit = createGroupCommit({ store, timers, sharedGuard: () => undefined, isStoreReachable: () => true });
         const callsBefore = standIn.callCount("/api/kv-txn");
--- a/tests/platform/storeStandIn.ts
+++ b/tests/platform/storeStandIn.ts
@@ -19,6 +19,8 @@
     /** Never responds. */
     isSilent: boolean;
     itemsPerPage: number;
+    /** Transactions whose changes one response of a watch may contain; it then ends at the last of them. */
+    revisionsPerWatch: number;
 }
 
 export interface StoreStandIn {
@@ -35,7 +37,12 @@
 
 export async function startStoreStandIn(): Promise<StoreStandIn> {
     const items = new Map<string, Item>();
-    const faults: StoreStandInFaults = { droppedResponsesCount: 0, isSilent: false, itemsPerPage: 500 };
+    const faults: StoreStandInFaults = {
+        droppedResponsesCount: 0,
+        isSilent: false,
+        itemsPerPage: 500,
+        revisionsPerWatch: Number.POSITIVE_INFINITY,
+    };
     const calls = new Map<string, number>();
     const leases = new Set<number>();
     let history: Event[] = [];
@@ -71,6 +78,14 @@
             .sort((a, b) => a.key < b.key ? -1 : 1);
         return [200, { items: all.slice(0, faults.itemsPerPage), hasMore: all.length > faults.itemsPerPage, atRev: revision }];
     };
+    const truncateEvents = (events: readonly Event[]): object => {
+        const revisions = [...new Set(events.map(event => event.revision))];
+        if (revisions.length <= faults.revisionsPerWatch) {
+            return { events, atRev: revision };
+        }
+        const lastRevision = revisions[faults.revisionsPerWatch - 1]!;
+        return { events: events.filter(event => event.revision <= lastRevision), atRev: lastRevision };
+    };
     const watch = async (query: URLSearchParams): Promise<[number, object]> => {
         const after = Number(query.get("after"));
         const endsAtMs = Date.now() + Number(query.get("waitMs"));
@@ -80,7 +95,7 @@
             }
             const events = history.filter(event => event.revision > after && event.key.startsWith(query.get("prefix")!));
             if (events.length > 0 || Date.now() > endsAtMs) {
-                return [200, { events, atRev: revision }];
+                return [200, truncateEvents(events)];
             }
             await new Promise(resolve => setTimeout(resolve, watchPollMs));
         }
--- a/tests/process/jobService.spec.ts
+++ b/tests/process/jobService.spec.ts
@@ -13,13 +13,13 @@
 interface Fixture {
     jobs: JobService;
     calls: string[];
-    /** Sets the time since the mirror of the store was last confirmed to be complete. */
-    setMirrorAgeMs(ageMs: number): void;
+    /** Sets the time since the last response of the store. */
+    setUnresponsiveForMs(durationMs: number): void;
 }
 
 function createFixture(options: { isWriteAnswered: boolean }): Fixture {
     const calls: string[] = [];
-    let mirrorAgeMs = 100;
+    let unresponsiveForMs = 100;
     const lost = { call: "swap", reason: "timeout", isKnownNotApplied: false };
     const store = {
         swap: () => {
@@ -30,22 +30,23 @@
             calls.push("read");
             return Promise.resolve(Err({ ...lost, call: "read" }));
         },
+        unresponsiveForMs: () => unresponsiveForMs,
     } as unknown as ChangeFeedStore;
     const jobs = createJobService({
         store,
-        mirror: () => ({ ageMs: () => mirrorAgeMs }) as unknown as StoreMirror,
+        mirror: () => ({ ageMs: () => unresponsiveForMs }) as unknown as StoreMirror,
         directory: createJobDirectory({ onUnreadable: () => undefined }),
         timers: createTimerService(),
         logger: createSilentLogger(),
         configurationGuard: () => undefined,
     });
-    return { jobs, calls, setMirrorAgeMs: ageMs => mirrorAgeMs = ageMs };
+    return { jobs, calls, setUnresponsiveForMs: durationMs => unresponsiveForMs = durationMs };
 }
 
 describe("job service without contact to the store", () => {
     it("should answer unknown at once, with a retry time and without calling the store", async () => {
-        const { jobs, calls, setMirrorAgeMs } = createFixture({ isWriteAnswered: true });
-        setMirrorAgeMs(3_000);
+        const { jobs, calls, setUnresponsiveForMs } = createFixture({ isWriteAnswered: true });
+        setUnresponsiveForMs(3_000);
         const answer = await jobs.submit(modelSubmission);
         assert.equal(answer.kind, jobResultKinds.unknown);
         assert.ok((answer.retryAfterMs ?? 0) > 0);
@@ -55,9 +56,9 @@
     });
 
     it("should not look up a write without a response after contact was lost", async () => {
-        const { jobs, calls, setMirrorAgeMs } = createFixture({ isWriteAnswered: false });
+        const { jobs, calls, setUnresponsiveForMs } = createFixture({ isWriteAnswered: false });
         const answered = jobs.submit(modelSubmission);
-        setMirrorAgeMs(3_000);
+        setUnresponsiveForMs(3_000);
         assert.equal((await answered).kind, jobResultKinds.unknown);
         assert.deepEqual(calls, ["swap"]);
     });
