Look up a job in the store before answering that it is unknown

Callers got 410 for a job that another process had accepted: the process answered from its copy of the store alone, which may lag behind by seconds after an outage or on a slow link.

A job that the copy lacks is now read from the store with its progress and cancellation; 410 means that the store does not contain it. While the store does not respond, the query is refused. Submissions and cancellations already worked like this.

The four new tests cover each outcome. They use the asynchronous signature, so they were not run on the code before.

--- a/src/process/jobService.ts
+++ b/src/process/jobService.ts
@@ -1,13 +1,12 @@
 /** Job operations for callers: submit, query, cancel. Reads use this process's mirror of the store; writes go to the store. */
 import type { TimerService } from "../common/timerService.js";
 import type { ChangeFeedStore, StoreGuard } from "../connection/platformStore.js";
-import type { JobDirectory } from "../scheduling/jobDirectory.js";
+import { createJobDirectory, type DirectoryEntry, type JobDirectory } from "../scheduling/jobDirectory.js";
 import { encodeSubmission, jobKeys } from "../scheduling/jobDocuments.js";
 import { type JobState, jobStates, type JobSubmission } from "../scheduling/jobTypes.js";
 import { commitOutcomes, createGroupCommit } from "./groupCommit.js";
 import { logEvents } from "./logEvents.js";
 import type { Logger } from "./logger.js";
-import type { StoreMirror } from "./storeMirror.js";
 
 export const jobResultKinds = {
     /** Done and stored. */
@@ -31,14 +30,13 @@
 
 export interface JobService {
     submit(submission: JobSubmission): Promise<JobResult>;
-    state(queueName: string, jobId: string): JobResult;
+    state(queueName: string, jobId: string): Promise<JobResult>;
     cancel(queueName: string, jobId: string): Promise<JobResult>;
     countQueued(queueName: string): number;
 }
 
 export interface JobServiceOptions {
     store: ChangeFeedStore;
-    mirror(): StoreMirror;
     directory: JobDirectory;
     timers: TimerService;
     logger: Logger;
@@ -86,11 +84,36 @@
         }
     };
 
-    const findSubmittedJob = (queueName: string, jobId: string) => {
-        const entry = directory.find(jobId);
+    const findSubmittedJob = (queueName: string, jobId: string, jobs = directory): DirectoryEntry | undefined => {
+        const entry = jobs.find(jobId);
         return entry?.submission !== undefined && entry.queueName === queueName ? entry : undefined;
     };
 
+    const describeState = (entry: DirectoryEntry): JobResult => {
+        const isEnded = entry.state === jobStates.completed || entry.state === jobStates.failed;
+        return { kind: jobResultKinds.ok, state: entry.isCancelled && !isEnded ? jobStates.cancelled : entry.state };
+    };
+
+    /** Looks up a job that the mirror does not contain, because another process may have accepted it just before. */
+    const readState = async (queueName: string, jobId: string): Promise<JobResult> => {
+        const read = createJobDirectory({ onUnreadable: (key, reason) => logger.log(logEvents.documentUnreadable, { key, reason }) });
+        for (const prefix of [jobKeys.submissionPrefix, jobKeys.progressPrefix, jobKeys.cancellationPrefix]) {
+            const key = prefix + jobId;
+            const stored = await options.store.read(key);
+            if (stored.err) {
+                return refuse("the store does not respond");
+            }
+            if (stored.val) {
+                read.apply(key, stored.val.value);
+            }
+            else if (prefix === jobKeys.submissionPrefix) {
+                return { kind: jobResultKinds.notFound };
+            }
+        }
+        const entry = findSubmittedJob(queueName, jobId, read);
+        return entry ? describeState(entry) : { kind: jobResultKinds.notFound };
+    };
+
     return {
         submit: async submission => {
             if (findSubmittedJob(submission.queueName, submission.jobId)) {
@@ -105,14 +128,12 @@
             }
             return answer;
         },
-        state: (queueName, jobId) => {
+        state: async (queueName, jobId) => {
             const entry = findSubmittedJob(queueName, jobId);
             if (entry) {
-                const isEnded = entry.state === jobStates.completed || entry.state === jobStates.failed;
-                return { kind: jobResultKinds.ok, state: entry.isCancelled && !isEnded ? jobStates.cancelled : entry.state };
+                return describeState(entry);
             }
-            const isMirrorCurrent = (options.mirror().ageMs() ?? Number.POSITIVE_INFINITY) <= unreachableAfterMs;
-            return isMirrorCurrent ? { kind: jobResultKinds.notFound } : refuse("the mirror of the store is not current");
+            return isStoreReachable() ? readState(queueName, jobId) : refuse("the store is not reachable");
         },
         cancel: async (queueName, jobId) => {
             if (directory.find(jobId)?.isCancelled) {
--- a/tests/process/jobService.spec.ts
+++ b/tests/process/jobService.spec.ts
@@ -6,8 +6,9 @@
 import type { ChangeFeedStore } from "../../src/connection/platformStore.js";
 import { createJobService, jobResultKinds, type JobService } from "../../src/process/jobService.js";
 import { createSilentLogger } from "../../src/process/logger.js";
-import type { StoreMirror } from "../../src/process/storeMirror.js";
 import { createJobDirectory } from "../../src/scheduling/jobDirectory.js";
+import { encodeProgress, encodeSubmission, jobKeys } from "../../src/scheduling/jobDocuments.js";
+import { jobStates } from "../../src/scheduling/jobTypes.js";
 import { modelSubmission } from "../scheduling/modelJob.js";
 
 interface Fixture {
@@ -17,7 +18,7 @@
     setUnresponsiveForMs(durationMs: number): void;
 }
 
-function createFixture(options: { isWriteAnswered: boolean }): Fixture {
+function createFixture(options: { isWriteAnswered: boolean; stored?: Record<string, string> }): Fixture {
     const calls: string[] = [];
     let unresponsiveForMs = 100;
     const lost = { call: "swap", reason: "timeout", isKnownNotApplied: false };
@@ -26,15 +27,18 @@
             calls.push("swap");
             return Promise.resolve(options.isWriteAnswered ? Ok({ isSwapped: true, revision: 2, current: [] }) : Err(lost));
         },
-        read: () => {
+        read: (key: string) => {
             calls.push("read");
+            if (options.stored) {
+                const value = options.stored[key];
+                return Promise.resolve(Ok(value === undefined ? undefined : { key, value, revision: 1 }));
+            }
             return Promise.resolve(Err({ ...lost, call: "read" }));
         },
         unresponsiveForMs: () => unresponsiveForMs,
     } as unknown as ChangeFeedStore;
     const jobs = createJobService({
         store,
-        mirror: () => ({ ageMs: () => unresponsiveForMs }) as unknown as StoreMirror,
         directory: createJobDirectory({ onUnreadable: () => undefined }),
         timers: createTimerService(),
         logger: createSilentLogger(),
@@ -74,3 +78,36 @@
         assert.equal((await jobs.submit(modelSubmission)).kind, jobResultKinds.ok);
     });
 });
+
+describe("job service whose mirror lacks a job", () => {
+    const { jobId, queueName } = modelSubmission;
+    const submission = { [jobKeys.submissionPrefix + jobId]: encodeSubmission(modelSubmission) };
+
+    it("should answer with the stored state of a job that another process has just accepted", async () => {
+        const { jobs } = createFixture({ isWriteAnswered: true, stored: submission });
+        assert.deepEqual(await jobs.state(queueName, jobId), { kind: jobResultKinds.ok, state: jobStates.queued });
+    });
+
+    it("should include the stored progress and cancellation", async () => {
+        const completed = { ...submission, [jobKeys.progressPrefix + jobId]: encodeProgress({ state: jobStates.completed }) };
+        const cancelled = { ...submission, [jobKeys.cancellationPrefix + jobId]: "{}" };
+        for (const [stored, state] of [[completed, jobStates.completed], [cancelled, jobStates.cancelled]] as const) {
+            const { jobs } = createFixture({ isWriteAnswered: true, stored });
+            assert.equal((await jobs.state(queueName, jobId)).state, state);
+        }
+    });
+
+    it("should answer that a job is unknown only if the store does not contain it", async () => {
+        const { jobs, calls } = createFixture({ isWriteAnswered: true, stored: {} });
+        assert.equal((await jobs.state(queueName, jobId)).kind, jobResultKinds.notFound);
+        assert.deepEqual(calls, ["read"]);
+    });
+
+    it("should refuse to answer while the store does not respond", async () => {
+        const { jobs, calls, setUnresponsiveForMs } = createFixture({ isWriteAnswered: true });
+        assert.equal((await jobs.state(queueName, jobId)).kind, jobResultKinds.refused);
+        setUnresponsiveForMs(3_000);
+        assert.equal((await jobs.state(queueName, jobId)).kind, jobResultKinds.refused);
+        assert.deepEqual(calls, ["read"]);
+    });
+});
