Deny a queue or a key only by a recent configuration

Callers got 404 and 401 for queues and keys of a configuration that the store had acknowledged more than its apply time before, from a process that knew only the version before it. Acceptance of keys was bound to the configuration's age, denial was not.

The second of three new tests failed before: 404 instead of 503 with a configuration of 3 s.

--- /dev/null
+++ b/tests/platform/jobApiServer.spec.ts
@@ -0,0 +1,73 @@
+/** The HTTP API for callers: what it answers from a configuration that may be out of date. */
+import assert from "node:assert/strict";
+import type { AddressInfo } from "node:net";
+import { after, before, describe, it } from "node:test";
+import { request } from "undici";
+import { decodeConfiguration } from "../../platform/configurationDocument.js";
+import { createJobApiServer } from "../../platform/jobApiServer.js";
+import { jobResultKinds, type JobService } from "../../src/process/jobService.js";
+import { createSilentLogger } from "../../src/process/logger.js";
+import { createMetrics } from "../../src/process/metrics.js";
+
+const configuration = decodeConfiguration(JSON.stringify({
+    version: 3,
+    routes: [
+        { name: "keyed", host: "a.example", prefix: "/keyed/", service: "pool" },
+        { name: "open", host: "a.example", prefix: "/open/", service: "pool", public: true },
+    ],
+    services: [{ name: "pool" }],
+    tenants: [{ name: "team", apiKeys: ["known"] }],
+}));
+const jobId = "0123456789abcdef";
+
+describe("the job API with a configuration of uncertain age", () => {
+    let configurationAgeMs = 0;
+    const jobs = { state: () => Promise.resolve({ kind: jobResultKinds.ok, state: "queued" }) } as unknown as JobService;
+    const server = createJobApiServer({
+        configuration: () => configuration,
+        configurationAgeMs: () => configurationAgeMs,
+        storeRevision: () => 1,
+        maxConfigurationAgeMs: 4_000,
+        maxAgeForAbsenceMs: 2_000,
+        jobs,
+        logger: createSilentLogger(),
+        metrics: createMetrics(),
+        nowMs: () => 0,
+        wallClockMs: () => 0,
+        isStopping: () => false,
+    });
+    const get = async (path: string, key?: string): Promise<{ status: number; retryAfter: unknown }> => {
+        const { port } = server.address() as AddressInfo;
+        const headers = { host: "a.example", ...(key === undefined ? {} : { credential: key }) };
+        const response = await request(`http://127.0.0.1:${port}${path}${jobId}`, { headers });
+        await response.body.dump();
+        return { status: response.statusCode, retryAfter: response.headers["retry-after"] };
+    };
+
+    before(() => new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve)));
+    after(() => server.closeAllConnections());
+    after(() => server.close());
+
+    it("should reject an unknown queue and an unknown key by a current configuration", async () => {
+        configurationAgeMs = 100;
+        assert.equal((await get("/none/")).status, 404);
+        assert.equal((await get("/keyed/", "other")).status, 401);
+        assert.equal((await get("/keyed/", "known")).status, 200);
+    });
+
+    it("should not deny a queue or a key that may have been added to a newer configuration", async () => {
+        configurationAgeMs = 3_000;
+        for (const [path, key] of [["/none/", undefined], ["/keyed/", "other"]] as const) {
+            const { status, retryAfter } = await get(path, key);
+            assert.equal(status, 503);
+            assert.ok(Number(retryAfter) > 0);
+        }
+        assert.equal((await get("/keyed/", "known")).status, 200);
+    });
+
+    it("should accept no key that may have been revoked, and still serve open queues", async () => {
+        configurationAgeMs = 5_000;
+        assert.equal((await get("/keyed/", "known")).status, 503);
+        assert.equal((await get("/open/")).status, 200);
+    });
+});
