--- a/src/process/schedulingService.ts
+++ b/src/process/schedulingService.ts
@@ -42,6 +42,8 @@
     timers: TimerService;
     logger: Logger;
     signal: AbortSignal;
+    /** Whether the workers' entries that were passed in are recent. */
+    areWorkersCurrent(): boolean;
     connectWorker: ConnectWorker;
     workerLeaseMs: number;
     taskStopMs: number;
@@ -199,9 +201,9 @@
         pendingTerm = undefined;
     };
 
-    /** Starts the term once the policy is known and the mirror contains everything that was written before the term. */
+    /** Starts the term once the policy and the workers are known and the mirror contains everything that was written before the term. */
     const startTermIfReady = (): void => {
-        if (!pendingTerm || !policy || options.mirror().revision() < pendingTerm.token) {
+        if (!pendingTerm || !policy || !options.areWorkersCurrent() || options.mirror().revision() < pendingTerm.token) {
             return;
         }
         const { token } = pendingTerm;
