Let a progress writer serve one scheduler, so that late answers reach no later term

Cause: the process had one progress writer for all its terms. The answer to a write of an earlier term was passed to the scheduler of the current one, whose versions count anew from 0: its changes counted as stored up to the earlier term's version, ends were acknowledged to the workers before they were written, and the write in flight of the same job was settled as if it had landed (or failed). The backoff and the number of writes in flight outlived their term too. Change: each scheduler gets its own progress writer, which ends with it; a continued term keeps both.

--- a/src/process/schedulingService.ts
+++ b/src/process/schedulingService.ts
@@ -3,22 +3,21 @@
 import type { ChangeFeedStore } from "../connection/platformStore.js";
 import type { ConnectWorker } from "../connection/workerClient.js";
 import type { DirectoryEntry, DirectoryEvent, JobDirectory } from "../scheduling/jobDirectory.js";
-import { jobKeys } from "../scheduling/jobDocuments.js";
 import type { SchedulingPolicy } from "../scheduling/jobTypes.js";
 import type { Moment } from "../scheduling/reconcileListing.js";
 import { createScheduler, type Scheduler } from "../scheduling/scheduler.js";
 import { commandKinds, type Decision } from "../scheduling/schedulerState.js";
-import { decodeSnapshot, type WorkerSnapshot } from "../scheduling/unresponsiveWorkers.js";
+import type { WorkerSnapshot } from "../scheduling/unresponsiveWorkers.js";
 import type { WorkerEntry } from "../scheduling/workerRecord.js";
 import type { DemandTracker } from "./demandTracker.js";
 import { logEvents } from "./logEvents.js";
 import type { Logger } from "./logger.js";
-import { createProgressWriter } from "./progressWriter.js";
+import { createProgressWriter, type ProgressWriter } from "./progressWriter.js";
 import { removeOldJobs } from "./removeOldJobs.js";
 import type { OwnershipTerm, SchedulingOwnership } from "./schedulingOwnership.js";
 import type { StoreMirror } from "./storeMirror.js";
 import { createWorkerSession, type WorkerSession } from "./workerSession.js";
-import { createWorkerSnapshotWriter, emptySnapshotValue } from "./workerSnapshotWriter.js";
+import { createWorkerSnapshotWriter, restoreSnapshots } from "./workerSnapshotWriter.js";
 
 export interface SchedulingService {
     onOwnershipAcquired(term: OwnershipTerm): void;
@@ -52,6 +51,14 @@
     onTermStarted(scheduler: Scheduler, signal: AbortSignal): void;
 }
 
+/** What lasts for one term of ownership, or for several in a row that are continued. */
+interface ActiveTerm {
+    scheduler: Scheduler;
+    /** Serves only this scheduler, so that a late answer to a write does not reach the scheduler of a later term. */
+    progressWriter: ProgressWriter;
+    lifetime: AbortController;
+}
+
 const stepIntervalMs = 100;
 /** Progress is collected for this long before each write; short compared with the duration of a step. */
 const saveIntervalMs = 20;
@@ -68,30 +75,35 @@
     /** Workers whose entries were deleted recently: they may still run tasks that an earlier owner started. */
     const unregistered = new Map<string, { entry: WorkerEntry; atMs: number }>();
     let policy: SchedulingPolicy | undefined;
-    let scheduler: Scheduler | undefined;
+    let activeTerm: ActiveTerm | undefined;
     let pendingTerm: OwnershipTerm | undefined;
     let isStepScheduled = false;
-    let termLifetime = new AbortController();
 
     const moment = (): Moment => ({ nowMs: timers.nowMs(), wallMs: timers.wallClockMs() });
     const maySendOrders = (): boolean => options.ownership().maySendOrders();
+    const logUnreadable = (key: string, reason: string): void => logger.log(logEvents.documentUnreadable, { key, reason });
     const logDecision = (decision: Decision): void => logger.log(logEvents.schedulingDecided, { ...decision });
 
-    const progressWriter = createProgressWriter({
-        store,
-        nowMs: timers.nowMs,
-        termRevision: () => scheduler && options.ownership().token(),
-        revisionOf: key => options.mirror().revisionOf(key),
-        takeUnsaved: atMost => scheduler?.takeUnsavedJobs(atMost) ?? [],
-        onSaved: jobs => {
-            jobs.forEach(job => scheduler?.progressSaved(job.jobId, job.version, timers.nowMs()));
-            sessions.forEach(session => session.onProgressSaved());
-            scheduleStep();
-        },
-        onSaveFailed: jobId => scheduler?.progressSaveFailed(jobId),
-        onSuperseded: () => options.ownership().onStoreChanged(),
-        onWriteFailed: (reason, jobsCount) => logger.log(logEvents.progressWriteFailed, { reason, jobsCount }),
-    });
+    const createTermProgressWriter = (scheduler: Scheduler): ProgressWriter => {
+        const isActive = (): boolean => activeTerm?.scheduler === scheduler;
+        return createProgressWriter({
+            store,
+            nowMs: timers.nowMs,
+            termRevision: () => isActive() ? options.ownership().token() : undefined,
+            revisionOf: key => options.mirror().revisionOf(key),
+            takeUnsaved: atMost => scheduler.takeUnsavedJobs(atMost),
+            onSaved: jobs => {
+                jobs.forEach(job => scheduler.progressSaved(job.jobId, job.version, timers.nowMs()));
+                if (isActive()) {
+                    sessions.forEach(session => session.onProgressSaved());
+                    scheduleStep();
+                }
+            },
+            onSaveFailed: scheduler.progressSaveFailed,
+            onSuperseded: () => options.ownership().onStoreChanged(),
+            onWriteFailed: (reason, jobsCount) => logger.log(logEvents.progressWriteFailed, { reason, jobsCount }),
+        });
+    };
 
     const snapshotWriter = createWorkerSnapshotWriter({
         store,
@@ -109,10 +121,7 @@
         }
     };
 
-    const syncSessions = (): void => {
-        if (!scheduler) {
-            return;
-        }
+    const syncSessions = (scheduler: Scheduler): void => {
         for (const [workerId, session] of sessions) {
             if (!scheduler.state.workers.has(workerId)) {
                 session.close();
@@ -147,10 +156,11 @@
 
     const runStep = (): void => {
         isStepScheduled = false;
-        if (!scheduler) {
+        if (!activeTerm) {
             return;
         }
-        syncSessions();
+        const { scheduler, progressWriter } = activeTerm;
+        syncSessions(scheduler);
         scheduler.setOwnershipProven(options.ownership().isLeaseValid());
         scheduler.setStoreWritable(progressWriter.isHealthy());
         if (maySendOrders()) {
@@ -176,7 +186,7 @@
     };
 
     /** Timers run only in the owner: in any other process a timer wake-up would cost as much as handling a message. */
-    const startTimers = (signal: AbortSignal): void => {
+    const startTimers = (progressWriter: ProgressWriter, signal: AbortSignal): void => {
         timers.every(stepIntervalMs, signal, scheduleStep);
         timers.every(saveIntervalMs, signal, () => progressWriter.flush());
         timers.every(cleanupIntervalMs, signal, () => {
@@ -188,10 +198,10 @@
     };
 
     const stopScheduler = (): void => {
-        termLifetime.abort();
+        activeTerm?.lifetime.abort();
+        activeTerm = undefined;
         sessions.forEach(session => session.close());
         sessions.clear();
-        scheduler = undefined;
         pendingTerm = undefined;
     };
 
@@ -207,7 +217,7 @@
         const hasPriorProgress = [...directory.entries.values()].some(entry => entry.progress !== undefined);
         // Workers without an entry may still hold leases from an earlier owner.
         const unknownForMs = hasPriorProgress ? unknownLeaseMs : 0;
-        const newScheduler = createScheduler({
+        const scheduler = createScheduler({
             policy,
             term: { token, startedWallMs: now.wallMs, unknownWorkersUntilMs: now.nowMs + unknownForMs },
             workerLeaseMs: options.workerLeaseMs,
@@ -215,43 +225,34 @@
             unknownLeaseMs,
             onDecision: logDecision,
         });
-        scheduler = newScheduler;
-        termLifetime = new AbortController();
-        const signal = AbortSignal.any([termLifetime.signal, options.signal]);
-        startTimers(signal);
+        const progressWriter = createTermProgressWriter(scheduler);
+        const lifetime = new AbortController();
+        activeTerm = { scheduler, progressWriter, lifetime };
+        const signal = AbortSignal.any([lifetime.signal, options.signal]);
+        startTimers(progressWriter, signal);
         const entriesBySubmissionTime = [...directory.entries.values()].sort((a, b) => a.submittedWallMs - b.submittedWallMs);
         for (const entry of entriesBySubmissionTime) {
             if (entry.submission !== undefined) {
-                newScheduler.addJob(entry.submission, entry.progress, entry.isCancelled, now.wallMs);
+                scheduler.addJob(entry.submission, entry.progress, entry.isCancelled, now.wallMs);
             }
         }
-        registered.forEach(entry => newScheduler.registerWorker(entry, now));
+        registered.forEach(entry => scheduler.registerWorker(entry, now));
         for (const [workerId, { entry, atMs }] of unregistered) {
             if (now.nowMs - atMs < unknownLeaseMs) {
-                newScheduler.registerWorker(entry, now);
-                newScheduler.unregisterWorker(workerId);
-            }
-        }
-        for (const { key, value } of options.mirror().values(jobKeys.workerSnapshotPrefix)) {
-            if (value === emptySnapshotValue) {
-                continue;
-            }
-            try {
-                newScheduler.restoreSnapshot(decodeSnapshot(value), registered.has(key.slice(jobKeys.workerSnapshotPrefix.length)), now);
-            }
-            catch (error) {
-                logger.log(logEvents.documentUnreadable, { key, reason: String(error) });
+                scheduler.registerWorker(entry, now);
+                scheduler.unregisterWorker(workerId);
             }
         }
-        options.onTermStarted(newScheduler, signal);
+        restoreSnapshots(scheduler, options.mirror(), registered, now, logUnreadable);
+        options.onTermStarted(scheduler, signal);
         scheduleStep();
     };
 
     return {
-        scheduler: () => scheduler,
+        scheduler: () => activeTerm?.scheduler,
         onOwnershipAcquired: term => {
-            if (term.isContinued && scheduler) {
-                scheduler.renewTerm(term.token);
+            if (term.isContinued && activeTerm) {
+                activeTerm.scheduler.renewTerm(term.token);
                 return;
             }
             stopScheduler();
@@ -262,7 +263,7 @@
         onPolicyChanged: next => {
             policy = next;
             startTermIfReady();
-            scheduler?.setPolicy(next);
+            activeTerm?.scheduler.setPolicy(next);
             scheduleStep();
         },
         onWorkerChanged: (workerId, entry) => {
@@ -270,22 +271,22 @@
             if (entry) {
                 unregistered.delete(workerId);
                 registered.set(workerId, entry);
-                scheduler?.registerWorker(entry, moment());
+                activeTerm?.scheduler.registerWorker(entry, moment());
             }
             else if (knownEntry) {
                 registered.delete(workerId);
                 unregistered.set(workerId, { entry: knownEntry, atMs: timers.nowMs() });
-                scheduler?.unregisterWorker(workerId);
+                activeTerm?.scheduler.unregisterWorker(workerId);
             }
         },
         onJobEvent: event => {
             if (event.kind === "accepted") {
                 const { entry } = event;
                 recordArrival(entry);
-                scheduler?.addJob(entry.submission!, entry.progress, entry.isCancelled, timers.wallClockMs());
+                activeTerm?.scheduler.addJob(entry.submission!, entry.progress, entry.isCancelled, timers.wallClockMs());
             }
             else if (event.kind === "cancelled") {
-                scheduler?.cancelJob(event.entry.jobId, timers.wallClockMs());
+                activeTerm?.scheduler.cancelJob(event.entry.jobId, timers.wallClockMs());
             }
         },
         onStoreChanged: () => {
--- a/src/process/workerSnapshotWriter.ts
+++ b/src/process/workerSnapshotWriter.ts
@@ -2,7 +2,17 @@
 import { delay, type TimerService } from "../common/timerService.js";
 import type { PlatformStore } from "../connection/platformStore.js";
 import { jobKeys } from "../scheduling/jobDocuments.js";
-import { encodeSnapshot, type SnapshotState, snapshotStates, type WorkerSnapshot } from "../scheduling/unresponsiveWorkers.js";
+import type { Moment } from "../scheduling/reconcileListing.js";
+import type { Scheduler } from "../scheduling/scheduler.js";
+import {
+    decodeSnapshot,
+    encodeSnapshot,
+    type SnapshotState,
+    snapshotStates,
+    type WorkerSnapshot,
+} from "../scheduling/unresponsiveWorkers.js";
+import type { WorkerEntry } from "../scheduling/workerRecord.js";
+import type { StoreMirror } from "./storeMirror.js";
 import { createWrittenRevisions } from "./writtenRevisions.js";
 
 export interface WorkerSnapshotWriter {
@@ -20,7 +30,7 @@
 }
 
 /** Stored value of a cleared snapshot, whose worker responds again. */
-export const emptySnapshotValue = "";
+const emptySnapshotValue = "";
 
 /** Delay after a failed write before it is reported, so that the store can recover before the scheduler requests another. */
 const retryDelayMs = 200;
@@ -53,3 +63,24 @@
         },
     };
 }
+
+/** Passes the snapshots that earlier owners stored to the scheduler of a new term. */
+export function restoreSnapshots(
+    scheduler: Scheduler,
+    mirror: StoreMirror,
+    registered: ReadonlyMap<string, WorkerEntry>,
+    moment: Moment,
+    onUnreadable: (key: string, reason: string) => void,
+): void {
+    for (const { key, value } of mirror.values(jobKeys.workerSnapshotPrefix)) {
+        if (value === emptySnapshotValue) {
+            continue;
+        }
+        try {
+            scheduler.restoreSnapshot(decodeSnapshot(value), registered.has(key.slice(jobKeys.workerSnapshotPrefix.length)), moment);
+        }
+        catch (error) {
+            onUnreadable(key, String(error));
+        }
+    }
+}
