Keep the ownership when a worker refuses the token of a term that this process has continued

Cause: when an owner's lease has expired, as after an outage of the store, and no other process was the owner in between, it continues with a new token. A command that was still under way with the earlier token is then refused by each worker that has already seen the new one. The session took that for a newer owner: the process gave up its ownership and all its state, and no process owned the scheduling until its lease had run out. Change: only a refusal of the current token shows a newer owner. A start of an earlier token counts as refused, and a stop is repeated. Evidence: the new case of process/workerSession.spec.ts failed before ('fenced' was reported) and passes now.

--- a/src/process/workerSession.ts
+++ b/src/process/workerSession.ts
@@ -50,14 +50,19 @@
     const moment = (): Moment => ({ nowMs: timers.nowMs(), wallMs: timers.wallClockMs() });
     const workerClockMs = (): number | undefined => clock && clock.clockMs + (timers.nowMs() - clock.atMs);
 
-    const handleListResponse = (answer: ListResponse, sentAtMs: number): void => {
+    /** Whether a refusal of this token shows a newer owner: after a term was continued, the newer token may be this process's own. */
+    const isCurrentToken = (token: number): boolean => !signal.aborted && token === scheduler.state.term.token;
+
+    const handleListResponse = (answer: ListResponse, token: number, sentAtMs: number): void => {
         if (signal.aborted) {
             return;
         }
         const now = moment();
         scheduler.setOwnershipProven(options.isLeaseValid());
         if (answer.isFenced) {
-            options.onFenced();
+            if (isCurrentToken(token)) {
+                options.onFenced();
+            }
             return;
         }
         if (answer.outcome === commandOutcomes.otherWorker) {
@@ -80,14 +85,15 @@
         if (clockMs !== undefined) {
             scheduler.leaseExtensionSent(workerId, options.leaseMs, sentAtMs);
         }
+        const { token } = scheduler.state.term;
         const answer = await client.list({
-            token: scheduler.state.term.token,
+            token,
             acknowledgedEndNumber: scheduler.acknowledgedEndNumber(workerId),
             leaseUntilClockMs: clockMs === undefined ? undefined : Math.round(clockMs + options.leaseMs),
             waitMs,
         });
         wasLastListAccepted = answer.outcome === commandOutcomes.accepted;
-        handleListResponse(answer, sentAtMs);
+        handleListResponse(answer, token, sentAtMs);
         return answer.outcome;
     };
 
@@ -122,15 +128,16 @@
             scheduler.startResponseReceived(targetRun, commandOutcomes.refused, reason, moment());
             return;
         }
+        const { token } = scheduler.state.term;
         const answer = await client.start({
             taskName: targetRun.taskName,
             runId: targetRun.runId,
             payload: command.payload,
             checkpoint: command.checkpoint,
-            token: scheduler.state.term.token,
+            token,
             validUntilClockMs: Math.round(clockMs + startValidityMs),
         });
-        if (answer.isFenced) {
+        if (answer.isFenced && isCurrentToken(token)) {
             options.onFenced();
             return;
         }
@@ -139,8 +146,9 @@
     };
     const stop = async (command: Extract<SchedulerCommand, { kind: "stop" }>): Promise<void> => {
         const { run: targetRun } = command;
-        const answer = await client.stop({ taskName: targetRun.taskName, runId: targetRun.runId, token: scheduler.state.term.token });
-        if (answer.isFenced) {
+        const { token } = scheduler.state.term;
+        const answer = await client.stop({ taskName: targetRun.taskName, runId: targetRun.runId, token });
+        if (answer.isFenced && isCurrentToken(token)) {
             options.onFenced();
             return;
         }
--- a/tests/process/workerSession.spec.ts
+++ b/tests/process/workerSession.spec.ts
@@ -1,8 +1,11 @@
-/** Guards against starts sent by a process that lost the ownership between the decision and the call. */
+/**
+ * Guards against starts sent by a process that lost the ownership between the decision and the call, and against giving up the
+ * ownership for a command of an earlier term.
+ */
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { createTimerService, delay } from "../../src/common/timerService.js";
-import type { WorkerClient } from "../../src/connection/workerClient.js";
+import type { OrderResponse, WorkerClient } from "../../src/connection/workerClient.js";
 import { createWorkerSession } from "../../src/process/workerSession.js";
 import { commandOutcomes } from "../../src/scheduling/commandOutcomes.js";
 import { commandKinds } from "../../src/scheduling/schedulerState.js";
@@ -56,4 +59,61 @@
         assert.equal(scheduler.state.workers.get("w1")?.runs.size, 0, "the run was removed from the worker");
         session.close();
     });
+
+    it("should repeat a command that was refused for the token of a term which this process has continued", async context => {
+        const harness = createSchedulerHarness({ workers: 1, token: 10 });
+        const { scheduler } = harness;
+        harness.list("w1", { sentAtMs: 0 });
+        const timers = createTimerService();
+        const fenced: string[] = [];
+        const answers: ((isFenced: boolean) => void)[] = [];
+        const answerLater = (): Promise<OrderResponse> =>
+            new Promise(resolve =>
+                answers.push(isFenced =>
+                    resolve({ outcome: isFenced ? commandOutcomes.refused : commandOutcomes.accepted, reason: "", isFenced })
+                )
+            );
+        const listing = { bornWallMs: 0, running: [], ended: [] };
+        const client = {
+            list: async () => {
+                await delay(timers, 20);
+                return { outcome: commandOutcomes.accepted, reason: "", isFenced: false, clockMs: 1_000, listing };
+            },
+            start: answerLater,
+            stop: answerLater,
+            close: () => undefined,
+        } as unknown as WorkerClient;
+        let signalListed: () => void = () => undefined;
+        const listed = new Promise<void>(resolve => signalListed = resolve);
+        const session = createWorkerSession({
+            workerId: "w1",
+            client,
+            scheduler,
+            timers,
+            leaseMs: 6_000,
+            maySendOrders: () => true,
+            isLeaseValid: () => true,
+            onFenced: () => fenced.push("fenced"),
+            onSchedulerChanged: () => signalListed(),
+        });
+        context.after(() => session.close());
+        await listed;
+        harness.submit("job", { taskCount: 1 });
+        const [run] = harness.commands(commandKinds.start);
+        session.execute({ kind: commandKinds.start, run: run!, payload: "", checkpoint: "" });
+        await Promise.resolve();
+        scheduler.renewTerm(20);
+        answers.shift()!(true);
+        await delay(timers, 0);
+        assert.deepEqual(fenced, []);
+        harness.advance(1_000);
+        harness.list("w1", {});
+        const nextRun = harness.commands(commandKinds.start).at(-1)!;
+        assert.equal(nextRun.runId, 20_000_001);
+        session.execute({ kind: commandKinds.start, run: nextRun, payload: "", checkpoint: "" });
+        await Promise.resolve();
+        answers.shift()!(true);
+        await delay(timers, 0);
+        assert.deepEqual(fenced, ["fenced"], "the worker knows a token above the current one");
+    });
 });
