--- a/tests/process/poolRebalancer.spec.ts
+++ b/tests/process/poolRebalancer.spec.ts
@@ -69,12 +69,12 @@
         let nowMs = 0;
         const demand = createDemandTracker(() => nowMs);
         for (; nowMs < 4_000; nowMs += 100) {
-            demand.recordArrival("pool", 5_000);
+            demand.recordArrival("pool", 5_000, 0);
         }
         assert.equal(Math.round(demand.read("pool").arrivingCpuMillicores / 10_000), 5);
         assert.equal(Math.round(demand.read("pool").peakCpuMillicores / 1_000), 50);
         nowMs += 10_000;
-        demand.recordArrival("pool", 100);
+        demand.recordArrival("pool", 100, 0);
         assert.equal(demand.read("pool").arrivingCpuMillicores, 100);
         assert.ok(demand.read("pool").peakCpuMillicores > 40_000);
         nowMs += 120_000;
