Check in the scheduler's model that accepted work always reaches its end

The explorer checked that nothing wrong happens, not that something happens. The model has gained failed runs, workers that leave for good, several takeovers, terms that the same process continues with another token, and writes that land and are answered late or not at all; its store and its guarantees moved to files of their own. The earlier explorations keep their actions and their limits.

--- a/tests/scheduling/describeScheduler.ts
+++ b/tests/scheduling/describeScheduler.ts
@@ -7,6 +7,7 @@
 
 function describeWorker(worker: WorkerRecord): unknown {
     return [
+        worker.isRegistered,
         worker.isRunStateKnown,
         worker.entry.bornWallMs,
         worker.leaseEndsAtMs,
@@ -27,7 +28,8 @@
         job.state,
         job.version - job.persistedVersion,
         workerIds,
-        steps.map(step => [[...step.waiting], [...step.heldBack], [...step.done]]),
+        job.workerIdsInFlight && [...job.workerIdsInFlight],
+        steps.map(step => [[...step.waiting], [...step.heldBack], [...step.done], [...step.tasks]]),
     ];
 }
 
@@ -37,13 +39,15 @@
 
 export function describePendingCommand(pending: PendingCommand): unknown {
     const { kind, run } = pending.command;
-    return [pending.owner, kind, run.taskName, run.runId, run.workerId, pending.sentAtMs, pending.isLate];
+    return [pending.owner, pending.token, kind, run.taskName, run.runId, run.workerId, pending.sentAtMs, pending.isLate];
 }
 
 export function describeModelWorker(worker: ModelWorker): unknown {
-    return [worker.bornWallMs, worker.highestToken, worker.leaseEndsAtMs, [...worker.running], [...worker.highestEndedRunIds], worker.ends];
+    return [worker.bornWallMs, worker.leftAtMs, worker.highestToken, worker.leaseEndsAtMs, [...worker.running], [
+        ...worker.highestEndedRunIds,
+    ], worker.ends];
 }
 
 export function describeOwner(owner: ModelOwner): unknown {
-    return [owner.isProven, [...owner.partitionedFrom], describeScheduler(owner.scheduler)];
+    return [owner.token, owner.isProven, [...owner.partitionedFrom], describeScheduler(owner.scheduler)];
 }
--- a/tests/scheduling/faultInjection.ts
+++ b/tests/scheduling/faultInjection.ts
@@ -1,3 +1,5 @@
+import type { JobProgress } from "../../src/scheduling/jobDocuments.js";
+
 /** Faults injected into the protocol, which the checks must detect. */
 export interface FaultInjection {
     /** Ends are acknowledged to workers before they are stored. */
@@ -10,4 +12,17 @@
     retriesUnansweredStarts?: boolean;
     /** Starts are sent before the store lists the workers on which the job may run. */
     startsBeforeSaving?: boolean;
+    /** A write whose answer was lost is not reported as failed, so that the job is never written again. */
+    forgetsUnansweredSaves?: boolean;
+    /** The next owner does not recognize a failed run whose end is listed again, and counts it once more. */
+    countsListedFailuresAgain?: boolean;
+}
+
+/** Replaces the ids of failed runs, so that the ends of these runs are not recognized. */
+export function forgetRunIds(progress: JobProgress | undefined): JobProgress | undefined {
+    return progress &&
+        JSON.parse(
+            JSON.stringify(progress),
+            (key, value: unknown) => key === "failedRunIds" ? (value as number[]).map(runId => -runId) : value,
+        ) as JobProgress;
 }
--- a/tests/scheduling/modelActions.ts
+++ b/tests/scheduling/modelActions.ts
@@ -1,5 +1,7 @@
 /** Lists the actions that are possible in a state of the model. */
+import type { ModelLimits } from "./modelLimits.js";
 import type { ModelOwner, PendingCommand } from "./modelOwner.js";
+import type { PendingSave } from "./modelStore.js";
 import type { ModelWorker } from "./modelWorker.js";
 
 export interface ModelState {
@@ -9,53 +11,61 @@
     workers: readonly ModelWorker[];
     /** How long an owner that lost the ownership goes on sending commands. */
     ownershipGracePeriodMs: number;
-    crashesLeft: number;
-    lossesLeft: number;
-    unansweredSavesLeft: number;
-    partitionsLeft: number;
+    /** How often each event may still happen. */
+    left: ModelLimits;
+    pendingSaves: readonly PendingSave[];
 }
 
 export function possibleActions(state: ModelState): string[] {
-    const {
-        nowMs,
-        pendingCommands,
-        owners,
-        workers,
-        ownershipGracePeriodMs,
-        crashesLeft,
-        lossesLeft,
-        unansweredSavesLeft,
-        partitionsLeft,
-    } = state;
+    const { nowMs, pendingCommands, owners, workers, ownershipGracePeriodMs, left } = state;
     const actions: string[] = ["tick"];
     pendingCommands.forEach((pending, index) => {
         const isPartitioned = owners[pending.owner]!.partitionedFrom.has(pending.command.run.workerId);
+        const hasLeft = workers.some(worker => worker.id === pending.command.run.workerId && worker.leftAtMs !== undefined);
+        if (hasLeft) {
+            return;
+        }
         if (pending.isLate) {
             actions.push(`late ${index}`);
         }
         else if (!isPartitioned) {
-            actions.push(`deliver ${index}`, ...(lossesLeft > 0 ? [`loseResponse ${index}`] : []));
+            actions.push(`deliver ${index}`, ...(left.losses > 0 ? [`loseResponse ${index}`] : []));
         }
     });
+    const present = workers.filter(worker => worker.leftAtMs === undefined);
     owners.forEach((owner, index) => {
         const maySendCommands = owner.lostAtMs === undefined || nowMs - owner.lostAtMs < ownershipGracePeriodMs;
-        for (const worker of workers) {
+        for (const worker of present) {
             if (maySendCommands && !owner.partitionedFrom.has(worker.id)) {
                 actions.push(`list ${index} ${worker.id}`);
             }
-            if (partitionsLeft > 0) {
+            if (left.partitions > 0) {
                 actions.push(`partition ${index} ${worker.id}`);
             }
         }
         if (owner.scheduler.state.unsavedJobs.size > 0) {
-            actions.push(`save ${index}`, ...(unansweredSavesLeft > 0 ? [`saveUnanswered ${index}`] : []));
+            actions.push(`save ${index}`, ...(left.unansweredSaves > 0 ? [`saveUnanswered ${index}`] : []));
+            actions.push(...(left.slowSaves > 0 ? [`sendSave ${index}`] : []));
         }
     });
-    for (const worker of workers) {
+    for (const worker of present) {
+        actions.push(
+            ...(worker.running.size > 0 ? [`finish ${worker.id}`, ...(left.failures > 0 ? [`fail ${worker.id}`] : [])] : []),
+            ...(left.crashes > 0 ? [`crash ${worker.id}`] : []),
+        );
+    }
+    if (left.departures > 0 && present.length > 1) {
+        actions.push(...present.map(worker => `leave ${worker.id}`));
+    }
+    state.pendingSaves.forEach((save, index) => {
         actions.push(
-            ...(worker.running.size > 0 ? [`finish ${worker.id}`] : []),
-            ...(crashesLeft > 0 ? [`crash ${worker.id}`] : []),
+            ...(save.hasLanded === undefined ? [`landSave ${index}`] : []),
+            ...(save.hasLanded !== undefined && !save.isAbandoned ? [`answerSave ${index}`] : []),
+            ...(!save.isAbandoned && left.unansweredSaves > 0 ? [`loseSaveAnswer ${index}`] : []),
         );
+    });
+    if (left.renewals > 0) {
+        actions.push(owners.at(-1)!.isProven ? "loseLease" : "renewTerm");
     }
-    return owners.length === 1 ? [...actions, "takeOver"] : actions;
+    return left.takeOvers > 0 ? [...actions, "takeOver"] : actions;
 }
--- a/tests/scheduling/modelOwner.ts
+++ b/tests/scheduling/modelOwner.ts
@@ -1,6 +1,9 @@
 /** An owner in the model, and its pending commands. */
+import type { Moment } from "../../src/scheduling/reconcileListing.js";
 import type { Scheduler } from "../../src/scheduling/scheduler.js";
 import type { SchedulerCommand } from "../../src/scheduling/schedulerState.js";
+import { entryOf } from "./modelJob.js";
+import type { ModelWorker } from "./modelWorker.js";
 
 export interface ModelOwner {
     token: number;
@@ -13,8 +16,20 @@
 
 export interface PendingCommand {
     owner: number;
+    /** Token of the term in which the command was sent. */
+    token: number;
     command: Extract<SchedulerCommand, { kind: "start" | "stop" }>;
     sentAtMs: number;
     /** The owner no longer waits for the response. */
     isLate: boolean;
 }
+
+/** Registers the workers in the store, and those whose entries were deleted a short time ago. */
+export function registerWorkers(scheduler: Scheduler, workers: readonly ModelWorker[], moment: Moment): void {
+    for (const worker of workers) {
+        scheduler.registerWorker(entryOf(worker), moment);
+        if (worker.leftAtMs !== undefined) {
+            scheduler.unregisterWorker(worker.id);
+        }
+    }
+}
--- a/tests/scheduling/modelWorker.ts
+++ b/tests/scheduling/modelWorker.ts
@@ -14,6 +14,8 @@
 export interface ModelWorker {
     id: string;
     bornWallMs: number;
+    /** When the worker ended for good; `undefined` while it runs. */
+    leftAtMs: number | undefined;
     highestToken: number;
     leaseEndsAtMs: number;
     /** Running tasks and their run ids. */
@@ -34,6 +36,7 @@
     const worker: ModelWorker = {
         id,
         bornWallMs: 1,
+        leftAtMs: undefined,
         highestToken: 0,
         leaseEndsAtMs: 0,
         running: new Map(),
--- a/tests/scheduling/schedulingModel.ts
+++ b/tests/scheduling/schedulingModel.ts
@@ -3,7 +3,7 @@
  * executed late. A run of the model is a list of actions, so that an explorer can try all of them.
  */
 import { commandOutcomes } from "../../src/scheduling/commandOutcomes.js";
-import { decodeProgress, encodeProgress, encodeSubmission, type JobProgress } from "../../src/scheduling/jobDocuments.js";
+import { encodeProgress, encodeSubmission, type JobProgress } from "../../src/scheduling/jobDocuments.js";
 import { jobStates } from "../../src/scheduling/jobTypes.js";
 import { possibleWorkerIds, sendPersistedStarts } from "../../src/scheduling/plannedStarts.js";
 import type { Moment } from "../../src/scheduling/reconcileListing.js";
@@ -11,10 +11,14 @@
 import { commandKinds, runEnds, type SchedulerCommand } from "../../src/scheduling/schedulerState.js";
 import { snapshotStates, type WorkerSnapshot } from "../../src/scheduling/unresponsiveWorkers.js";
 import { describeModelWorker, describeOwner, describePendingCommand } from "./describeScheduler.js";
-import type { FaultInjection } from "./faultInjection.js";
+import { type FaultInjection, forgetRunIds } from "./faultInjection.js";
 import { possibleActions } from "./modelActions.js";
+import { createModelGuarantees } from "./modelGuarantees.js";
 import { entryOf, modelPolicy, modelSubmission } from "./modelJob.js";
-import type { ModelOwner, PendingCommand } from "./modelOwner.js";
+import { defaultLimits, type ModelLimits } from "./modelLimits.js";
+import { type ModelOwner, type PendingCommand, registerWorkers } from "./modelOwner.js";
+import { createSaveActions } from "./modelSaves.js";
+import { createModelStore, describePendingSave } from "./modelStore.js";
 import { createModelWorker, type ModelWorker } from "./modelWorker.js";
 
 const tickMs = 1_000;
@@ -23,7 +27,7 @@
 const ownershipGracePeriodMs = 2_000;
 /** One tick is longer than the scheduler's own allowances for slow clocks. */
 const unknownLeaseMs = ownershipGracePeriodMs + workerLeaseMs + tickMs;
-const tokens = [10, 20];
+const tokenStep = 10;
 
 export interface SchedulingModel {
     /** Actions that are possible in the current state. */
@@ -34,42 +38,43 @@
     /** The first guarantee that was violated. */
     violation(): string | undefined;
     progress(): JobProgress | undefined;
+    /** Index of the owner of the newest term. */
+    currentOwner(): number;
+    /** Number of runs that have ended as failed, for the task for which it is highest. */
+    failedRunsCount(): number;
 }
 
 /** `storedWorkerIds` are the workers that the store lists for the job when the first owner begins. */
-export function createSchedulingModel(faults: FaultInjection, storedWorkerIds: readonly string[] = []): SchedulingModel {
+export function createSchedulingModel(
+    faults: FaultInjection,
+    storedWorkerIds: readonly string[] = [],
+    limits: ModelLimits = defaultLimits,
+): SchedulingModel {
+    const left = { ...limits };
     let nowMs = 0;
-    let violation: string | undefined;
-    let crashesLeft = 1;
-    let lossesLeft = 2;
-    let unansweredSavesLeft = 1;
-    let partitionsLeft = 1;
-    let stored: JobProgress | undefined = storedWorkerIds.length === 0 ?
-        undefined :
-        { state: jobStates.queued, workerIds: [...storedWorkerIds] };
-    let highestTerm = tokens[0]!;
+    const guarantees = createModelGuarantees();
+    const { doneTasks, acknowledgedDone, failedRuns, endFirstRun } = guarantees;
     const snapshots = new Map<string, WorkerSnapshot>();
-    const doneTasks = new Set<string>();
-    const acknowledgedDone = new Set<string>();
     let pendingCommands: PendingCommand[] = [];
     const workers: ModelWorker[] = ["w1", "w2"].map(id =>
-        createModelWorker(id, taskName => checkStart(taskName), taskName => doneTasks.add(taskName))
+        createModelWorker(id, taskName => guarantees.checkStart(taskName, workers), taskName => doneTasks.add(taskName))
     );
     const owners: ModelOwner[] = [];
+    const store = createModelStore(
+        storedWorkerIds.length === 0 ? undefined : { state: jobStates.queued, workerIds: [...storedWorkerIds] },
+        guarantees.checkStored,
+    );
 
     const moment = (): Moment => ({ nowMs, wallMs: nowMs });
     const workerOf = (id: string): ModelWorker => workers.find(worker => worker.id === id)!;
-    const reportViolation = (text: string): void => {
-        violation ??= text;
-    };
 
     /** Snapshots of unresponsive workers are written at once, and only by the current owner. */
     const changeSnapshot = (owner: ModelOwner, command: SchedulerCommand): void => {
-        if (owner.token === highestTerm && command.kind === commandKinds.writeSnapshot) {
+        if (owner.token === store.highestTerm && command.kind === commandKinds.writeSnapshot) {
             snapshots.set(command.workerId, command.snapshot);
             owner.scheduler.snapshotStateChanged(command.workerId, snapshotStates.written);
         }
-        else if (owner.token === highestTerm && command.kind === commandKinds.removeSnapshot) {
+        else if (owner.token === store.highestTerm && command.kind === commandKinds.removeSnapshot) {
             snapshots.delete(command.workerId);
             owner.scheduler.snapshotStateChanged(command.workerId, snapshotStates.none);
         }
@@ -91,12 +96,14 @@
         for (const command of owner.scheduler.takeCommands()) {
             changeSnapshot(owner, command);
             if (maySendCommands && (command.kind === commandKinds.start || command.kind === commandKinds.stop)) {
-                pendingCommands.push({ owner: index, command, sentAtMs: nowMs, isLate: false });
+                pendingCommands.push({ owner: index, token: owner.token, command, sentAtMs: nowMs, isLate: false });
             }
         }
     };
 
-    const addOwner = (token: number): void => {
+    const addOwner = (): void => {
+        const token = store.highestTerm + tokenStep;
+        store.highestTerm = token;
         const scheduler = createScheduler({
             policy: modelPolicy,
             term: { token, startedWallMs: nowMs, unknownWorkersUntilMs: nowMs + unknownLeaseMs },
@@ -105,32 +112,21 @@
             unknownLeaseMs: faults.takesOverWithoutWaiting ? -1 : unknownLeaseMs,
             onDecision: () => undefined,
         });
+        const stored = faults.countsListedFailuresAgain ? forgetRunIds(store.progress()) : store.progress();
         scheduler.addJob(encodeSubmission(modelSubmission), stored && encodeProgress(stored), false, nowMs);
-        workers.forEach(worker => scheduler.registerWorker(entryOf(worker), moment()));
-        snapshots.forEach(snapshot => scheduler.restoreSnapshot(snapshot, true, moment()));
+        registerWorkers(scheduler, workers.filter(({ leftAtMs }) => nowMs - (leftAtMs ?? nowMs) < unknownLeaseMs), moment());
+        snapshots.forEach(each => scheduler.restoreSnapshot(each, workerOf(each.entry.workerId).leftAtMs === undefined, moment()));
         owners.push({ token, scheduler, isProven: true, startedAtMs: nowMs, lostAtMs: undefined, partitionedFrom: new Set() });
     };
 
     const execute = (pending: PendingCommand): boolean => {
         const worker = workerOf(pending.command.run.workerId);
         const { taskName, runId } = pending.command.run;
-        const { token } = owners[pending.owner]!;
+        const { token } = pending;
         return pending.command.kind === commandKinds.start ?
             worker.start({ taskName, runId, token, untilMs: pending.sentAtMs + startValidityMs }, nowMs) :
             worker.stop({ taskName, runId, token });
     };
-    const checkStart = (taskName: string): void => {
-        if (workers.some(each => each.running.has(taskName))) {
-            reportViolation(`${taskName} runs twice`);
-        }
-        if (acknowledgedDone.has(taskName)) {
-            reportViolation(`${taskName} starts after its end was acknowledged`);
-        }
-        if (taskName === "job.0.1.0" && !doneTasks.has("job.0.0.0")) {
-            reportViolation("a step starts before the one that it depends on is done");
-        }
-    };
-
     const answer = (pending: PendingCommand, outcome: "accepted" | "refused" | "unknown"): void => {
         const { scheduler } = owners[pending.owner]!;
         const { run, kind } = pending.command;
@@ -174,25 +170,9 @@
         stepOwner(index);
     };
 
-    const save = (index: number, isAnswered: boolean): void => {
-        const owner = owners[index]!;
-        for (const job of owner.scheduler.takeUnsavedJobs(10)) {
-            if (owner.token < highestTerm) {
-                owner.scheduler.progressSaveFailed(job.jobId);
-                return;
-            }
-            stored = decodeProgress(encodeProgress(job.progress));
-            if (stored.state === jobStates.completed && doneTasks.size < 2) {
-                reportViolation("the job shows as completed before its tasks are done");
-            }
-            if (isAnswered) {
-                owner.scheduler.progressSaved(job.jobId, job.version, nowMs);
-            }
-            else {
-                owner.scheduler.progressSaveFailed(job.jobId);
-            }
-        }
-        stepOwner(index);
+    const setProven = (owner: ModelOwner, isProven: boolean): void => {
+        owner.isProven = isProven;
+        owner.scheduler.setOwnershipProven(isProven);
     };
 
     const tick = (): void => {
@@ -210,12 +190,12 @@
     };
 
     const crash = (worker: ModelWorker): void => {
-        crashesLeft -= 1;
+        left.crashes -= 1;
         worker.restart();
         // Pending commands end with the connections to the old incarnation. Only the current owner, while it still waits for
         // the response, may reach the new incarnation with a command that waited for a connection.
         pendingCommands = pendingCommands.filter(pending =>
-            pending.command.run.workerId !== worker.id || (!pending.isLate && owners[pending.owner]!.token === highestTerm)
+            pending.command.run.workerId !== worker.id || (!pending.isLate && owners[pending.owner]!.token === store.highestTerm)
         );
         owners.filter(owner => !owner.partitionedFrom.has(worker.id)).forEach(owner =>
             owner.scheduler.registerWorker(entryOf(worker), moment())
@@ -223,7 +203,7 @@
         owners.forEach((_, index) => stepOwner(index));
     };
 
-    addOwner(tokens[0]!);
+    addOwner();
 
     const handlers: Record<string, (argument: string, second: string) => void> = {
         deliver: index => {
@@ -231,41 +211,63 @@
             answer(pending!, execute(pending!) ? "accepted" : "refused");
         },
         loseResponse: index => {
-            lossesLeft -= 1;
+            left.losses -= 1;
             const [pending] = pendingCommands.splice(Number(index), 1);
             execute(pending!);
             answer(pending!, "unknown");
         },
         late: index => void execute(pendingCommands.splice(Number(index), 1)[0]!),
         list: (index, workerId) => list(Number(index), workerId),
-        save: index => save(Number(index), true),
-        saveUnanswered: index => {
-            unansweredSavesLeft -= 1;
-            save(Number(index), false);
+        ...createSaveActions({ store, owners, left, faults, nowMs: () => nowMs, stepOwner }),
+        finish: workerId => endFirstRun(workerOf(workerId), runEnds.done),
+        fail: workerId => {
+            left.failures -= 1;
+            endFirstRun(workerOf(workerId), runEnds.failed);
         },
-        finish: workerId => {
+        leave: workerId => {
+            left.departures -= 1;
             const worker = workerOf(workerId);
-            worker.end([...worker.running.keys()][0]!, runEnds.done);
+            worker.restart();
+            worker.leftAtMs = nowMs;
+            owners.forEach(owner => owner.scheduler.unregisterWorker(workerId));
         },
         crash: workerId => crash(workerOf(workerId)),
         partition: (index, workerId) => {
-            partitionsLeft -= 1;
+            left.partitions -= 1;
             owners[Number(index)]!.partitionedFrom.add(workerId);
         },
         takeOver: () => {
-            owners[0]!.isProven = false;
-            owners[0]!.scheduler.setOwnershipProven(faults.expiresLeasesWithoutProof === true);
-            owners[0]!.lostAtMs = nowMs;
-            highestTerm = tokens[1]!;
-            addOwner(tokens[1]!);
-            stepOwner(1);
+            left.takeOvers -= 1;
+            const previous = owners.at(-1)!;
+            previous.isProven = false;
+            previous.scheduler.setOwnershipProven(faults.expiresLeasesWithoutProof === true);
+            previous.lostAtMs = nowMs;
+            addOwner();
+            stepOwner(owners.length - 1);
+        },
+        loseLease: () => setProven(owners.at(-1)!, false),
+        renewTerm: () => {
+            left.renewals -= 1;
+            const owner = owners.at(-1)!;
+            owner.token = store.highestTerm += tokenStep;
+            owner.scheduler.renewTerm(owner.token);
+            setProven(owner, true);
+            stepOwner(owners.length - 1);
+        },
+        /** Ends all faults: the current owner holds its lease and reaches every worker. */
+        recover: () => {
+            const owner = owners.at(-1)!;
+            owner.partitionedFrom.clear();
+            setProven(owner, true);
         },
         tick,
     };
 
     return {
-        progress: () => stored,
-        violation: () => violation,
+        progress: store.progress,
+        currentOwner: () => owners.length - 1,
+        failedRunsCount: () => Math.max(0, ...failedRuns.values()),
+        violation: guarantees.violation,
         actions: () =>
             possibleActions({
                 nowMs,
@@ -273,10 +275,8 @@
                 owners,
                 workers,
                 ownershipGracePeriodMs,
-                crashesLeft,
-                lossesLeft,
-                unansweredSavesLeft,
-                partitionsLeft,
+                left,
+                pendingSaves: store.pendingSaves,
             }),
         perform: action => {
             const [name, first, second] = action.split(" ");
@@ -285,13 +285,12 @@
         key: () =>
             JSON.stringify([
                 nowMs,
-                crashesLeft,
-                lossesLeft,
-                unansweredSavesLeft,
-                partitionsLeft,
-                stored,
+                left,
+                store.progress(),
+                store.pendingSaves.map(describePendingSave),
                 [...doneTasks],
                 [...acknowledgedDone],
+                [...failedRuns],
                 pendingCommands.map(describePendingCommand),
             ]) +
             JSON.stringify([workers.map(describeModelWorker), owners.map(describeOwner), [...snapshots]]),
