Do not become the owner of the scheduling after being told to stop

Cause: a process that gets SIGTERM while it is acquiring a vacant ownership released nothing, since it held nothing yet, and became the owner when the answer came. Its loop had ended, so nothing renewed the lease, and nothing released it when the process ended: until the lease ran out, 1.8 s later, no other process could take over. Processes that are stopped in turn all compete for the ownership of the one before. Change: an attempt that is answered after the release ends its lease, as one that failed does. Evidence: process/schedulingOwnership.spec.ts failed before (the token was acquired) and passes now.

--- a/src/process/schedulingOwnership.ts
+++ b/src/process/schedulingOwnership.ts
@@ -125,8 +125,9 @@
             { key: jobKeys.owner, expectedRevision: expectedOwnerRevision },
             { key: jobKeys.term, expectedRevision: termRevision },
         ], [{ key: jobKeys.owner, value, leaseId: lease.val }, { key: jobKeys.term, value }]);
-        if (swapped.err || !swapped.val.isSwapped) {
-            // If only the response was lost, the owner key exists until its lease ends, but no process acts as owner by it.
+        if (swapped.err || !swapped.val.isSwapped || isReleased) {
+            // If only the response was lost, the owner key exists until its lease ends, but no process acts as owner by it. A process
+            // that was told to stop in the meantime must not become the owner, since nothing would renew or release its lease.
             await store.revokeLease(lease.val);
             return;
         }
--- /dev/null
+++ b/tests/process/schedulingOwnership.spec.ts
@@ -0,0 +1,52 @@
+/** Guards against a process that becomes the owner of the scheduling while it is stopping. */
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { Ok } from "../../src/common/results.js";
+import { createManualTimerService } from "../../src/common/timerService.js";
+import type { PlatformStore, SwapOutcome } from "../../src/connection/platformStore.js";
+import { createSilentLogger } from "../../src/process/logger.js";
+import { createSchedulingOwnership } from "../../src/process/schedulingOwnership.js";
+import type { StoreMirror } from "../../src/process/storeMirror.js";
+
+describe("scheduling ownership", () => {
+    it("should not be acquired by a process that was told to stop while its attempt was under way", async () => {
+        const timers = createManualTimerService();
+        const lifetime = new AbortController();
+        const acquiredTokens: number[] = [];
+        const endedLeases: string[] = [];
+        let answerSwap: ((outcome: SwapOutcome) => void) | undefined;
+        const store = {
+            grantLease: () => Promise.resolve(Ok("lease")),
+            swap: async () => Ok(await new Promise<SwapOutcome>(resolve => answerSwap = resolve)),
+            revokeLease: (leaseId: string) => {
+                endedLeases.push(leaseId);
+                return Promise.resolve(Ok(undefined));
+            },
+        } as unknown as PlatformStore;
+        const ownership = createSchedulingOwnership({
+            memberId: "member",
+            nodeName: "node",
+            store,
+            mirror: () => ({ revision: () => 1, revisionOf: () => 0, valueOf: () => undefined }) as unknown as StoreMirror,
+            timers,
+            logger: createSilentLogger(),
+            signal: lifetime.signal,
+            leaseMs: 1_800,
+            gracePeriodMs: 4_000,
+            acquireDelayMs: 0,
+            random: () => 0,
+            onAcquired: term => acquiredTokens.push(term.token),
+            onLost: () => undefined,
+        });
+        const settle = (): Promise<void> => new Promise(resolve => setImmediate(resolve));
+        await settle();
+        assert.ok(answerSwap, "the attempt is under way");
+        await ownership.release();
+        answerSwap({ isSwapped: true, revision: 2, current: [] });
+        await settle();
+        assert.deepEqual(acquiredTokens, []);
+        assert.equal(ownership.maySendOrders(), false);
+        assert.deepEqual(endedLeases, ["lease"], "so that another process can acquire the ownership at once");
+        lifetime.abort();
+    });
+});
