Pass over waiting steps without comparing each with every worker

Cause: every event of the owner is followed by a pass, and in a surge hundreds of steps wait that fit nowhere. Each pass compared each of them with every worker of its pool, counted its runs for every worker, and walked all runs of all workers several times.

Change: a pass keeps the most that any worker of a pool has free, and the needs that fitted nowhere; a step that cannot fit is passed over without looking at the workers. What depends on the step is set only on the workers that have its runs. Planned starts have an index, the room of long-running tasks is counted when runs are added, and candidates are compared without arrays.

What is decided: the same. A job with planned starts is no longer marked as changed again in each pass.

--- a/src/decisions/placeTask.ts
+++ b/src/decisions/placeTask.ts
@@ -37,38 +37,41 @@
  */
 const maximumLongRunningFraction = 0.5;
 
-/** Returns the sort key of a candidate; keys are compared lexicographically, lower is better. */
-function sortKey(requirements: PlacementRequirements, candidate: PlacementCandidate): number[] {
-    const isOffRack = requirements.preferredRack !== undefined && candidate.rack !== requirements.preferredRack ? 1 : 0;
+/** Returns a negative number if `left` is the better candidate, a positive one if `right` is, and 0 if they are equally good. */
+function compareCandidates(requirements: PlacementRequirements, left: PlacementCandidate, right: PlacementCandidate): number {
+    const { preferredRack } = requirements;
+    const byRack = preferredRack === undefined ? 0 : Number(left.rack !== preferredRack) - Number(right.rack !== preferredRack);
+    if (byRack !== 0) {
+        return byRack;
+    }
     if (requirements.isFiller) {
-        return [isOffRack, candidate.longRunningCount, candidate.sameStepCount, -candidate.freeCpuMillicores];
+        return left.longRunningCount - right.longRunningCount ||
+            left.sameStepCount - right.sameStepCount ||
+            right.freeCpuMillicores - left.freeCpuMillicores;
     }
     if (requirements.isLongRunning) {
-        return [
-            isOffRack,
-            candidate.sameStepCount,
-            candidate.sameStepOnRackCount,
-            candidate.longRunningPart > maximumLongRunningFraction ? 1 : 0,
-            candidate.longRunningCount > 0 ? 0 : 1,
-            candidate.freeCpuMillicores,
-        ];
+        return left.sameStepCount - right.sameStepCount ||
+            left.sameStepOnRackCount - right.sameStepOnRackCount ||
+            Number(left.longRunningPart > maximumLongRunningFraction) - Number(right.longRunningPart > maximumLongRunningFraction) ||
+            Number(right.longRunningCount > 0) - Number(left.longRunningCount > 0) ||
+            left.freeCpuMillicores - right.freeCpuMillicores;
     }
-    return [isOffRack, candidate.isStartRecorded ? 0 : 1, candidate.freeCpuMillicores, candidate.freeMemoryMb];
-}
-
-function isLexicographicallyLess(left: readonly number[], right: readonly number[]): boolean {
-    const index = left.findIndex((value, position) => value !== right[position]);
-    return index >= 0 && left[index]! < right[index]!;
+    return Number(right.isStartRecorded) - Number(left.isStartRecorded) ||
+        left.freeCpuMillicores - right.freeCpuMillicores ||
+        left.freeMemoryMb - right.freeMemoryMb;
 }
 
-/** Returns the best candidate, or `undefined` if there are none. */
-export function placeTask<T extends PlacementCandidate>(requirements: PlacementRequirements, candidates: readonly T[]): T | undefined {
-    let best: { candidate: T; rank: number[] } | undefined;
+/** Returns the best of the candidates that can run the task, the first of equally good ones, or `undefined` if there are none. */
+export function placeTask<T extends PlacementCandidate>(
+    requirements: PlacementRequirements,
+    candidates: readonly T[],
+    canRun: (candidate: T) => boolean = () => true,
+): T | undefined {
+    let best: T | undefined;
     for (const candidate of candidates) {
-        const candidateKey = sortKey(requirements, candidate);
-        if (!best || isLexicographicallyLess(candidateKey, best.rank)) {
-            best = { candidate, rank: candidateKey };
+        if (canRun(candidate) && (!best || compareCandidates(requirements, candidate, best) < 0)) {
+            best = candidate;
         }
     }
-    return best?.candidate;
+    return best;
 }
--- a/src/scheduling/dispatchWaitingTasks.ts
+++ b/src/scheduling/dispatchWaitingTasks.ts
@@ -1,56 +1,38 @@
 /** Assigns waiting tasks to workers, in one pass over all pools. */
 import { orderSteps, type StepOrderInput } from "../decisions/orderSteps.js";
-import { type PlacementCandidate, placeTask } from "../decisions/placeTask.js";
-import { isFinalState, isStepReady, type JobRecord, type StepRecord } from "./jobRecord.js";
-import { isServing, reservedResources, type Resources } from "./jobTypes.js";
-import { cancelStaleStarts, isHeldBack, isWorkerPersisted, sendPersistedStarts } from "./plannedStarts.js";
+import { placeTask } from "../decisions/placeTask.js";
+import { isFinalState, isStepReady, type JobRecord, type OccurrenceRecord, type StepRecord } from "./jobRecord.js";
+import { isServing, type QueuePolicy, reservedResources, type Resources } from "./jobTypes.js";
+import { cancelStaleStarts, isHeldBack, sendPersistedStarts } from "./plannedStarts.js";
+import { type Candidate, createPoolCandidates, hasRoom, type PoolCandidates } from "./poolCandidates.js";
 import type { Moment } from "./reconcileListing.js";
-import { attachRun, detachRun, isWithinTeamLimit, nextRunId, runNeeds, type SchedulerState } from "./schedulerState.js";
+import { attachRun, detachRun, nextRunId, runNeeds, type SchedulerState } from "./schedulerState.js";
+import { isWithinTeamLimit } from "./teamUsage.js";
 import { snapshotStates } from "./unresponsiveWorkers.js";
-import { createRun, formatTaskName, freeResources, type Run, type WorkerRecord } from "./workerRecord.js";
+import { createRun, formatTaskName, type Run, type WorkerRecord } from "./workerRecord.js";
 
 interface WaitingStep extends StepOrderInput {
     job: JobRecord;
     step: StepRecord;
 }
 
-/** A worker gets no new runs once its last response is older than this; it normally responds to a listing about once a second. */
-const responseTimeoutMs = 2_500;
+/** A pool during a pass: its workers, and the waiting steps that may fit on them. */
+interface PoolPass {
+    candidates: PoolCandidates;
+    /** Whether any step waits for the pool, with or without room for it. */
+    hasWaiting: boolean;
+    waiting: WaitingStep[];
+}
 
-function collectWaiting(state: SchedulerState, moment: Moment): Map<string, WaitingStep[]> {
-    const byPool = new Map<string, WaitingStep[]>();
-    for (const job of state.jobs.values()) {
-        const queue = state.policy.queues.get(job.submission.queueName);
-        if (!queue || isFinalState(job.state) || isHeldBack(state, job, moment.nowMs)) {
-            continue;
-        }
-        for (const occurrence of job.occurrences.values()) {
-            if (occurrence.dueWallMs > moment.wallMs) {
-                continue;
-            }
-            for (const step of occurrence.steps) {
-                if (step.waiting.size === 0 || !isStepReady(occurrence, step)) {
-                    continue;
-                }
-                const waiting = byPool.get(queue.poolName) ?? [];
-                byPool.set(queue.poolName, waiting);
-                waiting.push({
-                    job,
-                    step,
-                    isLongRunning: isServing(step.spec),
-                    workMillicoreS: job.workMillicoreS,
-                    isWithinShare: job.isWithinShare,
-                    submittedWallMs: occurrence.dueWallMs,
-                    deadlineWallMs: occurrence.dueWallMs + queue.criticalPathFactor * job.criticalPathMs + queue.latencyObjectiveMs,
-                    criticalPathMs: step.criticalPathMs,
-                    hasStarted: job.hasStarted,
-                });
-            }
-        }
-    }
-    return byPool;
+/** A queue, and the pass over its pool. */
+interface QueuePass {
+    queue: QueuePolicy;
+    pool: PoolPass;
 }
 
+/** A worker gets no new runs once its last response is older than this; it normally responds to a listing about once a second. */
+const responseTimeoutMs = 2_500;
+
 /** Whether new runs may start on the worker now. */
 function isSchedulable(worker: WorkerRecord, nowMs: number): boolean {
     return worker.isRegistered && worker.snapshotState === snapshotStates.none && !worker.entry.isDraining &&
@@ -58,77 +40,114 @@
         worker.avoidedUntilMs <= nowMs && worker.lastResponseAtMs !== undefined && nowMs - worker.lastResponseAtMs < responseTimeoutMs;
 }
 
-/** A worker of the pool with its free resources, which are updated during the pass. */
-type Candidate = PlacementCandidate & { worker: WorkerRecord; freeAccelerators: number };
-
-function createCandidate(worker: WorkerRecord): Candidate {
-    const { workerId, rack, zone } = worker.entry;
-    return { worker, workerId, rack, zone, isStartRecorded: false, sameStepCount: 0, sameStepOnRackCount: 0, ...freeCapacity(worker) };
-}
-
-function freeCapacity(
-    worker: WorkerRecord,
-): Pick<Candidate, "freeCpuMillicores" | "freeMemoryMb" | "freeAccelerators" | "longRunningCount" | "longRunningPart"> {
-    const room = freeResources(worker);
-    const longRunning = [...worker.runs.values()].filter(run => run.isServing);
-    const longRunningCpu = longRunning.reduce((sum, run) => sum + run.reserved.cpuMillicores, 0);
+function createWaitingStep(job: JobRecord, occurrence: OccurrenceRecord, step: StepRecord, queue: QueuePolicy): WaitingStep {
     return {
-        freeCpuMillicores: room.cpuMillicores,
-        freeMemoryMb: room.memoryMb,
-        freeAccelerators: room.accelerators,
-        longRunningCount: longRunning.length,
-        longRunningPart: longRunningCpu / Math.max(1, worker.entry.capacity.cpuMillicores),
+        job,
+        step,
+        isLongRunning: isServing(step.spec),
+        workMillicoreS: job.workMillicoreS,
+        isWithinShare: job.isWithinShare,
+        submittedWallMs: occurrence.dueWallMs,
+        deadlineWallMs: occurrence.dueWallMs + queue.criticalPathFactor * job.criticalPathMs + queue.latencyObjectiveMs,
+        criticalPathMs: step.criticalPathMs,
+        hasStarted: job.hasStarted,
     };
 }
 
-/** Counts the step's existing runs per worker and per rack. */
-function countStepRuns(candidates: readonly Candidate[], { job, step }: WaitingStep): void {
-    const onWorker = new Map<string, number>();
-    const onRack = new Map<string, number>();
-    const rackOf = new Map(candidates.map(each => [each.workerId, each.rack]));
-    for (const run of [...step.runs.values()].flat()) {
-        const rack = rackOf.get(run.workerId) ?? "";
-        onWorker.set(run.workerId, (onWorker.get(run.workerId) ?? 0) + 1);
-        onRack.set(rack, (onRack.get(rack) ?? 0) + 1);
+/** Adds the job's steps that wait and may fit on a worker of the pool. */
+function collectJob(state: SchedulerState, job: JobRecord, { queue, pool }: QueuePass, moment: Moment): void {
+    const { candidates } = pool;
+    if (isFinalState(job.state) || isHeldBack(state, job, moment.nowMs) || (pool.hasWaiting && !candidates.mayFit(job.smallestNeed))) {
+        return;
     }
-    for (const candidate of candidates) {
-        candidate.isStartRecorded = isWorkerPersisted(job, candidate.workerId);
-        candidate.sameStepCount = onWorker.get(candidate.workerId) ?? 0;
-        candidate.sameStepOnRackCount = onRack.get(candidate.rack) ?? 0;
+    for (const occurrence of job.occurrences.values()) {
+        if (occurrence.dueWallMs > moment.wallMs) {
+            continue;
+        }
+        for (const step of occurrence.steps) {
+            if (step.waiting.size > 0 && isStepReady(occurrence, step)) {
+                pool.hasWaiting = true;
+                if (candidates.mayFit(reservedResources(step.spec))) {
+                    pool.waiting.push(createWaitingStep(job, occurrence, step, queue));
+                }
+            }
+        }
     }
 }
+function groupByPool(state: SchedulerState, nowMs: number): Map<string, WorkerRecord[]> {
+    const byPool = new Map<string, WorkerRecord[]>();
+    for (const worker of state.workers.values()) {
+        if (!isSchedulable(worker, nowMs)) {
+            continue;
+        }
+        const workers = byPool.get(worker.entry.poolName);
+        if (workers) {
+            workers.push(worker);
+        }
+        else {
+            byPool.set(worker.entry.poolName, [worker]);
+        }
+    }
+    return byPool;
+}
+
+/** Collects the waiting steps by pool, in the order of the first job that waits for each pool. */
+function collectWaiting(state: SchedulerState, moment: Moment): PoolPass[] {
+    const workersByPool = groupByPool(state, moment.nowMs);
+    const pools = new Map<string, PoolPass>();
+    const queues = new Map<string, QueuePass | undefined>();
+    const createQueuePass = (queue: QueuePolicy): QueuePass | undefined => {
+        const workers = workersByPool.get(queue.poolName);
+        if (!workers) {
+            return undefined;
+        }
+        const pool = pools.get(queue.poolName) ?? { candidates: createPoolCandidates(workers), hasWaiting: false, waiting: [] };
+        pools.set(queue.poolName, pool);
+        return { queue, pool };
+    };
+    const ordered: PoolPass[] = [];
+    for (const job of state.jobs.values()) {
+        const { queueName } = job.submission;
+        if (!queues.has(queueName)) {
+            const queue = state.policy.queues.get(queueName);
+            queues.set(queueName, queue && createQueuePass(queue));
+        }
+        const queuePass = queues.get(queueName);
+        if (!queuePass) {
+            continue;
+        }
+        const hadWaiting = queuePass.pool.hasWaiting;
+        collectJob(state, job, queuePass, moment);
+        if (!hadWaiting && queuePass.pool.hasWaiting) {
+            ordered.push(queuePass.pool);
+        }
+    }
+    return ordered;
+}
 
 function canRun(state: SchedulerState, candidate: Candidate, { spec }: StepRecord, needed: Resources): boolean {
-    return needed.cpuMillicores <= candidate.freeCpuMillicores && needed.memoryMb <= candidate.freeMemoryMb &&
-        needed.accelerators <= candidate.freeAccelerators &&
+    return hasRoom(candidate, needed) &&
         (state.isStoreWritable || candidate.isStartRecorded) &&
         (spec.requiredLabel === undefined || candidate.worker.entry.labels.includes(spec.requiredLabel)) &&
         (spec.maxTasksPerWorker === undefined || candidate.sameStepCount < spec.maxTasksPerWorker);
 }
 
-/** Reserves resources for one task on the best worker that can run it. */
+/** Reserves resources for one task on the best of the candidates that can run it. */
 function planTask(
     state: SchedulerState,
-    waiting: WaitingStep,
+    { job, step }: WaitingStep,
     taskIndex: number,
+    pool: PoolCandidates,
     candidates: readonly Candidate[],
-    runId: number,
     nowMs: number,
+    gangRunId?: number,
 ): Run | undefined {
-    const { job, step } = waiting;
     const { spec } = step;
     if (!isWithinTeamLimit(state, job.submission.teamName, spec.request)) {
         return undefined;
     }
     const needed = reservedResources(spec);
-    const best = placeTask(
-        {
-            isLongRunning: spec.isLongRunning,
-            isFiller: spec.isFiller,
-            preferredRack: spec.preferredRack,
-        },
-        candidates.filter(each => canRun(state, each, step, needed)),
-    );
+    const best = placeTask(spec, candidates, candidate => canRun(state, candidate, step, needed));
     if (!best) {
         return undefined;
     }
@@ -139,68 +158,81 @@
             occurrence: step.occurrence,
             stepIndex: step.index,
             taskIndex,
-            runId,
+            runId: gangRunId ?? nextRunId(state),
             workerId: best.workerId,
         },
         runNeeds(job, step),
         nowMs,
     );
     attachRun(state, best.worker, step, run);
-    Object.assign(best, freeCapacity(best.worker));
-    best.sameStepCount += 1;
-    candidates.filter(each => each.rack === best.rack).forEach(each => each.sameStepOnRackCount += 1);
+    pool.recordPlanned(best, step);
     return run;
 }
 
 /** Plans starts for all tasks of a gang, or for none. */
-function planGang(state: SchedulerState, waiting: WaitingStep, candidates: readonly Candidate[], nowMs: number): void {
+function planGang(state: SchedulerState, waiting: WaitingStep, pool: PoolCandidates, nowMs: number): boolean {
     const { step } = waiting;
     if (step.runs.size > 0) {
-        return;
+        return false;
     }
-    const racks = step.spec.isRackBound ? [...new Set(candidates.map(each => each.rack))] : [undefined];
+    const racks = step.spec.isRackBound ? [...new Set(pool.all().map(each => each.rack))] : [undefined];
     for (const rack of racks) {
-        const rackCandidates = rack === undefined ? candidates : candidates.filter(each => each.rack === rack);
-        const runId = nextRunId(state);
+        const candidates = rack === undefined ? pool.all() : pool.all().filter(each => each.rack === rack);
         const runs: Run[] = [];
         for (const taskIndex of [...step.waiting]) {
-            const run = planTask(state, waiting, taskIndex, rackCandidates, runId, nowMs);
+            const run = planTask(state, waiting, taskIndex, pool, candidates, nowMs, runs[0]?.runId);
             if (!run) {
                 break;
             }
             runs.push(run);
         }
         if (runs.length === step.spec.taskCount) {
-            return;
+            return true;
         }
         runs.forEach(run => detachRun(state, run));
-        rackCandidates.forEach(each => Object.assign(each, freeCapacity(each.worker)));
+        pool.recordCancelled(candidates);
     }
+    return false;
 }
 
-function planStep(state: SchedulerState, waiting: WaitingStep, candidates: readonly Candidate[], nowMs: number): void {
-    countStepRuns(candidates, waiting);
-    if (waiting.step.spec.isGang) {
-        planGang(state, waiting, candidates, nowMs);
-    }
-    else {
-        for (const taskIndex of [...waiting.step.waiting]) {
-            if (!planTask(state, waiting, taskIndex, candidates, nextRunId(state), nowMs)) {
-                break;
+/** Plans starts for as many tasks of the step as fit. */
+function planTasks(state: SchedulerState, waiting: WaitingStep, pool: PoolCandidates, nowMs: number): boolean {
+    const { step } = waiting;
+    let hasPlanned = false;
+    for (const taskIndex of step.waiting) {
+        if (!planTask(state, waiting, taskIndex, pool, pool.all(), nowMs)) {
+            const needed = reservedResources(step.spec);
+            if (!pool.all().some(candidate => hasRoom(candidate, needed))) {
+                pool.recordMisfit(needed);
             }
+            break;
         }
+        hasPlanned = true;
+    }
+    return hasPlanned;
+}
+
+function planStep(state: SchedulerState, waiting: WaitingStep, pool: PoolCandidates, nowMs: number): void {
+    const { job, step } = waiting;
+    if (
+        !pool.mayFit(reservedResources(step.spec)) || !isWithinTeamLimit(state, job.submission.teamName, step.spec.request) ||
+        (!state.isStoreWritable && job.persistedWorkerIds.size === 0)
+    ) {
+        return;
+    }
+    pool.prepareFor(job, step);
+    const hasPlanned = step.spec.isGang ? planGang(state, waiting, pool, nowMs) : planTasks(state, waiting, pool, nowMs);
+    if (hasPlanned) {
+        sendPersistedStarts(state, job, nowMs);
     }
-    sendPersistedStarts(state, waiting.job, nowMs);
 }
 
 /** Plans starts for the waiting tasks that fit now, and sends those that need no write to the store first. */
 export function dispatchWaitingTasks(state: SchedulerState, moment: Moment): void {
-    const schedulable = new Set([...state.workers.values()].filter(worker => isSchedulable(worker, moment.nowMs)));
-    cancelStaleStarts(state, schedulable);
-    for (const [poolName, waiting] of collectWaiting(state, moment)) {
-        const candidates = [...schedulable].filter(worker => worker.entry.poolName === poolName).map(createCandidate);
-        if (candidates.length > 0) {
-            orderSteps(waiting, moment.wallMs).forEach(each => planStep(state, each, candidates, moment.nowMs));
+    cancelStaleStarts(state, worker => isSchedulable(worker, moment.nowMs));
+    for (const { candidates, waiting } of collectWaiting(state, moment)) {
+        for (const each of orderSteps(waiting, moment.wallMs)) {
+            planStep(state, each, candidates, moment.nowMs);
         }
     }
 }
--- a/src/scheduling/jobRecord.ts
+++ b/src/scheduling/jobRecord.ts
@@ -1,6 +1,15 @@
 /** The scheduler's state of one job: which tasks wait, run and are done, per occurrence and step. */
 import type { JobProgress, StepProgress, TaskProgress } from "./jobDocuments.js";
-import { estimateCriticalPathMs, estimateWork, type JobState, jobStates, type JobSubmission, type StepSpec } from "./jobTypes.js";
+import {
+    estimateCriticalPathMs,
+    estimateWork,
+    type JobState,
+    jobStates,
+    type JobSubmission,
+    type Resources,
+    smallestNeed,
+    type StepSpec,
+} from "./jobTypes.js";
 import type { Run } from "./workerRecord.js";
 
 export interface StepRecord {
@@ -33,6 +42,8 @@
     endedWallMs: number | undefined;
     occurrences: Map<number, OccurrenceRecord>;
     workMillicoreS: number;
+    /** No task of the job reserves less than this in any of its resources. */
+    smallestNeed: Resources;
     /** Whether the job was within its team's share when it was submitted. */
     isWithinShare: boolean;
     /** Estimated duration of the longest chain of dependent steps. */
@@ -99,6 +110,7 @@
         endedWallMs: progress?.endedWallMs,
         occurrences: new Map(),
         workMillicoreS: estimateWork(submission.steps),
+        smallestNeed: smallestNeed(submission.steps),
         isWithinShare: true,
         criticalPathMs: Math.max(0, ...estimateCriticalPathMs(submission.steps)),
         version: 0,
--- a/src/scheduling/jobTypes.ts
+++ b/src/scheduling/jobTypes.ts
@@ -115,6 +115,21 @@
     return step.isFiller ? { ...step.request, cpuMillicores: 0 } : step.request;
 }
 
+/** The least that a task of any of the steps reserves, for each resource by itself. */
+export function smallestNeed(steps: readonly StepSpec[]): Resources {
+    const needs = steps.map(reservedResources);
+    return {
+        cpuMillicores: Math.min(...needs.map(need => need.cpuMillicores)),
+        memoryMb: Math.min(...needs.map(need => need.memoryMb)),
+        accelerators: Math.min(...needs.map(need => need.accelerators)),
+    };
+}
+
+/** Whether `amount` is no more than `room` in any resource. */
+export function fitsInto(amount: Resources, room: Resources): boolean {
+    return amount.cpuMillicores <= room.cpuMillicores && amount.memoryMb <= room.memoryMb && amount.accelerators <= room.accelerators;
+}
+
 /** Estimated work of a job's short tasks in millicore-seconds; long-running tasks are left out because they have no end. */
 export function estimateWork(steps: readonly StepSpec[]): number {
     return steps.filter(step => !step.isLongRunning).reduce(
--- a/src/scheduling/plannedStarts.ts
+++ b/src/scheduling/plannedStarts.ts
@@ -13,12 +13,11 @@
     return worker ? worker.isRunStateKnown : nowMs >= state.term.unknownWorkersUntilMs;
 }
 
-function runsOf(job: JobRecord): Run[] {
-    return stepsOf(job).flatMap(step => [...step.runs.values()].flat());
-}
-
 /** Whether an earlier owner may have started tasks of the job on a worker whose runs are not known yet. */
 export function isHeldBack(state: SchedulerState, job: JobRecord, nowMs: number): boolean {
+    if (job.formerWorkerIds.size === 0) {
+        return false;
+    }
     for (const workerId of job.formerWorkerIds) {
         if (!isWorkerStateKnown(state, workerId, nowMs)) {
             return true;
@@ -30,7 +29,13 @@
 
 /** The worker ids to store with the next write of the job's progress. */
 export function possibleWorkerIds(job: JobRecord): Set<string> {
-    return new Set([...job.formerWorkerIds, ...runsOf(job).map(run => run.workerId)]);
+    const workerIds = new Set(job.formerWorkerIds);
+    for (const step of stepsOf(job)) {
+        for (const runs of step.runs.values()) {
+            runs.forEach(run => workerIds.add(run.workerId));
+        }
+    }
+    return workerIds;
 }
 
 /** Whether the store lists the worker for the job, and still will after the write in flight has landed. */
@@ -38,7 +43,7 @@
     return job.persistedWorkerIds.has(workerId) && (job.workerIdsInFlight?.has(workerId) ?? true);
 }
 
-export function isPlanned(run: Run): boolean {
+function isPlanned(run: Run): boolean {
     return run.phase === runPhases.planned;
 }
 
@@ -52,6 +57,7 @@
 function sendStart(state: SchedulerState, job: JobRecord, step: StepRecord, run: Run, nowMs: number): void {
     const worker = state.workers.get(run.workerId);
     run.phase = runPhases.starting;
+    state.plannedRuns.delete(run);
     run.startedAtMs = nowMs;
     if (worker) {
         worker.leaseEndsAtMs = Math.max(worker.leaseEndsAtMs, nowMs + state.startLeaseMs);
@@ -60,27 +66,38 @@
     state.onDecision({ what: "start", jobId: run.jobId, taskName: run.taskName, runId: run.runId, workerId: run.workerId });
 }
 
+function isGangComplete(step: StepRecord): boolean {
+    return [...step.runs.values()].flat().length === step.spec.taskCount;
+}
+
+/** Whether the store lists the workers of the run, and of all other runs of its gang. */
+function isStartPersisted(job: JobRecord, step: StepRecord, run: Run): boolean {
+    return step.spec.isGang ?
+        [...step.runs.values()].flat().every(each => isWorkerPersisted(job, each.workerId)) :
+        isWorkerPersisted(job, run.workerId);
+}
+
 /**
  * Sends the planned starts whose workers the store lists for the job; those of a gang are sent together. The others wait for
  * the next write of the job's progress.
  */
 export function sendPersistedStarts(state: SchedulerState, job: JobRecord, nowMs: number): void {
     let hasUnpersisted = false;
-    for (const run of runsOf(job)) {
-        if (!isPlanned(run)) {
-            continue;
-        }
-        const step = findStep(state, run)!;
-        const group = step.spec.isGang ? [...step.runs.values()].flat() : [run];
-        const isComplete = !step.spec.isGang || group.length === step.spec.taskCount;
-        if (!isComplete) {
-            cancelPlannedStart(state, run);
-        }
-        else if (group.every(each => isWorkerPersisted(job, each.workerId))) {
-            sendStart(state, job, step, run, nowMs);
-        }
-        else {
-            hasUnpersisted = true;
+    for (const step of stepsOf(job)) {
+        const planned = [...step.runs.values()].flat().filter(isPlanned);
+        for (const run of planned) {
+            if (!state.plannedRuns.has(run)) {
+                continue;
+            }
+            if (step.spec.isGang && !isGangComplete(step)) {
+                cancelPlannedStart(state, run);
+            }
+            else if (isStartPersisted(job, step, run)) {
+                sendStart(state, job, step, run, nowMs);
+            }
+            else {
+                hasUnpersisted = true;
+            }
         }
     }
     if (hasUnpersisted && job.workerIdsInFlight === undefined) {
@@ -95,11 +112,17 @@
     group.forEach(each => detachRun(state, each));
 }
 
-/** Cancels the planned starts on workers that can no longer run them, or all of them while the store takes no writes. */
-export function cancelStaleStarts(state: SchedulerState, schedulable: ReadonlySet<WorkerRecord>): void {
-    for (const worker of state.workers.values()) {
-        if (!state.isStoreWritable || !schedulable.has(worker)) {
-            [...worker.runs.values()].filter(isPlanned).forEach(run => cancelPlannedStart(state, run));
+/**
+ * Cancels the planned starts on workers that can no longer run them, and those of gangs that have lost a task; all of them while
+ * the store takes no writes.
+ */
+export function cancelStaleStarts(state: SchedulerState, isSchedulable: (worker: WorkerRecord) => boolean): void {
+    for (const run of [...state.plannedRuns]) {
+        const worker = state.workers.get(run.workerId);
+        const step = findStep(state, run);
+        const isGangBroken = step !== undefined && step.spec.isGang && !isGangComplete(step);
+        if (state.plannedRuns.has(run) && (!state.isStoreWritable || !worker || !isSchedulable(worker) || isGangBroken)) {
+            cancelPlannedStart(state, run);
         }
     }
 }
--- /dev/null
+++ b/src/scheduling/poolCandidates.ts
@@ -0,0 +1,153 @@
+/**
+ * The workers of a pool that may get new runs, during one pass. A pass sees each worker's free resources only shrink, so a need
+ * that fitted nowhere is not looked for again: in a surge, most waiting steps are passed over without looking at the workers.
+ */
+import type { PlacementCandidate } from "../decisions/placeTask.js";
+import type { JobRecord, StepRecord } from "./jobRecord.js";
+import { fitsInto, noResources, type Resources } from "./jobTypes.js";
+import { isWorkerPersisted } from "./plannedStarts.js";
+import type { WorkerRecord } from "./workerRecord.js";
+
+/** A worker of the pool with its free resources, which are updated during the pass. */
+export interface Candidate extends PlacementCandidate {
+    worker: WorkerRecord;
+    freeAccelerators: number;
+}
+
+export interface PoolCandidates {
+    all(): readonly Candidate[];
+    /** Whether a worker may have room for the need; `false` is certain for the rest of the pass. */
+    mayFit(needed: Resources): boolean;
+    /** Records that no worker had room for the need. */
+    recordMisfit(needed: Resources): void;
+    /** Sets the properties of the candidates that depend on the step, from its runs and its job. */
+    prepareFor(job: JobRecord, step: StepRecord): void;
+    /** Updates the candidate after a run of the step was planned on it. */
+    recordPlanned(candidate: Candidate, step: StepRecord): void;
+    /** Updates the candidates after runs on them were cancelled; all needs that did not fit before still do not. */
+    recordCancelled(candidates: readonly Candidate[]): void;
+}
+
+/** Needs that fitted nowhere are kept up to this number; further ones are looked for again. */
+const maxMisfits = 16;
+
+function updateFreeCapacity(candidate: Candidate): void {
+    const { entry: { capacity }, used, longRunningCount, longRunningCpuMillicores } = candidate.worker;
+    candidate.freeCpuMillicores = capacity.cpuMillicores - used.cpuMillicores;
+    candidate.freeMemoryMb = capacity.memoryMb - used.memoryMb;
+    candidate.freeAccelerators = capacity.accelerators - used.accelerators;
+    candidate.longRunningCount = longRunningCount;
+    candidate.longRunningPart = longRunningCpuMillicores / Math.max(1, capacity.cpuMillicores);
+}
+
+function createCandidate(worker: WorkerRecord): Candidate {
+    const { workerId, rack, zone } = worker.entry;
+    const candidate: Candidate = {
+        worker,
+        workerId,
+        rack,
+        zone,
+        freeCpuMillicores: 0,
+        freeMemoryMb: 0,
+        freeAccelerators: 0,
+        longRunningCount: 0,
+        longRunningPart: 0,
+        isStartRecorded: false,
+        sameStepCount: 0,
+        sameStepOnRackCount: 0,
+    };
+    updateFreeCapacity(candidate);
+    return candidate;
+}
+
+export function hasRoom(candidate: Candidate, needed: Resources): boolean {
+    return needed.cpuMillicores <= candidate.freeCpuMillicores && needed.memoryMb <= candidate.freeMemoryMb &&
+        needed.accelerators <= candidate.freeAccelerators;
+}
+
+/** The most that any worker has free, for each resource by itself. */
+function largestRoom(workers: readonly WorkerRecord[]): Resources {
+    const room = { ...noResources };
+    for (const { entry: { capacity }, used } of workers) {
+        room.cpuMillicores = Math.max(room.cpuMillicores, capacity.cpuMillicores - used.cpuMillicores);
+        room.memoryMb = Math.max(room.memoryMb, capacity.memoryMb - used.memoryMb);
+        room.accelerators = Math.max(room.accelerators, capacity.accelerators - used.accelerators);
+    }
+    return room;
+}
+
+export function createPoolCandidates(workers: readonly WorkerRecord[]): PoolCandidates {
+    /** Created when the first step gets to them, since most passes start nothing in most pools. */
+    let candidates: Candidate[] | undefined;
+    let byWorkerId: Map<string, Candidate> | undefined;
+    /** Candidates whose properties were set for the current step. */
+    let prepared: Candidate[] = [];
+    let room = largestRoom(workers);
+    let isRoomCurrent = true;
+    let misfits: Resources[] = [];
+
+    const all = (): Candidate[] => candidates ??= workers.map(createCandidate);
+    const find = (workerId: string): Candidate | undefined => {
+        byWorkerId ??= new Map(all().map(candidate => [candidate.workerId, candidate]));
+        return byWorkerId.get(workerId);
+    };
+    const countOnRack = (rack: string): void => {
+        for (const candidate of all()) {
+            if (candidate.rack === rack) {
+                candidate.sameStepOnRackCount += 1;
+                prepared.push(candidate);
+            }
+        }
+    };
+    const countRun = (candidate: Candidate, { spec }: StepRecord): void => {
+        candidate.sameStepCount += 1;
+        prepared.push(candidate);
+        // Only long-running tasks are spread over racks.
+        if (spec.isLongRunning) {
+            countOnRack(candidate.rack);
+        }
+    };
+
+    return {
+        all,
+        mayFit: needed => fitsInto(needed, room) && !misfits.some(misfit => fitsInto(misfit, needed)),
+        recordMisfit: needed => {
+            if (!isRoomCurrent) {
+                room = largestRoom(workers);
+                isRoomCurrent = true;
+            }
+            if (fitsInto(needed, room) && misfits.length < maxMisfits) {
+                misfits = [...misfits.filter(misfit => !fitsInto(needed, misfit)), needed];
+            }
+        },
+        prepareFor: (job, step) => {
+            for (const candidate of prepared) {
+                candidate.isStartRecorded = false;
+                candidate.sameStepCount = 0;
+                candidate.sameStepOnRackCount = 0;
+            }
+            prepared = [];
+            for (const workerId of job.persistedWorkerIds) {
+                const candidate = find(workerId);
+                if (candidate && isWorkerPersisted(job, workerId)) {
+                    candidate.isStartRecorded = true;
+                    prepared.push(candidate);
+                }
+            }
+            for (const runs of step.runs.values()) {
+                for (const run of runs) {
+                    const candidate = find(run.workerId);
+                    if (candidate) {
+                        countRun(candidate, step);
+                    }
+                }
+            }
+        },
+        recordPlanned: (candidate, step) => {
+            updateFreeCapacity(candidate);
+            isRoomCurrent = false;
+            countRun(candidate, step);
+        },
+        recordCancelled: cancelled => cancelled.forEach(updateFreeCapacity),
+    };
+}
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -9,7 +9,7 @@
 import { decodeProgress, decodeSubmission, type JobProgress } from "./jobDocuments.js";
 import { createJobRecord, isFinalState, progressOf } from "./jobRecord.js";
 import { jobStates, type SchedulingPolicy } from "./jobTypes.js";
-import { isPlanned, possibleWorkerIds, sendPersistedStarts, settleWorkerIdsWrite } from "./plannedStarts.js";
+import { possibleWorkerIds, sendPersistedStarts, settleWorkerIdsWrite } from "./plannedStarts.js";
 import { beginIncarnation, type Listing, markRunsLost, type Moment, reconcileListing } from "./reconcileListing.js";
 import {
     type Decision,
@@ -62,6 +62,7 @@
         isOwnershipProven: true,
         isStoreWritable: true,
         commands: [],
+        plannedRuns: new Set(),
         unsavedJobs: new Set(),
         nextRunNumber: 1,
         onDecision: options.onDecision,
@@ -234,16 +235,7 @@
             return taken;
         },
         /** Whether any starts wait until the store lists their workers. */
-        hasPlannedStarts: (): boolean => {
-            for (const worker of state.workers.values()) {
-                for (const run of worker.runs.values()) {
-                    if (isPlanned(run)) {
-                        return true;
-                    }
-                }
-            }
-            return false;
-        },
+        hasPlannedStarts: (): boolean => state.plannedRuns.size > 0,
         /** A write of the job's progress failed or got no response; the job is taken again. */
         progressSaveFailed: (jobId: string): void => {
             const job = state.jobs.get(jobId);
--- a/src/scheduling/schedulerState.ts
+++ b/src/scheduling/schedulerState.ts
@@ -6,11 +6,11 @@
     isServing,
     type JobState,
     jobStates,
-    noResources,
     reservedResources,
     type Resources,
     type SchedulingPolicy,
 } from "./jobTypes.js";
+import { teamUsage } from "./teamUsage.js";
 import type { WorkerSnapshot } from "./unresponsiveWorkers.js";
 import { addRun, removeRun, type Run, runKey, runPhases, type WorkerRecord } from "./workerRecord.js";
 
@@ -81,6 +81,8 @@
     /** Whether the store accepts writes. If not, starts are sent only to workers that it already lists for the job. */
     isStoreWritable: boolean;
     commands: SchedulerCommand[];
+    /** Runs whose starts were not sent yet. */
+    plannedRuns: Set<Run>;
     /** Jobs whose latest progress is not in the store yet. */
     unsavedJobs: Set<string>;
     nextRunNumber: number;
@@ -121,22 +123,6 @@
     return state.jobs.get(place.jobId)?.occurrences.get(place.occurrence)?.steps[place.stepIndex];
 }
 
-function teamUsage(state: SchedulerState, teamName: string | undefined): Resources {
-    const known = state.teamUsed.get(teamName ?? "") ?? { ...noResources };
-    state.teamUsed.set(teamName ?? "", known);
-    return known;
-}
-
-/** Whether the team's limit allows `more` on top of what it is using. */
-export function isWithinTeamLimit(state: SchedulerState, teamName: string | undefined, more: Resources): boolean {
-    const limit = teamName === undefined ? undefined : state.policy.teams.get(teamName)?.limit;
-    if (!limit) {
-        return true;
-    }
-    const used = teamUsage(state, teamName);
-    return (Object.keys(noResources) as (keyof Resources)[]).every(each => limit[each] === 0 || used[each] + more[each] <= limit[each]);
-}
-
 /** The resources that a run of the step needs, and its team. */
 export function runNeeds(job: JobRecord, step: StepRecord): Pick<Run, "isServing" | "teamName" | "requested" | "reserved"> {
     return {
@@ -151,6 +137,9 @@
 export function attachRun(state: SchedulerState, worker: WorkerRecord, step: StepRecord | undefined, run: Run): void {
     addRun(worker, run);
     addResources(teamUsage(state, run.teamName), run.requested, 1);
+    if (run.phase === runPhases.planned) {
+        state.plannedRuns.add(run);
+    }
     if (step) {
         step.waiting.delete(run.taskIndex);
         step.runs.set(run.taskIndex, [...(step.runs.get(run.taskIndex) ?? []), run]);
@@ -159,6 +148,7 @@
 
 /** Removes a run that has certainly ended, and requeues its task if it must run again. */
 export function detachRun(state: SchedulerState, run: Run): void {
+    state.plannedRuns.delete(run);
     const worker = state.workers.get(run.workerId);
     if (worker?.runs.has(runKey(run.taskName, run.runId))) {
         removeRun(worker, run);
--- a/src/scheduling/unresponsiveWorkers.ts
+++ b/src/scheduling/unresponsiveWorkers.ts
@@ -39,8 +39,8 @@
 export function updateSnapshots(state: SchedulerState): void {
     for (const worker of state.workers.values()) {
         const isUnresponsive = worker.unresponsiveSinceMs !== undefined;
-        const hasPendingStarts = [...worker.runs.values()].some(run => run.phase === runPhases.starting);
-        if (isUnresponsive && worker.snapshotState === snapshotStates.none && worker.isRunStateKnown && !hasPendingStarts) {
+        const needsSnapshot = isUnresponsive && worker.snapshotState === snapshotStates.none && worker.isRunStateKnown;
+        if (needsSnapshot && ![...worker.runs.values()].some(run => run.phase === runPhases.starting)) {
             worker.snapshotState = snapshotStates.changing;
             state.commands.push({ kind: commandKinds.writeSnapshot, workerId: worker.entry.workerId, snapshot: createSnapshot(worker) });
         }
--- a/src/scheduling/workerLifecycle.ts
+++ b/src/scheduling/workerLifecycle.ts
@@ -26,7 +26,7 @@
 
 /** Gives up the runs of workers whose leases have certainly ended, and removes such workers if the store has no entry for them. */
 export function expireLeases(state: SchedulerState, moment: Moment): void {
-    for (const worker of [...state.workers.values()]) {
+    for (const worker of state.workers.values()) {
         if (moment.nowMs <= worker.leaseEndsAtMs) {
             continue;
         }
--- a/src/scheduling/workerRecord.ts
+++ b/src/scheduling/workerRecord.ts
@@ -77,6 +77,9 @@
     /** Whether the runs on the worker are known, usually because it has responded to this owner, which fences earlier ones. */
     isRunStateKnown: boolean;
     used: Resources;
+    /** Long-running tasks on the worker, and the CPU that they have reserved. */
+    longRunningCount: number;
+    longRunningCpuMillicores: number;
     /** Runs by `runKey`. */
     runs: Map<string, Run>;
     /** Highest end number that was processed. */
@@ -109,6 +112,8 @@
         isRegistered: true,
         isRunStateKnown: false,
         used: { cpuMillicores: 0, memoryMb: 0, accelerators: 0 },
+        longRunningCount: 0,
+        longRunningCpuMillicores: 0,
         runs: new Map(),
         lastEndNumber: 0,
         unsavedEnds: [],
@@ -154,26 +159,25 @@
     return `${taskName}#${runId}`;
 }
 
+function reserve(worker: WorkerRecord, run: Run, factor: 1 | -1): void {
+    addResources(worker.used, run.reserved, factor);
+    if (run.isServing) {
+        worker.longRunningCount += factor;
+        worker.longRunningCpuMillicores += factor * run.reserved.cpuMillicores;
+    }
+}
+
 export function addRun(worker: WorkerRecord, run: Run): void {
     worker.runs.set(runKey(run.taskName, run.runId), run);
-    addResources(worker.used, run.reserved, 1);
+    reserve(worker, run, 1);
 }
 
 export function removeRun(worker: WorkerRecord, run: Run): void {
     if (worker.runs.delete(runKey(run.taskName, run.runId))) {
-        addResources(worker.used, run.reserved, -1);
+        reserve(worker, run, -1);
     }
 }
 
-export function freeResources(worker: WorkerRecord): Resources {
-    const { capacity } = worker.entry;
-    return {
-        cpuMillicores: capacity.cpuMillicores - worker.used.cpuMillicores,
-        memoryMb: capacity.memoryMb - worker.used.memoryMb,
-        accelerators: capacity.accelerators - worker.used.accelerators,
-    };
-}
-
 /** The highest end number up to which every end is stored. */
 export function acknowledgedEndNumber(worker: WorkerRecord): number {
     return worker.unsavedEnds.reduce((lowest, end) => Math.min(lowest, end.endNumber - 1), worker.lastEndNumber);
