Handle listings and saves without walking all workers and steps

Cause: each save of a job's progress filtered the unsaved ends of all workers; each listing sorted the ends that it repeats, built each run's key three times, and looked up the step of each run to find fillers. Creating a run copied it twice.

Change: an index from the job to the workers with unsaved ends of it; repeated ends are left out before sorting, keys are built once, a run knows whether it is a filler, and a worker that was paced a moment ago is not examined. What is decided does not change.

--- a/src/scheduling/reconcileListing.ts
+++ b/src/scheduling/reconcileListing.ts
@@ -1,6 +1,6 @@
 /** Reconciles a worker's listing of its runs with the scheduler's state. */
 import { paceFillers } from "../decisions/paceFillers.js";
-import { isFinalState } from "./jobRecord.js";
+import { isFinalState, type JobRecord } from "./jobRecord.js";
 import { noResources } from "./jobTypes.js";
 import {
     applyEnd,
@@ -78,8 +78,38 @@
     worker.failedJobIds.clear();
 }
 
+function addUnsavedEnd(state: SchedulerState, worker: WorkerRecord, endNumber: number, job: JobRecord): void {
+    worker.unsavedEnds.push({ endNumber, jobId: job.jobId, version: job.version });
+    const workers = state.workersWithUnsavedEnds.get(job.jobId);
+    if (workers) {
+        workers.add(worker);
+    }
+    else {
+        state.workersWithUnsavedEnds.set(job.jobId, new Set([worker]));
+    }
+}
+
+/** Removes the unsaved ends of the job that its stored progress includes. */
+export function forgetSavedEnds(state: SchedulerState, jobId: string, savedVersion: number): void {
+    const workers = state.workersWithUnsavedEnds.get(jobId);
+    if (!workers) {
+        return;
+    }
+    for (const worker of workers) {
+        worker.unsavedEnds = worker.unsavedEnds.filter(end => end.jobId !== jobId || end.version > savedVersion);
+        if (!worker.unsavedEnds.some(end => end.jobId === jobId)) {
+            workers.delete(worker);
+        }
+    }
+    if (workers.size === 0) {
+        state.workersWithUnsavedEnds.delete(jobId);
+    }
+}
+
 function applyListedEnds(state: SchedulerState, worker: WorkerRecord, listing: Listing, moment: Moment): void {
-    for (const listed of [...listing.ended].sort((a, b) => a.endNumber - b.endNumber)) {
+    // A worker repeats its ends until they are acknowledged.
+    const newEnds = listing.ended.filter(listed => listed.endNumber > worker.lastEndNumber);
+    for (const listed of newEnds.sort((a, b) => a.endNumber - b.endNumber)) {
         if (listed.endNumber <= worker.lastEndNumber) {
             continue;
         }
@@ -107,7 +137,7 @@
             reason: listed.end,
         });
         if (job && job.version > job.persistedVersion) {
-            worker.unsavedEnds.push({ endNumber: listed.endNumber, jobId: job.jobId, version: job.version });
+            addUnsavedEnd(state, worker, listed.endNumber, job);
         }
     }
 }
@@ -127,7 +157,7 @@
     // The size of a run whose job is over is unknown, so it reserves the whole worker until it has ended.
     const needs = job && step ?
         runNeeds(job, step) :
-        { isServing: false, teamName: undefined, requested: noResources, reserved: worker.entry.capacity };
+        { isServing: false, isFiller: false, teamName: undefined, requested: noResources, reserved: worker.entry.capacity };
     const { taskName, runId, percent, measured, checkpoint } = listed;
     const run: Run = {
         ...createRun({ ...task, taskName, runId, workerId: worker.entry.workerId }, needs, moment.nowMs),
@@ -150,11 +180,16 @@
 }
 
 /** Removes runs that are missing from a listing requested after their command was answered: they never started or are gone. */
-function removeAbsentRuns(state: SchedulerState, worker: WorkerRecord, listing: Listing, sentAtMs: number, moment: Moment): void {
-    const listedKeys = new Set(listing.running.map(listed => runKey(listed.taskName, listed.runId)));
-    for (const run of [...worker.runs.values()]) {
+function removeAbsentRuns(
+    state: SchedulerState,
+    worker: WorkerRecord,
+    listedKeys: ReadonlySet<string>,
+    sentAtMs: number,
+    moment: Moment,
+): void {
+    for (const [key, run] of worker.runs) {
         const hasResponded = run.respondedAtMs !== undefined && run.respondedAtMs < sentAtMs;
-        if (hasResponded && run.phase !== runPhases.starting && !listedKeys.has(runKey(run.taskName, run.runId))) {
+        if (hasResponded && run.phase !== runPhases.starting && !listedKeys.has(key)) {
             if (run.phase === runPhases.running) {
                 applyEnd(state, { ...run, end: runEnds.lost }, moment.nowMs, moment.wallMs);
             }
@@ -173,9 +208,13 @@
 
 /** Adjusts the pace of the fillers to the latency of the serving tasks on the same worker. */
 function adjustPace(state: SchedulerState, worker: WorkerRecord, nowMs: number): void {
+    if (nowMs - worker.pacedAtMs < paceIntervalMs) {
+        return;
+    }
     const running = [...worker.runs.values()].filter(run => run.phase === runPhases.running);
-    const fillers = running.filter(run => findStep(state, run)?.spec.isFiller);
-    if (fillers.length === 0 || nowMs - worker.pacedAtMs < paceIntervalMs) {
+    // The run of a job that is over has no step; it is about to be stopped.
+    const fillers = running.filter(run => run.isFiller && findStep(state, run));
+    if (fillers.length === 0) {
         return;
     }
     worker.pacedAtMs = nowMs;
@@ -207,8 +246,11 @@
         return;
     }
     applyListedEnds(state, worker, listing, moment);
+    const listedKeys = new Set<string>();
     for (const listed of listing.running) {
-        const run = worker.runs.get(runKey(listed.taskName, listed.runId));
+        const key = runKey(listed.taskName, listed.runId);
+        listedKeys.add(key);
+        const run = worker.runs.get(key);
         if (!run) {
             adoptOrStop(state, worker, listed, moment);
             continue;
@@ -222,7 +264,7 @@
             run.phase = runPhases.running;
         }
     }
-    removeAbsentRuns(state, worker, listing, sentAtMs, moment);
+    removeAbsentRuns(state, worker, listedKeys, sentAtMs, moment);
     adjustPace(state, worker, moment.nowMs);
     worker.isRunStateKnown = true;
     worker.unresponsiveSinceMs = undefined;
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -10,7 +10,7 @@
 import { createJobRecord, isFinalState, progressOf } from "./jobRecord.js";
 import { jobStates, type SchedulingPolicy } from "./jobTypes.js";
 import { possibleWorkerIds, sendPersistedStarts, settleWorkerIdsWrite } from "./plannedStarts.js";
-import { beginIncarnation, type Listing, markRunsLost, type Moment, reconcileListing } from "./reconcileListing.js";
+import { beginIncarnation, forgetSavedEnds, type Listing, markRunsLost, type Moment, reconcileListing } from "./reconcileListing.js";
 import {
     type Decision,
     endJob,
@@ -63,6 +63,7 @@
         isStoreWritable: true,
         commands: [],
         plannedRuns: new Set(),
+        workersWithUnsavedEnds: new Map(),
         unsavedJobs: new Set(),
         nextRunNumber: 1,
         onDecision: options.onDecision,
@@ -208,9 +209,7 @@
                 settleWorkerIdsWrite(job, true);
                 sendPersistedStarts(state, job, nowMs);
             }
-            for (const worker of state.workers.values()) {
-                worker.unsavedEnds = worker.unsavedEnds.filter(end => end.jobId !== jobId || end.version > version);
-            }
+            forgetSavedEnds(state, jobId, version);
             if (job && isFinalState(job.state) && job.persistedVersion === job.version) {
                 state.jobs.delete(jobId);
             }
--- a/src/scheduling/schedulerState.ts
+++ b/src/scheduling/schedulerState.ts
@@ -12,7 +12,7 @@
 } from "./jobTypes.js";
 import { teamUsage } from "./teamUsage.js";
 import type { WorkerSnapshot } from "./unresponsiveWorkers.js";
-import { addRun, removeRun, type Run, runKey, runPhases, type WorkerRecord } from "./workerRecord.js";
+import { addRun, removeRun, type Run, runKey, type RunNeeds, runPhases, type WorkerRecord } from "./workerRecord.js";
 
 export const commandKinds = {
     start: "start",
@@ -83,6 +83,8 @@
     commands: SchedulerCommand[];
     /** Runs whose starts were not sent yet. */
     plannedRuns: Set<Run>;
+    /** Workers with reported ends that are not stored yet, by the job that the ends are part of. */
+    workersWithUnsavedEnds: Map<string, Set<WorkerRecord>>;
     /** Jobs whose latest progress is not in the store yet. */
     unsavedJobs: Set<string>;
     nextRunNumber: number;
@@ -124,9 +126,10 @@
 }
 
 /** The resources that a run of the step needs, and its team. */
-export function runNeeds(job: JobRecord, step: StepRecord): Pick<Run, "isServing" | "teamName" | "requested" | "reserved"> {
+export function runNeeds(job: JobRecord, step: StepRecord): RunNeeds {
     return {
         isServing: isServing(step.spec),
+        isFiller: step.spec.isFiller,
         teamName: job.submission.teamName,
         requested: step.spec.request,
         reserved: reservedResources(step.spec),
--- a/src/scheduling/workerRecord.ts
+++ b/src/scheduling/workerRecord.ts
@@ -40,6 +40,8 @@
     phase: RunPhase;
     /** Whether the task serves users until its job is cancelled. */
     isServing: boolean;
+    /** Whether the task uses only CPU time that other tasks leave idle. */
+    isFiller: boolean;
     teamName: string | undefined;
     /** Counts toward the team's limit. */
     requested: Resources;
@@ -133,15 +135,28 @@
 /** Identifies a run; its other properties follow from its step. */
 export type RunIdentity = Pick<Run, "taskName" | "jobId" | "occurrence" | "stepIndex" | "taskIndex" | "runId" | "workerId">;
 
+/** What a run takes, and for whom. */
+export type RunNeeds = Pick<Run, "isServing" | "isFiller" | "teamName" | "requested" | "reserved">;
+
 /** Creates the record of a run that is known only from its start, a listing or a snapshot. */
 export function createRun(
     identity: RunIdentity,
-    needs: Pick<Run, "isServing" | "teamName" | "requested" | "reserved">,
+    needs: RunNeeds,
     nowMs: number,
 ): Run {
     return {
-        ...identity,
-        ...needs,
+        taskName: identity.taskName,
+        jobId: identity.jobId,
+        occurrence: identity.occurrence,
+        stepIndex: identity.stepIndex,
+        taskIndex: identity.taskIndex,
+        runId: identity.runId,
+        workerId: identity.workerId,
+        isServing: needs.isServing,
+        isFiller: needs.isFiller,
+        teamName: needs.teamName,
+        requested: needs.requested,
+        reserved: needs.reserved,
         phase: runPhases.planned,
         startedAtMs: nowMs,
         isPresumed: false,
