Let the same jobs arrive in the scheduling benchmark whatever is decided

Arrivals and the work on the workers shared one random stream, so that a change of the order of commands changed the jobs, and two versions could not be compared by what they complete. Now they have their own. The mean time to completion is printed too.

--- a/bench/schedulingLoad.ts
+++ b/bench/schedulingLoad.ts
@@ -76,7 +76,8 @@
     arrivals(nowMs: number): JobSubmission[];
     /** The actual duration of a short task. */
     drawTaskMs(submission: JobSubmission, stepIndex: number): number;
-    random: SeededRandom;
+    /** For all that happens on the workers. */
+    workRandom: SeededRandom;
 }
 
 function createPolicy(scale: number): SchedulingPolicy {
@@ -121,8 +122,10 @@
 /** Creates the load; `scale` multiplies the workers and the arrival rates. */
 export function createSchedulingLoad(seed: number, scale: number): SchedulingLoad {
     const random = createSeededRandom(seed);
+    // A stream of its own, so that the same jobs arrive whatever is decided.
+    const workRandom = createSeededRandom(seed + 1);
     let nextJob = 0;
-    const around = (mean: number): number => Math.round(mean * (0.5 + random.unit()));
+    const around = (mean: number, source = random): number => Math.round(mean * (0.5 + source.unit()));
     const step = (changes: Partial<StepSpec>): StepSpec => ({
         taskCount: tasksPerStep,
         request: { cpuMillicores: 1_000, memoryMb: 1_000, accelerators: 0 },
@@ -191,8 +194,8 @@
                 return random.unit() < perMs ? [shortJob(load, nowMs)] : [];
             }),
         drawTaskMs: ({ queueName }, stepIndex) =>
-            around(queueLoads.find(load => load.name === queueName)!.taskMs) * (stepIndex === 0 ? 1 : 1.1),
-        random,
+            around(queueLoads.find(load => load.name === queueName)!.taskMs, workRandom) * (stepIndex === 0 ? 1 : 1.1),
+        workRandom,
     };
 }
 
--- a/bench/schedulingPass.ts
+++ b/bench/schedulingPass.ts
@@ -10,7 +10,7 @@
 import { createLogger } from "../src/process/logger.js";
 import { commandOutcomes } from "../src/scheduling/commandOutcomes.js";
 import { encodeProgress, encodeSubmission } from "../src/scheduling/jobDocuments.js";
-import type { JobSubmission } from "../src/scheduling/jobTypes.js";
+import { jobStates, type JobSubmission } from "../src/scheduling/jobTypes.js";
 import type { Listing, Moment } from "../src/scheduling/reconcileListing.js";
 import { createScheduler } from "../src/scheduling/scheduler.js";
 import { commandKinds, type SchedulerCommand } from "../src/scheduling/schedulerState.js";
@@ -102,14 +102,19 @@
 let startsCount = 0;
 let endsCount = 0;
 let completedJobsCount = 0;
+let completionSumMs = 0;
 let mostWaitingTasksCount = 0;
 let mostJobsCount = 0;
 
+function hasUnsavedEnds(workerId: string): boolean {
+    return scheduler.state.workers.get(workerId)!.unsavedEnds.length > 0;
+}
+
 function handleListing(workerId: string, listing: Listing, sentAtMs: number): void {
     endsCount += listing.ended.length;
     parts.measure("listing", () => scheduler.listingReceived(workerId, listing, sentAtMs, moment()));
     isPassDue = true;
-    if (scheduler.state.workers.get(workerId)!.unsavedEnds.length > 0) {
+    if (hasUnsavedEnds(workerId)) {
         sessionsWaitingForSave.add(workerId);
         time.after(maxSaveWaitMs, () => pollAfterSave(workerId));
     }
@@ -156,13 +161,18 @@
         time.after(storeMs, () => {
             writesInFlight -= 1;
             parts.measure("progress saved", () => taken.forEach(job => scheduler.progressSaved(job.jobId, job.version, time.nowMs())));
-            completedJobsCount += taken.filter(job => job.progress.state === "completed").length;
+            taken.filter(job => job.progress.state === jobStates.completed).forEach(job => countCompleted(job.jobId));
             [...sessionsWaitingForSave].forEach(pollAfterSave);
             isPassDue = true;
         });
     }
 }
 
+function countCompleted(jobId: string): void {
+    completedJobsCount += 1;
+    completionSumMs += time.nowMs() - submissions.get(jobId)!.submittedWallMs;
+}
+
 function answerStart(run: Run): void {
     parts.measure("start response", () => scheduler.startResponseReceived(run, commandOutcomes.accepted, "", moment()));
     isPassDue = true;
@@ -234,7 +244,7 @@
 
 for (const entry of load.workers) {
     scheduler.registerWorker(entry, moment());
-    workers.set(entry.workerId, createSimulatedWorker(time, load.random));
+    workers.set(entry.workerId, createSimulatedWorker(time, load.workRandom));
     poll(entry.workerId, 0);
 }
 load.longRunningJobs.forEach(submit);
@@ -252,5 +262,6 @@
         `at most ${mostJobsCount} jobs and ${mostWaitingTasksCount} waiting tasks at a time`,
 );
 parts.report(runS);
+console.log(`mean time from the submission of a job to its stored completion: ${(completionSumMs / completedJobsCount).toFixed(0)} ms`);
 console.log(`processor time of the whole process, the simulation included: ${((cpu.user + cpu.system) / 1000 / runS).toFixed(0)} ms/s`);
 console.log(`digest of all commands: ${digest.digest("hex").slice(0, 16)}`);
