List a worker again when its own ends are stored, not at every save

Cause: every save of progress woke all sessions that waited for a save. A worker whose ends were in another write was listed again at once, and answered at once with the same ends.

Evidence: the new test failed before.

--- a/bench/schedulingPass.ts
+++ b/bench/schedulingPass.ts
@@ -162,7 +162,7 @@
             writesInFlight -= 1;
             parts.measure("progress saved", () => taken.forEach(job => scheduler.progressSaved(job.jobId, job.version, time.nowMs())));
             taken.filter(job => job.progress.state === jobStates.completed).forEach(job => countCompleted(job.jobId));
-            [...sessionsWaitingForSave].forEach(pollAfterSave);
+            [...sessionsWaitingForSave].filter(workerId => !hasUnsavedEnds(workerId)).forEach(pollAfterSave);
             isPassDue = true;
         });
     }
--- a/src/process/workerSession.ts
+++ b/src/process/workerSession.ts
@@ -11,7 +11,7 @@
 
 export interface WorkerSession {
     execute(command: WorkerCommand): void;
-    /** Must be called when progress was saved: ended runs that the worker keeps reporting may be acknowledged now. */
+    /** Must be called when progress was saved: the ends that the worker keeps reporting may all be stored now. */
     onProgressSaved(): void;
     close(): void;
 }
@@ -91,6 +91,7 @@
         return answer.outcome;
     };
 
+    const hasUnsavedEnds = (): boolean => (scheduler.state.workers.get(workerId)?.unsavedEnds.length ?? 0) > 0;
     const waitForSave = async (): Promise<void> => {
         await Promise.race([delay(timers, maxSaveWaitMs, signal), new Promise<void>(resolve => wakeAfterSave = resolve)]);
         wakeAfterSave = undefined;
@@ -106,7 +107,7 @@
             if (outcome !== commandOutcomes.accepted) {
                 await delay(timers, retryDelayMs, signal);
             }
-            else if ((scheduler.state.workers.get(workerId)?.unsavedEnds.length ?? 0) > 0) {
+            else if (hasUnsavedEnds()) {
                 await waitForSave();
             }
         }
@@ -184,7 +185,11 @@
                 }
             }
         },
-        onProgressSaved: () => wakeAfterSave?.(),
+        onProgressSaved: () => {
+            if (wakeAfterSave && !hasUnsavedEnds()) {
+                wakeAfterSave();
+            }
+        },
         close: () => {
             lifetime.abort();
             client.close();
--- a/tests/process/workerSession.spec.ts
+++ b/tests/process/workerSession.spec.ts
@@ -1,13 +1,16 @@
-/** Guards against starts sent by a process that lost the ownership between the decision and the call. */
+/** Checks when a session sends starts, and when it lists its worker again. */
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { createTimerService, delay } from "../../src/common/timerService.js";
+import { createManualTimerService, createTimerService, delay } from "../../src/common/timerService.js";
 import type { WorkerClient } from "../../src/connection/workerClient.js";
 import { createWorkerSession } from "../../src/process/workerSession.js";
 import { commandOutcomes } from "../../src/scheduling/commandOutcomes.js";
 import { commandKinds } from "../../src/scheduling/schedulerState.js";
 import { createSchedulerHarness } from "../scheduling/schedulerHarness.js";
 
+/** Lets all promises that are due settle. */
+const settle = (): Promise<void> => new Promise(resolve => void setImmediate(resolve));
+
 describe("worker session", () => {
     it("should not send a start that was decided before the ownership was lost", async () => {
         const harness = createSchedulerHarness({ workers: 1 });
@@ -56,4 +59,65 @@
         assert.equal(scheduler.state.workers.get("w1")?.runs.size, 0, "the run was removed from the worker");
         session.close();
     });
+
+    it("should list a worker again when its own ends are stored, not when those of other jobs are", async () => {
+        const harness = createSchedulerHarness({ workers: 1, isSavedManually: true });
+        const { scheduler } = harness;
+        harness.list("w1", { sentAtMs: 0 });
+        ["first", "second"].forEach(jobId => harness.submit(jobId, { taskCount: 1 }));
+        harness.saveAll();
+        harness.answerStarts(commandOutcomes.accepted);
+        const ended = harness.commands(commandKinds.start).map(({ taskName, runId }, index) => ({
+            endNumber: index + 1,
+            taskName,
+            runId,
+            end: "done" as const,
+            checkpoint: "",
+        }));
+        const acknowledged: number[] = [];
+        let signalPoll: () => void = () => undefined;
+        const nextPoll = (): Promise<void> => new Promise(resolve => signalPoll = resolve);
+        const client = {
+            list: (order: { acknowledgedEndNumber: number }) => {
+                acknowledged.push(order.acknowledgedEndNumber);
+                signalPoll();
+                const response = {
+                    outcome: commandOutcomes.accepted,
+                    reason: "",
+                    isFenced: false,
+                    clockMs: 1_000,
+                    listing: { bornWallMs: 0, running: [], ended },
+                };
+                return acknowledged.length === 1 ? Promise.resolve(response) : new Promise(() => undefined);
+            },
+            close: () => undefined,
+        } as unknown as WorkerClient;
+        let signalListed: () => void = () => undefined;
+        const listed = new Promise<void>(resolve => signalListed = resolve);
+        const timers = createManualTimerService();
+        const session = createWorkerSession({
+            workerId: "w1",
+            client,
+            scheduler,
+            timers,
+            leaseMs: 6_000,
+            maySendOrders: () => true,
+            isLeaseValid: () => true,
+            onFenced: () => undefined,
+            onSchedulerChanged: () => signalListed(),
+        });
+        await listed;
+        await settle();
+        const polledAgain = nextPoll();
+        const unsaved = new Map(scheduler.takeUnsavedJobs(2).map(job => [job.jobId, job.version]));
+        scheduler.progressSaved("first", unsaved.get("first")!, 0);
+        session.onProgressSaved();
+        await settle();
+        assert.deepEqual(acknowledged, [0], "an end of the worker is not stored yet");
+        scheduler.progressSaved("second", unsaved.get("second")!, 0);
+        session.onProgressSaved();
+        await polledAgain;
+        assert.deepEqual(acknowledged, [0, 2]);
+        session.close();
+    });
 });
