Let one pass handle the events of some milliseconds

Cause: each event scheduled a pass for the same turn of the event loop, about 850 a second at grown size, and each pass with a planned start began a write of progress.

Change: a pass begins at least 5 ms after the last one ended; after a quiet time it still begins at once. Responses to starts and stops tell the scheduler first whether the ownership is proven, as listings did, since the last pass may now be longer ago.

What changes for callers: a start may be up to 5 ms later under load.

--- a/src/process/schedulingService.ts
+++ b/src/process/schedulingService.ts
@@ -13,6 +13,7 @@
 import type { DemandTracker } from "./demandTracker.js";
 import { logEvents } from "./logEvents.js";
 import type { Logger } from "./logger.js";
+import { createPassTrigger } from "./passTrigger.js";
 import { createProgressWriter } from "./progressWriter.js";
 import { removeOldJobs } from "./removeOldJobs.js";
 import type { OwnershipTerm, SchedulingOwnership } from "./schedulingOwnership.js";
@@ -70,7 +71,6 @@
     let policy: SchedulingPolicy | undefined;
     let scheduler: Scheduler | undefined;
     let pendingTerm: OwnershipTerm | undefined;
-    let isStepScheduled = false;
     let termLifetime = new AbortController();
 
     const moment = (): Moment => ({ nowMs: timers.nowMs(), wallMs: timers.wallClockMs() });
@@ -146,7 +146,6 @@
     };
 
     const runStep = (): void => {
-        isStepScheduled = false;
         if (!scheduler) {
             return;
         }
@@ -168,12 +167,8 @@
             }
         }
     };
-    const scheduleStep = (): void => {
-        if (!isStepScheduled) {
-            isStepScheduled = true;
-            setImmediate(runStep);
-        }
-    };
+    const passTrigger = createPassTrigger(timers, runStep);
+    const scheduleStep = passTrigger.request;
 
     /** Timers run only in the owner: in any other process a timer wake-up would cost as much as handling a message. */
     const startTimers = (signal: AbortSignal): void => {
--- a/src/process/workerSession.ts
+++ b/src/process/workerSession.ts
@@ -135,6 +135,7 @@
             options.onFenced();
             return;
         }
+        scheduler.setOwnershipProven(options.isLeaseValid());
         scheduler.startResponseReceived(targetRun, answer.outcome, answer.reason, moment());
         options.onSchedulerChanged();
     };
@@ -145,11 +146,13 @@
             options.onFenced();
             return;
         }
+        scheduler.setOwnershipProven(options.isLeaseValid());
         if (answer.outcome === commandOutcomes.otherWorker) {
             scheduler.workerReplaced(workerId, moment());
         }
         if (answer.outcome !== commandOutcomes.accepted) {
             await delay(timers, retryDelayMs, signal);
+            scheduler.setOwnershipProven(options.isLeaseValid());
         }
         scheduler.stopResponseReceived(targetRun, answer.outcome, moment());
         options.onSchedulerChanged();
