--- a/src/process/schedulingService.ts
+++ b/src/process/schedulingService.ts
@@ -12,6 +12,7 @@
 import type { DemandTracker } from "./demandTracker.js";
 import { logEvents } from "./logEvents.js";
 import type { Logger } from "./logger.js";
+import { createPassTrigger } from "./passTrigger.js";
 import { createProgressWriter, type ProgressWriter } from "./progressWriter.js";
 import { removeOldJobs } from "./removeOldJobs.js";
 import type { OwnershipTerm, SchedulingOwnership } from "./schedulingOwnership.js";
@@ -78,7 +79,6 @@
     let policy: SchedulingPolicy | undefined;
     let activeTerm: ActiveTerm | undefined;
     let pendingTerm: OwnershipTerm | undefined;
-    let isStepScheduled = false;
 
     const moment = (): Moment => ({ nowMs: timers.nowMs(), wallMs: timers.wallClockMs() });
     const maySendOrders = (): boolean => options.ownership().maySendOrders();
@@ -155,7 +155,6 @@
     };
 
     const runStep = (): void => {
-        isStepScheduled = false;
         if (!activeTerm) {
             return;
         }
@@ -180,12 +179,8 @@
         }
         summary.recordPass(timers.nowMs() - startedAtMs);
     };
-    const scheduleStep = (): void => {
-        if (!isStepScheduled) {
-            isStepScheduled = true;
-            setImmediate(runStep);
-        }
-    };
+    const passTrigger = createPassTrigger(timers, runStep);
+    const scheduleStep = passTrigger.request;
 
     /** Timers run only in the owner: in any other process a timer wake-up would cost as much as handling a message. */
     const startTimers = (progressWriter: ProgressWriter, signal: AbortSignal): void => {
--- a/src/process/workerSession.ts
+++ b/src/process/workerSession.ts
@@ -11,7 +11,7 @@
 
 export interface WorkerSession {
     execute(command: WorkerCommand): void;
-    /** Must be called when progress was saved: ended runs that the worker keeps reporting may be acknowledged now. */
+    /** Must be called when progress was saved: the ends that the worker keeps reporting may all be stored now. */
     onProgressSaved(): void;
     close(): void;
 }
@@ -97,6 +97,7 @@
         return answer.outcome;
     };
 
+    const hasUnsavedEnds = (): boolean => (scheduler.state.workers.get(workerId)?.unsavedEnds.length ?? 0) > 0;
     const waitForSave = async (): Promise<void> => {
         await Promise.race([delay(timers, maxSaveWaitMs, signal), new Promise<void>(resolve => wakeAfterSave = resolve)]);
         wakeAfterSave = undefined;
@@ -112,7 +113,7 @@
             if (outcome !== commandOutcomes.accepted) {
                 await delay(timers, retryDelayMs, signal);
             }
-            else if ((scheduler.state.workers.get(workerId)?.unsavedEnds.length ?? 0) > 0) {
+            else if (hasUnsavedEnds()) {
                 await waitForSave();
             }
         }
@@ -141,6 +142,7 @@
             options.onFenced();
             return;
         }
+        scheduler.setOwnershipProven(options.isLeaseValid());
         scheduler.startResponseReceived(targetRun, answer.outcome, answer.reason, moment());
         options.onSchedulerChanged();
     };
@@ -152,11 +154,13 @@
             options.onFenced();
             return;
         }
+        scheduler.setOwnershipProven(options.isLeaseValid());
         if (answer.outcome === commandOutcomes.otherWorker) {
             scheduler.workerReplaced(workerId, moment());
         }
         if (answer.outcome !== commandOutcomes.accepted) {
             await delay(timers, retryDelayMs, signal);
+            scheduler.setOwnershipProven(options.isLeaseValid());
         }
         scheduler.stopResponseReceived(targetRun, answer.outcome, moment());
         options.onSchedulerChanged();
@@ -192,7 +196,11 @@
                 }
             }
         },
-        onProgressSaved: () => wakeAfterSave?.(),
+        onProgressSaved: () => {
+            if (wakeAfterSave && !hasUnsavedEnds()) {
+                wakeAfterSave();
+            }
+        },
         close: () => {
             lifetime.abort();
             client.close();
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -9,8 +9,8 @@
 import { decodeProgress, decodeSubmission, type JobProgress } from "./jobDocuments.js";
 import { createJobRecord, isFinalState, progressOf } from "./jobRecord.js";
 import { jobStates, type SchedulingPolicy } from "./jobTypes.js";
-import { isPlanned, possibleWorkerIds, sendPersistedStarts, settleWorkerIdsWrite } from "./plannedStarts.js";
-import { beginIncarnation, type Listing, markRunsLost, type Moment, reconcileListing } from "./reconcileListing.js";
+import { possibleWorkerIds, sendPersistedStarts, settleWorkerIdsWrite } from "./plannedStarts.js";
+import { beginIncarnation, forgetSavedEnds, type Listing, markRunsLost, type Moment, reconcileListing } from "./reconcileListing.js";
 import {
     type Decision,
     endJob,
@@ -62,6 +62,8 @@
         isOwnershipProven: true,
         isStoreWritable: true,
         commands: [],
+        plannedRuns: new Set(),
+        workersWithUnsavedEnds: new Map(),
         unsavedJobs: new Set(),
         nextRunNumber: 1,
         onDecision: options.onDecision,
@@ -207,9 +209,7 @@
                 settleWorkerIdsWrite(job, true);
                 sendPersistedStarts(state, job, nowMs);
             }
-            for (const worker of state.workers.values()) {
-                worker.unsavedEnds = worker.unsavedEnds.filter(end => end.jobId !== jobId || end.version > version);
-            }
+            forgetSavedEnds(state, jobId, version);
             if (job && isFinalState(job.state) && job.persistedVersion === job.version) {
                 state.jobs.delete(jobId);
             }
@@ -234,16 +234,7 @@
             return taken;
         },
         /** Whether any starts wait until the store lists their workers. */
-        hasPlannedStarts: (): boolean => {
-            for (const worker of state.workers.values()) {
-                for (const run of worker.runs.values()) {
-                    if (isPlanned(run)) {
-                        return true;
-                    }
-                }
-            }
-            return false;
-        },
+        hasPlannedStarts: (): boolean => state.plannedRuns.size > 0,
         /** A write of the job's progress failed or got no response; the job is taken again. */
         progressSaveFailed: (jobId: string): void => {
             const job = state.jobs.get(jobId);
--- a/src/scheduling/workerRecord.ts
+++ b/src/scheduling/workerRecord.ts
@@ -40,6 +40,8 @@
     phase: RunPhase;
     /** Whether the task serves users until its job is cancelled. */
     isServing: boolean;
+    /** Whether the task uses only CPU time that other tasks leave idle. */
+    isFiller: boolean;
     teamName: string | undefined;
     /** Counts toward the team's limit. */
     requested: Resources;
@@ -77,6 +79,9 @@
     /** Whether the runs on the worker are known, usually because it has responded to this owner, which fences earlier ones. */
     isRunStateKnown: boolean;
     used: Resources;
+    /** Long-running tasks on the worker, and the CPU that they have reserved. */
+    longRunningCount: number;
+    longRunningCpuMillicores: number;
     /** Runs by `runKey`. */
     runs: Map<string, Run>;
     /** Highest end number that was processed. */
@@ -109,6 +114,8 @@
         isRegistered: true,
         isRunStateKnown: false,
         used: { cpuMillicores: 0, memoryMb: 0, accelerators: 0 },
+        longRunningCount: 0,
+        longRunningCpuMillicores: 0,
         runs: new Map(),
         lastEndNumber: 0,
         unsavedEnds: [],
@@ -128,15 +135,28 @@
 /** Identifies a run; its other properties follow from its step. */
 export type RunIdentity = Pick<Run, "taskName" | "jobId" | "occurrence" | "stepIndex" | "taskIndex" | "runId" | "workerId">;
 
+/** What a run takes, and for whom. */
+export type RunNeeds = Pick<Run, "isServing" | "isFiller" | "teamName" | "requested" | "reserved">;
+
 /** Creates the record of a run that is known only from its start, a listing or a snapshot. */
 export function createRun(
     identity: RunIdentity,
-    needs: Pick<Run, "isServing" | "teamName" | "requested" | "reserved">,
+    needs: RunNeeds,
     nowMs: number,
 ): Run {
     return {
-        ...identity,
-        ...needs,
+        taskName: identity.taskName,
+        jobId: identity.jobId,
+        occurrence: identity.occurrence,
+        stepIndex: identity.stepIndex,
+        taskIndex: identity.taskIndex,
+        runId: identity.runId,
+        workerId: identity.workerId,
+        isServing: needs.isServing,
+        isFiller: needs.isFiller,
+        teamName: needs.teamName,
+        requested: needs.requested,
+        reserved: needs.reserved,
         phase: runPhases.planned,
         startedAtMs: nowMs,
         isPresumed: false,
@@ -154,26 +174,25 @@
     return `${taskName}#${runId}`;
 }
 
+function reserve(worker: WorkerRecord, run: Run, factor: 1 | -1): void {
+    addResources(worker.used, run.reserved, factor);
+    if (run.isServing) {
+        worker.longRunningCount += factor;
+        worker.longRunningCpuMillicores += factor * run.reserved.cpuMillicores;
+    }
+}
+
 export function addRun(worker: WorkerRecord, run: Run): void {
     worker.runs.set(runKey(run.taskName, run.runId), run);
-    addResources(worker.used, run.reserved, 1);
+    reserve(worker, run, 1);
 }
 
 export function removeRun(worker: WorkerRecord, run: Run): void {
     if (worker.runs.delete(runKey(run.taskName, run.runId))) {
-        addResources(worker.used, run.reserved, -1);
+        reserve(worker, run, -1);
     }
 }
 
-export function freeResources(worker: WorkerRecord): Resources {
-    const { capacity } = worker.entry;
-    return {
-        cpuMillicores: capacity.cpuMillicores - worker.used.cpuMillicores,
-        memoryMb: capacity.memoryMb - worker.used.memoryMb,
-        accelerators: capacity.accelerators - worker.used.accelerators,
-    };
-}
-
 /** The highest end number up to which every end is stored. */
 export function acknowledgedEndNumber(worker: WorkerRecord): number {
     return worker.unsavedEnds.reduce((lowest, end) => Math.min(lowest, end.endNumber - 1), worker.lastEndNumber);
