--- a/src/process/demandTracker.ts
+++ b/src/process/demandTracker.ts
@@ -8,8 +8,11 @@
 }
 
 export interface DemandTracker {
-    /** Records work of short tasks that was submitted for a pool. */
-    recordArrival(poolName: string, workMillicoreS: number): void;
+    /**
+     * Records work of short tasks that was submitted for a pool `ageMs` ago. Old work is ignored, so that the initial copy of the
+     * store does not look like a surge.
+     */
+    recordArrival(poolName: string, workMillicoreS: number, ageMs: number): void;
     read(poolName: string): PoolArrivals;
 }
 
@@ -26,6 +29,9 @@
 /** Half-life of the decaying peak. */
 const peakHalfLifeMs = 60_000;
 
+/** Several times the store's slowest response. */
+const maxArrivalAgeMs = 1_500;
+
 export function createDemandTracker(nowMs: () => number): DemandTracker {
     const histories = new Map<string, PoolHistory>();
 
@@ -37,7 +43,10 @@
     const decayedPeak = (history: PoolHistory): number => history.peak * 0.5 ** ((nowMs() - history.peakAtMs) / peakHalfLifeMs);
 
     return {
-        recordArrival: (poolName, workMillicoreS) => {
+        recordArrival: (poolName, workMillicoreS, ageMs) => {
+            if (ageMs >= maxArrivalAgeMs) {
+                return;
+            }
             const history = histories.get(poolName) ?? { arrivals: [], peak: 0, peakAtMs: nowMs() };
             histories.set(poolName, history);
             const oldestMs = nowMs() - peakWindowMs;
--- a/src/process/jobService.ts
+++ b/src/process/jobService.ts
@@ -1,13 +1,12 @@
 /** Job operations for callers: submit, query, cancel. Reads use this process's mirror of the store; writes go to the store. */
 import type { TimerService } from "../common/timerService.js";
 import type { ChangeFeedStore, StoreGuard } from "../connection/platformStore.js";
-import type { JobDirectory } from "../scheduling/jobDirectory.js";
+import { createJobDirectory, type DirectoryEntry, type JobDirectory } from "../scheduling/jobDirectory.js";
 import { encodeSubmission, jobKeys } from "../scheduling/jobDocuments.js";
 import { type JobState, jobStates, type JobSubmission } from "../scheduling/jobTypes.js";
 import { commitOutcomes, createGroupCommit } from "./groupCommit.js";
 import { logEvents } from "./logEvents.js";
 import type { Logger } from "./logger.js";
-import type { StoreMirror } from "./storeMirror.js";
 
 export const jobResultKinds = {
     /** Done and stored. */
@@ -31,14 +30,13 @@
 
 export interface JobService {
     submit(submission: JobSubmission): Promise<JobResult>;
-    state(queueName: string, jobId: string): JobResult;
+    state(queueName: string, jobId: string): Promise<JobResult>;
     cancel(queueName: string, jobId: string): Promise<JobResult>;
     countQueued(queueName: string): number;
 }
 
 export interface JobServiceOptions {
     store: ChangeFeedStore;
-    mirror(): StoreMirror;
     directory: JobDirectory;
     timers: TimerService;
     logger: Logger;
@@ -47,10 +45,10 @@
 }
 
 /**
- * Age at which the mirror counts as stale: writes are not attempted, and jobs that callers know of may be missing. A working
- * watch confirms the mirror at least every 0.7 s, or some hundred milliseconds later if the store is slow.
+ * The store counts as unreachable after this time without a response. A working watch returns at least every 0.7 s, or some
+ * hundred milliseconds later if the store is slow.
  */
-const staleAfterMs = 1_300;
+const unreachableAfterMs = 1_300;
 /** Covers a short outage of the store; the callers' own jitter spreads their retries. */
 const storeRetryAfterMs = 1_000;
 
@@ -60,9 +58,9 @@
         store: options.store,
         timers: options.timers,
         sharedGuard: options.configurationGuard,
-        isStoreReachable: () => !isStale(),
+        isStoreReachable: () => isStoreReachable(),
     });
-    const isStale = (): boolean => (options.mirror().ageMs() ?? Number.POSITIVE_INFINITY) > staleAfterMs;
+    const isStoreReachable = (): boolean => (options.store.unresponsiveForMs() ?? Number.POSITIVE_INFINITY) <= unreachableAfterMs;
     // Without the store, this process cannot know whether another process accepted an earlier attempt of the caller.
     const storeUnreachable: JobResult = {
         kind: jobResultKinds.unknown,
@@ -79,24 +77,49 @@
             case commitOutcomes.outdated:
                 return { kind: jobResultKinds.outdated };
             case commitOutcomes.notStored:
-                return isStale() ? storeUnreachable : refuse("the store did not take the write");
+                return isStoreReachable() ? refuse("the store did not take the write") : storeUnreachable;
             default:
                 logger.log(logEvents.jobOutcomeUnknown, { jobId, key });
                 return { kind: jobResultKinds.unknown, reason: "the response of the store was lost", retryAfterMs: storeRetryAfterMs };
         }
     };
 
-    const findSubmittedJob = (queueName: string, jobId: string) => {
-        const entry = directory.find(jobId);
+    const findSubmittedJob = (queueName: string, jobId: string, jobs = directory): DirectoryEntry | undefined => {
+        const entry = jobs.find(jobId);
         return entry?.submission !== undefined && entry.queueName === queueName ? entry : undefined;
     };
 
+    const describeState = (entry: DirectoryEntry): JobResult => {
+        const isEnded = entry.state === jobStates.completed || entry.state === jobStates.failed;
+        return { kind: jobResultKinds.ok, state: entry.isCancelled && !isEnded ? jobStates.cancelled : entry.state };
+    };
+
+    /** Looks up a job that the mirror does not contain, because another process may have accepted it just before. */
+    const readState = async (queueName: string, jobId: string): Promise<JobResult> => {
+        const read = createJobDirectory({ onUnreadable: (key, reason) => logger.log(logEvents.documentUnreadable, { key, reason }) });
+        for (const prefix of [jobKeys.submissionPrefix, jobKeys.progressPrefix, jobKeys.cancellationPrefix]) {
+            const key = prefix + jobId;
+            const stored = await options.store.read(key);
+            if (stored.err) {
+                return refuse("the store does not respond");
+            }
+            if (stored.val) {
+                read.apply(key, stored.val.value);
+            }
+            else if (prefix === jobKeys.submissionPrefix) {
+                return { kind: jobResultKinds.notFound };
+            }
+        }
+        const entry = findSubmittedJob(queueName, jobId, read);
+        return entry ? describeState(entry) : { kind: jobResultKinds.notFound };
+    };
+
     return {
         submit: async submission => {
             if (findSubmittedJob(submission.queueName, submission.jobId)) {
                 return { kind: jobResultKinds.ok };
             }
-            if (isStale()) {
+            if (!isStoreReachable()) {
                 return storeUnreachable;
             }
             const answer = await create(jobKeys.submissionPrefix + submission.jobId, encodeSubmission(submission), submission.jobId);
@@ -105,19 +128,18 @@
             }
             return answer;
         },
-        state: (queueName, jobId) => {
+        state: async (queueName, jobId) => {
             const entry = findSubmittedJob(queueName, jobId);
             if (entry) {
-                const isEnded = entry.state === jobStates.completed || entry.state === jobStates.failed;
-                return { kind: jobResultKinds.ok, state: entry.isCancelled && !isEnded ? jobStates.cancelled : entry.state };
+                return describeState(entry);
             }
-            return isStale() ? refuse("the mirror of the store is stale") : { kind: jobResultKinds.notFound };
+            return isStoreReachable() ? readState(queueName, jobId) : refuse("the store is not reachable");
         },
         cancel: async (queueName, jobId) => {
             if (directory.find(jobId)?.isCancelled) {
                 return { kind: jobResultKinds.ok };
             }
-            if (isStale()) {
+            if (!isStoreReachable()) {
                 return storeUnreachable;
             }
             if (!findSubmittedJob(queueName, jobId)) {
--- a/src/process/workerSession.ts
+++ b/src/process/workerSession.ts
@@ -11,7 +11,7 @@
 
 export interface WorkerSession {
     execute(command: WorkerCommand): void;
-    /** Must be called when progress was saved: ended runs that the worker keeps reporting may be acknowledged now. */
+    /** Must be called when progress was saved: the ends that the worker keeps reporting may all be stored now. */
     onProgressSaved(): void;
     close(): void;
 }
@@ -50,14 +50,19 @@
     const moment = (): Moment => ({ nowMs: timers.nowMs(), wallMs: timers.wallClockMs() });
     const workerClockMs = (): number | undefined => clock && clock.clockMs + (timers.nowMs() - clock.atMs);
 
-    const handleListResponse = (answer: ListResponse, sentAtMs: number): void => {
+    /** Whether a refusal of this token shows a newer owner: after a term was continued, the newer token may be this process's own. */
+    const isCurrentToken = (token: number): boolean => !signal.aborted && token === scheduler.state.term.token;
+
+    const handleListResponse = (answer: ListResponse, token: number, sentAtMs: number): void => {
         if (signal.aborted) {
             return;
         }
         const now = moment();
         scheduler.setOwnershipProven(options.isLeaseValid());
         if (answer.isFenced) {
-            options.onFenced();
+            if (isCurrentToken(token)) {
+                options.onFenced();
+            }
             return;
         }
         if (answer.outcome === commandOutcomes.otherWorker) {
@@ -80,17 +85,19 @@
         if (clockMs !== undefined) {
             scheduler.leaseExtensionSent(workerId, options.leaseMs, sentAtMs);
         }
+        const { token } = scheduler.state.term;
         const answer = await client.list({
-            token: scheduler.state.term.token,
+            token,
             acknowledgedEndNumber: scheduler.acknowledgedEndNumber(workerId),
             leaseUntilClockMs: clockMs === undefined ? undefined : Math.round(clockMs + options.leaseMs),
             waitMs,
         });
         wasLastListAccepted = answer.outcome === commandOutcomes.accepted;
-        handleListResponse(answer, sentAtMs);
+        handleListResponse(answer, token, sentAtMs);
         return answer.outcome;
     };
 
+    const hasUnsavedEnds = (): boolean => (scheduler.state.workers.get(workerId)?.unsavedEnds.length ?? 0) > 0;
     const waitForSave = async (): Promise<void> => {
         await Promise.race([delay(timers, maxSaveWaitMs, signal), new Promise<void>(resolve => wakeAfterSave = resolve)]);
         wakeAfterSave = undefined;
@@ -106,7 +113,7 @@
             if (outcome !== commandOutcomes.accepted) {
                 await delay(timers, retryDelayMs, signal);
             }
-            else if ((scheduler.state.workers.get(workerId)?.unsavedEnds.length ?? 0) > 0) {
+            else if (hasUnsavedEnds()) {
                 await waitForSave();
             }
         }
@@ -122,33 +129,38 @@
             scheduler.startResponseReceived(targetRun, commandOutcomes.refused, reason, moment());
             return;
         }
+        const { token } = scheduler.state.term;
         const answer = await client.start({
             taskName: targetRun.taskName,
             runId: targetRun.runId,
             payload: command.payload,
             checkpoint: command.checkpoint,
-            token: scheduler.state.term.token,
+            token,
             validUntilClockMs: Math.round(clockMs + startValidityMs),
         });
-        if (answer.isFenced) {
+        if (answer.isFenced && isCurrentToken(token)) {
             options.onFenced();
             return;
         }
+        scheduler.setOwnershipProven(options.isLeaseValid());
         scheduler.startResponseReceived(targetRun, answer.outcome, answer.reason, moment());
         options.onSchedulerChanged();
     };
     const stop = async (command: Extract<SchedulerCommand, { kind: "stop" }>): Promise<void> => {
         const { run: targetRun } = command;
-        const answer = await client.stop({ taskName: targetRun.taskName, runId: targetRun.runId, token: scheduler.state.term.token });
-        if (answer.isFenced) {
+        const { token } = scheduler.state.term;
+        const answer = await client.stop({ taskName: targetRun.taskName, runId: targetRun.runId, token });
+        if (answer.isFenced && isCurrentToken(token)) {
             options.onFenced();
             return;
         }
+        scheduler.setOwnershipProven(options.isLeaseValid());
         if (answer.outcome === commandOutcomes.otherWorker) {
             scheduler.workerReplaced(workerId, moment());
         }
         if (answer.outcome !== commandOutcomes.accepted) {
             await delay(timers, retryDelayMs, signal);
+            scheduler.setOwnershipProven(options.isLeaseValid());
         }
         scheduler.stopResponseReceived(targetRun, answer.outcome, moment());
         options.onSchedulerChanged();
@@ -184,7 +196,11 @@
                 }
             }
         },
-        onProgressSaved: () => wakeAfterSave?.(),
+        onProgressSaved: () => {
+            if (wakeAfterSave && !hasUnsavedEnds()) {
+                wakeAfterSave();
+            }
+        },
         close: () => {
             lifetime.abort();
             client.close();
--- a/tests/process/jobService.spec.ts
+++ b/tests/process/jobService.spec.ts
@@ -6,46 +6,51 @@
 import type { ChangeFeedStore } from "../../src/connection/platformStore.js";
 import { createJobService, jobResultKinds, type JobService } from "../../src/process/jobService.js";
 import { createSilentLogger } from "../../src/process/logger.js";
-import type { StoreMirror } from "../../src/process/storeMirror.js";
 import { createJobDirectory } from "../../src/scheduling/jobDirectory.js";
+import { encodeProgress, encodeSubmission, jobKeys } from "../../src/scheduling/jobDocuments.js";
+import { jobStates } from "../../src/scheduling/jobTypes.js";
 import { modelSubmission } from "../scheduling/modelJob.js";
 
 interface Fixture {
     jobs: JobService;
     calls: string[];
-    /** Sets the time since the mirror of the store was last confirmed to be complete. */
-    setMirrorAgeMs(ageMs: number): void;
+    /** Sets the time since the last response of the store. */
+    setUnresponsiveForMs(durationMs: number): void;
 }
 
-function createFixture(options: { isWriteAnswered: boolean }): Fixture {
+function createFixture(options: { isWriteAnswered: boolean; stored?: Record<string, string> }): Fixture {
     const calls: string[] = [];
-    let mirrorAgeMs = 100;
+    let unresponsiveForMs = 100;
     const lost = { call: "swap", reason: "timeout", isKnownNotApplied: false };
     const store = {
         swap: () => {
             calls.push("swap");
             return Promise.resolve(options.isWriteAnswered ? Ok({ isSwapped: true, revision: 2, current: [] }) : Err(lost));
         },
-        read: () => {
+        read: (key: string) => {
             calls.push("read");
+            if (options.stored) {
+                const value = options.stored[key];
+                return Promise.resolve(Ok(value === undefined ? undefined : { key, value, revision: 1 }));
+            }
             return Promise.resolve(Err({ ...lost, call: "read" }));
         },
+        unresponsiveForMs: () => unresponsiveForMs,
     } as unknown as ChangeFeedStore;
     const jobs = createJobService({
         store,
-        mirror: () => ({ ageMs: () => mirrorAgeMs }) as unknown as StoreMirror,
         directory: createJobDirectory({ onUnreadable: () => undefined }),
         timers: createTimerService(),
         logger: createSilentLogger(),
         configurationGuard: () => undefined,
     });
-    return { jobs, calls, setMirrorAgeMs: ageMs => mirrorAgeMs = ageMs };
+    return { jobs, calls, setUnresponsiveForMs: durationMs => unresponsiveForMs = durationMs };
 }
 
 describe("job service without contact to the store", () => {
     it("should answer unknown at once, with a retry time and without calling the store", async () => {
-        const { jobs, calls, setMirrorAgeMs } = createFixture({ isWriteAnswered: true });
-        setMirrorAgeMs(3_000);
+        const { jobs, calls, setUnresponsiveForMs } = createFixture({ isWriteAnswered: true });
+        setUnresponsiveForMs(3_000);
         const answer = await jobs.submit(modelSubmission);
         assert.equal(answer.kind, jobResultKinds.unknown);
         assert.ok((answer.retryAfterMs ?? 0) > 0);
@@ -55,9 +60,9 @@
     });
 
     it("should not look up a write without a response after contact was lost", async () => {
-        const { jobs, calls, setMirrorAgeMs } = createFixture({ isWriteAnswered: false });
+        const { jobs, calls, setUnresponsiveForMs } = createFixture({ isWriteAnswered: false });
         const answered = jobs.submit(modelSubmission);
-        setMirrorAgeMs(3_000);
+        setUnresponsiveForMs(3_000);
         assert.equal((await answered).kind, jobResultKinds.unknown);
         assert.deepEqual(calls, ["swap"]);
     });
@@ -73,3 +78,36 @@
         assert.equal((await jobs.submit(modelSubmission)).kind, jobResultKinds.ok);
     });
 });
+
+describe("job service whose mirror lacks a job", () => {
+    const { jobId, queueName } = modelSubmission;
+    const submission = { [jobKeys.submissionPrefix + jobId]: encodeSubmission(modelSubmission) };
+
+    it("should answer with the stored state of a job that another process has just accepted", async () => {
+        const { jobs } = createFixture({ isWriteAnswered: true, stored: submission });
+        assert.deepEqual(await jobs.state(queueName, jobId), { kind: jobResultKinds.ok, state: jobStates.queued });
+    });
+
+    it("should include the stored progress and cancellation", async () => {
+        const completed = { ...submission, [jobKeys.progressPrefix + jobId]: encodeProgress({ state: jobStates.completed }) };
+        const cancelled = { ...submission, [jobKeys.cancellationPrefix + jobId]: "{}" };
+        for (const [stored, state] of [[completed, jobStates.completed], [cancelled, jobStates.cancelled]] as const) {
+            const { jobs } = createFixture({ isWriteAnswered: true, stored });
+            assert.equal((await jobs.state(queueName, jobId)).state, state);
+        }
+    });
+
+    it("should answer that a job is unknown only if the store does not contain it", async () => {
+        const { jobs, calls } = createFixture({ isWriteAnswered: true, stored: {} });
+        assert.equal((await jobs.state(queueName, jobId)).kind, jobResultKinds.notFound);
+        assert.deepEqual(calls, ["read"]);
+    });
+
+    it("should refuse to answer while the store does not respond", async () => {
+        const { jobs, calls, setUnresponsiveForMs } = createFixture({ isWriteAnswered: true });
+        assert.equal((await jobs.state(queueName, jobId)).kind, jobResultKinds.refused);
+        setUnresponsiveForMs(3_000);
+        assert.equal((await jobs.state(queueName, jobId)).kind, jobResultKinds.refused);
+        assert.deepEqual(calls, ["read"]);
+    });
+});
--- a/tests/process/workerSession.spec.ts
+++ b/tests/process/workerSession.spec.ts
@@ -1,13 +1,19 @@
-/** Guards against starts sent by a process that lost the ownership between the decision and the call. */
+/**
+ * Checks that a process which lost the ownership between a decision and its call sends no start, that a command of an earlier
+ * term does not end the ownership, and when a worker is listed again.
+ */
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { createTimerService, delay } from "../../src/common/timerService.js";
-import type { WorkerClient } from "../../src/connection/workerClient.js";
+import { createManualTimerService, createTimerService, delay } from "../../src/common/timerService.js";
+import type { OrderResponse, WorkerClient } from "../../src/connection/workerClient.js";
 import { createWorkerSession } from "../../src/process/workerSession.js";
 import { commandOutcomes } from "../../src/scheduling/commandOutcomes.js";
 import { commandKinds } from "../../src/scheduling/schedulerState.js";
 import { createSchedulerHarness } from "../scheduling/schedulerHarness.js";
 
+/** Lets all promises that are due settle. */
+const settle = (): Promise<void> => new Promise(resolve => void setImmediate(resolve));
+
 describe("worker session", () => {
     it("should not send a start that was decided before the ownership was lost", async () => {
         const harness = createSchedulerHarness({ workers: 1 });
@@ -56,4 +62,122 @@
         assert.equal(scheduler.state.workers.get("w1")?.runs.size, 0, "the run was removed from the worker");
         session.close();
     });
+
+    it("should repeat a command that was refused for the token of a term which this process has continued", async context => {
+        const harness = createSchedulerHarness({ workers: 1, token: 10 });
+        const { scheduler } = harness;
+        harness.list("w1", { sentAtMs: 0 });
+        const timers = createTimerService();
+        const fenced: string[] = [];
+        const answers: ((isFenced: boolean) => void)[] = [];
+        const answerLater = (): Promise<OrderResponse> =>
+            new Promise(resolve =>
+                answers.push(isFenced =>
+                    resolve({ outcome: isFenced ? commandOutcomes.refused : commandOutcomes.accepted, reason: "", isFenced })
+                )
+            );
+        const listing = { bornWallMs: 0, running: [], ended: [] };
+        const client = {
+            list: async () => {
+                await delay(timers, 20);
+                return { outcome: commandOutcomes.accepted, reason: "", isFenced: false, clockMs: 1_000, listing };
+            },
+            start: answerLater,
+            stop: answerLater,
+            close: () => undefined,
+        } as unknown as WorkerClient;
+        let signalListed: () => void = () => undefined;
+        const listed = new Promise<void>(resolve => signalListed = resolve);
+        const session = createWorkerSession({
+            workerId: "w1",
+            client,
+            scheduler,
+            timers,
+            leaseMs: 6_000,
+            maySendOrders: () => true,
+            isLeaseValid: () => true,
+            onFenced: () => fenced.push("fenced"),
+            onSchedulerChanged: () => signalListed(),
+        });
+        context.after(() => session.close());
+        await listed;
+        harness.submit("job", { taskCount: 1 });
+        const [run] = harness.commands(commandKinds.start);
+        session.execute({ kind: commandKinds.start, run: run!, payload: "", checkpoint: "" });
+        await Promise.resolve();
+        scheduler.renewTerm(20);
+        answers.shift()!(true);
+        await delay(timers, 0);
+        assert.deepEqual(fenced, []);
+        harness.advance(1_000);
+        harness.list("w1", {});
+        const nextRun = harness.commands(commandKinds.start).at(-1)!;
+        assert.equal(nextRun.runId, 20_000_001);
+        session.execute({ kind: commandKinds.start, run: nextRun, payload: "", checkpoint: "" });
+        await Promise.resolve();
+        answers.shift()!(true);
+        await delay(timers, 0);
+        assert.deepEqual(fenced, ["fenced"], "the worker knows a token above the current one");
+    });
+
+    it("should list a worker again when its own ends are stored, not when those of other jobs are", async () => {
+        const harness = createSchedulerHarness({ workers: 1, isSavedManually: true });
+        const { scheduler } = harness;
+        harness.list("w1", { sentAtMs: 0 });
+        ["first", "second"].forEach(jobId => harness.submit(jobId, { taskCount: 1 }));
+        harness.saveAll();
+        harness.answerStarts(commandOutcomes.accepted);
+        const ended = harness.commands(commandKinds.start).map(({ taskName, runId }, index) => ({
+            endNumber: index + 1,
+            taskName,
+            runId,
+            end: "done" as const,
+            checkpoint: "",
+        }));
+        const acknowledged: number[] = [];
+        let signalPoll: () => void = () => undefined;
+        const nextPoll = (): Promise<void> => new Promise(resolve => signalPoll = resolve);
+        const client = {
+            list: (order: { acknowledgedEndNumber: number }) => {
+                acknowledged.push(order.acknowledgedEndNumber);
+                signalPoll();
+                const response = {
+                    outcome: commandOutcomes.accepted,
+                    reason: "",
+                    isFenced: false,
+                    clockMs: 1_000,
+                    listing: { bornWallMs: 0, running: [], ended },
+                };
+                return acknowledged.length === 1 ? Promise.resolve(response) : new Promise(() => undefined);
+            },
+            close: () => undefined,
+        } as unknown as WorkerClient;
+        let signalListed: () => void = () => undefined;
+        const listed = new Promise<void>(resolve => signalListed = resolve);
+        const timers = createManualTimerService();
+        const session = createWorkerSession({
+            workerId: "w1",
+            client,
+            scheduler,
+            timers,
+            leaseMs: 6_000,
+            maySendOrders: () => true,
+            isLeaseValid: () => true,
+            onFenced: () => undefined,
+            onSchedulerChanged: () => signalListed(),
+        });
+        await listed;
+        await settle();
+        const polledAgain = nextPoll();
+        const unsaved = new Map(scheduler.takeUnsavedJobs(2).map(job => [job.jobId, job.version]));
+        scheduler.progressSaved("first", unsaved.get("first")!, 0);
+        session.onProgressSaved();
+        await settle();
+        assert.deepEqual(acknowledged, [0], "an end of the worker is not stored yet");
+        scheduler.progressSaved("second", unsaved.get("second")!, 0);
+        session.onProgressSaved();
+        await polledAgain;
+        assert.deepEqual(acknowledged, [0, 2]);
+        session.close();
+    });
 });
