Apply the newer configuration that a rejected write returns

Callers got 503 'the configuration keeps changing' when the operator's changes came in quick succession: a write checked against an older version is not applied, and the request was then validated again, up to four times, with the same old version, since the watch had not delivered the newer one yet.

The response to such a write contains the current configuration. It is applied at once, so that the next validation uses it. The specs of the mirror moved to a file of their own.

The case of the outdated commit failed before at the new assertion, that the newer value is returned; the mirror's is new.

--- a/src/process/groupCommit.ts
+++ b/src/process/groupCommit.ts
@@ -3,7 +3,7 @@
  * "does not exist", so that a repeated or late write of the same key changes nothing.
  */
 import type { TimerService } from "../common/timerService.js";
-import type { PlatformStore, StoreGuard } from "../connection/platformStore.js";
+import type { PlatformStore, StoredValue, StoreGuard } from "../connection/platformStore.js";
 
 export const commitOutcomes = {
     /** The store contains the key, written by this call or an earlier one. */
@@ -26,6 +26,8 @@
     timers: TimerService;
     /** Condition for every write, for example that the configuration it was validated against is current. */
     sharedGuard(): StoreGuard | undefined;
+    /** Called with the current value of the shared guard's key when the guard no longer holds. */
+    onGuardChanged(current: StoredValue): void;
     /** Whether the store responds to other calls; if not, the outcome of a write without a response is not looked up. */
     isStoreReachable(): boolean;
 }
@@ -78,6 +80,10 @@
         }
         const present = new Map(swapped.val.current.map(each => [each.key, each.revision]));
         if (shared && (present.get(shared.key) ?? 0) !== shared.expectedRevision) {
+            const current = swapped.val.current.find(each => each.key === shared.key);
+            if (current) {
+                options.onGuardChanged(current);
+            }
             batch.forEach(each => each.settle(commitOutcomes.outdated));
             return;
         }
--- a/src/process/jobService.ts
+++ b/src/process/jobService.ts
@@ -1,6 +1,6 @@
 /** Job operations for callers: submit, query, cancel. Reads use this process's mirror of the store; writes go to the store. */
 import type { TimerService } from "../common/timerService.js";
-import type { ChangeFeedStore, StoreGuard } from "../connection/platformStore.js";
+import type { ChangeFeedStore, StoredValue, StoreGuard } from "../connection/platformStore.js";
 import { createJobDirectory, type DirectoryEntry, type JobDirectory } from "../scheduling/jobDirectory.js";
 import { encodeSubmission, jobKeys } from "../scheduling/jobDocuments.js";
 import { type JobState, jobStates, type JobSubmission } from "../scheduling/jobTypes.js";
@@ -42,6 +42,8 @@
     logger: Logger;
     /** Store condition that holds while the configuration that requests are validated against is current. */
     configurationGuard(): StoreGuard | undefined;
+    /** Called with the stored configuration when a write shows that it is newer than the one that requests are validated against. */
+    onConfigurationChanged(current: StoredValue): void;
 }
 
 /**
@@ -58,6 +60,7 @@
         store: options.store,
         timers: options.timers,
         sharedGuard: options.configurationGuard,
+        onGuardChanged: options.onConfigurationChanged,
         isStoreReachable: () => isStoreReachable(),
     });
     const isStoreReachable = (): boolean => (options.store.unresponsiveForMs() ?? Number.POSITIVE_INFINITY) <= unreachableAfterMs;
--- a/src/process/storeMirror.ts
+++ b/src/process/storeMirror.ts
@@ -12,6 +12,8 @@
     valueOf(key: string): string | undefined;
     /** 0 if the key does not exist. */
     revisionOf(key: string): number;
+    /** Applies a change that was learned before the change feed delivered it. */
+    learn(change: StoreChange): void;
 }
 
 export interface StoreMirrorOptions {
@@ -76,5 +78,6 @@
         values: prefix => [...entries].filter(([key]) => key.startsWith(prefix)).map(([key, each]) => ({ key, ...each })),
         valueOf: key => entries.get(key)?.value,
         revisionOf: key => entries.get(key)?.revision ?? 0,
+        learn: apply,
     };
 }
--- a/tests/platform/storeClient.spec.ts
+++ b/tests/platform/storeClient.spec.ts
@@ -1,4 +1,4 @@
-/** The client of the platform's key-value service, and the mirror, group commit and scheduling ownership on top of it. */
+/** The client of the platform's key-value service, and the group commit and scheduling ownership on top of it. */
 import assert from "node:assert/strict";
 import { after, before, describe, it } from "node:test";
 import { createStoreClient } from "../../platform/storeClient.js";
@@ -95,75 +95,14 @@
         assert.equal((await store.read("a/text")).ok, true);
     });
 
-    it("should follow changes, also across a compaction of the history", async () => {
-        const following = new AbortController();
-        const mirror = mirrorOf("e/", following.signal);
-        await put("e/1", "first");
-        await waitUntil("the first value is visible", () => mirror.values("e/").length === 1);
-        standIn.faults.isSilent = true;
-        await delay(timers, 20);
-        standIn.faults.isSilent = false;
-        await put("e/2", "second");
-        (await store.swap([], [{ key: "e/1", value: undefined }])).unwrap();
-        standIn.compact();
-        await waitUntil("the deletion is visible", () => mirror.values("e/").map(each => each.key).join() === "e/2");
-        following.abort();
-    });
-
-    it("should not count the mirror as current while watch responses return only a part of the missing changes", async () => {
-        const following = new AbortController();
-        let writtenAtMs = Number.POSITIVE_INFINITY;
-        const ageWhileIncomplete: { ageMs: number; leastMs: number }[] = [];
-        const mirror: StoreMirror = createStoreMirror({
+    it("should store concurrent keys in one transaction, each once", async () => {
+        const commit = createGroupCommit({
             store,
-            prefix: "m/",
             timers,
-            signal: following.signal,
-            // The changes are made during the first pause.
-            pauseMs: () => 300,
-            onChange: () => undefined,
-            onBatchApplied: () =>
-                queueMicrotask(() => {
-                    const count = mirror.values("m/").length;
-                    if (count > 1 && count < 11) {
-                        ageWhileIncomplete.push({ ageMs: mirror.ageMs()!, leastMs: timers.nowMs() - writtenAtMs });
-                    }
-                }),
+            sharedGuard: () => undefined,
+            onGuardChanged: () => undefined,
+            isStoreReachable: () => true,
         });
-        await put("m/0", "first");
-        await waitUntil("the first value is visible", () => mirror.values("m/").length === 1);
-        standIn.faults.revisionsPerWatch = 1;
-        for (let index = 1; index <= 10; index++) {
-            await put(`m/${index}`, "later");
-        }
-        writtenAtMs = timers.nowMs();
-        await waitUntil("all changes are visible", () => mirror.values("m/").length === 11);
-        standIn.faults.revisionsPerWatch = Number.POSITIVE_INFINITY;
-        assert.ok(ageWhileIncomplete.length > 0, "all changes came in one response");
-        for (const { ageMs, leastMs } of ageWhileIncomplete) {
-            assert.ok(ageMs >= leastMs, `confirmed ${ageMs} ms ago, but changes of ${leastMs} ms ago were missing`);
-        }
-        await waitUntil("the mirror counts as current again", () => mirror.ageMs()! < timers.nowMs() - writtenAtMs);
-        following.abort();
-    });
-
-    it("should count the mirror as current under a load that never lets a watch wait", async () => {
-        const following = new AbortController();
-        const mirror = mirrorOf("n/", following.signal);
-        await put("n/0", "first");
-        await waitUntil("the first value is visible", () => mirror.values("n/").length === 1);
-        let highestAgeMs = 0;
-        for (let index = 1; index <= 300; index++) {
-            (await store.swap([], [{ key: "n/0", value: String(index) }])).unwrap();
-            highestAgeMs = Math.max(highestAgeMs, mirror.ageMs()!);
-            await delay(timers, 5);
-        }
-        assert.ok(highestAgeMs < 1_000, `the mirror was ${highestAgeMs} ms old`);
-        following.abort();
-    });
-
-    it("should store concurrent keys in one transaction, each once", async () => {
-        const commit = createGroupCommit({ store, timers, sharedGuard: () => undefined, isStoreReachable: () => true });
         const callsBefore = standIn.callCount("/api/kv-txn");
         const outcomes = await Promise.all(["f/1", "f/2", "f/2", "f/3"].map(key => commit.create(key, key)));
         assert.deepEqual(outcomes, Array.from({ length: 4 }, () => commitOutcomes.stored));
@@ -173,22 +112,31 @@
     });
 
     it("should determine the outcome of a commit without a response by a read", async () => {
-        const commit = createGroupCommit({ store, timers, sharedGuard: () => undefined, isStoreReachable: () => true });
+        const commit = createGroupCommit({
+            store,
+            timers,
+            sharedGuard: () => undefined,
+            onGuardChanged: () => undefined,
+            isStoreReachable: () => true,
+        });
         standIn.faults.droppedResponsesCount = 1;
         assert.equal(await commit.create("g/1", "x"), commitOutcomes.stored);
     });
 
-    it("should not commit a write that was checked against an older configuration", async () => {
+    it("should not commit a write that was checked against an older configuration, and return the newer one", async () => {
         await put("h/configuration", "1");
         const outdated = (await store.read("h/configuration")).unwrap()!;
+        const returned: string[] = [];
         await put("h/configuration", "2");
         const commit = createGroupCommit({
             store,
             timers,
             sharedGuard: () => ({ key: "h/configuration", expectedRevision: outdated.revision }),
+            onGuardChanged: current => returned.push(current.value),
             isStoreReachable: () => true,
         });
         assert.equal(await commit.create("h/job", "x"), commitOutcomes.outdated);
+        assert.deepEqual(returned, ["2"]);
         assert.equal((await store.read("h/job")).unwrap(), undefined);
     });
 
--- /dev/null
+++ b/tests/platform/storeMirror.spec.ts
@@ -0,0 +1,140 @@
+/** The mirror of the platform's key-value service: what it contains, and since when it counts as current. */
+import assert from "node:assert/strict";
+import { after, before, describe, it } from "node:test";
+import { createStoreClient } from "../../platform/storeClient.js";
+import { createTimerService, delay } from "../../src/common/timerService.js";
+import type { ChangeFeedStore } from "../../src/connection/platformStore.js";
+import { createStoreMirror, type StoreMirror } from "../../src/process/storeMirror.js";
+import { startStoreStandIn, type StoreStandIn } from "./storeStandIn.js";
+
+const timers = createTimerService();
+
+async function waitUntil(what: string, condition: () => boolean): Promise<void> {
+    const deadlineMs = timers.nowMs() + 8_000;
+    while (!condition()) {
+        assert.ok(timers.nowMs() < deadlineMs, `still waiting until ${what}`);
+        await delay(timers, 5);
+    }
+}
+
+describe("the mirror of the key-value service", () => {
+    const lifetime = new AbortController();
+    let standIn: StoreStandIn;
+    let store: ChangeFeedStore;
+
+    const put = async (key: string, value: string): Promise<void> => {
+        const present = (await store.read(key)).unwrap();
+        const swapped = await store.swap([{ key, expectedRevision: present?.revision ?? 0 }], [{ key, value }]);
+        assert.ok(swapped.unwrap().isSwapped);
+    };
+    const mirrorOf = (prefix: string, signal: AbortSignal): StoreMirror =>
+        createStoreMirror({ store, prefix, timers, signal, pauseMs: () => 5, onChange: () => undefined, onBatchApplied: () => undefined });
+
+    before(async () => {
+        standIn = await startStoreStandIn();
+        store = createStoreClient({
+            address: standIn.address,
+            timers,
+            signal: lifetime.signal,
+            onAvailabilityChange: () => undefined,
+            onWatchRestart: () => undefined,
+            onWatchResponse: () => undefined,
+        });
+    });
+    after(() => {
+        lifetime.abort();
+        standIn.close();
+    });
+
+    it("should follow changes, also across a compaction of the history", async () => {
+        const following = new AbortController();
+        const mirror = mirrorOf("e/", following.signal);
+        await put("e/1", "first");
+        await waitUntil("the first value is visible", () => mirror.values("e/").length === 1);
+        standIn.faults.isSilent = true;
+        await delay(timers, 20);
+        standIn.faults.isSilent = false;
+        await put("e/2", "second");
+        (await store.swap([], [{ key: "e/1", value: undefined }])).unwrap();
+        standIn.compact();
+        await waitUntil("the deletion is visible", () => mirror.values("e/").map(each => each.key).join() === "e/2");
+        following.abort();
+    });
+
+    it("should not count the mirror as current while watch responses return only a part of the missing changes", async () => {
+        const following = new AbortController();
+        let writtenAtMs = Number.POSITIVE_INFINITY;
+        const ageWhileIncomplete: { ageMs: number; leastMs: number }[] = [];
+        const mirror: StoreMirror = createStoreMirror({
+            store,
+            prefix: "m/",
+            timers,
+            signal: following.signal,
+            // The changes are made during the first pause.
+            pauseMs: () => 300,
+            onChange: () => undefined,
+            onBatchApplied: () =>
+                queueMicrotask(() => {
+                    const count = mirror.values("m/").length;
+                    if (count > 1 && count < 11) {
+                        ageWhileIncomplete.push({ ageMs: mirror.ageMs()!, leastMs: timers.nowMs() - writtenAtMs });
+                    }
+                }),
+        });
+        await put("m/0", "first");
+        await waitUntil("the first value is visible", () => mirror.values("m/").length === 1);
+        standIn.faults.revisionsPerWatch = 1;
+        for (let index = 1; index <= 10; index++) {
+            await put(`m/${index}`, "later");
+        }
+        writtenAtMs = timers.nowMs();
+        await waitUntil("all changes are visible", () => mirror.values("m/").length === 11);
+        standIn.faults.revisionsPerWatch = Number.POSITIVE_INFINITY;
+        assert.ok(ageWhileIncomplete.length > 0, "all changes came in one response");
+        for (const { ageMs, leastMs } of ageWhileIncomplete) {
+            assert.ok(ageMs >= leastMs, `confirmed ${ageMs} ms ago, but changes of ${leastMs} ms ago were missing`);
+        }
+        await waitUntil("the mirror counts as current again", () => mirror.ageMs()! < timers.nowMs() - writtenAtMs);
+        following.abort();
+    });
+
+    it("should count the mirror as current under a load that never lets a watch wait", async () => {
+        const following = new AbortController();
+        const mirror = mirrorOf("n/", following.signal);
+        await put("n/0", "first");
+        await waitUntil("the first value is visible", () => mirror.values("n/").length === 1);
+        let highestAgeMs = 0;
+        for (let index = 1; index <= 300; index++) {
+            (await store.swap([], [{ key: "n/0", value: String(index) }])).unwrap();
+            highestAgeMs = Math.max(highestAgeMs, mirror.ageMs()!);
+            await delay(timers, 5);
+        }
+        assert.ok(highestAgeMs < 1_000, `the mirror was ${highestAgeMs} ms old`);
+        following.abort();
+    });
+
+    it("should apply a learned change at once, and neither it nor an older one again", async () => {
+        const following = new AbortController();
+        const applied: (string | undefined)[] = [];
+        const mirror = createStoreMirror({
+            store,
+            prefix: "l/",
+            timers,
+            signal: following.signal,
+            pauseMs: () => 5,
+            onChange: change => applied.push(change.value),
+            onBatchApplied: () => undefined,
+        });
+        await put("l/key", "first");
+        await waitUntil("the first value is visible", () => mirror.valueOf("l/key") === "first");
+        const first = mirror.revisionOf("l/key");
+        await put("l/key", "second");
+        mirror.learn((await store.read("l/key")).unwrap()!);
+        assert.equal(mirror.valueOf("l/key"), "second");
+        mirror.learn({ key: "l/key", value: "first", revision: first });
+        await put("l/other", "last");
+        await waitUntil("a later change is visible", () => mirror.valueOf("l/other") === "last");
+        assert.deepEqual(applied, ["first", "second", "last"]);
+        following.abort();
+    });
+});
--- a/tests/process/jobService.spec.ts
+++ b/tests/process/jobService.spec.ts
@@ -43,6 +43,7 @@
         timers: createTimerService(),
         logger: createSilentLogger(),
         configurationGuard: () => undefined,
+        onConfigurationChanged: () => undefined,
     });
     return { jobs, calls, setUnresponsiveForMs: durationMs => unresponsiveForMs = durationMs };
 }
