Start nothing on a worker that restarted while the ownership is not proven

Cause: an owner that cannot renew its lease sends commands for 4 s more, since workers refuse them once a newer owner has contacted them. A worker that restarts under its id has forgotten all tokens. If a newer owner exists, both start the same task there, or one there and the other elsewhere: a task that was waiting for the earlier owner is not held back by it. Change: without proof of its ownership an owner starts tasks only on incarnations that responded while it had it. dispatchWaitingTasks.ts gets one condition more. The new case of scheduling/unresponsiveWorkers failed before. The 14 tests of model/scheduling and the 7 of model/schedulingLiveness pass, which now allows a second crash.

--- a/src/scheduling/dispatchWaitingTasks.ts
+++ b/src/scheduling/dispatchWaitingTasks.ts
@@ -3,7 +3,7 @@
 import { type PlacementCandidate, placeTask } from "../decisions/placeTask.js";
 import { isFinalState, isStepReady, type JobRecord, type StepRecord } from "./jobRecord.js";
 import { isServing, reservedResources, type Resources } from "./jobTypes.js";
-import { cancelStaleStarts, isHeldBack, isWorkerPersisted, sendPersistedStarts } from "./plannedStarts.js";
+import { cancelStaleStarts, isFencedByNewerOwner, isHeldBack, isWorkerPersisted, sendPersistedStarts } from "./plannedStarts.js";
 import type { Moment } from "./reconcileListing.js";
 import { attachRun, detachRun, isWithinTeamLimit, nextRunId, runNeeds, type SchedulerState } from "./schedulerState.js";
 import { snapshotStates } from "./unresponsiveWorkers.js";
@@ -52,8 +52,9 @@
 }
 
 /** Whether new runs may start on the worker now. */
-function isSchedulable(worker: WorkerRecord, nowMs: number): boolean {
-    return worker.isRegistered && worker.snapshotState === snapshotStates.none && !worker.entry.isDraining &&
+function isSchedulable(state: SchedulerState, worker: WorkerRecord, nowMs: number): boolean {
+    return worker.isRegistered && isFencedByNewerOwner(state, worker) && worker.snapshotState === snapshotStates.none &&
+        !worker.entry.isDraining &&
         !worker.isCordoned &&
         worker.avoidedUntilMs <= nowMs && worker.lastResponseAtMs !== undefined && nowMs - worker.lastResponseAtMs < responseTimeoutMs;
 }
@@ -195,7 +196,7 @@
 
 /** Plans starts for the waiting tasks that fit now, and sends those that need no write to the store first. */
 export function dispatchWaitingTasks(state: SchedulerState, moment: Moment): void {
-    const schedulable = new Set([...state.workers.values()].filter(worker => isSchedulable(worker, moment.nowMs)));
+    const schedulable = new Set([...state.workers.values()].filter(worker => isSchedulable(state, worker, moment.nowMs)));
     cancelStaleStarts(state, schedulable);
     for (const [poolName, waiting] of collectWaiting(state, moment)) {
         const candidates = [...schedulable].filter(worker => worker.entry.poolName === poolName).map(createCandidate);
--- a/src/scheduling/reconcileListing.ts
+++ b/src/scheduling/reconcileListing.ts
@@ -73,6 +73,7 @@
         state.commands.push({ kind: commandKinds.stop, run, reason: "the worker restarted" });
     }
     worker.entry = { ...worker.entry, bornWallMs };
+    worker.hasRespondedToProvenOwner = false;
     worker.lastEndNumber = 0;
     worker.unsavedEnds = [];
     worker.failedJobIds.clear();
@@ -228,6 +229,7 @@
     worker.unresponsiveSinceMs = undefined;
     worker.lastResponseAtMs = moment.nowMs;
     worker.fencedSinceMs ??= moment.nowMs;
+    worker.hasRespondedToProvenOwner ||= state.isOwnershipProven;
     if (worker.unsavedEnds.length === 0 && listing.ended.length >= 500) {
         state.commands.push({ kind: commandKinds.list, workerId: worker.entry.workerId });
     }
--- a/src/scheduling/workerRecord.ts
+++ b/src/scheduling/workerRecord.ts
@@ -85,6 +85,11 @@
     lastResponseAtMs: number | undefined;
     /** Time of the first response in this term: since then, the worker refuses commands of earlier owners. */
     fencedSinceMs: number | undefined;
+    /**
+     * Whether this incarnation has responded while the ownership was proven. A worker forgets all tokens when it restarts, so one that
+     * has responded only since then may obey this process although a newer owner has contacted its previous incarnation.
+     */
+    hasRespondedToProvenOwner: boolean;
     /** After this time, all runs on the worker have lost their leases, unless it responds in the meantime. */
     leaseEndsAtMs: number;
     /** Jobs with a failed run on this worker since a run last succeeded here. */
@@ -114,6 +119,7 @@
         unsavedEnds: [],
         lastResponseAtMs: undefined,
         fencedSinceMs: undefined,
+        hasRespondedToProvenOwner: false,
         leaseEndsAtMs,
         failedJobIds: new Set(),
         avoidedUntilMs: 0,
--- a/tests/model/schedulingLiveness.spec.ts
+++ b/tests/model/schedulingLiveness.spec.ts
@@ -94,7 +94,7 @@
 ];
 
 const longLimits: ModelLimits = {
-    crashes: 1,
+    crashes: 2,
     losses: 4,
     unansweredSaves: 4,
     partitions: 3,
--- a/tests/scheduling/describeScheduler.ts
+++ b/tests/scheduling/describeScheduler.ts
@@ -9,6 +9,7 @@
     return [
         worker.isRegistered,
         worker.isRunStateKnown,
+        worker.hasRespondedToProvenOwner,
         worker.entry.bornWallMs,
         worker.leaseEndsAtMs,
         worker.lastEndNumber,
--- a/tests/scheduling/unresponsiveWorkers.spec.ts
+++ b/tests/scheduling/unresponsiveWorkers.spec.ts
@@ -48,6 +48,26 @@
         assert.equal(harness.startedTasks().length, 2);
     });
 
+    it("should start nothing on a worker that restarted while the ownership was not proven, since it has forgotten newer owners", () => {
+        const harness = createSchedulerHarness({ workers: 1 });
+        const { scheduler } = harness;
+        harness.list("w1", { sentAtMs: 0 });
+        scheduler.setOwnershipProven(false);
+        scheduler.registerWorker({ ...scheduler.state.workers.get("w1")!.entry, bornWallMs: 1 }, { nowMs: 0, wallMs: 0 });
+        const listAgain = (): void => {
+            const nowMs = harness.nowMs();
+            scheduler.listingReceived("w1", { bornWallMs: 1, running: [], ended: [] }, nowMs, { nowMs, wallMs: nowMs });
+            harness.advance(10);
+        };
+        listAgain();
+        harness.submit("job", { taskCount: 1 });
+        listAgain();
+        assert.deepEqual(harness.startedTasks(), []);
+        scheduler.setOwnershipProven(true);
+        listAgain();
+        assert.deepEqual(harness.startedTasks(), ["job.0.0.0"]);
+    });
+
     it("should send a stop for a start without a response, and wait until the worker is known not to run it", () => {
         const harness = createSchedulerHarness({ workers: 2 });
         harness.list("w1", { sentAtMs: 0 });
