Let a job keep its attempts while the configuration does not have its queue

Cause: a failed run of a job whose queue is not in the configuration at that moment counted as its only attempt, so that the job was final, 'failed' after one failed run, for every owner after it. Change: the limit comes from the newest policy that has the queue; an owner that never saw one fails no job. Not changed: waiting tasks of such a job start only once the queue is back, since the pool on which they may run is not known otherwise.

--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -52,6 +52,7 @@
 export function createScheduler(options: SchedulerOptions) {
     const state: SchedulerState = {
         policy: options.policy,
+        maxAttemptsByQueue: new Map(),
         term: options.term,
         jobs: new Map(),
         workers: new Map(),
@@ -66,6 +67,11 @@
         nextRunNumber: 1,
         onDecision: options.onDecision,
     };
+    const setPolicy = (policy: SchedulingPolicy): void => {
+        state.policy = policy;
+        policy.queues.forEach(queue => state.maxAttemptsByQueue.set(queue.name, queue.maxAttempts));
+    };
+    setPolicy(options.policy);
 
     return {
         state,
@@ -85,9 +91,7 @@
         setStoreWritable: (isWritable: boolean): void => {
             state.isStoreWritable = isWritable;
         },
-        setPolicy: (policy: SchedulingPolicy): void => {
-            state.policy = policy;
-        },
+        setPolicy,
         /** Adds a job from its stored documents. */
         addJob: (
             submission: string,
--- a/src/scheduling/schedulerState.ts
+++ b/src/scheduling/schedulerState.ts
@@ -12,7 +12,7 @@
     type SchedulingPolicy,
 } from "./jobTypes.js";
 import type { WorkerSnapshot } from "./unresponsiveWorkers.js";
-import { addRun, removeRun, type Run, runKey, runPhases, type WorkerRecord } from "./workerRecord.js";
+import { addRun, removeRun, type Run, type RunIdentity, runKey, runPhases, type WorkerRecord } from "./workerRecord.js";
 
 export const commandKinds = {
     start: "start",
@@ -66,6 +66,8 @@
 
 export interface SchedulerState {
     policy: SchedulingPolicy;
+    /** From the newest policy that has the queue: a job that was accepted keeps its attempts when its queue is removed. */
+    maxAttemptsByQueue: Map<string, number>;
     term: Term;
     jobs: Map<string, JobRecord>;
     workers: Map<string, WorkerRecord>;
@@ -256,13 +258,7 @@
 }
 
 /** What is known about the end of a run. */
-export interface EndedRun {
-    jobId: string;
-    occurrence: number;
-    stepIndex: number;
-    taskIndex: number;
-    runId: number;
-    workerId: string;
+export interface EndedRun extends Omit<RunIdentity, "taskName"> {
     end: RunEnd;
     checkpoint: string;
 }
@@ -292,7 +288,7 @@
         }
         progress.failedRunIds.push(ended.runId);
         markChanged(state, job);
-        const maxAttempts = state.policy.queues.get(job.submission.queueName)?.maxAttempts ?? 1;
+        const maxAttempts = state.maxAttemptsByQueue.get(job.submission.queueName) ?? Number.POSITIVE_INFINITY;
         if (progress.failedRunIds.length >= maxAttempts) {
             endJob(state, job, jobStates.failed, wallMs);
         }
--- a/tests/scheduling/guarantees.spec.ts
+++ b/tests/scheduling/guarantees.spec.ts
@@ -49,6 +49,26 @@
         assert.equal(harness.startedTasks().length, 3);
     });
 
+    it("should not fail a job because the configuration does not have its queue at present", () => {
+        const harness = createSchedulerHarness({ workers: 1 });
+        const { policy } = harness.scheduler.state;
+        harness.list("w1", { sentAtMs: 0 });
+        harness.submit("job", { taskCount: 1 });
+        harness.answerStarts(commandOutcomes.accepted);
+        harness.scheduler.setPolicy({ ...policy, queues: new Map() });
+        harness.advance(10);
+        harness.list("w1", { ended: [{ taskName: "job.0.0.0", end: "failed" }] });
+        assert.equal(harness.scheduler.state.jobs.get("job")?.state, "running");
+        harness.scheduler.setPolicy(policy);
+        harness.advance(10);
+        assert.equal(harness.startedTasks().length, 2);
+        harness.answerStarts(commandOutcomes.accepted);
+        harness.scheduler.setPolicy({ ...policy, queues: new Map() });
+        harness.advance(10);
+        harness.list("w1", { ended: [{ taskName: "job.0.0.0", end: "failed" }] });
+        assert.equal(harness.scheduler.state.jobs.get("job")?.state, "failed", "its two attempts are used up");
+    });
+
     it("should count a failure once when the worker lists the same end to the next owner", () => {
         const earlier = createSchedulerHarness({ workers: 1, token: 10 });
         earlier.list("w1", { sentAtMs: 0 });
