--- a/src/scheduling/dispatchWaitingTasks.ts
+++ b/src/scheduling/dispatchWaitingTasks.ts
@@ -3,7 +3,7 @@
 import { placeTask } from "../decisions/placeTask.js";
 import { isFinalState, isStepReady, type JobRecord, type OccurrenceRecord, type StepRecord } from "./jobRecord.js";
 import { isServing, type QueuePolicy, reservedResources, type Resources } from "./jobTypes.js";
-import { cancelStaleStarts, isHeldBack, sendPersistedStarts } from "./plannedStarts.js";
+import { cancelStaleStarts, isFencedByNewerOwner, isHeldBack, sendPersistedStarts } from "./plannedStarts.js";
 import { type Candidate, createPoolCandidates, hasRoom, type PoolCandidates } from "./poolCandidates.js";
 import type { Moment } from "./reconcileListing.js";
 import { attachRun, detachRun, nextRunId, runNeeds, type SchedulerState } from "./schedulerState.js";
@@ -34,8 +34,9 @@
 const responseTimeoutMs = 2_500;
 
 /** Whether new runs may start on the worker now. */
-function isSchedulable(worker: WorkerRecord, nowMs: number): boolean {
-    return worker.isRegistered && worker.snapshotState === snapshotStates.none && !worker.entry.isDraining &&
+function isSchedulable(state: SchedulerState, worker: WorkerRecord, nowMs: number): boolean {
+    return worker.isRegistered && isFencedByNewerOwner(state, worker) && worker.snapshotState === snapshotStates.none &&
+        !worker.entry.isDraining &&
         !worker.isCordoned &&
         worker.avoidedUntilMs <= nowMs && worker.lastResponseAtMs !== undefined && nowMs - worker.lastResponseAtMs < responseTimeoutMs;
 }
@@ -77,7 +78,7 @@
 function groupByPool(state: SchedulerState, nowMs: number): Map<string, WorkerRecord[]> {
     const byPool = new Map<string, WorkerRecord[]>();
     for (const worker of state.workers.values()) {
-        if (!isSchedulable(worker, nowMs)) {
+        if (!isSchedulable(state, worker, nowMs)) {
             continue;
         }
         const workers = byPool.get(worker.entry.poolName);
@@ -229,7 +230,7 @@
 
 /** Plans starts for the waiting tasks that fit now, and sends those that need no write to the store first. */
 export function dispatchWaitingTasks(state: SchedulerState, moment: Moment): void {
-    cancelStaleStarts(state, worker => isSchedulable(worker, moment.nowMs));
+    cancelStaleStarts(state, worker => isSchedulable(state, worker, moment.nowMs));
     for (const { candidates, waiting } of collectWaiting(state, moment)) {
         for (const each of orderSteps(waiting, moment.wallMs)) {
             planStep(state, each, candidates, moment.nowMs);
