Do not plan a part of a gang for which the workers have no room

Cause: in each pass, every waiting gang was planned task by task until one found no room, and the starts were cancelled again, which also took a run id and the order of its tasks each time.

Change: the tasks that the workers, or those of a rack, have room for are counted first.

Evidence: the new test failed before.

--- a/src/scheduling/dispatchWaitingTasks.ts
+++ b/src/scheduling/dispatchWaitingTasks.ts
@@ -169,6 +169,33 @@
     return run;
 }
 
+/** How many tasks of the step the candidate has room for. */
+function countRoom(candidate: Candidate, { spec }: StepRecord, needed: Resources): number {
+    if (!hasRoom(candidate, needed) || (spec.requiredLabel !== undefined && !candidate.worker.entry.labels.includes(spec.requiredLabel))) {
+        return 0;
+    }
+    const count = (free: number, each: number): number => each > 0 ? Math.floor(free / each) : Number.POSITIVE_INFINITY;
+    return Math.min(
+        count(candidate.freeCpuMillicores, needed.cpuMillicores),
+        count(candidate.freeMemoryMb, needed.memoryMb),
+        count(candidate.freeAccelerators, needed.accelerators),
+        spec.maxTasksPerWorker ?? Number.POSITIVE_INFINITY,
+    );
+}
+
+/** Whether the candidates have room for the whole gang, so that it is not planned in part and cancelled in each pass. */
+function mayHoldGang(candidates: readonly Candidate[], step: StepRecord): boolean {
+    const needed = reservedResources(step.spec);
+    let missing = step.waiting.size;
+    for (const candidate of candidates) {
+        missing -= countRoom(candidate, step, needed);
+        if (missing <= 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /** Plans starts for all tasks of a gang, or for none. */
 function planGang(state: SchedulerState, waiting: WaitingStep, pool: PoolCandidates, nowMs: number): boolean {
     const { step } = waiting;
@@ -178,6 +205,9 @@
     const racks = step.spec.isRackBound ? [...new Set(pool.all().map(each => each.rack))] : [undefined];
     for (const rack of racks) {
         const candidates = rack === undefined ? pool.all() : pool.all().filter(each => each.rack === rack);
+        if (!mayHoldGang(candidates, step)) {
+            continue;
+        }
         const runs: Run[] = [];
         for (const taskIndex of [...step.waiting]) {
             const run = planTask(state, waiting, taskIndex, pool, candidates, nowMs, runs[0]?.runId);
--- a/tests/scheduling/placementWork.spec.ts
+++ b/tests/scheduling/placementWork.spec.ts
@@ -80,6 +80,19 @@
         assert.equal(harness.scheduler.state.nextRunNumber, numberBefore);
     });
 
+    it("should not plan a part of a gang for which the pool has no room", () => {
+        const harness = createSchedulerHarness({ workers: 3, cpuMillicores });
+        ["w1", "w2", "w3"].forEach(workerId => harness.list(workerId, { sentAtMs: 0 }));
+        const request = { cpuMillicores: 8_000, memoryMb: 0, accelerators: 0 };
+        const { state } = harness.scheduler;
+        const numberBefore = state.nextRunNumber;
+        harness.submit("tooLarge", { taskCount: 7, isGang: true, request });
+        harness.submit("tooLargeForRack", { taskCount: 3, isGang: true, isRackBound: true, request });
+        assert.equal(state.nextRunNumber, numberBefore);
+        harness.submit("fits", { taskCount: 6, isGang: true, request });
+        assert.equal(harness.startedTasks().length, 6);
+    });
+
     it("should start waiting tasks as soon as a worker has room for them", () => {
         const harness = createFullPool(workersCount, jobsCount, index => ({ cpuMillicores: 2_000 + index }));
         const startsBefore = harness.startedTasks().length;
