--- a/src/scheduling/dispatchWaitingTasks.ts
+++ b/src/scheduling/dispatchWaitingTasks.ts
@@ -3,7 +3,7 @@
 import { placeTask } from "../decisions/placeTask.js";
 import { isFinalState, isStepReady, type JobRecord, type OccurrenceRecord, type StepRecord } from "./jobRecord.js";
 import { isServing, type QueuePolicy, reservedResources, type Resources } from "./jobTypes.js";
-import { cancelStaleStarts, isHeldBack, sendPersistedStarts } from "./plannedStarts.js";
+import { cancelStaleStarts, isFencedByNewerOwner, isHeldBack, sendPersistedStarts } from "./plannedStarts.js";
 import { type Candidate, createPoolCandidates, hasRoom, type PoolCandidates } from "./poolCandidates.js";
 import type { Moment } from "./reconcileListing.js";
 import { attachRun, detachRun, nextRunId, runNeeds, type SchedulerState } from "./schedulerState.js";
@@ -34,8 +34,9 @@
 const responseTimeoutMs = 2_500;
 
 /** Whether new runs may start on the worker now. */
-function isSchedulable(worker: WorkerRecord, nowMs: number): boolean {
-    return worker.isRegistered && worker.snapshotState === snapshotStates.none && !worker.entry.isDraining &&
+function isSchedulable(state: SchedulerState, worker: WorkerRecord, nowMs: number): boolean {
+    return worker.isRegistered && isFencedByNewerOwner(state, worker) && worker.snapshotState === snapshotStates.none &&
+        !worker.entry.isDraining &&
         !worker.isCordoned &&
         worker.avoidedUntilMs <= nowMs && worker.lastResponseAtMs !== undefined && nowMs - worker.lastResponseAtMs < responseTimeoutMs;
 }
@@ -77,7 +78,7 @@
 function groupByPool(state: SchedulerState, nowMs: number): Map<string, WorkerRecord[]> {
     const byPool = new Map<string, WorkerRecord[]>();
     for (const worker of state.workers.values()) {
-        if (!isSchedulable(worker, nowMs)) {
+        if (!isSchedulable(state, worker, nowMs)) {
             continue;
         }
         const workers = byPool.get(worker.entry.poolName);
@@ -169,6 +170,33 @@
     return run;
 }
 
+/** How many tasks of the step the candidate has room for. */
+function countRoom(candidate: Candidate, { spec }: StepRecord, needed: Resources): number {
+    if (!hasRoom(candidate, needed) || (spec.requiredLabel !== undefined && !candidate.worker.entry.labels.includes(spec.requiredLabel))) {
+        return 0;
+    }
+    const count = (free: number, each: number): number => each > 0 ? Math.floor(free / each) : Number.POSITIVE_INFINITY;
+    return Math.min(
+        count(candidate.freeCpuMillicores, needed.cpuMillicores),
+        count(candidate.freeMemoryMb, needed.memoryMb),
+        count(candidate.freeAccelerators, needed.accelerators),
+        spec.maxTasksPerWorker ?? Number.POSITIVE_INFINITY,
+    );
+}
+
+/** Whether the candidates have room for the whole gang, so that it is not planned in part and cancelled in each pass. */
+function mayHoldGang(candidates: readonly Candidate[], step: StepRecord): boolean {
+    const needed = reservedResources(step.spec);
+    let missing = step.waiting.size;
+    for (const candidate of candidates) {
+        missing -= countRoom(candidate, step, needed);
+        if (missing <= 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /** Plans starts for all tasks of a gang, or for none. */
 function planGang(state: SchedulerState, waiting: WaitingStep, pool: PoolCandidates, nowMs: number): boolean {
     const { step } = waiting;
@@ -178,6 +206,9 @@
     const racks = step.spec.isRackBound ? [...new Set(pool.all().map(each => each.rack))] : [undefined];
     for (const rack of racks) {
         const candidates = rack === undefined ? pool.all() : pool.all().filter(each => each.rack === rack);
+        if (!mayHoldGang(candidates, step)) {
+            continue;
+        }
         const runs: Run[] = [];
         for (const taskIndex of [...step.waiting]) {
             const run = planTask(state, waiting, taskIndex, pool, candidates, nowMs, runs[0]?.runId);
@@ -229,7 +260,7 @@
 
 /** Plans starts for the waiting tasks that fit now, and sends those that need no write to the store first. */
 export function dispatchWaitingTasks(state: SchedulerState, moment: Moment): void {
-    cancelStaleStarts(state, worker => isSchedulable(worker, moment.nowMs));
+    cancelStaleStarts(state, worker => isSchedulable(state, worker, moment.nowMs));
     for (const { candidates, waiting } of collectWaiting(state, moment)) {
         for (const each of orderSteps(waiting, moment.wallMs)) {
             planStep(state, each, candidates, moment.nowMs);
--- a/src/scheduling/schedulerState.ts
+++ b/src/scheduling/schedulerState.ts
@@ -12,7 +12,7 @@
 } from "./jobTypes.js";
 import { teamUsage } from "./teamUsage.js";
 import type { WorkerSnapshot } from "./unresponsiveWorkers.js";
-import { addRun, removeRun, type Run, runKey, type RunNeeds, runPhases, type WorkerRecord } from "./workerRecord.js";
+import { addRun, removeRun, type Run, type RunIdentity, runKey, type RunNeeds, runPhases, type WorkerRecord } from "./workerRecord.js";
 
 export const commandKinds = {
     start: "start",
@@ -66,6 +66,8 @@
 
 export interface SchedulerState {
     policy: SchedulingPolicy;
+    /** From the newest policy that has the queue: a job that was accepted keeps its attempts when its queue is removed. */
+    maxAttemptsByQueue: Map<string, number>;
     term: Term;
     jobs: Map<string, JobRecord>;
     workers: Map<string, WorkerRecord>;
@@ -249,13 +251,7 @@
 }
 
 /** What is known about the end of a run. */
-export interface EndedRun {
-    jobId: string;
-    occurrence: number;
-    stepIndex: number;
-    taskIndex: number;
-    runId: number;
-    workerId: string;
+export interface EndedRun extends Omit<RunIdentity, "taskName"> {
     end: RunEnd;
     checkpoint: string;
 }
@@ -285,7 +281,7 @@
         }
         progress.failedRunIds.push(ended.runId);
         markChanged(state, job);
-        const maxAttempts = state.policy.queues.get(job.submission.queueName)?.maxAttempts ?? 1;
+        const maxAttempts = state.maxAttemptsByQueue.get(job.submission.queueName) ?? Number.POSITIVE_INFINITY;
         if (progress.failedRunIds.length >= maxAttempts) {
             endJob(state, job, jobStates.failed, wallMs);
         }
