--- a/src/process/jobService.ts
+++ b/src/process/jobService.ts
@@ -32,12 +32,15 @@
     submit(submission: JobSubmission): Promise<JobResult>;
     state(queueName: string, jobId: string): Promise<JobResult>;
     cancel(queueName: string, jobId: string): Promise<JobResult>;
-    countQueued(queueName: string): number;
+    /** Counts the queue's jobs that have not started; `undefined` if the mirror is too old to tell. */
+    countQueued(queueName: string): number | undefined;
 }
 
 export interface JobServiceOptions {
     store: ChangeFeedStore;
     directory: JobDirectory;
+    /** Time since the jobs in the directory were last confirmed to be current. */
+    directoryAgeMs(): number;
     timers: TimerService;
     logger: Logger;
     /** Store condition that holds while the configuration that requests are validated against is current. */
@@ -51,6 +54,8 @@
  * hundred milliseconds later if the store is slow.
  */
 const unreachableAfterMs = 1_300;
+/** A count of queued jobs may be this old. */
+const maxCountAgeMs = 2_000;
 /** Covers a short outage of the store; the callers' own jitter spreads their retries. */
 const storeRetryAfterMs = 1_000;
 
@@ -164,6 +169,6 @@
             }
             return answer;
         },
-        countQueued: queueName => directory.countQueued(queueName),
+        countQueued: queueName => options.directoryAgeMs() <= maxCountAgeMs ? directory.countQueued(queueName) : undefined,
     };
 }
--- a/tests/process/jobService.spec.ts
+++ b/tests/process/jobService.spec.ts
@@ -14,6 +14,8 @@
 interface Fixture {
     jobs: JobService;
     calls: string[];
+    /** Sets the time since the known jobs were confirmed to be current; there is one queued job. */
+    setDirectoryAgeMs(ageMs: number): void;
     /** Sets the time since the last response of the store. */
     setUnresponsiveForMs(durationMs: number): void;
 }
@@ -21,6 +23,7 @@
 function createFixture(options: { isWriteAnswered: boolean; stored?: Record<string, string> }): Fixture {
     const calls: string[] = [];
     let unresponsiveForMs = 100;
+    let directoryAgeMs = 100;
     const lost = { call: "swap", reason: "timeout", isKnownNotApplied: false };
     const store = {
         swap: () => {
@@ -37,15 +40,24 @@
         },
         unresponsiveForMs: () => unresponsiveForMs,
     } as unknown as ChangeFeedStore;
+    const directory = createJobDirectory({ onUnreadable: () => undefined });
+    const submission = { ...modelSubmission, jobId: "queued" };
+    directory.apply(jobKeys.submissionPrefix + submission.jobId, encodeSubmission(submission));
     const jobs = createJobService({
         store,
-        directory: createJobDirectory({ onUnreadable: () => undefined }),
+        directory,
+        directoryAgeMs: () => directoryAgeMs,
         timers: createTimerService(),
         logger: createSilentLogger(),
         configurationGuard: () => undefined,
         onConfigurationChanged: () => undefined,
     });
-    return { jobs, calls, setUnresponsiveForMs: durationMs => unresponsiveForMs = durationMs };
+    return {
+        jobs,
+        calls,
+        setDirectoryAgeMs: ageMs => directoryAgeMs = ageMs,
+        setUnresponsiveForMs: durationMs => unresponsiveForMs = durationMs,
+    };
 }
 
 describe("job service without contact to the store", () => {
@@ -104,6 +116,13 @@
         assert.deepEqual(calls, ["read"]);
     });
 
+    it("should count queued jobs only while the known jobs are current", () => {
+        const { jobs, setDirectoryAgeMs } = createFixture({ isWriteAnswered: true });
+        assert.equal(jobs.countQueued(queueName), 1);
+        setDirectoryAgeMs(3_000);
+        assert.equal(jobs.countQueued(queueName), undefined);
+    });
+
     it("should refuse to answer while the store does not respond", async () => {
         const { jobs, calls, setUnresponsiveForMs } = createFixture({ isWriteAnswered: true });
         assert.equal((await jobs.state(queueName, jobId)).kind, jobResultKinds.refused);
