Keep a run that the next incarnation of its worker may have accepted

Cause: when a worker restarts under its id, runs whose start was accepted counted as lost with the earlier incarnation. The response to a start does not tell which incarnation accepted it: if the new one did, before the owner knew of it, and the listing that shows the new incarnation was requested before, the task was started a second time while the first run went on. Change: only runs that a listing of the earlier incarnation has shown are lost with it. The others stay until a listing that was requested after the response does not show them.

--- a/src/scheduling/commandResponses.ts
+++ b/src/scheduling/commandResponses.ts
@@ -22,7 +22,6 @@
     }
     run.respondedAtMs = moment.nowMs;
     if (outcome === commandOutcomes.accepted) {
-        run.isStartConfirmed = true;
         if (run.phase === runPhases.starting) {
             run.phase = runPhases.running;
         }
--- a/src/scheduling/workerRecord.ts
+++ b/src/scheduling/workerRecord.ts
@@ -48,7 +48,10 @@
     startedAtMs: number;
     /** Known only from a snapshot by an earlier owner; the worker has not responded since. */
     isPresumed: boolean;
-    /** Whether the worker is known to have begun the run; if not, the start may still be in transit. */
+    /**
+     * Whether a listing of the worker's incarnation has shown the run. If not, the start may still be in transit, or a newer incarnation
+     * may have accepted it: the response to a start does not tell which one did.
+     */
     isStartConfirmed: boolean;
     /** Started by an earlier owner, which may also have sent a stop. */
     isAdopted: boolean;
--- a/tests/process/schedulingSimulation.ts
+++ b/tests/process/schedulingSimulation.ts
@@ -6,7 +6,7 @@
 import { createDemandTracker } from "../../src/process/demandTracker.js";
 import { createSilentLogger } from "../../src/process/logger.js";
 import { createSchedulingOwnership, type SchedulingOwnership } from "../../src/process/schedulingOwnership.js";
-import { createSchedulingService } from "../../src/process/schedulingService.js";
+import { createSchedulingService, type SchedulingService } from "../../src/process/schedulingService.js";
 import type { StoreMirror } from "../../src/process/storeMirror.js";
 import { commandOutcomes } from "../../src/scheduling/commandOutcomes.js";
 import { createJobDirectory } from "../../src/scheduling/jobDirectory.js";
@@ -32,6 +32,7 @@
 interface SimulatedProcess {
     lifetime: AbortController;
     ownership: SchedulingOwnership;
+    service: SchedulingService;
     /** Applies the store's changes up to a revision. */
     follow(): void;
 }
@@ -43,6 +44,7 @@
 const taskDurationMs = 400;
 /** Chance that a process is stopped, or ends, in a turn; with it the owner changes about every one and a half seconds. */
 const restartPercent = 6;
+const workerRestartPercent = 1;
 /** Enough for every failure that a history contains. */
 const maxAttempts = 1_000;
 
@@ -70,14 +72,21 @@
     const wait = (durationMs: number): Promise<void> => new Promise(resolve => timers.after(durationMs, () => resolve()));
 
     const order = async (token: number, worker: ModelWorker, execute: () => boolean): Promise<OrderResponse> => {
+        const noResponse = { outcome: commandOutcomes.unknown, reason: "no response", isFenced: false };
+        const { bornWallMs } = worker;
+        // A command ends with its connection, and thus with the incarnation to which it was sent.
+        const hasRestarted = (): boolean => worker.bornWallMs !== bornWallMs;
         if (isFault(10)) {
             if (isFault(50)) {
-                timers.after(random.between(0, 2_000), () => void execute());
+                timers.after(random.between(0, 2_000), () => void (hasRestarted() || execute()));
             }
             await wait(commandTimeoutMs);
-            return { outcome: commandOutcomes.unknown, reason: "no response", isFenced: false };
+            return noResponse;
         }
         await wait(random.between(1, hasFaults ? 300 : 5));
+        if (hasRestarted()) {
+            return noResponse;
+        }
         const isFenced = token < worker.highestToken;
         const isAccepted = execute();
         return { outcome: isAccepted ? commandOutcomes.accepted : commandOutcomes.refused, reason: "", isFenced };
@@ -86,19 +95,25 @@
         worker: ModelWorker,
         { token, acknowledgedEndNumber, leaseUntilClockMs, waitMs }: ListOrder,
     ): Promise<ListResponse> => {
+        const noListing = { isFenced: false, clockMs: undefined, listing: undefined };
+        const noResponse = { outcome: commandOutcomes.unknown, reason: "no response", ...noListing };
+        const { bornWallMs } = worker;
         if (isFault(5)) {
             await wait(commandTimeoutMs + waitMs);
-            return { outcome: commandOutcomes.unknown, reason: "no response", isFenced: false, clockMs: undefined, listing: undefined };
+            return noResponse;
         }
         if (token < worker.highestToken) {
-            return { outcome: commandOutcomes.refused, reason: "fence", isFenced: true, clockMs: undefined, listing: undefined };
+            return { outcome: commandOutcomes.refused, reason: "fence", ...noListing, isFenced: true };
         }
         worker.highestToken = token;
         worker.ends = worker.ends.filter(end => end.endNumber > acknowledgedEndNumber);
         worker.leaseEndsAtMs = Math.max(worker.leaseEndsAtMs, Math.min(leaseUntilClockMs ?? 0, timers.nowMs() + workerLeaseMs));
         await wait(Math.min(waitMs, 60));
+        if (worker.bornWallMs !== bornWallMs) {
+            return noResponse;
+        }
         const running = [...worker.running].map(([taskName, runId]) => ({ taskName, runId, checkpoint: "", percent: 100, measured: 0 }));
-        const listing = { bornWallMs: worker.bornWallMs, running, ended: [...worker.ends] };
+        const listing = { bornWallMs, running, ended: [...worker.ends] };
         const clockMs = timers.nowMs();
         await wait(random.between(1, hasFaults ? 100 : 3));
         return { outcome: commandOutcomes.accepted, reason: "", isFenced: false, clockMs, listing };
@@ -186,7 +201,7 @@
             ownership.onStoreChanged();
             service.onStoreChanged();
         };
-        return { lifetime, ownership, follow };
+        return { lifetime, ownership, service, follow };
     };
 
     const restartProcess = (index: number): void => {
@@ -200,6 +215,10 @@
         }
         processes[index] = startProcess(`node${index}`);
     };
+    const restartWorker = (worker: ModelWorker): void => {
+        worker.restart();
+        processes.forEach(({ service }) => service.onWorkerChanged(worker.id, entryOf(worker)));
+    };
     const advanceWorkers = (): void => {
         for (const worker of workers) {
             for (const taskName of [...worker.running.keys()]) {
@@ -243,6 +262,9 @@
                 timers.advance(turnMs);
                 advanceWorkers();
                 processes.forEach(each => each.follow());
+                if (isFault(workerRestartPercent)) {
+                    restartWorker(random.pick(workers));
+                }
                 if (isFault(restartPercent)) {
                     restartProcess(random.between(0, processesCount - 1));
                 }
--- a/tests/scheduling/unresponsiveWorkers.spec.ts
+++ b/tests/scheduling/unresponsiveWorkers.spec.ts
@@ -5,6 +5,7 @@
 import { commandOutcomes } from "../../src/scheduling/commandOutcomes.js";
 import { commandKinds } from "../../src/scheduling/schedulerState.js";
 import { snapshotStates } from "../../src/scheduling/unresponsiveWorkers.js";
+import type { Run } from "../../src/scheduling/workerRecord.js";
 import { createSchedulerHarness, taskStopMs } from "./schedulerHarness.js";
 
 describe("unresponsive workers", () => {
@@ -59,7 +60,6 @@
             scheduler.listingReceived("w1", { bornWallMs: 1, running: [], ended: [] }, nowMs, { nowMs, wallMs: nowMs });
             harness.advance(10);
         };
-        listAgain();
         harness.submit("job", { taskCount: 1 });
         listAgain();
         assert.deepEqual(harness.startedTasks(), []);
@@ -68,6 +68,32 @@
         assert.deepEqual(harness.startedTasks(), ["job.0.0.0"]);
     });
 
+    it("should not take a run for lost that the next incarnation of its worker may have accepted", () => {
+        const harness = createSchedulerHarness({ workers: 2 });
+        const { scheduler } = harness;
+        harness.list("w1", { sentAtMs: 0 });
+        harness.submit("job", { taskCount: 1 });
+        const [run] = harness.commands(commandKinds.start);
+        const listNextIncarnation = (sentAtMs: number, runs: readonly Run[]): void => {
+            const running = runs.map(({ taskName, runId }) => ({ taskName, runId, checkpoint: "", percent: 100, measured: 0 }));
+            const moment = { nowMs: harness.nowMs(), wallMs: harness.nowMs() };
+            scheduler.listingReceived("w1", { bornWallMs: 1, running, ended: [] }, sentAtMs, moment);
+            harness.advance(10);
+        };
+        harness.advance(100);
+        harness.answerStarts(commandOutcomes.accepted);
+        harness.list("w2", {});
+        // Requested before the new incarnation accepted the start, and received after the response to it.
+        listNextIncarnation(50, []);
+        harness.list("w2", {});
+        assert.equal(harness.startedTasks().length, 1, "the task was started twice");
+        listNextIncarnation(harness.nowMs(), [run!]);
+        harness.list("w2", {});
+        assert.equal(harness.startedTasks().length, 1);
+        listNextIncarnation(harness.nowMs(), []);
+        assert.equal(harness.startedTasks().length, 2, "the run is gone");
+    });
+
     it("should send a stop for a start without a response, and wait until the worker is known not to run it", () => {
         const harness = createSchedulerHarness({ workers: 2 });
         harness.list("w1", { sentAtMs: 0 });
