--- a/tests/platform/jsonHttpClient.spec.ts
+++ b/tests/platform/jsonHttpClient.spec.ts
@@ -5,7 +5,7 @@
 import { after, afterEach, before, describe, it } from "node:test";
 import { createJsonHttpClient, type JsonHttpClient, type JsonRequestResult } from "../../platform/jsonHttpClient.js";
 import { createTimerService, delay } from "../../src/common/timerService.js";
-import { jsonResponse, type RawServer, startRawServer } from "./rawServer.js";
+import { jsonResponse, type RawServer, respondThenBlock, startRawServer } from "./rawServer.js";
 
 const timers = createTimerService();
 const shortTimeoutMs = 100;
@@ -186,6 +186,11 @@
         });
     }
 
+    it("should read a response that arrived in time while the process was busy beyond the timeout", async () => {
+        server.respond = respondThenBlock(jsonResponse('{"a":1}'), 2 * shortTimeoutMs);
+        assert.deepEqual(assertAnswered(await get(openClient(1), "/", shortTimeoutMs)), { a: 1 });
+    });
+
     it("should time out when the body trickles in", async () => {
         const lifetime = new AbortController();
         server.respond = socket => {
--- a/tests/platform/rawServer.ts
+++ b/tests/platform/rawServer.ts
@@ -72,3 +72,14 @@
     };
     return server;
 }
+
+/** Sends a response, and then keeps the process from reading its sockets for a while. */
+export function respondThenBlock(response: string, durationMs: number): RawServer["respond"] {
+    return socket => {
+        socket.write(response);
+        const endsAtMs = performance.now() + durationMs;
+        while (performance.now() < endsAtMs) {
+            // Wait.
+        }
+    };
+}
