Begin a pending term when the workers' entries are confirmed, also without a change

A new owner waits for current entries of the workers, but looked again only when a mirror had applied changes. With a quiet store it never began its term, and renewed its lease without scheduling.

Each confirmation of a mirror now retries. The mirror's new test failed to compile before, for want of the notification.

--- a/src/process/schedulingService.ts
+++ b/src/process/schedulingService.ts
@@ -30,6 +30,8 @@
     onJobEvent(event: DirectoryEvent): void;
     /** The mirror has applied a batch of changes. */
     onStoreChanged(): void;
+    /** The workers' entries were confirmed to be current, with or without changes. */
+    onWorkersConfirmed(): void;
     /** The scheduler of the current term; `undefined` while no term runs in this process. */
     scheduler(): Scheduler | undefined;
 }
@@ -287,6 +289,7 @@
                 activeTerm?.scheduler.cancelJob(event.entry.jobId, timers.wallClockMs());
             }
         },
+        onWorkersConfirmed: startTermIfReady,
         onStoreChanged: () => {
             startTermIfReady();
             scheduleStep();
--- a/src/process/storeMirror.ts
+++ b/src/process/storeMirror.ts
@@ -27,6 +27,8 @@
     onChange(change: StoreChange): void;
     /** Called after each batch of changes has been applied. */
     onBatchApplied(): void;
+    /** Called whenever the mirror was confirmed to be current, with or without changes. */
+    onConfirmed(): void;
 }
 
 export function createStoreMirror(options: StoreMirrorOptions): StoreMirror {
@@ -69,6 +71,7 @@
         },
         onUpToDate: currentSinceMs => {
             confirmedAtMs = Math.max(confirmedAtMs ?? currentSinceMs, currentSinceMs);
+            options.onConfirmed();
         },
     }, options.pauseMs);
 
--- a/tests/platform/storeClient.spec.ts
+++ b/tests/platform/storeClient.spec.ts
@@ -40,7 +40,16 @@
         assert.ok(swapped.unwrap().isSwapped);
     };
     const mirrorOf = (prefix: string, signal: AbortSignal): StoreMirror =>
-        createStoreMirror({ store, prefix, timers, signal, pauseMs: () => 5, onChange: () => undefined, onBatchApplied: () => undefined });
+        createStoreMirror({
+            store,
+            prefix,
+            timers,
+            signal,
+            pauseMs: () => 5,
+            onChange: () => undefined,
+            onBatchApplied: () => undefined,
+            onConfirmed: () => undefined,
+        });
 
     before(async () => {
         standIn = await startStoreStandIn();
--- a/tests/platform/storeMirror.spec.ts
+++ b/tests/platform/storeMirror.spec.ts
@@ -28,7 +28,16 @@
         assert.ok(swapped.unwrap().isSwapped);
     };
     const mirrorOf = (prefix: string, signal: AbortSignal): StoreMirror =>
-        createStoreMirror({ store, prefix, timers, signal, pauseMs: () => 5, onChange: () => undefined, onBatchApplied: () => undefined });
+        createStoreMirror({
+            store,
+            prefix,
+            timers,
+            signal,
+            pauseMs: () => 5,
+            onChange: () => undefined,
+            onBatchApplied: () => undefined,
+            onConfirmed: () => undefined,
+        });
 
     before(async () => {
         standIn = await startStoreStandIn();
@@ -80,6 +89,7 @@
                         ageWhileIncomplete.push({ ageMs: mirror.ageMs()!, leastMs: timers.nowMs() - writtenAtMs });
                     }
                 }),
+            onConfirmed: () => undefined,
         });
         await put("m/0", "first");
         await waitUntil("the first value is visible", () => mirror.values("m/").length === 1);
@@ -98,6 +108,26 @@
         following.abort();
     });
 
+    it("should tell that it is confirmed without any change too", async () => {
+        const following = new AbortController();
+        let confirmedCount = 0;
+        let batchesCount = 0;
+        const mirror = createStoreMirror({
+            store,
+            prefix: "o/",
+            timers,
+            signal: following.signal,
+            pauseMs: () => 5,
+            onChange: () => undefined,
+            onBatchApplied: () => batchesCount += 1,
+            onConfirmed: () => confirmedCount += 1,
+        });
+        await waitUntil("the empty prefix was confirmed three times", () => confirmedCount >= 3);
+        assert.equal(batchesCount, 1, "only the initial values");
+        assert.ok(mirror.ageMs()! < 1_500);
+        following.abort();
+    });
+
     it("should count the mirror as current under a load that never lets a watch wait", async () => {
         const following = new AbortController();
         const mirror = mirrorOf("n/", following.signal);
@@ -124,6 +154,7 @@
             pauseMs: () => 5,
             onChange: change => applied.push(change.value),
             onBatchApplied: () => undefined,
+            onConfirmed: () => undefined,
         });
         await put("l/key", "first");
         await waitUntil("the first value is visible", () => mirror.valueOf("l/key") === "first");
--- a/tests/process/schedulingTerms.spec.ts
+++ b/tests/process/schedulingTerms.spec.ts
@@ -153,7 +153,7 @@
         },
         setWorkersCurrent: isCurrent => {
             areWorkersCurrent = isCurrent;
-            service.onStoreChanged();
+            service.onWorkersConfirmed();
         },
         lose: () => {
             token = undefined;
