--- a/src/scheduling/reconcileListing.ts
+++ b/src/scheduling/reconcileListing.ts
@@ -42,6 +42,8 @@
     bornWallMs: number;
     running: readonly ListedRun[];
     ended: readonly ListedEnd[];
+    /** Whether the worker has more ends than the listing contains. */
+    hasMoreEnds?: boolean;
 }
 
 /** A point in time, on the monotonic and on the wall clock. */
@@ -265,14 +267,17 @@
             run.phase = runPhases.running;
         }
     }
-    removeAbsentRuns(state, worker, listedKeys, sentAtMs, moment);
+    // The end of an absent run may be among those that are not listed yet.
+    if (!listing.hasMoreEnds) {
+        removeAbsentRuns(state, worker, listedKeys, sentAtMs, moment);
+        worker.isRunStateKnown = true;
+    }
     adjustPace(state, worker, moment.nowMs);
-    worker.isRunStateKnown = true;
     worker.unresponsiveSinceMs = undefined;
     worker.lastResponseAtMs = moment.nowMs;
     worker.fencedSinceMs ??= moment.nowMs;
     worker.hasRespondedToProvenOwner ||= state.isOwnershipProven;
-    if (worker.unsavedEnds.length === 0 && listing.ended.length >= 500) {
+    if (worker.unsavedEnds.length === 0 && listing.hasMoreEnds) {
         state.commands.push({ kind: commandKinds.list, workerId: worker.entry.workerId });
     }
 }
--- a/tests/scheduling/guarantees.spec.ts
+++ b/tests/scheduling/guarantees.spec.ts
@@ -175,4 +175,27 @@
         harness.list("w1", {});
         assert.equal(harness.startedTasks().includes("fourth.0.0.0"), true);
     });
+
+    it("should not take a run for lost while the worker has more ends than it lists", () => {
+        const harness = createSchedulerHarness({ workers: 1 });
+        harness.list("w1", { sentAtMs: 0 });
+        harness.submit("job", { taskCount: 1 });
+        harness.answerStarts(commandOutcomes.accepted);
+        harness.advance(100);
+        harness.list("w1", { hasMoreEnds: true });
+        assert.deepEqual(harness.startedTasks(), ["job.0.0.0"]);
+        harness.list("w1", { ended: [{ taskName: "job.0.0.0", end: "done" }] });
+        harness.advance(100);
+        assert.deepEqual(harness.startedTasks(), ["job.0.0.0"]);
+    });
+
+    it("should start no task of an earlier owner before all ends of its worker are listed", () => {
+        const harness = createSchedulerHarness({ workers: 1 });
+        harness.submit("job", { taskCount: 1, formerWorkerIds: ["w1"] });
+        harness.list("w1", { hasMoreEnds: true });
+        harness.advance(100);
+        assert.deepEqual(harness.startedTasks(), []);
+        harness.list("w1", {});
+        assert.deepEqual(harness.startedTasks(), ["job.0.0.0"]);
+    });
 });
--- a/tests/scheduling/schedulerHarness.ts
+++ b/tests/scheduling/schedulerHarness.ts
@@ -23,6 +23,7 @@
     /** Running tasks; a task given by name only has the run id with which the scheduler last started it. */
     running?: readonly (string | { taskName: string; runId: number })[];
     ended?: readonly { taskName: string; runId?: number; end: RunEnd; checkpoint?: string }[];
+    hasMoreEnds?: boolean;
 }
 
 export interface JobInput extends Partial<StepSpec> {
@@ -137,7 +138,7 @@
             runStep();
         },
         extendLease: workerId => scheduler.leaseExtensionSent(workerId, workerLeaseMs, nowMs),
-        list: (workerId, { sentAtMs, running, ended }) => {
+        list: (workerId, { sentAtMs, running, ended, hasMoreEnds }) => {
             const ends = (ended ?? []).map(each => {
                 const endNumber = nextEndNumbers.get(workerId) ?? 1;
                 nextEndNumbers.set(workerId, endNumber + 1);
@@ -153,7 +154,7 @@
                 const { taskName, runId } = typeof each === "string" ? { taskName: each, runId: lastRunId(each) } : each;
                 return { taskName, runId, checkpoint: "", percent: 100, measured: 0 };
             });
-            scheduler.listingReceived(workerId, { bornWallMs: 0, running: runs, ended: ends }, sentAtMs ?? nowMs, now());
+            scheduler.listingReceived(workerId, { bornWallMs: 0, running: runs, ended: ends, hasMoreEnds }, sentAtMs ?? nowMs, now());
             runStep();
         },
         answerStarts: outcome => answer(commandKinds.start, outcome),
