Bind VM orders and wave progress to the term whose state decided them

A VM that runs tasks could be restarted for a wave, or moved to another pool, because the owner's state of an earlier term still showed it as empty; its tasks were broken off and run again. In the meantime waves and pools stood still.

Cause: one round of the VM manager spans several calls, and after each it asked only whether the process owns the scheduling. If the ownership was lost and acquired again while the VM list was awaited, the round of the earlier term went on with the frozen scheduler of that term and with the lease and the token of the new one. It could also overwrite the stored progress of a wave, with a guard that the new term had made valid. One flag for all terms kept the new term from starting a round until the old call had been answered.

Change: wave runner and rebalancer get `orderToken()` of their term instead of the ownership. It is undefined once the term has ended or while the lease is unconfirmed, and else the token of the term's own scheduler, so that a continued term goes on with its new token. It is asked after each call, before the next order, write or list. Each term has its own rounds. Saving the progress of a wave now waits for a confirmed lease as well.

The specs of the rebalancer and of unknown workers pass `orderToken` instead of an ownership; what they assert is unchanged.

--- a/src/process/poolRebalancer.ts
+++ b/src/process/poolRebalancer.ts
@@ -7,7 +7,6 @@
 import type { DemandTracker } from "./demandTracker.js";
 import { logEvents } from "./logEvents.js";
 import type { Logger } from "./logger.js";
-import type { SchedulingOwnership } from "./schedulingOwnership.js";
 import type { VmInventory } from "./vmInventory.js";
 
 export interface PoolRebalancer {
@@ -19,7 +18,8 @@
     inventory: VmInventory;
     vmService: VmService;
     nodeName: string;
-    ownership(): SchedulingOwnership;
+    /** Fencing token for what the term's state decides now; `undefined` while the process may not act on it. */
+    orderToken(): number | undefined;
     timers: TimerService;
     logger: Logger;
     demand: DemandTracker;
@@ -183,8 +183,8 @@
         advance: async () => {
             updatePendingMoves();
             const { pools, emptyVms } = describePools();
-            const token = options.ownership().token();
-            if (token === undefined || !options.ownership().isLeaseValid()) {
+            const token = options.orderToken();
+            if (token === undefined) {
                 return false;
             }
             const moves = planMoves({ nowMs: timers.nowMs(), pools, emptyVms });
--- a/src/process/vmManager.ts
+++ b/src/process/vmManager.ts
@@ -36,8 +36,11 @@
     encodeWaveStatus(waveNumber: number, isCompleted: boolean): string;
 }
 
-/** State about the VMs that lasts for one term. */
+/** State about the VMs that lasts for one term, or for several in a row that are continued. */
 interface Term {
+    /** Fencing token of what this term's state decides; `undefined` while the lease is not confirmed, and once the term has ended. */
+    orderToken(): number | undefined;
+    isAdvancing: boolean;
     inventory: VmInventory;
     rebalancer: PoolRebalancer;
     waves: Map<number, WaveRunner>;
@@ -52,9 +55,7 @@
 export function createVmManager(options: VmManagerOptions): VmManager {
     const { timers, logger } = options;
     const requests = new Map<number, WaveRequest>();
-    let term: Term | undefined;
     let unreadyListedAtMs = Number.NEGATIVE_INFINITY;
-    let isAdvancing = false;
 
     const createWave = (activeTerm: Term, request: WaveRequest): void => {
         activeTerm.waves.set(
@@ -64,6 +65,7 @@
                 request,
                 storedProgress: options.mirror().valueOf(`${waveProgressPrefix}${request.waveNumber}`),
                 inventory: activeTerm.inventory,
+                orderToken: activeTerm.orderToken,
                 statusKey: options.waveStatusKey(request.waveNumber),
                 encodeStatus: isCompleted => options.encodeWaveStatus(request.waveNumber, isCompleted),
             }),
@@ -80,7 +82,8 @@
     };
 
     const advanceTerm = async (activeTerm: Term): Promise<void> => {
-        if (!options.ownership().isLeaseValid()) {
+        const mayAct = (): boolean => activeTerm.orderToken() !== undefined;
+        if (!mayAct()) {
             return;
         }
         for (const request of requests.values()) {
@@ -89,7 +92,7 @@
             }
         }
         const isDue = timers.nowMs() - activeTerm.inventory.listedAtMs() >= listIntervalMs;
-        if (isDue && !await activeTerm.inventory.refresh()) {
+        if (isDue && (!await activeTerm.inventory.refresh() || !mayAct())) {
             return;
         }
         const unfinishedWaves = [...activeTerm.waves.values()].filter(wave => !wave.isFinished());
@@ -98,26 +101,33 @@
         }
         for (const wave of unfinishedWaves) {
             await wave.advance();
+            if (!mayAct()) {
+                return;
+            }
         }
         await activeTerm.rebalancer.advance();
     };
 
-    const advanceIfIdle = (): void => {
-        if (!isAdvancing && term) {
-            isAdvancing = true;
-            advanceTerm(term).catch((error: unknown) => logger.log(logEvents.unexpectedError, { where: "vmManager", error: String(error) }))
-                .finally(() => isAdvancing = false);
+    const advanceIfIdle = (activeTerm: Term): void => {
+        if (!activeTerm.isAdvancing) {
+            activeTerm.isAdvancing = true;
+            advanceTerm(activeTerm)
+                .catch((error: unknown) => logger.log(logEvents.unexpectedError, { where: "vmManager", error: String(error) }))
+                .finally(() => activeTerm.isAdvancing = false);
         }
     };
 
     return {
         onTermStarted: (scheduler, termSignal) => {
-            termSignal.addEventListener("abort", () => term = undefined, { once: true });
-            timers.every(advanceIntervalMs, termSignal, advanceIfIdle);
             const inventory = createVmInventory({ scheduler, vmService: options.vmService, timers, logger });
             const waves = new Map<number, WaveRunner>();
             const isInWave = (vmId: string): boolean => [...waves.values()].some(wave => wave.isPending(vmId));
-            term = { inventory, waves, rebalancer: createPoolRebalancer({ ...options, inventory, isInWave }) };
+            // The lease alone does not show that the term goes on: this process may have lost the ownership and acquired it again.
+            const orderToken = (): number | undefined =>
+                !termSignal.aborted && options.ownership().isLeaseValid() ? scheduler.state.term.token : undefined;
+            const rebalancer = createPoolRebalancer({ ...options, inventory, isInWave, orderToken });
+            const term: Term = { orderToken, isAdvancing: false, inventory, rebalancer, waves };
+            timers.every(advanceIntervalMs, termSignal, () => advanceIfIdle(term));
         },
         onWaveRequested: request => {
             requests.set(request.waveNumber, request);
--- a/src/process/waveRunner.ts
+++ b/src/process/waveRunner.ts
@@ -10,7 +10,6 @@
 import { runPhases } from "../scheduling/workerRecord.js";
 import { logEvents } from "./logEvents.js";
 import type { Logger } from "./logger.js";
-import type { SchedulingOwnership } from "./schedulingOwnership.js";
 import type { VmInventory } from "./vmInventory.js";
 
 export interface WaveRunner {
@@ -30,7 +29,8 @@
     vmService: VmService;
     nodeName: string;
     store: ChangeFeedStore;
-    ownership(): SchedulingOwnership;
+    /** Fencing token for what the term's state decides now; `undefined` while the process may not act on it. */
+    orderToken(): number | undefined;
     timers: TimerService;
     logger: Logger;
     restartMs: number;
@@ -82,7 +82,7 @@
     const save = async (): Promise<void> => {
         const text = JSON.stringify(progress);
         const status = options.encodeStatus(progress.isCompleted);
-        const token = options.ownership().token();
+        const token = options.orderToken();
         if (token === undefined || (text === savedProgress && status === savedStatus)) {
             return;
         }
@@ -150,9 +150,9 @@
     };
 
     const restart = async (vmId: string): Promise<void> => {
-        const token = options.ownership().token();
+        const token = options.orderToken();
         const vm = inventory.find(vmId);
-        if (token === undefined || !options.ownership().isLeaseValid() || !vm) {
+        if (token === undefined || !vm) {
             return;
         }
         inventory.cordon(vmId);
@@ -201,7 +201,8 @@
             plan.cordon.forEach(vmId => inventory.cordon(vmId));
             plan.evacuate.forEach(({ vmId, step }) => evacuateOne(vmId, step));
             await Promise.all(plan.restart.map(restart));
-            if (plan.restart.length > 0 && await inventory.refresh()) {
+            const mayAct = (): boolean => options.orderToken() !== undefined;
+            if (plan.restart.length > 0 && mayAct() && await inventory.refresh() && mayAct()) {
                 [...pendingRestarts].forEach(([vmId, pending]) => updatePendingRestart(vmId, pending));
             }
             await save();
--- a/tests/process/poolRebalancer.spec.ts
+++ b/tests/process/poolRebalancer.spec.ts
@@ -7,7 +7,6 @@
 import { createDemandTracker } from "../../src/process/demandTracker.js";
 import { createSilentLogger } from "../../src/process/logger.js";
 import { createPoolRebalancer } from "../../src/process/poolRebalancer.js";
-import type { SchedulingOwnership } from "../../src/process/schedulingOwnership.js";
 import { createVmInventory } from "../../src/process/vmInventory.js";
 import { createSchedulerHarness } from "../scheduling/schedulerHarness.js";
 
@@ -48,12 +47,11 @@
         const logger = createSilentLogger();
         const inventory = createVmInventory({ scheduler: harness.scheduler, vmService, timers, logger });
         await inventory.refresh();
-        const ownership = { token: () => 10, isLeaseValid: () => true } as unknown as SchedulingOwnership;
         const rebalancer = createPoolRebalancer({
             inventory,
             vmService,
             nodeName: "node",
-            ownership: () => ownership,
+            orderToken: () => 10,
             timers,
             logger,
             demand: createDemandTracker(harness.nowMs),
--- a/tests/process/unknownWorkers.spec.ts
+++ b/tests/process/unknownWorkers.spec.ts
@@ -8,17 +8,11 @@
 import { createDemandTracker } from "../../src/process/demandTracker.js";
 import { createSilentLogger } from "../../src/process/logger.js";
 import { createPoolRebalancer } from "../../src/process/poolRebalancer.js";
-import type { SchedulingOwnership } from "../../src/process/schedulingOwnership.js";
 import { createVmInventory, type VmInventory } from "../../src/process/vmInventory.js";
 import { createWaveRunner } from "../../src/process/waveRunner.js";
 import { createSchedulerHarness, type SchedulerHarness } from "../scheduling/schedulerHarness.js";
 
 const logger = createSilentLogger();
-const ownership = {
-    token: () => 10,
-    isLeaseValid: () => true,
-    maySendOrders: () => true,
-} as unknown as SchedulingOwnership;
 const store = { swap: () => Promise.resolve(Ok({ isSwapped: true, revision: 20, current: [] })) } as unknown as ChangeFeedStore;
 
 interface Fixture {
@@ -53,7 +47,7 @@
     const timers = { nowMs: harness.nowMs, wallClockMs: harness.nowMs } as TimerService;
     const inventory = createVmInventory({ scheduler: harness.scheduler, vmService, timers, logger });
     await inventory.refresh();
-    const common = { inventory, vmService, nodeName: "node", ownership: () => ownership, timers, logger };
+    const common = { inventory, vmService, nodeName: "node", orderToken: () => 10, timers, logger };
     const rebalancer = createPoolRebalancer({ ...common, demand: createDemandTracker(harness.nowMs), isInWave: () => false });
     const wave = createWaveRunner({
         ...common,
