List a worker again after a listing that cannot be read

After one malformed listing, a worker got no tasks any more, its leases were not extended and the ends of its tasks were not taken note of, until the next owner took over.

Cause: an error of the call or of its evaluation left the loop that lists the worker, and the immediate listings stayed marked as open.

Evidence: the new test failed before with "Cannot read properties of undefined (reading 'taskName')", an unhandled rejection of the loop. It covers an unreadable listing and a rejected call, followed by a readable listing.

--- a/src/process/schedulingService.ts
+++ b/src/process/schedulingService.ts
@@ -144,6 +144,7 @@
                         isLeaseValid: () => options.ownership().isLeaseValid(),
                         onFenced: () => options.ownership().onFenced(),
                         onSchedulerChanged: scheduleStep,
+                        onListFailed: reason => logger.log(logEvents.unexpectedError, { where: "worker listing", workerId, error: reason }),
                     }),
                 );
             }
--- a/src/process/workerSession.ts
+++ b/src/process/workerSession.ts
@@ -30,6 +30,8 @@
     onFenced(): void;
     /** The scheduler's state has changed. */
     onSchedulerChanged(): void;
+    /** A listing could not be read or applied; called once for several such failures in a row. */
+    onListFailed(reason: string): void;
 }
 
 /** How long a long poll waits for a run to end; each poll also extends the leases. */
@@ -46,6 +48,7 @@
     let wakeAfterSave: (() => void) | undefined;
     let isImmediateListOpen = false;
     let wasLastListAccepted = false;
+    let isListFailing = false;
 
     const moment = (): Moment => ({ nowMs: timers.nowMs(), wallMs: timers.wallClockMs() });
     const workerClockMs = (): number | undefined => clock && clock.clockMs + (timers.nowMs() - clock.atMs);
@@ -78,6 +81,19 @@
         options.onSchedulerChanged();
     };
 
+    /** A worker whose listings cannot be read counts as unresponsive: what runs there is not known. */
+    const handleListFailure = (reason: string): void => {
+        if (!isListFailing) {
+            isListFailing = true;
+            options.onListFailed(reason);
+        }
+        if (signal.aborted) {
+            return;
+        }
+        scheduler.workerUnresponsive(workerId, timers.nowMs());
+        options.onSchedulerChanged();
+    };
+
     const list = async (waitMs: number): Promise<CommandOutcome> => {
         const sentAtMs = timers.nowMs();
         // The leases of an unresponsive worker are not extended, so that its runs can eventually be considered lost.
@@ -86,15 +102,23 @@
             scheduler.leaseExtensionSent(workerId, options.leaseMs, sentAtMs);
         }
         const { token } = scheduler.state.term;
-        const answer = await client.list({
-            token,
-            acknowledgedEndNumber: scheduler.acknowledgedEndNumber(workerId),
-            leaseUntilClockMs: clockMs === undefined ? undefined : Math.round(clockMs + options.leaseMs),
-            waitMs,
-        });
-        wasLastListAccepted = answer.outcome === commandOutcomes.accepted;
-        handleListResponse(answer, token, sentAtMs);
-        return answer.outcome;
+        try {
+            const answer = await client.list({
+                token,
+                acknowledgedEndNumber: scheduler.acknowledgedEndNumber(workerId),
+                leaseUntilClockMs: clockMs === undefined ? undefined : Math.round(clockMs + options.leaseMs),
+                waitMs,
+            });
+            wasLastListAccepted = answer.outcome === commandOutcomes.accepted;
+            handleListResponse(answer, token, sentAtMs);
+            isListFailing = false;
+            return answer.outcome;
+        }
+        catch (error) {
+            wasLastListAccepted = false;
+            handleListFailure(String(error));
+            return commandOutcomes.unknown;
+        }
     };
 
     const hasUnsavedEnds = (): boolean => (scheduler.state.workers.get(workerId)?.unsavedEnds.length ?? 0) > 0;
--- a/tests/process/workerSession.spec.ts
+++ b/tests/process/workerSession.spec.ts
@@ -1,6 +1,6 @@
 /**
  * Checks that a process which lost the ownership between a decision and its call sends no start, that a command of an earlier
- * term does not end the ownership, and when a worker is listed again.
+ * term does not end the ownership, and when a worker is listed again, also after a listing that cannot be read.
  */
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
@@ -51,6 +51,7 @@
             isLeaseValid: () => true,
             onFenced: () => undefined,
             onSchedulerChanged: () => signalListed(),
+            onListFailed: reason => assert.fail(reason),
         });
         await listed;
         harness.submit("job", { taskCount: 1 });
@@ -98,6 +99,7 @@
             isLeaseValid: () => true,
             onFenced: () => fenced.push("fenced"),
             onSchedulerChanged: () => signalListed(),
+            onListFailed: reason => assert.fail(reason),
         });
         context.after(() => session.close());
         await listed;
@@ -165,6 +167,7 @@
             isLeaseValid: () => true,
             onFenced: () => undefined,
             onSchedulerChanged: () => signalListed(),
+            onListFailed: reason => assert.fail(reason),
         });
         await listed;
         await settle();
@@ -180,4 +183,51 @@
         assert.deepEqual(acknowledged, [0, 2]);
         session.close();
     });
+
+    it("should list a worker again whose listing cannot be read, without extending its leases", async context => {
+        const { scheduler } = createSchedulerHarness({ workers: 1 });
+        const timers = createManualTimerService();
+        const accepted = { outcome: commandOutcomes.accepted, reason: "", isFenced: false, clockMs: 1_000 };
+        const emptyListing = { bornWallMs: 0, running: [], ended: [] };
+        const unreadable = { ...accepted, listing: { ...emptyListing, running: [undefined] } };
+        const responses = [
+            () => Promise.resolve({ ...accepted, listing: emptyListing }),
+            () => Promise.resolve(unreadable),
+            () => Promise.reject(new Error("malformed response")),
+            () => Promise.resolve({ ...accepted, listing: emptyListing }),
+            () => new Promise(() => undefined),
+        ];
+        const extensions: boolean[] = [];
+        const failures: string[] = [];
+        const client = {
+            list: (order: { leaseUntilClockMs: number | undefined }) => {
+                extensions.push(order.leaseUntilClockMs !== undefined);
+                return responses[extensions.length - 1]!();
+            },
+            close: () => undefined,
+        } as unknown as WorkerClient;
+        const session = createWorkerSession({
+            workerId: "w1",
+            client,
+            scheduler,
+            timers,
+            leaseMs: 6_000,
+            maySendOrders: () => true,
+            isLeaseValid: () => true,
+            onFenced: () => undefined,
+            onSchedulerChanged: () => undefined,
+            onListFailed: reason => failures.push(reason),
+        });
+        context.after(() => session.close());
+        const isUnresponsive = (): boolean => scheduler.state.workers.get("w1")!.unresponsiveSinceMs !== undefined;
+        await settle();
+        assert.equal(isUnresponsive(), true);
+        for (let round = 0; round < 3; round++) {
+            timers.advance(100);
+            await settle();
+        }
+        assert.deepEqual(extensions, [false, true, false, false, true]);
+        assert.equal(failures.length, 1, "repeated failures are reported once");
+        assert.equal(isUnresponsive(), false);
+    });
 });
