Begin a term without the jobs whose documents cannot be read

After a change of the owner, one damaged stored job could stop the scheduling of all: jobs submitted after it were not loaded, no worker was listed, and no wave or move of a VM began.

Cause: the directory of jobs logs and skips a document that it cannot read, but keeps its text, and the start of a term passed that text to the scheduler without a guard. The error left the start midway and ended the loop that renews the ownership. A submission that follows such progress broke the batch of store changes in the same way.

Change: both places add a job through `addStoredJob`, which logs event 4006 with the key that cannot be read and skips the job. A job whose progress cannot be read is skipped as a whole, since its tasks may be done already; what still runs of it is stopped as the tasks of an unknown job are.

Evidence: both new tests failed before with "Expected property name or '}' in JSON at position 1", thrown out of onOwnershipAcquired and onJobEvent. Damaged are a submission, a progress that is no JSON, and one whose list of done tasks is a number; the job after them and its worker are used.

--- a/src/process/schedulingService.ts
+++ b/src/process/schedulingService.ts
@@ -9,6 +9,7 @@
 import { commandKinds } from "../scheduling/schedulerState.js";
 import type { WorkerSnapshot } from "../scheduling/unresponsiveWorkers.js";
 import type { WorkerEntry } from "../scheduling/workerRecord.js";
+import { addStoredJob } from "./addStoredJob.js";
 import type { DemandTracker } from "./demandTracker.js";
 import { logEvents } from "./logEvents.js";
 import type { Logger } from "./logger.js";
@@ -232,11 +233,7 @@
         const signal = AbortSignal.any([lifetime.signal, options.signal]);
         startTimers(progressWriter, signal);
         const entriesBySubmissionTime = [...directory.entries.values()].sort((a, b) => a.submittedWallMs - b.submittedWallMs);
-        for (const entry of entriesBySubmissionTime) {
-            if (entry.submission !== undefined) {
-                scheduler.addJob(entry.submission, entry.progress, entry.isCancelled, now.wallMs);
-            }
-        }
+        entriesBySubmissionTime.forEach(entry => addStoredJob(scheduler, entry, now.wallMs, logUnreadable));
         registered.forEach(entry => scheduler.registerWorker(entry, now));
         for (const [workerId, { entry, atMs }] of unregistered) {
             if (now.nowMs - atMs < unknownLeaseMs) {
@@ -284,7 +281,9 @@
             if (event.kind === "accepted") {
                 const { entry } = event;
                 recordArrival(entry);
-                activeTerm?.scheduler.addJob(entry.submission!, entry.progress, entry.isCancelled, timers.wallClockMs());
+                if (activeTerm) {
+                    addStoredJob(activeTerm.scheduler, entry, timers.wallClockMs(), logUnreadable);
+                }
             }
             else if (event.kind === "cancelled") {
                 activeTerm?.scheduler.cancelJob(event.entry.jobId, timers.wallClockMs());
--- a/tests/process/schedulingTerms.spec.ts
+++ b/tests/process/schedulingTerms.spec.ts
@@ -1,4 +1,7 @@
-/** Guards against answers to calls of one term that change what the scheduler of a later term of the same process believes. */
+/**
+ * Guards against answers to calls of one term that change what the scheduler of a later term of the same process believes, and
+ * checks what a term begins with.
+ */
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { Ok, type Result } from "../../src/common/results.js";
@@ -6,7 +9,8 @@
 import type { ChangeFeedStore, StoreError, StoreGuard, StoreWrite, SwapOutcome } from "../../src/connection/platformStore.js";
 import type { ListOrder, ListResponse, StartOrder, WorkerClient } from "../../src/connection/workerClient.js";
 import { createDemandTracker } from "../../src/process/demandTracker.js";
-import { createSilentLogger } from "../../src/process/logger.js";
+import { logEvents } from "../../src/process/logEvents.js";
+import { createSilentLogger, type Logger } from "../../src/process/logger.js";
 import type { SchedulingOwnership } from "../../src/process/schedulingOwnership.js";
 import { createSchedulingService, type SchedulingService } from "../../src/process/schedulingService.js";
 import type { StoreMirror } from "../../src/process/storeMirror.js";
@@ -39,6 +43,9 @@
     lists: PendingList[];
     startedTasks: string[];
     store(jobId: string, progress: JobProgress | undefined): void;
+    /** Passes in a change of a stored document, as the mirror does. */
+    applyChange(key: string, value: string): void;
+    unreadableKeys: string[];
     acquire(token: number): Promise<void>;
     setWorkersCurrent(isCurrent: boolean): void;
     lose(): void;
@@ -49,13 +56,23 @@
 const saved = (revision: number): Swapped => Ok({ isSwapped: true, revision, current: [] });
 
 /** One worker, and a store whose answers the test gives. */
-function createFixture(): Fixture {
+function createFixture(options?: { hasUnreadableDocuments: boolean }): Fixture {
     const timers = createManualTimerService();
     const lifetime = new AbortController();
     const swaps: PendingSwap[] = [];
     const lists: PendingList[] = [];
     const startedTasks: string[] = [];
-    const directory = createJobDirectory({ onUnreadable: key => assert.fail(key) });
+    const directory = createJobDirectory({ onUnreadable: key => options?.hasUnreadableDocuments || assert.fail(key) });
+    const unreadableKeys: string[] = [];
+    const logger: Logger = {
+        ...createSilentLogger(),
+        log: (event, fields) => {
+            if (event === logEvents.documentUnreadable) {
+                assert.ok(options?.hasUnreadableDocuments, String(fields?.["key"]));
+                unreadableKeys.push(String(fields?.["key"]));
+            }
+        },
+    };
     let token: number | undefined;
     let areWorkersCurrent = true;
 
@@ -103,7 +120,7 @@
                 maySendOrders: () => token !== undefined,
             }) as SchedulingOwnership,
         timers,
-        logger: createSilentLogger(),
+        logger,
         signal: lifetime.signal,
         areWorkersCurrent: () => areWorkersCurrent,
         connectWorker: () => ({ list, start, close: () => undefined }) as unknown as WorkerClient,
@@ -131,6 +148,13 @@
         swaps,
         lists,
         startedTasks,
+        unreadableKeys,
+        applyChange: (key, value) => {
+            const event = directory.apply(key, value);
+            if (event) {
+                service.onJobEvent(event);
+            }
+        },
         store: (jobId, progress) => {
             const submission = {
                 jobId,
@@ -201,4 +225,45 @@
         assert.notEqual(service.scheduler(), undefined);
         assert.equal(lists.length, 1);
     });
+
+    it("should load all jobs and workers that can be read, and log the documents that cannot", async () => {
+        const { lists, swaps, startedTasks, unreadableKeys, store, applyChange, acquire } = createFixture({
+            hasUnreadableDocuments: true,
+        });
+        applyChange(`${jobKeys.submissionPrefix}a`, "{");
+        store("b", undefined);
+        applyChange(`${jobKeys.progressPrefix}b`, JSON.stringify({ state: "running", occurrences: { 0: [{ done: 1 }] } }));
+        store("c", undefined);
+        applyChange(`${jobKeys.progressPrefix}c`, "{");
+        store("d", undefined);
+        await acquire(10);
+        assert.deepEqual(unreadableKeys, [`${jobKeys.submissionPrefix}a`, `${jobKeys.progressPrefix}b`, `${jobKeys.progressPrefix}c`]);
+        await lists.shift()!.answer({});
+        assert.deepEqual(swaps[0]!.writes.map(write => write.key), [`${jobKeys.progressPrefix}d`]);
+        swaps.shift()!.answer(saved(11));
+        await lists.shift()!.answer({});
+        assert.deepEqual(startedTasks, ["d.0.0.0", "d.0.0.1"]);
+    });
+});
+
+describe("a running term", () => {
+    it("should go on after a submitted job whose progress cannot be read", async () => {
+        const { service, unreadableKeys, applyChange, acquire } = createFixture({ hasUnreadableDocuments: true });
+        const submissionOf = (jobId: string): string =>
+            encodeSubmission({
+                jobId,
+                queueName: "queue",
+                teamName: undefined,
+                payload: "",
+                steps: [defaultStep],
+                repeat: undefined,
+                submittedWallMs: 0,
+            });
+        await acquire(10);
+        applyChange(`${jobKeys.progressPrefix}a`, "{");
+        applyChange(`${jobKeys.submissionPrefix}a`, submissionOf("a"));
+        applyChange(`${jobKeys.submissionPrefix}b`, submissionOf("b"));
+        assert.deepEqual(unreadableKeys, [`${jobKeys.progressPrefix}a`]);
+        assert.deepEqual([...service.scheduler()!.state.jobs.keys()], ["b"]);
+    });
 });
