Connect to a worker again when its address changes

A worker that returned under its id at another address was unresponsive until the owner changed: it got no tasks, and those that it had were given up when their leases ended.

Cause: a session was created once for each worker id and kept the address of the entry that came first.

Change: the sessions are their own part now, `workerSessions`, and one whose worker has another address is closed and replaced. Late responses to a closed session do not act: a response of another worker at the former address does not end the runs of this one, and an accepted start or stop counts as unknown, so that a stop is sent to the new address. A refused start remains refused. Since sessions are also closed at the end of a term, decisions of an ended term's scheduler are not logged any more; they were never carried out.

--- a/src/process/schedulingService.ts
+++ b/src/process/schedulingService.ts
@@ -19,7 +19,7 @@
 import type { OwnershipTerm, SchedulingOwnership } from "./schedulingOwnership.js";
 import { createSchedulingSummary } from "./schedulingSummary.js";
 import type { StoreMirror } from "./storeMirror.js";
-import { createWorkerSession, type WorkerSession } from "./workerSession.js";
+import { createWorkerSessions } from "./workerSessions.js";
 import { createWorkerSnapshotWriter, restoreSnapshots } from "./workerSnapshotWriter.js";
 
 export interface SchedulingService {
@@ -75,7 +75,6 @@
 
 export function createSchedulingService(options: SchedulingServiceOptions): SchedulingService {
     const { store, directory, timers, logger } = options;
-    const sessions = new Map<string, WorkerSession>();
     const registered = new Map<string, WorkerEntry>();
     /** Workers whose entries were deleted recently: they may still run tasks that an earlier owner started. */
     const unregistered = new Map<string, { entry: WorkerEntry; atMs: number }>();
@@ -99,7 +98,7 @@
             onSaved: jobs => {
                 jobs.forEach(job => scheduler.progressSaved(job.jobId, job.version, timers.nowMs()));
                 if (isActive()) {
-                    sessions.forEach(session => session.onProgressSaved());
+                    sessions.onProgressSaved();
                     scheduleStep();
                 }
             },
@@ -124,34 +123,6 @@
         }
     };
 
-    const syncSessions = (scheduler: Scheduler): void => {
-        for (const [workerId, session] of sessions) {
-            if (!scheduler.state.workers.has(workerId)) {
-                session.close();
-                sessions.delete(workerId);
-            }
-        }
-        for (const [workerId, worker] of scheduler.state.workers) {
-            if (!sessions.has(workerId)) {
-                sessions.set(
-                    workerId,
-                    createWorkerSession({
-                        workerId,
-                        client: options.connectWorker(worker.entry),
-                        scheduler,
-                        timers,
-                        leaseMs: options.workerLeaseMs,
-                        maySendOrders,
-                        isLeaseValid: () => options.ownership().isLeaseValid(),
-                        onFenced: () => options.ownership().onFenced(),
-                        onSchedulerChanged: scheduleStep,
-                        onListFailed: reason => logger.log(logEvents.unexpectedError, { where: "worker listing", workerId, error: reason }),
-                    }),
-                );
-            }
-        }
-    };
-
     const saveSnapshot = async (owner: Scheduler, workerId: string, snapshot: WorkerSnapshot | undefined): Promise<void> => {
         const state = await snapshotWriter.update(workerId, snapshot);
         owner.snapshotStateChanged(workerId, state);
@@ -164,7 +135,7 @@
         }
         const startedAtMs = timers.nowMs();
         const { scheduler, progressWriter } = activeTerm;
-        syncSessions(scheduler);
+        sessions.sync(scheduler);
         scheduler.setOwnershipProven(options.ownership().isLeaseValid());
         scheduler.setStoreWritable(progressWriter.isHealthy());
         if (maySendOrders()) {
@@ -178,13 +149,23 @@
                 void saveSnapshot(scheduler, command.workerId, command.kind === commandKinds.writeSnapshot ? command.snapshot : undefined);
             }
             else {
-                sessions.get("run" in command ? command.run.workerId : command.workerId)?.execute(command);
+                sessions.execute(command);
             }
         }
         summary.recordPass(timers.nowMs() - startedAtMs);
     };
     const passTrigger = createPassTrigger(timers, runStep);
     const scheduleStep = passTrigger.request;
+    const sessions = createWorkerSessions({
+        connectWorker: options.connectWorker,
+        timers,
+        leaseMs: options.workerLeaseMs,
+        maySendOrders,
+        isLeaseValid: () => options.ownership().isLeaseValid(),
+        onFenced: () => options.ownership().onFenced(),
+        onSchedulerChanged: scheduleStep,
+        onListFailed: (workerId, reason) => logger.log(logEvents.unexpectedError, { where: "worker listing", workerId, error: reason }),
+    });
 
     /** Timers run only in the owner: in any other process a timer wake-up would cost as much as handling a message. */
     const startTimers = (progressWriter: ProgressWriter, signal: AbortSignal): void => {
@@ -202,8 +183,7 @@
     const stopScheduler = (): void => {
         activeTerm?.lifetime.abort();
         activeTerm = undefined;
-        sessions.forEach(session => session.close());
-        sessions.clear();
+        sessions.close();
         pendingTerm = undefined;
     };
 
@@ -219,16 +199,21 @@
         const hasPriorProgress = [...directory.entries.values()].some(entry => entry.progress !== undefined);
         // Workers without an entry may still hold leases from an earlier owner.
         const unknownForMs = hasPriorProgress ? unknownLeaseMs : 0;
+        const lifetime = new AbortController();
         const scheduler = createScheduler({
             policy,
             term: { token, startedWallMs: now.wallMs, unknownWorkersUntilMs: now.nowMs + unknownForMs },
             workerLeaseMs: options.workerLeaseMs,
             taskStopMs: options.taskStopMs,
             unknownLeaseMs,
-            onDecision: decision => logger.log(logEvents.schedulingDecided, { ...decision }),
+            onDecision: decision => {
+                // A late response may still change the state of an ended term, but what follows from that is not carried out.
+                if (!lifetime.signal.aborted) {
+                    logger.log(logEvents.schedulingDecided, { ...decision });
+                }
+            },
         });
         const progressWriter = createTermProgressWriter(scheduler);
-        const lifetime = new AbortController();
         activeTerm = { scheduler, progressWriter, lifetime };
         const signal = AbortSignal.any([lifetime.signal, options.signal]);
         startTimers(progressWriter, signal);
--- a/src/process/workerSession.ts
+++ b/src/process/workerSession.ts
@@ -56,6 +56,10 @@
     /** Whether a refusal of this token shows a newer owner: after a term was continued, the newer token may be this process's own. */
     const isCurrentToken = (token: number): boolean => !signal.aborted && token === scheduler.state.term.token;
 
+    /** Once the session is closed, its worker may be at another address; of the late responses, only a refusal still holds there. */
+    const currentOutcome = (outcome: CommandOutcome): CommandOutcome =>
+        signal.aborted && outcome !== commandOutcomes.refused ? commandOutcomes.unknown : outcome;
+
     const handleListResponse = (answer: ListResponse, token: number, sentAtMs: number): void => {
         if (signal.aborted) {
             return;
@@ -167,7 +171,7 @@
             return;
         }
         scheduler.setOwnershipProven(options.isLeaseValid());
-        scheduler.startResponseReceived(targetRun, answer.outcome, answer.reason, moment());
+        scheduler.startResponseReceived(targetRun, currentOutcome(answer.outcome), answer.reason, moment());
         options.onSchedulerChanged();
     };
     const stop = async (command: Extract<SchedulerCommand, { kind: "stop" }>): Promise<void> => {
@@ -179,14 +183,15 @@
             return;
         }
         scheduler.setOwnershipProven(options.isLeaseValid());
-        if (answer.outcome === commandOutcomes.otherWorker) {
+        const outcome = currentOutcome(answer.outcome);
+        if (outcome === commandOutcomes.otherWorker) {
             scheduler.workerReplaced(workerId, moment());
         }
-        if (answer.outcome !== commandOutcomes.accepted) {
+        if (outcome !== commandOutcomes.accepted) {
             await delay(timers, retryDelayMs, signal);
             scheduler.setOwnershipProven(options.isLeaseValid());
         }
-        scheduler.stopResponseReceived(targetRun, answer.outcome, moment());
+        scheduler.stopResponseReceived(targetRun, outcome, moment());
         options.onSchedulerChanged();
     };
     const listImmediately = async (): Promise<void> => {
--- /dev/null
+++ b/src/process/workerSessions.ts
@@ -0,0 +1,54 @@
+/** The owner's sessions with all workers of its scheduler. */
+import type { ConnectWorker } from "../connection/workerClient.js";
+import type { Scheduler } from "../scheduling/scheduler.js";
+import { createWorkerSession, type WorkerCommand, type WorkerSession, type WorkerSessionOptions } from "./workerSession.js";
+
+export interface WorkerSessions {
+    /** Opens and closes sessions so that there is one with each worker of the scheduler, at its current address. */
+    sync(scheduler: Scheduler): void;
+    /** Sends the command, if there is a session with its worker. */
+    execute(command: WorkerCommand): void;
+    /** Must be called when progress was saved. */
+    onProgressSaved(): void;
+    /** Closes all sessions; must be called before `sync` is called with another scheduler. */
+    close(): void;
+}
+
+export interface WorkerSessionsOptions extends Omit<WorkerSessionOptions, "workerId" | "client" | "scheduler" | "onListFailed"> {
+    connectWorker: ConnectWorker;
+    /** A listing of the worker could not be read or applied. */
+    onListFailed(workerId: string, reason: string): void;
+}
+
+export function createWorkerSessions(options: WorkerSessionsOptions): WorkerSessions {
+    const sessions = new Map<string, { address: string; session: WorkerSession }>();
+    return {
+        sync: scheduler => {
+            const { workers } = scheduler.state;
+            for (const [workerId, { address, session }] of sessions) {
+                if (workers.get(workerId)?.entry.address !== address) {
+                    session.close();
+                    sessions.delete(workerId);
+                }
+            }
+            for (const [workerId, { entry }] of workers) {
+                if (!sessions.has(workerId)) {
+                    const session = createWorkerSession({
+                        ...options,
+                        workerId,
+                        client: options.connectWorker(entry),
+                        scheduler,
+                        onListFailed: reason => options.onListFailed(workerId, reason),
+                    });
+                    sessions.set(workerId, { address: entry.address, session });
+                }
+            }
+        },
+        execute: command => sessions.get("run" in command ? command.run.workerId : command.workerId)?.session.execute(command),
+        onProgressSaved: () => sessions.forEach(({ session }) => session.onProgressSaved()),
+        close: () => {
+            sessions.forEach(({ session }) => session.close());
+            sessions.clear();
+        },
+    };
+}
--- a/tests/process/schedulingTerms.spec.ts
+++ b/tests/process/schedulingTerms.spec.ts
@@ -4,192 +4,13 @@
  */
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { Ok, type Result } from "../../src/common/results.js";
-import { createManualTimerService } from "../../src/common/timerService.js";
-import type { ChangeFeedStore, StoreError, StoreGuard, StoreWrite, SwapOutcome } from "../../src/connection/platformStore.js";
-import type { ListOrder, ListResponse, StartOrder, WorkerClient } from "../../src/connection/workerClient.js";
-import { createDemandTracker } from "../../src/process/demandTracker.js";
-import { logEvents } from "../../src/process/logEvents.js";
-import { createSilentLogger, type Logger } from "../../src/process/logger.js";
-import type { SchedulingOwnership } from "../../src/process/schedulingOwnership.js";
-import { createSchedulingService, type SchedulingService } from "../../src/process/schedulingService.js";
-import type { StoreMirror } from "../../src/process/storeMirror.js";
-import { commandOutcomes } from "../../src/scheduling/commandOutcomes.js";
-import { createJobDirectory } from "../../src/scheduling/jobDirectory.js";
-import { encodeProgress, encodeSubmission, jobKeys, type JobProgress } from "../../src/scheduling/jobDocuments.js";
-import type { Listing } from "../../src/scheduling/reconcileListing.js";
+import { encodeSubmission, jobKeys } from "../../src/scheduling/jobDocuments.js";
 import { defaultStep } from "../scheduling/defaultStep.js";
-import { modelPolicy } from "../scheduling/modelJob.js";
-import { taskStopMs, workerLeaseMs } from "../scheduling/schedulerHarness.js";
-
-type Swapped = Result<SwapOutcome, StoreError>;
-
-interface PendingSwap {
-    guards: StoreGuard[];
-    writes: StoreWrite[];
-    answer(outcome: Swapped): void;
-}
-
-interface PendingList {
-    order: ListOrder;
-    answer(listing: Partial<Listing>): Promise<void>;
-}
-
-interface Fixture {
-    service: SchedulingService;
-    /** Writes without an answer yet, in the order in which they were sent. */
-    swaps: PendingSwap[];
-    /** Listing requests without an answer yet, in the order in which they were sent. */
-    lists: PendingList[];
-    startedTasks: string[];
-    store(jobId: string, progress: JobProgress | undefined): void;
-    /** Passes in a change of a stored document, as the mirror does. */
-    applyChange(key: string, value: string): void;
-    unreadableKeys: string[];
-    acquire(token: number): Promise<void>;
-    setWorkersCurrent(isCurrent: boolean): void;
-    lose(): void;
-    /** Lets the owner's timers run for a while. */
-    pass(): Promise<void>;
-}
-
-const saved = (revision: number): Swapped => Ok({ isSwapped: true, revision, current: [] });
-
-/** One worker, and a store whose answers the test gives. */
-function createFixture(options?: { hasUnreadableDocuments: boolean }): Fixture {
-    const timers = createManualTimerService();
-    const lifetime = new AbortController();
-    const swaps: PendingSwap[] = [];
-    const lists: PendingList[] = [];
-    const startedTasks: string[] = [];
-    const directory = createJobDirectory({ onUnreadable: key => options?.hasUnreadableDocuments || assert.fail(key) });
-    const unreadableKeys: string[] = [];
-    const logger: Logger = {
-        ...createSilentLogger(),
-        log: (event, fields) => {
-            if (event === logEvents.documentUnreadable) {
-                assert.ok(options?.hasUnreadableDocuments, String(fields?.["key"]));
-                unreadableKeys.push(String(fields?.["key"]));
-            }
-        },
-    };
-    let token: number | undefined;
-    let areWorkersCurrent = true;
-
-    const settle = async (): Promise<void> => {
-        for (let turn = 0; turn < 3; turn++) {
-            await new Promise(resolve => setImmediate(resolve));
-        }
-    };
-    const pass = async (): Promise<void> => {
-        for (let round = 0; round < 4; round++) {
-            timers.advance(25);
-            await settle();
-        }
-    };
-    const list = (order: ListOrder): Promise<ListResponse> =>
-        new Promise(resolve =>
-            lists.push({
-                order,
-                answer: async listing => {
-                    resolve({
-                        outcome: commandOutcomes.accepted,
-                        reason: "",
-                        isFenced: false,
-                        clockMs: timers.nowMs(),
-                        listing: { bornWallMs: 0, running: [], ended: [], ...listing },
-                    });
-                    await pass();
-                },
-            })
-        );
-    const start = (order: StartOrder): Promise<object> => {
-        startedTasks.push(order.taskName);
-        return Promise.resolve({ outcome: commandOutcomes.accepted, reason: "", isFenced: false });
-    };
-    const service = createSchedulingService({
-        store: {
-            swap: (guards: StoreGuard[], writes: StoreWrite[]) => new Promise<Swapped>(answer => swaps.push({ guards, writes, answer })),
-        } as unknown as ChangeFeedStore,
-        mirror: () => ({ revision: () => token ?? 0, revisionOf: () => 0, values: () => [] }) as unknown as StoreMirror,
-        directory,
-        ownership: () =>
-            ({
-                token: () => token,
-                isLeaseValid: () => token !== undefined,
-                maySendOrders: () => token !== undefined,
-            }) as SchedulingOwnership,
-        timers,
-        logger,
-        signal: lifetime.signal,
-        areWorkersCurrent: () => areWorkersCurrent,
-        connectWorker: () => ({ list, start, close: () => undefined }) as unknown as WorkerClient,
-        workerLeaseMs,
-        taskStopMs,
-        ownershipGracePeriodMs: 4_000,
-        jobRetentionMs: 60_000,
-        demand: createDemandTracker(timers.nowMs),
-        onTermStarted: () => undefined,
-    });
-    service.onPolicyChanged(modelPolicy);
-    service.onWorkerChanged("w1", {
-        workerId: "w1",
-        bornWallMs: 0,
-        address: "",
-        poolName: "pool",
-        zone: "zone",
-        rack: "rack",
-        labels: [],
-        capacity: { cpuMillicores: 16_000, memoryMb: 64_000, accelerators: 0 },
-        isDraining: false,
-    });
-    return {
-        service,
-        swaps,
-        lists,
-        startedTasks,
-        unreadableKeys,
-        applyChange: (key, value) => {
-            const event = directory.apply(key, value);
-            if (event) {
-                service.onJobEvent(event);
-            }
-        },
-        store: (jobId, progress) => {
-            const submission = {
-                jobId,
-                queueName: "queue",
-                teamName: undefined,
-                payload: "",
-                steps: [{ ...defaultStep, taskCount: 2 }],
-                repeat: undefined,
-                submittedWallMs: 0,
-            };
-            directory.apply(jobKeys.submissionPrefix + jobId, encodeSubmission(submission));
-            if (progress) {
-                directory.apply(jobKeys.progressPrefix + jobId, encodeProgress(progress));
-            }
-        },
-        acquire: async newToken => {
-            token = newToken;
-            service.onOwnershipAcquired({ token: newToken, isContinued: false });
-            await pass();
-        },
-        setWorkersCurrent: isCurrent => {
-            areWorkersCurrent = isCurrent;
-            service.onWorkersConfirmed();
-        },
-        lose: () => {
-            token = undefined;
-            service.onOwnershipLost();
-        },
-        pass,
-    };
-}
+import { createTermFixture, saved, workerEntry } from "./schedulingTermFixture.js";
 
 describe("a later term of the same process", () => {
     it("should not acknowledge an end because a write of an earlier term is answered", async () => {
-        const { swaps, lists, startedTasks, store, acquire, lose } = createFixture();
+        const { swaps, lists, startedTasks, store, acquire, lose } = createTermFixture();
         store("job", undefined);
         await acquire(10);
         await lists.shift()!.answer({});
@@ -215,7 +36,7 @@
 
 describe("a new term", () => {
     it("should begin only when the workers' entries are current", async () => {
-        const { service, lists, store, acquire, setWorkersCurrent, pass } = createFixture();
+        const { service, lists, store, acquire, setWorkersCurrent, pass } = createTermFixture();
         store("job", undefined);
         setWorkersCurrent(false);
         await acquire(10);
@@ -227,7 +48,7 @@
     });
 
     it("should load all jobs and workers that can be read, and log the documents that cannot", async () => {
-        const { lists, swaps, startedTasks, unreadableKeys, store, applyChange, acquire } = createFixture({
+        const { lists, swaps, startedTasks, unreadableKeys, store, applyChange, acquire } = createTermFixture({
             hasUnreadableDocuments: true,
         });
         applyChange(`${jobKeys.submissionPrefix}a`, "{");
@@ -248,7 +69,7 @@
 
 describe("a running term", () => {
     it("should go on after a submitted job whose progress cannot be read", async () => {
-        const { service, unreadableKeys, applyChange, acquire } = createFixture({ hasUnreadableDocuments: true });
+        const { service, unreadableKeys, applyChange, acquire } = createTermFixture({ hasUnreadableDocuments: true });
         const submissionOf = (jobId: string): string =>
             encodeSubmission({
                 jobId,
@@ -266,4 +87,25 @@
         assert.deepEqual(unreadableKeys, [`${jobKeys.progressPrefix}a`]);
         assert.deepEqual([...service.scheduler()!.state.jobs.keys()], ["b"]);
     });
+
+    it("should reach a worker at its new address, and ignore a listing from the former one", async () => {
+        const { service, lists, swaps, startedTasks, closedAddresses, store, acquire, pass } = createTermFixture();
+        store("job", undefined);
+        await acquire(10);
+        const formerList = lists.shift()!;
+        assert.equal(formerList.address, "10.0.0.1:80");
+        service.onWorkerChanged("w1", { ...workerEntry, address: "10.0.0.2:80" });
+        await pass();
+        assert.deepEqual(lists.map(({ address }) => address), ["10.0.0.2:80"]);
+        assert.deepEqual(closedAddresses, ["10.0.0.1:80"]);
+        await formerList.answer({});
+        assert.equal(swaps.length, 0, "nothing is started because of the listing");
+        await lists.shift()!.answer({});
+        swaps.shift()!.answer(saved(11));
+        await pass();
+        assert.deepEqual(startedTasks, ["job.0.0.0", "job.0.0.1"]);
+        service.onWorkerChanged("w1", { ...workerEntry, address: "10.0.0.2:80", isDraining: true });
+        await pass();
+        assert.deepEqual(closedAddresses, ["10.0.0.1:80"], "another change of the entry keeps the connections");
+    });
 });
--- a/tests/process/workerSession.spec.ts
+++ b/tests/process/workerSession.spec.ts
@@ -9,6 +9,7 @@
 import { createWorkerSession } from "../../src/process/workerSession.js";
 import { commandOutcomes } from "../../src/scheduling/commandOutcomes.js";
 import { commandKinds } from "../../src/scheduling/schedulerState.js";
+import { runPhases } from "../../src/scheduling/workerRecord.js";
 import { createSchedulerHarness } from "../scheduling/schedulerHarness.js";
 
 /** Lets all promises that are due settle. */
@@ -230,4 +231,56 @@
         assert.equal(failures.length, 1, "repeated failures are reported once");
         assert.equal(isUnresponsive(), false);
     });
+
+    for (const outcome of [commandOutcomes.accepted, commandOutcomes.otherWorker]) {
+        it(`should settle no run by a response "${outcome}" that arrives after the session was closed`, async () => {
+            const harness = createSchedulerHarness({ workers: 1 });
+            const { scheduler } = harness;
+            harness.list("w1", { sentAtMs: 0 });
+            const timers = createManualTimerService();
+            const answers: (() => void)[] = [];
+            const answerLater = (): Promise<OrderResponse> =>
+                new Promise(resolve => answers.push(() => resolve({ outcome, reason: "", isFenced: false })));
+            const listing = { bornWallMs: 0, running: [], ended: [] };
+            const responses = [
+                Promise.resolve({ outcome: commandOutcomes.accepted, reason: "", isFenced: false, clockMs: 1_000, listing }),
+            ];
+            const client = {
+                list: () => responses.shift() ?? new Promise(() => undefined),
+                start: answerLater,
+                stop: answerLater,
+                close: () => undefined,
+            } as unknown as WorkerClient;
+            const session = createWorkerSession({
+                workerId: "w1",
+                client,
+                scheduler,
+                timers,
+                leaseMs: 6_000,
+                maySendOrders: () => true,
+                isLeaseValid: () => true,
+                onFenced: () => undefined,
+                onSchedulerChanged: () => undefined,
+                onListFailed: reason => assert.fail(reason),
+            });
+            await settle();
+            harness.submit("job", { taskCount: 2 });
+            const [started, stopped] = harness.commands(commandKinds.start);
+            harness.answerStarts(commandOutcomes.accepted);
+            started!.phase = runPhases.starting;
+            stopped!.phase = runPhases.stopping;
+            session.execute({ kind: commandKinds.start, run: started!, payload: "", checkpoint: "" });
+            session.execute({ kind: commandKinds.stop, run: stopped!, reason: "" });
+            session.close();
+            scheduler.takeCommands();
+            answers.forEach(answer => answer());
+            await settle();
+            assert.deepEqual([...scheduler.state.workers.get("w1")!.runs.values()], [started, stopped], "both runs may still be active");
+            assert.deepEqual(
+                scheduler.takeCommands().map(command => command.kind === commandKinds.stop ? command.run : command.kind),
+                [started, stopped],
+                "both are stopped at the new address",
+            );
+        });
+    }
 });
