--- a/src/process/workerSession.ts
+++ b/src/process/workerSession.ts
@@ -30,6 +30,8 @@
     onFenced(): void;
     /** The scheduler's state has changed. */
     onSchedulerChanged(): void;
+    /** A listing could not be read or applied; called once for several such failures in a row. */
+    onListFailed(reason: string): void;
 }
 
 /** How long a long poll waits for a run to end; each poll also extends the leases. */
@@ -46,6 +48,7 @@
     let wakeAfterSave: (() => void) | undefined;
     let isImmediateListOpen = false;
     let wasLastListAccepted = false;
+    let isListFailing = false;
 
     const moment = (): Moment => ({ nowMs: timers.nowMs(), wallMs: timers.wallClockMs() });
     const workerClockMs = (): number | undefined => clock && clock.clockMs + (timers.nowMs() - clock.atMs);
@@ -53,6 +56,10 @@
     /** Whether a refusal of this token shows a newer owner: after a term was continued, the newer token may be this process's own. */
     const isCurrentToken = (token: number): boolean => !signal.aborted && token === scheduler.state.term.token;
 
+    /** Once the session is closed, its worker may be at another address; of the late responses, only a refusal still holds there. */
+    const currentOutcome = (outcome: CommandOutcome): CommandOutcome =>
+        signal.aborted && outcome !== commandOutcomes.refused ? commandOutcomes.unknown : outcome;
+
     const handleListResponse = (answer: ListResponse, token: number, sentAtMs: number): void => {
         if (signal.aborted) {
             return;
@@ -78,6 +85,19 @@
         options.onSchedulerChanged();
     };
 
+    /** A worker whose listings cannot be read counts as unresponsive: what runs there is not known. */
+    const handleListFailure = (reason: string): void => {
+        if (!isListFailing) {
+            isListFailing = true;
+            options.onListFailed(reason);
+        }
+        if (signal.aborted) {
+            return;
+        }
+        scheduler.workerUnresponsive(workerId, timers.nowMs());
+        options.onSchedulerChanged();
+    };
+
     const list = async (waitMs: number): Promise<CommandOutcome> => {
         const sentAtMs = timers.nowMs();
         // The leases of an unresponsive worker are not extended, so that its runs can eventually be considered lost.
@@ -86,15 +106,23 @@
             scheduler.leaseExtensionSent(workerId, options.leaseMs, sentAtMs);
         }
         const { token } = scheduler.state.term;
-        const answer = await client.list({
-            token,
-            acknowledgedEndNumber: scheduler.acknowledgedEndNumber(workerId),
-            leaseUntilClockMs: clockMs === undefined ? undefined : Math.round(clockMs + options.leaseMs),
-            waitMs,
-        });
-        wasLastListAccepted = answer.outcome === commandOutcomes.accepted;
-        handleListResponse(answer, token, sentAtMs);
-        return answer.outcome;
+        try {
+            const answer = await client.list({
+                token,
+                acknowledgedEndNumber: scheduler.acknowledgedEndNumber(workerId),
+                leaseUntilClockMs: clockMs === undefined ? undefined : Math.round(clockMs + options.leaseMs),
+                waitMs,
+            });
+            wasLastListAccepted = answer.outcome === commandOutcomes.accepted;
+            handleListResponse(answer, token, sentAtMs);
+            isListFailing = false;
+            return answer.outcome;
+        }
+        catch (error) {
+            wasLastListAccepted = false;
+            handleListFailure(String(error));
+            return commandOutcomes.unknown;
+        }
     };
 
     const hasUnsavedEnds = (): boolean => (scheduler.state.workers.get(workerId)?.unsavedEnds.length ?? 0) > 0;
@@ -143,7 +171,7 @@
             return;
         }
         scheduler.setOwnershipProven(options.isLeaseValid());
-        scheduler.startResponseReceived(targetRun, answer.outcome, answer.reason, moment());
+        scheduler.startResponseReceived(targetRun, currentOutcome(answer.outcome), answer.reason, moment());
         options.onSchedulerChanged();
     };
     const stop = async (command: Extract<SchedulerCommand, { kind: "stop" }>): Promise<void> => {
@@ -155,14 +183,15 @@
             return;
         }
         scheduler.setOwnershipProven(options.isLeaseValid());
-        if (answer.outcome === commandOutcomes.otherWorker) {
+        const outcome = currentOutcome(answer.outcome);
+        if (outcome === commandOutcomes.otherWorker) {
             scheduler.workerReplaced(workerId, moment());
         }
-        if (answer.outcome !== commandOutcomes.accepted) {
+        if (outcome !== commandOutcomes.accepted) {
             await delay(timers, retryDelayMs, signal);
             scheduler.setOwnershipProven(options.isLeaseValid());
         }
-        scheduler.stopResponseReceived(targetRun, answer.outcome, moment());
+        scheduler.stopResponseReceived(targetRun, outcome, moment());
         options.onSchedulerChanged();
     };
     const listImmediately = async (): Promise<void> => {
