--- a/bench/listingServer.ts
+++ b/bench/listingServer.ts
@@ -7,7 +7,7 @@
         clockMs: 123_456,
         born: 1_764_800_000_000,
         running: Array.from({ length: runsCount }, (_, index) => [`a1b2c3d4e5f60718.0.${index}.1`, 41_000_000 + index, "", 100]),
-        endedRuns: [],
+        ended: [],
     });
 }
 
