Contain malformed entries and failed terms, and ask for the permission when an order is sent

An order for a VM was allowed when it was decided, but could wait behind four connections, or in a paused process, and be sent after the lease had run out; where the platform does not check tokens, nothing else stopped it. The HTTP client asks for the permission when a connection takes the request, for VM orders and starts. That a failed start of a term gives up the lease from within schedulingService has no test of its own.

--- a/src/connection/vmService.ts
+++ b/src/connection/vmService.ts
@@ -41,6 +41,8 @@
 export interface VmOrderOwner {
     name: string;
     token: number;
+    /** Asked when the order is about to be sent: whether the owner still may. */
+    mayStillSend(): boolean;
 }
 
 export interface VmService {
--- a/src/connection/workerClient.ts
+++ b/src/connection/workerClient.ts
@@ -11,6 +11,8 @@
     token: number;
     /** Time on the worker's clock at which the order expires; the run's lease lasts at least until then. */
     validUntilClockMs: number;
+    /** Asked when the order is about to be sent: whether this process still may. */
+    mayStillSend(): boolean;
 }
 
 export interface RunOrder {
--- a/src/process/poolRebalancer.ts
+++ b/src/process/poolRebalancer.ts
@@ -175,7 +175,11 @@
         emptySinceMs.delete(move.vmId);
         const pending: PendingMove = { toPool: move.toPool, workerId: worker?.entry.workerId, requestedAtMs: timers.nowMs() };
         pendingMoves.set(move.vmId, pending);
-        const outcome = await options.vmService.move(move.vmId, move.toPool, { name: options.nodeName, token });
+        const outcome = await options.vmService.move(move.vmId, move.toPool, {
+            name: options.nodeName,
+            token,
+            mayStillSend: () => options.orderToken() === token,
+        });
         handleMoveOutcome(move, pending, outcome, token);
     };
 
--- a/src/process/schedulingOwnership.ts
+++ b/src/process/schedulingOwnership.ts
@@ -3,6 +3,7 @@
  * token of every command that the owner sends. The term key has no lease and is rewritten by each new owner. It guards the
  * owner's writes, and tells an owner that recovers from an outage whether another process has owned the scheduling meanwhile.
  */
+import { describeError } from "../common/describeError.js";
 import { delay, type TimerService } from "../common/timerService.js";
 import type { PlatformStore } from "../connection/platformStore.js";
 import { jobKeys } from "../scheduling/jobDocuments.js";
@@ -28,7 +29,9 @@
     onStoreChanged(): void;
     /** Must be called when a worker has rejected a command by its token: a newer owner exists, even if the mirror does not show it. */
     onFenced(): void;
-    /** Gives up the ownership, so that another process can acquire it at once. */
+    /** Gives up the current term, which could not be started here; this process may acquire the ownership again later. */
+    abandon(reason: string): Promise<void>;
+    /** Gives up the ownership for good, so that another process can acquire it at once. */
     release(): Promise<void>;
 }
 
@@ -135,7 +138,20 @@
         ownTermRevision = swapped.val.revision;
         held = { token: swapped.val.revision, leaseId: lease.val, renewedAtMs: sentAtMs, renewedWallMs: sentWallMs };
         logger.log(logEvents.schedulingOwnershipAcquired, { token: held.token, isContinued });
-        options.onAcquired({ token: held.token, isContinued });
+        try {
+            options.onAcquired({ token: held.token, isContinued });
+        }
+        catch (error) {
+            await abandon(`the term could not be started: ${describeError(error)}`);
+        }
+    };
+
+    const abandon = async (reason: string): Promise<void> => {
+        const term = held;
+        loseOwnership(reason);
+        if (term) {
+            await store.revokeLease(term.leaseId);
+        }
     };
 
     const renew = async (lease: HeldLease): Promise<void> => {
@@ -185,11 +201,12 @@
 
     const run = async (): Promise<void> => {
         while (!signal.aborted && !isReleased) {
-            if (held) {
-                await renew(held);
+            try {
+                await (held ? renew(held) : tryAcquire());
             }
-            else {
-                await tryAcquire();
+            catch (error) {
+                // The lease must be renewed all the same.
+                logger.log(logEvents.unexpectedError, { where: "scheduling ownership", error: describeError(error) });
             }
             await delay(timers, checkIntervalMs, signal);
         }
@@ -202,13 +219,10 @@
         token: () => held?.token,
         onStoreChanged,
         onFenced: () => loseOwnership("a worker has received commands from a newer owner"),
+        abandon,
         release: async () => {
             isReleased = true;
-            const term = held;
-            loseOwnership("the process is stopping");
-            if (term) {
-                await store.revokeLease(term.leaseId);
-            }
+            await abandon("the process is stopping");
         },
     };
 }
--- a/src/process/schedulingService.ts
+++ b/src/process/schedulingService.ts
@@ -1,4 +1,5 @@
 /** Runs the scheduler in the owner process: passes it events from the store and the workers, and executes its commands. */
+import { describeError } from "../common/describeError.js";
 import type { TimerService } from "../common/timerService.js";
 import type { ChangeFeedStore } from "../connection/platformStore.js";
 import type { ConnectWorker } from "../connection/workerClient.js";
@@ -187,8 +188,20 @@
         pendingTerm = undefined;
     };
 
-    /** Starts the term once the policy and the workers are known and the mirror contains everything that was written before the term. */
+    /** A term that cannot be started is given up: while this process renewed its lease, no process would schedule anything. */
     const startTermIfReady = (): void => {
+        try {
+            startPendingTerm();
+        }
+        catch (error) {
+            const reason = describeError(error);
+            logger.log(logEvents.unexpectedError, { where: "start of a term", error: reason });
+            void options.ownership().abandon(`the term could not be started: ${reason}`);
+        }
+    };
+
+    /** Starts the term once the policy and the workers are known and the mirror contains everything that was written before the term. */
+    const startPendingTerm = (): void => {
         if (!pendingTerm || !policy || !options.areWorkersCurrent() || options.mirror().revision() < pendingTerm.token) {
             return;
         }
--- a/src/process/vmManager.ts
+++ b/src/process/vmManager.ts
@@ -1,4 +1,5 @@
 /** Runs maintenance waves and moves VMs between pools, in the process that owns the scheduling. */
+import { describeError } from "../common/describeError.js";
 import type { TimerService } from "../common/timerService.js";
 import type { ChangeFeedStore } from "../connection/platformStore.js";
 import type { VmService, WaveRequest } from "../connection/vmService.js";
@@ -81,6 +82,16 @@
         }
     };
 
+    /** What fails for one wave must hold up neither other waves nor the moves. */
+    const continueAfterError = async (part: string, advance: () => Promise<unknown>): Promise<void> => {
+        try {
+            await advance();
+        }
+        catch (error) {
+            logger.log(logEvents.unexpectedError, { where: `vmManager, ${part}`, error: describeError(error) });
+        }
+    };
+
     const advanceTerm = async (activeTerm: Term): Promise<void> => {
         const mayAct = (): boolean => activeTerm.orderToken() !== undefined;
         if (!mayAct()) {
@@ -100,19 +111,19 @@
             listWorkersWithUnreadyTasks(activeTerm.inventory.scheduler);
         }
         for (const wave of unfinishedWaves) {
-            await wave.advance();
+            await continueAfterError("wave", () => wave.advance());
             if (!mayAct()) {
                 return;
             }
         }
-        await activeTerm.rebalancer.advance();
+        await continueAfterError("moves between pools", () => activeTerm.rebalancer.advance());
     };
 
     const advanceIfIdle = (activeTerm: Term): void => {
         if (!activeTerm.isAdvancing) {
             activeTerm.isAdvancing = true;
             advanceTerm(activeTerm)
-                .catch((error: unknown) => logger.log(logEvents.unexpectedError, { where: "vmManager", error: String(error) }))
+                .catch((error: unknown) => logger.log(logEvents.unexpectedError, { where: "vmManager", error: describeError(error) }))
                 .finally(() => activeTerm.isAdvancing = false);
         }
     };
--- a/src/process/waveRunner.ts
+++ b/src/process/waveRunner.ts
@@ -1,4 +1,5 @@
 /** Runs one maintenance wave, which restarts a set of VMs, in the process that owns the scheduling. */
+import { z } from "zod";
 import type { TimerService } from "../common/timerService.js";
 import type { ChangeFeedStore } from "../connection/platformStore.js";
 import { vmOrderOutcomes, type VmService, vmStates, type WaveRequest } from "../connection/vmService.js";
@@ -39,12 +40,13 @@
     encodeStatus(isCompleted: boolean): string;
 }
 
+const waveProgressSchema = z.object({
+    startedWallMs: z.number(),
+    restartedVmIds: z.array(z.string()),
+    isCompleted: z.boolean(),
+});
 /** Stored progress of a wave, from which the next owner continues. */
-interface WaveProgress {
-    startedWallMs: number;
-    restartedVmIds: string[];
-    isCompleted: boolean;
-}
+type WaveProgress = z.infer<typeof waveProgressSchema>;
 
 interface PendingRestart {
     workerId: string | undefined;
@@ -64,9 +66,20 @@
     const { inventory, timers, logger, request } = options;
     const { state } = inventory.scheduler;
     const wave = request.waveNumber;
-    const progress: WaveProgress = options.storedProgress === undefined ?
-        { startedWallMs: timers.wallClockMs(), restartedVmIds: [], isCompleted: false } :
-        JSON.parse(options.storedProgress) as WaveProgress;
+
+    /** Progress that cannot be read counts as none: the platform accepts a repeated order for a VM without restarting it again. */
+    const readProgress = (): WaveProgress => {
+        if (options.storedProgress !== undefined) {
+            try {
+                return waveProgressSchema.parse(JSON.parse(options.storedProgress));
+            }
+            catch (error) {
+                logger.log(logEvents.documentUnreadable, { key: `${waveProgressPrefix}${wave}`, reason: String(error).slice(0, 300) });
+            }
+        }
+        return { startedWallMs: timers.wallClockMs(), restartedVmIds: [], isCompleted: false };
+    };
+    const progress = readProgress();
     const pendingRestarts = new Map<string, PendingRestart>();
     let savedProgress = options.storedProgress ?? "";
     let savedStatus = "";
@@ -159,7 +172,11 @@
         const pending: PendingRestart = { workerId: vm.workerId, requestedAtMs: timers.nowMs(), isAccepted: false };
         pendingRestarts.set(vmId, pending);
         inventory.setRestartPending(vmId, true);
-        const outcome = await options.vmService.restart(vmId, wave, { name: options.nodeName, token });
+        const outcome = await options.vmService.restart(vmId, wave, {
+            name: options.nodeName,
+            token,
+            mayStillSend: () => options.orderToken() === token,
+        });
         logger.log(logEvents.vmOrderAnswered, { vmId, what: `restart for wave ${wave}`, outcome, token });
         pending.isAccepted = outcome === vmOrderOutcomes.accepted;
         if (!pending.isAccepted && outcome !== vmOrderOutcomes.unknown) {
--- a/src/process/workerSession.ts
+++ b/src/process/workerSession.ts
@@ -165,6 +165,7 @@
             checkpoint: command.checkpoint,
             token,
             validUntilClockMs: Math.round(clockMs + startValidityMs),
+            mayStillSend: () => options.maySendOrders() && isCurrentToken(token),
         });
         if (answer.isFenced && isCurrentToken(token)) {
             options.onFenced();
--- a/tests/process/schedulingOwnership.spec.ts
+++ b/tests/process/schedulingOwnership.spec.ts
@@ -1,4 +1,4 @@
-/** Guards against a process that becomes the owner of the scheduling while it is stopping. */
+/** Guards against a process that becomes the owner while it is stopping, and against an owner whose term cannot be started. */
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { Ok } from "../../src/common/results.js";
@@ -49,4 +49,54 @@
         assert.deepEqual(endedLeases, ["lease"], "so that another process can acquire the ownership at once");
         lifetime.abort();
     });
+
+    it("should be given up and acquired again if its term cannot be started, and renewed after that", async () => {
+        const timers = createManualTimerService();
+        const lifetime = new AbortController();
+        const endedLeases: string[] = [];
+        const startedTokens: number[] = [];
+        let leasesCount = 0;
+        let renewalsCount = 0;
+        const store = {
+            grantLease: () => Promise.resolve(Ok(`lease-${++leasesCount}`)),
+            swap: () => Promise.resolve(Ok({ isSwapped: true, revision: leasesCount, current: [] })),
+            keepLeaseAlive: () => {
+                renewalsCount += 1;
+                return Promise.resolve(Ok(true));
+            },
+            revokeLease: (leaseId: string) => {
+                endedLeases.push(leaseId);
+                return Promise.resolve(Ok(undefined));
+            },
+        } as unknown as PlatformStore;
+        const ownership = createSchedulingOwnership({
+            memberId: "member",
+            nodeName: "node",
+            store,
+            mirror: () => ({ revision: () => 1, revisionOf: () => 0, valueOf: () => undefined }) as unknown as StoreMirror,
+            timers,
+            logger: createSilentLogger(),
+            signal: lifetime.signal,
+            leaseMs: 1_800,
+            gracePeriodMs: 4_000,
+            acquireDelayMs: 0,
+            random: () => 0,
+            onAcquired: term => {
+                if (term.token === 1) {
+                    throw new Error("the first term cannot be started");
+                }
+                startedTokens.push(term.token);
+            },
+            onLost: () => undefined,
+        });
+        for (let round = 0; round < 40; round++) {
+            await new Promise(resolve => setImmediate(resolve));
+            timers.advance(60);
+        }
+        assert.deepEqual(endedLeases, ["lease-1"], "so that another process can acquire the ownership at once");
+        assert.deepEqual(startedTokens, [2]);
+        assert.ok(renewalsCount > 2, `the lease was renewed ${renewalsCount} times`);
+        assert.equal(ownership.isLeaseValid(), true);
+        lifetime.abort();
+    });
 });
--- a/tests/process/vmManager.spec.ts
+++ b/tests/process/vmManager.spec.ts
@@ -37,7 +37,7 @@
 });
 
 /** A VM service and a store whose answers the test gives. */
-function createFixture(vms: VmRecord[]): Fixture {
+function createFixture(vms: VmRecord[], storedWaveProgress?: string): Fixture {
     const timers = createManualTimerService();
     const lists: Fixture["lists"] = [];
     const answers: Fixture["answers"] = [];
@@ -68,7 +68,7 @@
                 return Promise.resolve(Ok({ isSwapped: true, revision: 1, current: [] }));
             },
         } as unknown as ChangeFeedStore,
-        mirror: () => ({ valueOf: () => undefined }) as unknown as StoreMirror,
+        mirror: () => ({ valueOf: (key: string) => key.endsWith("wave/7") ? storedWaveProgress : undefined }) as unknown as StoreMirror,
         ownership: () => ({ token: () => token, isLeaseValid: () => token !== undefined }) as SchedulingOwnership,
         timers,
         logger: createSilentLogger(),
@@ -204,3 +204,20 @@
         assert.deepEqual(orders, ["restart vm1 for 7 with 20"]);
     });
 });
+
+describe("a wave whose stored progress cannot be read", () => {
+    for (const storedProgress of ["{", '{"startedWallMs":0,"restartedVmIds":"vm1","isCompleted":true}']) {
+        it(`should be carried out from its start, and hold up no other wave: ${storedProgress}`, async () => {
+            const { manager, lists, orders, acquire, pass } = createFixture(
+                [vm("vm1", "pool", "w1"), vm("vm2", "pool", undefined)],
+                storedProgress,
+            );
+            manager.onWaveRequested(wave);
+            manager.onWaveRequested({ ...wave, waveNumber: 8, vmIds: ["vm2"] });
+            acquire(10, createIdle(10));
+            await pass();
+            await lists.shift()!();
+            assert.ok(orders.includes("restart vm1 for 7 with 10"), orders.join());
+        });
+    }
+});
