Pass on the store's calls between processes while the store refuses some of them

Cause: while the store turns some processes away and serves the others, these answer 504 and then 503 for as long, the owner cannot save what it must save before a start, and revoked keys are not learned. Change: each process registers the address of its relay in the store. A process whose direct calls fail makes them through a neighbour over ws and msgpackr: reads, watches, conditional writes and renewals take the same path. One hop, two neighbours a call at most; a neighbour that is not served turns the call away unsent; a write whose answer was lost on the way stays unknown. A probe every 0.4 s returns to the direct way. src/decisions/chooseCallPath.ts chooses: own zone first, another zone after a failure there, rest after failures.

--- /dev/null
+++ b/src/connection/callRelay.ts
@@ -0,0 +1,171 @@
+/** Makes calls for other processes, which the service refuses, and asks other processes to make calls for this one. */
+import { WebSocket, WebSocketServer } from "ws";
+import type { TimerService } from "../common/timerService.js";
+import { decodeRelayRequest, decodeRelayResponse, encodeRelayMessage, maximumRelayFrameBytes } from "./callRelayMessages.js";
+import { type CallService, type JsonRequest, type JsonRequestResult, neverSent, responseLost } from "./serviceCalls.js";
+
+export interface CallRelayServerOptions {
+    host: string;
+    port: number;
+    /** Makes the call directly: it is passed on once only. */
+    callDirectly: CallService;
+    /** Whether the service serves this process; otherwise calls of others are turned away unsent. */
+    isServed(): boolean;
+    signal: AbortSignal;
+    onInvalidMessage(reason: string): void;
+    onListenFailed(reason: string): void;
+}
+
+/** Calls of other processes in progress; watches are most of them, three a process. */
+const maxRelayedCalls = 200;
+/** A link whose other end does not read is closed. */
+const maxUnsentBytes = 4_000_000;
+
+/** Accepts calls of other processes until `signal` aborts. */
+export function startCallRelayServer(options: CallRelayServerOptions): void {
+    const server = new WebSocketServer({
+        host: options.host,
+        port: options.port,
+        perMessageDeflate: false,
+        maxPayload: maximumRelayFrameBytes,
+        clientTracking: true,
+    });
+    let callsInProgress = 0;
+
+    const perform = async (request: JsonRequest): Promise<JsonRequestResult> => {
+        if (!options.isServed()) {
+            return neverSent("the service does not serve the neighbour either");
+        }
+        if (callsInProgress >= maxRelayedCalls) {
+            return neverSent("the neighbour passes on too many calls");
+        }
+        callsInProgress += 1;
+        try {
+            return await options.callDirectly(request);
+        }
+        finally {
+            callsInProgress -= 1;
+        }
+    };
+    const receive = async (socket: WebSocket, frame: Buffer): Promise<void> => {
+        const decoded = decodeRelayRequest(frame);
+        if (decoded.err) {
+            options.onInvalidMessage(decoded.val);
+            socket.terminate();
+            return;
+        }
+        const { callId, ...request } = decoded.val;
+        const result = await perform(request);
+        if (socket.bufferedAmount > maxUnsentBytes) {
+            socket.terminate();
+        }
+        else if (socket.readyState === socket.OPEN) {
+            socket.send(encodeRelayMessage({ callId, result }));
+        }
+    };
+
+    server.on("error", error => options.onListenFailed(String(error)));
+    server.on("connection", socket => {
+        socket.on("error", error => options.onInvalidMessage(String(error)));
+        socket.on("message", data =>
+            void receive(socket, data as Buffer).catch((error: unknown) => {
+                options.onInvalidMessage(String(error));
+                socket.terminate();
+            }));
+    });
+    options.signal.addEventListener("abort", () => {
+        server.clients.forEach(client => client.terminate());
+        server.close();
+    }, { once: true });
+}
+
+export interface CallRelayLink {
+    call: CallService;
+    close(): void;
+}
+
+export interface CallRelayLinkOptions {
+    /** Address of the other process, `ip:port`. */
+    address: string;
+    timers: TimerService;
+    /** The connection ended, or could not be opened. */
+    onClosed(): void;
+}
+
+const connectTimeoutMs = 400;
+/** Time beyond the call's own timeout after which the other process is taken not to answer any more. */
+const answerMarginMs = 100;
+
+interface PendingCall {
+    isSent: boolean;
+    settle(result: JsonRequestResult): void;
+}
+
+/** Opens a link to another process; calls wait until it is open. */
+export function openCallRelayLink({ address, timers, onClosed }: CallRelayLinkOptions): CallRelayLink {
+    const socket = new WebSocket(`ws://${address}`, {
+        perMessageDeflate: false,
+        maxPayload: maximumRelayFrameBytes,
+        handshakeTimeout: connectTimeoutMs,
+    });
+    const pending = new Map<number, PendingCall>();
+    let nextCallId = 1;
+    let isClosed = false;
+
+    const close = (reason: string): void => {
+        if (!isClosed) {
+            isClosed = true;
+            socket.terminate();
+            const calls = [...pending.values()];
+            pending.clear();
+            calls.forEach(each => each.settle(each.isSent ? responseLost(reason) : neverSent(reason)));
+            onClosed();
+        }
+    };
+    const opened = new Promise<void>(resolve => socket.on("open", resolve));
+    socket.on("error", error => close(`the link to ${address} failed: ${String(error)}`));
+    socket.on("close", () => close(`the link to ${address} was closed`));
+    socket.on("message", data => {
+        const decoded = decodeRelayResponse(data as Buffer);
+        if (decoded.err) {
+            close(`unreadable message from ${address}: ${decoded.val}`);
+            return;
+        }
+        const call = pending.get(decoded.val.callId);
+        pending.delete(decoded.val.callId);
+        call?.settle(decoded.val.result);
+    });
+
+    return {
+        call: ({ method, path, body, timeoutMs, mayStillSend }) =>
+            new Promise(resolve => {
+                if (isClosed) {
+                    resolve(neverSent(`the link to ${address} is closed`));
+                    return;
+                }
+                const callId = nextCallId++;
+                const cancelTimer = timers.after(timeoutMs + answerMarginMs, () => close(`${address} did not answer a call`));
+                const call: PendingCall = {
+                    isSent: false,
+                    settle: result => {
+                        cancelTimer();
+                        resolve(result);
+                    },
+                };
+                pending.set(callId, call);
+                void opened.then(() => {
+                    if (!pending.has(callId)) {
+                        return;
+                    }
+                    if (mayStillSend && !mayStillSend()) {
+                        pending.delete(callId);
+                        call.settle(neverSent("the caller may no longer send the request"));
+                        return;
+                    }
+                    call.isSent = true;
+                    socket.send(encodeRelayMessage({ callId, method, path, body, timeoutMs }));
+                });
+            }),
+        close: () => close("closed locally"),
+    };
+}
--- /dev/null
+++ b/src/connection/serviceCalls.ts
@@ -0,0 +1,39 @@
+/** Calls to an HTTP service with JSON bodies, whichever way they reach it. */
+
+/** Why a call got no usable response. */
+export interface RequestFailure {
+    reason: string;
+    /** Whether the request certainly did not reach the service. */
+    wasNeverSent: boolean;
+}
+
+export interface JsonResponse {
+    status: number;
+    body: Record<string, unknown>;
+}
+
+export type JsonRequestResult = { hasResponse: true; response: JsonResponse } | { hasResponse: false; failure: RequestFailure };
+
+export interface JsonRequest {
+    method: "GET" | "POST" | "DELETE";
+    path: string;
+    headers?: Record<string, string>;
+    body?: unknown;
+    timeoutMs: number;
+    /** Asked when the request is about to be written; `false` drops it. It may have waited long for a connection, or in a paused process. */
+    mayStillSend?(): boolean;
+    /** Whether the service may receive the request twice without another effect than once. */
+    isRepeatable?: boolean;
+}
+
+export type CallService = (request: JsonRequest) => Promise<JsonRequestResult>;
+
+/** Result of a call that was not sent. */
+export function neverSent(reason: string): JsonRequestResult {
+    return { hasResponse: false, failure: { reason, wasNeverSent: true } };
+}
+
+/** Result of a call that may have taken effect. */
+export function responseLost(reason: string): JsonRequestResult {
+    return { hasResponse: false, failure: { reason, wasNeverSent: false } };
+}
--- a/src/process/logEvents.ts
+++ b/src/process/logEvents.ts
@@ -105,6 +105,22 @@
         logLevels.info,
         "A watch returned many changes, or the first ones after a gap; 'newestKnownRevision' is the newest that the store has reported.",
     ),
+    serviceRefusesProcess: defineEvent(
+        7007,
+        logLevels.warn,
+        "The platform's key-value service does not serve this process; calls go through other processes while these are served.",
+    ),
+    serviceServesProcess: defineEvent(7008, logLevels.info, "The platform's key-value service serves this process again."),
+    callsPassedOn: defineEvent(
+        7009,
+        logLevels.info,
+        "Another process passes on this process's calls of the key-value service; see 'neighbour'.",
+    ),
+    relayMessageInvalid: defineEvent(
+        7010,
+        logLevels.warn,
+        "A link on which processes pass on calls was closed, because it failed or a message on it could not be read.",
+    ),
     vmListAvailable: defineEvent(7005, logLevels.info, "The platform's VM list responds again."),
     vmListUnavailable: defineEvent(7004, logLevels.warn, "The platform's VM list does not respond; the last one received stays in effect."),
 } as const satisfies Record<string, LogEvent>;
--- /dev/null
+++ b/src/process/relayedCalls.ts
@@ -0,0 +1,190 @@
+/** Calls a service directly while it serves this process, and through a neighbour while it does not. */
+import { delay, type TimerService } from "../common/timerService.js";
+import type { CallRelayLink } from "../connection/callRelay.js";
+import type { CallService, JsonRequest, JsonRequestResult } from "../connection/serviceCalls.js";
+import { type CallNeighbour, chooseNeighbour } from "../decisions/chooseCallPath.js";
+import { logEvents } from "./logEvents.js";
+import type { Logger } from "./logger.js";
+
+/** Another process, as it has registered itself. */
+export interface RelayMember {
+    name: string;
+    address: string;
+    zone: string;
+}
+
+export interface RelayedCalls {
+    call: CallService;
+    /** Whether the last direct calls were served. */
+    isServedDirectly(): boolean;
+}
+
+export interface RelayedCallsOptions {
+    callDirectly: CallService;
+    /** A cheap call that shows whether the service serves this process. */
+    probe: JsonRequest;
+    ownZone: string;
+    /** The other processes. */
+    members(): readonly RelayMember[];
+    openLink(address: string, onClosed: () => void): CallRelayLink;
+    timers: TimerService;
+    logger: Logger;
+    signal: AbortSignal;
+    /** Random number from 0 to 1. */
+    random(): number;
+}
+
+/** A call tries this many neighbours at most. */
+const maxNeighboursPerCall = 2;
+const probeIntervalMs = 400;
+/** Calls through neighbours that are under way when the service serves this process again end within this time. */
+const idleLinkMs = 5_000;
+/** Rejections for too many calls in a row after which they count as a refusal of this process. */
+const maxRateRejections = 3;
+const rateRejectedStatus = 429;
+const refusedStatus = 503;
+
+interface NeighbourState {
+    address: string;
+    link: CallRelayLink;
+    failedAtMs: number | undefined;
+    succeededAtMs: number | undefined;
+}
+
+export function createRelayedCalls(options: RelayedCallsOptions): RelayedCalls {
+    const { timers, logger } = options;
+    const states = new Map<string, NeighbourState>();
+    let isServed = true;
+    let rateRejectionsCount = 0;
+    let currentNeighbour: string | undefined;
+
+    const describe = (result: JsonRequestResult): string => result.hasResponse ? `status ${result.response.status}` : result.failure.reason;
+    /** Whether the service, or the way to it, turned the call away or lost it. */
+    const isUnserved = (result: JsonRequestResult): boolean => !result.hasResponse || result.response.status === refusedStatus;
+    /** Whether the same call may be made another way: it had no effect, or may have it twice. */
+    const mayRepeat = (request: JsonRequest, result: JsonRequestResult): boolean =>
+        request.isRepeatable === true || result.hasResponse || result.failure.wasNeverSent;
+
+    const probeUntilServed = async (): Promise<void> => {
+        while (!options.signal.aborted && !isServed) {
+            await delay(timers, probeIntervalMs, options.signal);
+            recordDirect(await options.callDirectly(options.probe));
+        }
+    };
+    const closeIdleLinks = (): void => {
+        if (isServed) {
+            const idle = [...states.values()];
+            states.clear();
+            idle.forEach(({ link }) => link.close());
+        }
+    };
+    /** Learns from the result of a direct call whether the service serves this process; returns whether it did not serve the call. */
+    const recordDirect = (result: JsonRequestResult): boolean => {
+        rateRejectionsCount = result.hasResponse && result.response.status === rateRejectedStatus ? rateRejectionsCount + 1 : 0;
+        const isRefused = isUnserved(result) || rateRejectionsCount >= maxRateRejections;
+        if (isRefused && isServed) {
+            isServed = false;
+            logger.log(logEvents.serviceRefusesProcess, { reason: describe(result) });
+            void probeUntilServed();
+        }
+        else if (!isRefused && !isServed) {
+            isServed = true;
+            currentNeighbour = undefined;
+            logger.log(logEvents.serviceServesProcess);
+            timers.after(idleLinkMs, closeIdleLinks);
+        }
+        return isRefused;
+    };
+
+    const stateOf = (member: RelayMember): NeighbourState => {
+        const known = states.get(member.name);
+        if (known?.address === member.address) {
+            return known;
+        }
+        known?.link.close();
+        const state: NeighbourState = {
+            address: member.address,
+            link: options.openLink(member.address, () => {
+                if (states.get(member.name) === state) {
+                    // The next call opens a new link; the time of the failure stays.
+                    state.address = "";
+                    state.failedAtMs = timers.nowMs();
+                }
+            }),
+            failedAtMs: known?.failedAtMs,
+            succeededAtMs: undefined,
+        };
+        states.set(member.name, state);
+        return state;
+    };
+
+    const callThrough = async (member: RelayMember, request: JsonRequest): Promise<JsonRequestResult> => {
+        const state = stateOf(member);
+        const result = await state.link.call(request);
+        if (isUnserved(result)) {
+            state.failedAtMs = timers.nowMs();
+            state.succeededAtMs = undefined;
+        }
+        else {
+            state.failedAtMs = undefined;
+            state.succeededAtMs = timers.nowMs();
+            if (currentNeighbour !== member.name) {
+                currentNeighbour = member.name;
+                logger.log(logEvents.callsPassedOn, { neighbour: member.name, address: member.address });
+            }
+        }
+        return result;
+    };
+
+    /** Makes the call through neighbours; `undefined` if none of them was tried. */
+    const callThroughNeighbours = async (request: JsonRequest): Promise<JsonRequestResult | undefined> => {
+        const members = options.members();
+        const tried = new Set<string>();
+        let result: JsonRequestResult | undefined;
+        while (tried.size < maxNeighboursPerCall) {
+            const neighbours = members.map((member): CallNeighbour => {
+                const state = states.get(member.name);
+                return {
+                    name: member.name,
+                    isSameZone: member.zone === options.ownZone,
+                    failedAtMs: state?.failedAtMs,
+                    succeededAtMs: state?.succeededAtMs,
+                };
+            });
+            const name = chooseNeighbour({ nowMs: timers.nowMs(), neighbours, tried, random: options.random() });
+            const member = members.find(each => each.name === name);
+            if (!member) {
+                break;
+            }
+            tried.add(member.name);
+            result = await callThrough(member, request);
+            if (!isUnserved(result) || !mayRepeat(request, result)) {
+                break;
+            }
+        }
+        return result;
+    };
+
+    const isAnswered = (request: JsonRequest, result: JsonRequestResult): boolean =>
+        !mayRepeat(request, result) || (result.hasResponse && result.response.status !== refusedStatus);
+
+    return {
+        isServedDirectly: () => isServed,
+        call: async request => {
+            if (isServed) {
+                const result = await options.callDirectly(request);
+                if (!recordDirect(result) || !mayRepeat(request, result)) {
+                    return result;
+                }
+                return await callThroughNeighbours(request) ?? result;
+            }
+            const relayed = await callThroughNeighbours(request);
+            if (relayed && isAnswered(request, relayed)) {
+                return relayed;
+            }
+            const result = await options.callDirectly(request);
+            recordDirect(result);
+            return result;
+        },
+    };
+}
--- a/tests/platform/jsonHttpClient.spec.ts
+++ b/tests/platform/jsonHttpClient.spec.ts
@@ -3,8 +3,9 @@
 import { once } from "node:events";
 import net, { type AddressInfo } from "node:net";
 import { after, afterEach, before, describe, it } from "node:test";
-import { createJsonHttpClient, type JsonHttpClient, type JsonRequestResult } from "../../platform/jsonHttpClient.js";
+import { createJsonHttpClient, type JsonHttpClient } from "../../platform/jsonHttpClient.js";
 import { createTimerService, delay } from "../../src/common/timerService.js";
+import type { JsonRequestResult } from "../../src/connection/serviceCalls.js";
 import { jsonResponse, type RawServer, respondThenBlock, startRawServer } from "./rawServer.js";
 
 const timers = createTimerService();
--- a/tests/platform/sendPermission.spec.ts
+++ b/tests/platform/sendPermission.spec.ts
@@ -1,8 +1,9 @@
 /** Guards against orders that wait for a connection, or in a paused process, and are sent after the sender's permission has ended. */
 import assert from "node:assert/strict";
 import { after, before, describe, it } from "node:test";
-import { createJsonHttpClient, type JsonRequestResult } from "../../platform/jsonHttpClient.js";
+import { createJsonHttpClient } from "../../platform/jsonHttpClient.js";
 import { createTimerService, delay } from "../../src/common/timerService.js";
+import type { JsonRequestResult } from "../../src/connection/serviceCalls.js";
 import { jsonResponse, type RawServer, startRawServer } from "./rawServer.js";
 
 const timers = createTimerService();
--- a/tests/platform/storeClient.spec.ts
+++ b/tests/platform/storeClient.spec.ts
@@ -8,7 +8,7 @@
 import { createSilentLogger } from "../../src/process/logger.js";
 import { createSchedulingOwnership, type OwnershipTerm, type SchedulingOwnership } from "../../src/process/schedulingOwnership.js";
 import { createStoreMirror, type StoreMirror } from "../../src/process/storeMirror.js";
-import { startStoreStandIn, type StoreStandIn } from "./storeStandIn.js";
+import { openStoreCalls, startStoreStandIn, type StoreStandIn } from "./storeStandIn.js";
 
 const timers = createTimerService();
 
@@ -27,7 +27,7 @@
 
     const openStore = (): ChangeFeedStore =>
         createStoreClient({
-            address: standIn.address,
+            callService: openStoreCalls(standIn.address, lifetime.signal),
             timers,
             signal: lifetime.signal,
             onAvailabilityChange: () => undefined,
--- a/tests/platform/storeMirror.spec.ts
+++ b/tests/platform/storeMirror.spec.ts
@@ -5,7 +5,7 @@
 import { createTimerService, delay } from "../../src/common/timerService.js";
 import type { ChangeFeedStore } from "../../src/connection/platformStore.js";
 import { createStoreMirror, type StoreMirror } from "../../src/process/storeMirror.js";
-import { startStoreStandIn, type StoreStandIn } from "./storeStandIn.js";
+import { openStoreCalls, startStoreStandIn, type StoreStandIn } from "./storeStandIn.js";
 
 const timers = createTimerService();
 
@@ -42,7 +42,7 @@
     before(async () => {
         standIn = await startStoreStandIn();
         store = createStoreClient({
-            address: standIn.address,
+            callService: openStoreCalls(standIn.address, lifetime.signal),
             timers,
             signal: lifetime.signal,
             onAvailabilityChange: () => undefined,
--- /dev/null
+++ b/tests/platform/storeRelay.spec.ts
@@ -0,0 +1,171 @@
+/**
+ * Guards against a process that answers nothing useful for as long as the store refuses it, while its neighbours are served.
+ * Real sockets: two processes' calls, a store stand-in, and a proxy between the refused process and the store.
+ */
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import net, { type AddressInfo } from "node:net";
+import { after, afterEach, before, describe, it } from "node:test";
+import { WebSocket } from "ws";
+import { createStoreCalls } from "../../platform/storeCalls.js";
+import { createStoreClient } from "../../platform/storeClient.js";
+import { createTimerService, delay } from "../../src/common/timerService.js";
+import type { ChangeFeedStore, StoreChange } from "../../src/connection/platformStore.js";
+import { logEvents } from "../../src/process/logEvents.js";
+import { createSilentLogger, type Logger } from "../../src/process/logger.js";
+import type { RelayMember } from "../../src/process/relayedCalls.js";
+import { startStoreStandIn, type StoreStandIn } from "./storeStandIn.js";
+
+const timers = createTimerService();
+const refused: RelayMember = { name: "refused", address: "127.61.0.1:7000", zone: "zone-1" };
+const served: RelayMember = { name: "served", address: "127.61.0.2:7000", zone: "zone-1" };
+const absent: RelayMember = { name: "absent", address: "127.61.0.3:7000", zone: "zone-1" };
+
+/** A proxy that forwards connections, or resets them once it has received something. */
+async function startProxy(target: string) {
+    const [host, port] = target.split(":");
+    const sockets = new Set<net.Socket>();
+    let isRefusing = false;
+    const server = net.createServer(socket => {
+        sockets.add(socket);
+        socket.on("error", () => undefined);
+        if (isRefusing) {
+            socket.once("data", () => socket.resetAndDestroy());
+            return;
+        }
+        const upstream = net.connect(Number(port), host);
+        sockets.add(upstream);
+        upstream.on("error", () => undefined);
+        socket.on("close", () => upstream.destroy());
+        upstream.on("close", () => socket.destroy());
+        socket.pipe(upstream).pipe(socket);
+    });
+    server.listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const reset = (): void => {
+        sockets.forEach(socket => socket.resetAndDestroy());
+        sockets.clear();
+    };
+    return {
+        address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+        setRefusing: (isNow: boolean) => {
+            isRefusing = isNow;
+            reset();
+        },
+        close: () => {
+            reset();
+            server.close();
+        },
+    };
+}
+
+describe("a process that the store refuses", () => {
+    const lifetime = new AbortController();
+    const { signal } = lifetime;
+    const events: number[] = [];
+    const logger: Logger = { ...createSilentLogger(), log: event => void events.push(event.id) };
+    let standIn: StoreStandIn;
+    let proxy: Awaited<ReturnType<typeof startProxy>>;
+    let store: ChangeFeedStore;
+    let others: RelayMember[] = [];
+
+    const openStore = (storeAddress: string, own: RelayMember, known: () => RelayMember[]): ChangeFeedStore =>
+        createStoreClient({
+            callService: createStoreCalls({ storeAddress, own, others: known, timers, logger, signal }),
+            timers,
+            signal,
+            onAvailabilityChange: () => undefined,
+            onWatchRestart: () => undefined,
+            onWatchResponse: () => undefined,
+        });
+    const put = async (key: string, value: string): Promise<void> => {
+        const swapped = await store.swap([{ key, expectedRevision: 0 }], [{ key, value }]);
+        assert.ok(swapped.ok && swapped.val.isSwapped, JSON.stringify(swapped));
+    };
+    const waitForEvent = async (id: number): Promise<void> => {
+        while (!events.includes(id)) {
+            await delay(timers, 5);
+        }
+    };
+    const refuse = async (): Promise<void> => {
+        proxy.setRefusing(true);
+        await store.read("any");
+        await waitForEvent(logEvents.serviceRefusesProcess.id);
+    };
+
+    before(async () => {
+        standIn = await startStoreStandIn();
+        proxy = await startProxy(standIn.address);
+        openStore(standIn.address, served, () => []);
+        store = openStore(proxy.address, refused, () => others);
+    });
+    afterEach(async () => {
+        standIn.faults.isSilent = false;
+        standIn.faults.errorStatus = undefined;
+        proxy.setRefusing(false);
+        if (events.includes(logEvents.serviceRefusesProcess.id)) {
+            await waitForEvent(logEvents.serviceServesProcess.id);
+        }
+        events.splice(0);
+    });
+    after(() => {
+        lifetime.abort();
+        proxy.close();
+        standIn.close();
+    });
+
+    it("should read, write, renew and follow changes through a neighbour", async () => {
+        others = [served];
+        const lifetimeOfFeed = new AbortController();
+        const changes: StoreChange[] = [];
+        store.followChanges("followed/", lifetimeOfFeed.signal, {
+            onSnapshot: () => undefined,
+            onChanges: received => void changes.push(...received),
+            onUpToDate: () => undefined,
+        }, () => 5);
+        const lease = (await store.grantLease(2)).unwrap();
+        await refuse();
+        await put("relayed/a", "value");
+        assert.equal((await store.read("relayed/a")).unwrap()?.value, "value");
+        assert.equal((await store.keepLeaseAlive(lease)).unwrap(), true);
+        await put("followed/b", "seen");
+        while (changes.length === 0) {
+            await delay(timers, 5);
+        }
+        assert.deepEqual(changes.map(({ key }) => key), ["followed/b"]);
+        lifetimeOfFeed.abort();
+    });
+
+    it("should repeat a read on another way at once, but not a write whose answer was lost", async () => {
+        others = [served];
+        proxy.setRefusing(true);
+        const [read, written] = await Promise.all([store.read("relayed/a"), store.swap([], [{ key: "lost", value: "x" }])]);
+        assert.equal(read.unwrap()?.value, "value");
+        assert.ok(written.err && !written.val.isKnownNotApplied, "whether it was applied is not known");
+    });
+
+    it("should pass over a neighbour that is gone", async () => {
+        others = [absent, served];
+        await refuse();
+        for (let call = 0; call < 5; call++) {
+            await put(`relayed/over-${call}`, "value");
+        }
+    });
+
+    it("should close a link with an unreadable message, and go on passing on calls", async () => {
+        const socket = new WebSocket(`ws://${served.address}`);
+        await once(socket, "open");
+        socket.send(Buffer.from("\u00ffnonsense"));
+        await once(socket, "close");
+        others = [served];
+        await refuse();
+        await put("relayed/after-nonsense", "value");
+    });
+
+    it("should learn from an overloaded store's rejection that a write was not applied", async () => {
+        others = [served];
+        standIn.faults.errorStatus = 503;
+        const written = await store.swap([], [{ key: "rejected", value: "x" }]);
+        assert.ok(written.err && written.val.isKnownNotApplied);
+    });
+});
--- a/tests/platform/storeStandIn.ts
+++ b/tests/platform/storeStandIn.ts
@@ -1,6 +1,8 @@
 /** In-memory stand-in for the platform's key-value service with the same HTTP API, and faults that a test can switch on. */
 import http from "node:http";
 import type { AddressInfo } from "node:net";
+import { createJsonHttpClient } from "../../platform/jsonHttpClient.js";
+import type { CallService } from "../../src/connection/serviceCalls.js";
 
 interface Item {
     key: string;
@@ -175,3 +177,12 @@
         },
     };
 }
+
+const maxConnections = 12;
+
+/** Calls of the stand-in by a process that it serves, until `signal` aborts. */
+export function openStoreCalls(address: string, signal: AbortSignal): CallService {
+    const client = createJsonHttpClient(address, maxConnections);
+    signal.addEventListener("abort", () => client.close(), { once: true });
+    return client.call;
+}
