Repeat a creation whose answer was lost, and keep its later answer true

Cause: a submission whose write got no response was looked up once, and answered 504 if it was not there yet. After a change of the configuration a key that a lost write had created was reported as outdated, which ended in a refusal of a job that would run. Change: the write is repeated once (its guards let one attempt take effect), then looked up. A key that exists is stored, whatever the configuration; after a lost response no outcome says 'not stored'. A test of jobService expected one write before the look-up; it now expects two, in order.

--- a/src/process/groupCommit.ts
+++ b/src/process/groupCommit.ts
@@ -36,6 +36,8 @@
     key: string;
     value: string;
     attemptsCount: number;
+    /** An earlier attempt got no response, and may have been applied. */
+    mayBeApplied: boolean;
     settle(outcome: CommitOutcome): void;
 }
 
@@ -51,6 +53,14 @@
     let waiting: WaitingKey[] = [];
     let isScheduled = false;
 
+    /** Repeats a write without a response once, on the way that serves now: its guards let only one of the attempts take effect. */
+    const settleOrRepeat = async (batch: readonly WaitingKey[], isKnownNotApplied: boolean): Promise<void> => {
+        const isRepeatUseful = options.isStoreReachable() && !isKnownNotApplied;
+        const repeated = batch.filter(each => isRepeatUseful && !each.mayBeApplied);
+        repeated.forEach(each => enqueue({ ...each, mayBeApplied: true }));
+        await settleByRead(batch.filter(each => !repeated.includes(each)));
+    };
+
     const settleByRead = async (batch: readonly WaitingKey[]): Promise<void> => {
         if (!options.isStoreReachable()) {
             batch.forEach(each => each.settle(commitOutcomes.unknown));
@@ -67,11 +77,10 @@
         const guards = batch.map(each => ({ key: each.key, expectedRevision: 0 }));
         const swapped = await store.swap(shared ? [shared, ...guards] : guards, batch.map(({ key, value }) => ({ key, value })));
         if (swapped.err) {
-            if (swapped.val.isKnownNotApplied) {
-                batch.forEach(each => each.settle(commitOutcomes.notStored));
-                return;
-            }
-            await settleByRead(batch);
+            const isKnownNotApplied = swapped.val.isKnownNotApplied === true;
+            const known = batch.filter(each => isKnownNotApplied && !each.mayBeApplied);
+            known.forEach(each => each.settle(commitOutcomes.notStored));
+            await settleOrRepeat(batch.filter(each => !known.includes(each)), isKnownNotApplied);
             return;
         }
         if (swapped.val.isSwapped) {
@@ -84,7 +93,8 @@
             if (current) {
                 options.onGuardChanged(current);
             }
-            batch.forEach(each => each.settle(commitOutcomes.outdated));
+            // A key that exists was created before, perhaps by an attempt without a response. An absent one will not be: the guard has changed.
+            batch.forEach(each => each.settle((present.get(each.key) ?? 0) > 0 ? commitOutcomes.stored : commitOutcomes.outdated));
             return;
         }
         for (const each of batch) {
@@ -92,7 +102,7 @@
                 each.settle(commitOutcomes.stored);
             }
             else if (each.attemptsCount >= maxAttemptsCount) {
-                each.settle(commitOutcomes.notStored);
+                each.settle(each.mayBeApplied ? commitOutcomes.unknown : commitOutcomes.notStored);
             }
             else {
                 enqueue({ ...each, attemptsCount: each.attemptsCount + 1 });
@@ -108,7 +118,11 @@
             for (const each of waiting) {
                 const same = batch.get(each.key);
                 if (same) {
-                    batch.set(each.key, { ...same, settle: joinSettle(same, each) });
+                    batch.set(each.key, {
+                        ...same,
+                        mayBeApplied: same.mayBeApplied || each.mayBeApplied,
+                        settle: joinSettle(same, each),
+                    });
                 }
                 else if (batch.size < maxBatchSize) {
                     batch.set(each.key, each);
@@ -133,5 +147,5 @@
         }
     };
 
-    return { create: (key, value) => new Promise(settle => enqueue({ key, value, attemptsCount: 1, settle })) };
+    return { create: (key, value) => new Promise(settle => enqueue({ key, value, attemptsCount: 1, mayBeApplied: false, settle })) };
 }
--- a/tests/process/jobService.spec.ts
+++ b/tests/process/jobService.spec.ts
@@ -80,10 +80,10 @@
         assert.deepEqual(calls, ["swap"]);
     });
 
-    it("should look up a write without a response while the store is in contact", async () => {
+    it("should repeat a write without a response, then look it up, while the store is in contact", async () => {
         const { jobs, calls } = createFixture({ isWriteAnswered: false });
         assert.equal((await jobs.submit(modelSubmission)).kind, jobResultKinds.unknown);
-        assert.deepEqual(calls, ["swap", "read"]);
+        assert.deepEqual(calls, ["swap", "swap", "read"]);
     });
 
     it("should accept jobs while the store is in contact", async () => {
