--- a/src/decisions/chooseCallPath.ts
+++ b/src/decisions/chooseCallPath.ts
@@ -13,8 +13,8 @@
     isSameZone: boolean;
     /** When a call through it failed last, unless one has succeeded since. */
     failedAtMs: number | undefined;
-    /** When a call through it succeeded last. */
-    succeededAtMs: number | undefined;
+    /** Whether it passes on the calls now. */
+    isCurrent: boolean;
 }
 
 export interface NeighbourChoiceInput {
@@ -36,8 +36,8 @@
 /** Returns the neighbour that passes the call on, or `undefined` if none is usable. */
 export function chooseNeighbour({ nowMs, neighbours, tried, random }: NeighbourChoiceInput): string | undefined {
     const usable = neighbours.filter(neighbour => !tried.has(neighbour.name) && !isResting(neighbour, nowMs));
-    const proven = usable.filter(neighbour => neighbour.succeededAtMs !== undefined && neighbour.failedAtMs === undefined);
-    const preferred = [proven, usable.filter(neighbour => neighbour.isSameZone), usable].find(group => group.length > 0);
+    const current = usable.filter(neighbour => neighbour.isCurrent);
+    const preferred = [current, usable.filter(neighbour => neighbour.isSameZone), usable].find(group => group.length > 0);
     // After a failure in the own zone, which may be cut off as a whole, the next attempt leaves it.
     const hasTriedOwnZone = neighbours.some(neighbour => neighbour.isSameZone && tried.has(neighbour.name));
     const elsewhere = hasTriedOwnZone ? usable.filter(neighbour => !neighbour.isSameZone) : [];
--- a/src/process/relayedCalls.ts
+++ b/src/process/relayedCalls.ts
@@ -48,7 +48,6 @@
     address: string;
     link: CallRelayLink;
     failedAtMs: number | undefined;
-    succeededAtMs: number | undefined;
 }
 
 export function createRelayedCalls(options: RelayedCallsOptions): RelayedCalls {
@@ -112,7 +111,6 @@
                 }
             }),
             failedAtMs: known?.failedAtMs,
-            succeededAtMs: undefined,
         };
         states.set(member.name, state);
         return state;
@@ -123,12 +121,13 @@
         const result = await state.link.call(request);
         if (isUnserved(result)) {
             state.failedAtMs = timers.nowMs();
-            state.succeededAtMs = undefined;
+            if (currentNeighbour === member.name) {
+                currentNeighbour = undefined;
+            }
         }
         else {
             state.failedAtMs = undefined;
-            state.succeededAtMs = timers.nowMs();
-            if (currentNeighbour !== member.name) {
+            if (currentNeighbour === undefined) {
                 currentNeighbour = member.name;
                 logger.log(logEvents.callsPassedOn, { neighbour: member.name, address: member.address });
             }
@@ -143,12 +142,11 @@
         let result: JsonRequestResult | undefined;
         while (tried.size < maxNeighboursPerCall) {
             const neighbours = members.map((member): CallNeighbour => {
-                const state = states.get(member.name);
                 return {
                     name: member.name,
                     isSameZone: member.zone === options.ownZone,
-                    failedAtMs: state?.failedAtMs,
-                    succeededAtMs: state?.succeededAtMs,
+                    failedAtMs: states.get(member.name)?.failedAtMs,
+                    isCurrent: member.name === currentNeighbour,
                 };
             });
             const name = chooseNeighbour({ nowMs: timers.nowMs(), neighbours, tried, random: options.random() });
--- a/tests/decisions/chooseCallPath.spec.ts
+++ b/tests/decisions/chooseCallPath.spec.ts
@@ -24,7 +24,8 @@
         const zone = zones[index % zones.length]!;
         return { name: `process-${index}`, zone, isServed: options.isServed(index, zone), callsCount: 0 };
     });
-    const states = new Map<string, Pick<CallNeighbour, "failedAtMs" | "succeededAtMs">>();
+    const failures = new Map<string, number>();
+    let current: string | undefined;
     let served = 0;
     let attemptsCount = 0;
     for (let call = 0; call < options.calls; call++) {
@@ -34,8 +35,8 @@
             const neighbours = processes.map(({ name, zone }): CallNeighbour => ({
                 name,
                 isSameZone: zone === ownZone,
-                failedAtMs: states.get(name)?.failedAtMs,
-                succeededAtMs: states.get(name)?.succeededAtMs,
+                failedAtMs: failures.get(name),
+                isCurrent: name === current,
             }));
             const name = chooseNeighbour({ nowMs, neighbours, tried, random: random.unit() });
             const neighbour = processes.find(each => each.name === name);
@@ -45,14 +46,14 @@
             tried.add(neighbour.name);
             neighbour.callsCount += 1;
             attemptsCount += 1;
-            states.set(
-                neighbour.name,
-                neighbour.isServed ? { failedAtMs: undefined, succeededAtMs: nowMs } : { failedAtMs: nowMs, succeededAtMs: undefined },
-            );
             if (neighbour.isServed) {
+                failures.delete(neighbour.name);
+                current = neighbour.name;
                 served += 1;
                 break;
             }
+            failures.set(neighbour.name, nowMs);
+            current = current === neighbour.name ? undefined : current;
         }
     }
     return { served, attemptsCount, processes };
