Move VMs that wait for a maintenance wave while the wave has time

Cause: a VM of a wave could not be moved until it had been restarted. Change: such a VM moves unless the wave is short of time or drains it; a VM whose move was ordered is not restarted until it has arrived.

--- a/src/decisions/planWave.ts
+++ b/src/decisions/planWave.ts
@@ -53,13 +53,20 @@
     return [...vm.longRunningCountByStep].every(([step, count]) => count <= (disruptionsAllowed.get(step) ?? Number.POSITIVE_INFINITY));
 }
 
+/** Whether the remaining restarts take so much of the time left that they must not wait for anything else. */
+export function isWaveBehindSchedule(
+    wave: { remainingCount: number; maximumDown: number; restartMs: number; timeLeftMs: number },
+): boolean {
+    const rounds = Math.ceil(wave.remainingCount / Math.max(1, wave.maximumDown));
+    return wave.timeLeftMs < rounds * wave.restartMs * timeReserveFactor + wave.restartMs;
+}
+
 /** Plans the next actions of a maintenance wave. */
 export function planWave(input: WavePlanInput): WavePlan {
     const plan: WavePlan = { cordon: [], restart: [], evacuate: [] };
     const disruptionsAllowed = new Map(input.disruptionsAllowedByStep);
     let availableCount = input.maximumDown - input.downCount;
-    const rounds = Math.ceil(input.vms.length / Math.max(1, input.maximumDown));
-    const isBehindSchedule = input.timeLeftMs < rounds * input.restartMs * timeReserveFactor + input.restartMs;
+    const isBehindSchedule = isWaveBehindSchedule({ ...input, remainingCount: input.vms.length });
 
     const ranked = input.vms.filter(vm => vm.canRestart).sort((a, b) =>
         Number(b.cordonedSinceMs !== undefined) - Number(a.cordonedSinceMs !== undefined) ||
--- a/src/process/poolRebalancer.ts
+++ b/src/process/poolRebalancer.ts
@@ -23,8 +23,8 @@
     timers: TimerService;
     logger: Logger;
     demand: DemandTracker;
-    /** Whether a wave is going to restart the VM; such VMs are not moved. */
-    isInWave(vmId: string): boolean;
+    /** Whether the VM must not be moved, because a wave is short of time for its restart. */
+    mustStay(vmId: string): boolean;
 }
 
 interface PendingMove {
@@ -64,6 +64,12 @@
         return waiting;
     };
 
+    const endMove = (vmId: string): void => {
+        pendingMoves.delete(vmId);
+        inventory.setMoving(vmId, false);
+        inventory.uncordon(vmId);
+    };
+
     /** Removes pending moves that the VM list shows as completed or as never started. */
     const updatePendingMoves = (): void => {
         for (const [vmId, pending] of pendingMoves) {
@@ -76,8 +82,7 @@
                 !vm || (hasArrived && (isStandby || isWorkerRegistered)) ||
                 (vm.state === vmStates.up && sinceRequestMs > moveVisibleWithinMs)
             ) {
-                pendingMoves.delete(vmId);
-                inventory.uncordon(vmId);
+                endMove(vmId);
             }
         }
     };
@@ -123,7 +128,8 @@
             for (const run of worker?.runs.values() ?? []) {
                 pool[run.isServing ? "servingCpuMillicores" : "busyCpuMillicores"] += run.reserved.cpuMillicores;
             }
-            if (worker && (worker.isCordoned || worker.entry.isDraining)) {
+            // A wave drains or restarts a cordoned VM.
+            if (inventory.cordonedSinceMs(vm.vmId) !== undefined || worker?.isCordoned || worker?.entry.isDraining) {
                 return;
             }
             pool.vmCount += 1;
@@ -133,7 +139,7 @@
             }
             const sinceMs = emptySinceMs.get(vm.vmId) ?? nowMs;
             emptySinceMs.set(vm.vmId, sinceMs);
-            if (!options.isInWave(vm.vmId) && (refusedUntilMs.get(vm.vmId) ?? 0) <= nowMs) {
+            if (!options.mustStay(vm.vmId) && (refusedUntilMs.get(vm.vmId) ?? 0) <= nowMs) {
                 emptyVms.push({ vmId: vm.vmId, poolName: vm.poolName, emptySinceMs: sinceMs, vmCpuMillicores: vm.capacity.cpuMillicores });
             }
         };
@@ -160,8 +166,7 @@
             }
         }
         else if (outcome !== vmOrderOutcomes.unknown) {
-            pendingMoves.delete(move.vmId);
-            inventory.uncordon(move.vmId);
+            endMove(move.vmId);
             refusedUntilMs.set(move.vmId, timers.nowMs() + refusalCooldownMs);
         }
     };
@@ -172,6 +177,7 @@
             return;
         }
         inventory.cordon(move.vmId);
+        inventory.setMoving(move.vmId, true);
         emptySinceMs.delete(move.vmId);
         const pending: PendingMove = { toPool: move.toPool, workerId: worker?.entry.workerId, requestedAtMs: timers.nowMs() };
         pendingMoves.set(move.vmId, pending);
--- a/src/process/vmManager.ts
+++ b/src/process/vmManager.ts
@@ -132,11 +132,11 @@
         onTermStarted: (scheduler, termSignal) => {
             const inventory = createVmInventory({ scheduler, vmService: options.vmService, timers, logger });
             const waves = new Map<number, WaveRunner>();
-            const isInWave = (vmId: string): boolean => [...waves.values()].some(wave => wave.isPending(vmId));
+            const mustStay = (vmId: string): boolean => [...waves.values()].some(wave => wave.isWaitingFor(vmId));
             // The lease alone does not show that the term goes on: this process may have lost the ownership and acquired it again.
             const orderToken = (): number | undefined =>
                 !termSignal.aborted && options.ownership().isLeaseValid() ? scheduler.state.term.token : undefined;
-            const rebalancer = createPoolRebalancer({ ...options, inventory, isInWave, orderToken });
+            const rebalancer = createPoolRebalancer({ ...options, inventory, mustStay, orderToken });
             const term: Term = { orderToken, isAdvancing: false, inventory, rebalancer, waves };
             timers.every(advanceIntervalMs, termSignal, () => advanceIfIdle(term));
         },
--- a/src/process/waveRunner.ts
+++ b/src/process/waveRunner.ts
@@ -3,7 +3,7 @@
 import type { TimerService } from "../common/timerService.js";
 import type { ChangeFeedStore } from "../connection/platformStore.js";
 import { vmOrderOutcomes, type VmService, vmStates, type WaveRequest } from "../connection/vmService.js";
-import { planWave, type WaveVm } from "../decisions/planWave.js";
+import { isWaveBehindSchedule, planWave, type WaveVm } from "../decisions/planWave.js";
 import { allowedDisruptionsByStep, disruptionLimitedTasksByStep, stepKey } from "../scheduling/availability.js";
 import { jobKeys } from "../scheduling/jobDocuments.js";
 import { markRunsLost } from "../scheduling/reconcileListing.js";
@@ -16,8 +16,8 @@
 export interface WaveRunner {
     /** Whether the wave is completed and a status of it has been stored. */
     isFinished(): boolean;
-    /** Whether the VM belongs to the wave and has not been restarted yet. */
-    isPending(vmId: string): boolean;
+    /** Whether the VM has not been restarted yet and must not be moved before, because the wave is short of time. */
+    isWaitingFor(vmId: string): boolean;
     /** Updates the wave from the VM list, and starts the restarts that are allowed now. */
     advance(): Promise<void>;
 }
@@ -61,6 +61,8 @@
 const restartVisibleWithinMs = 3_000;
 /** Time beyond the restart duration after which a VM is up again, unless the platform is slow. */
 const restartSlackMs = 300;
+/** Duration of a move, after which the VM takes tasks that end within a second or two. */
+const moveAllowanceMs = 3_000;
 
 export function createWaveRunner(options: WaveRunnerOptions): WaveRunner {
     const { inventory, timers, logger, request } = options;
@@ -154,7 +156,7 @@
         const worker = inventory.workerOn(vmId);
         return {
             vmId,
-            canRestart: vm?.state === vmStates.up && !inventory.mayRunUnknownTasks(vm),
+            canRestart: vm?.state === vmStates.up && !inventory.isMoving(vmId) && !inventory.mayRunUnknownTasks(vm),
             cordonedSinceMs: inventory.cordonedSinceMs(vmId),
             shortRunCount: worker ? [...worker.runs.values()].filter(run => !run.isServing).length : 0,
             longRunningCountByStep: worker ? disruptionLimitedTasksByStep(state, worker) : new Map(),
@@ -195,11 +197,21 @@
         }
     };
 
+    const timeLeftMs = (): number => progress.startedWallMs + request.withinMs - timers.wallClockMs();
+    /** Leaves time for a move, and for tasks that then have to end on the VM, before each of the remaining restarts. */
+    const isShortOfTime = (): boolean =>
+        isWaveBehindSchedule({
+            remainingCount: request.vmIds.length - progress.restartedVmIds.length,
+            maximumDown: request.maximumDown,
+            restartMs: options.restartMs + moveAllowanceMs,
+            timeLeftMs: timeLeftMs(),
+        });
+
     const isRemaining = (vmId: string): boolean => !progress.restartedVmIds.includes(vmId) && inventory.find(vmId) !== undefined;
 
     return {
         isFinished: () => progress.isCompleted && savedStatus !== "",
-        isPending: vmId => request.vmIds.includes(vmId) && !progress.restartedVmIds.includes(vmId),
+        isWaitingFor: vmId => request.vmIds.includes(vmId) && !progress.restartedVmIds.includes(vmId) && isShortOfTime(),
         advance: async () => {
             [...pendingRestarts].forEach(([vmId, pending]) => updatePendingRestart(vmId, pending));
             const remaining = request.vmIds.filter(isRemaining);
@@ -212,7 +224,7 @@
                 downCount: request.vmIds.filter(isDown).length,
                 maximumDown: request.maximumDown,
                 disruptionsAllowedByStep: allowedDisruptionsByStep(state),
-                timeLeftMs: progress.startedWallMs + request.withinMs - timers.wallClockMs(),
+                timeLeftMs: timeLeftMs(),
                 restartMs: options.restartMs,
             });
             plan.cordon.forEach(vmId => inventory.cordon(vmId));
--- a/tests/process/poolRebalancer.spec.ts
+++ b/tests/process/poolRebalancer.spec.ts
@@ -55,7 +55,7 @@
             timers,
             logger,
             demand: createDemandTracker(harness.nowMs),
-            isInWave: () => false,
+            mustStay: () => false,
         });
         await rebalancer.advance();
         assert.deepEqual(orders, ["idle2 to pool"]);
--- a/tests/process/unknownWorkers.spec.ts
+++ b/tests/process/unknownWorkers.spec.ts
@@ -48,7 +48,7 @@
     const inventory = createVmInventory({ scheduler: harness.scheduler, vmService, timers, logger });
     await inventory.refresh();
     const common = { inventory, vmService, nodeName: "node", orderToken: () => 10, timers, logger };
-    const rebalancer = createPoolRebalancer({ ...common, demand: createDemandTracker(harness.nowMs), isInWave: () => false });
+    const rebalancer = createPoolRebalancer({ ...common, demand: createDemandTracker(harness.nowMs), mustStay: () => false });
     const wave = createWaveRunner({
         ...common,
         store,
