--- a/src/decisions/planMoves.ts
+++ b/src/decisions/planMoves.ts
@@ -81,8 +81,9 @@
     const moves: VmMove[] = [];
     const moved = new Set<string>();
 
+    const mostRecentFirst = [...input.emptyVms].sort((a, b) => b.emptySinceMs - a.emptySinceMs);
     const findEmptyVm = (isAllowed: (vm: EmptyVm) => boolean): EmptyVm | undefined =>
-        input.emptyVms.filter(vm => !moved.has(vm.vmId) && isAllowed(vm)).sort((a, b) => b.emptySinceMs - a.emptySinceMs)[0];
+        mostRecentFirst.find(vm => !moved.has(vm.vmId) && isAllowed(vm));
     const addMove = (vm: EmptyVm, toPool: string, reason: string): void => {
         moved.add(vm.vmId);
         moves.push({ vmId: vm.vmId, fromPool: vm.poolName, toPool, reason });
--- a/src/process/poolRebalancer.ts
+++ b/src/process/poolRebalancer.ts
@@ -3,7 +3,7 @@
 import { type VmOrderOutcome, vmOrderOutcomes, type VmRecord, type VmService, vmStates } from "../connection/vmService.js";
 import { type EmptyVm, planMoves, type PoolDemand, type VmMove } from "../decisions/planMoves.js";
 import { isFinalState, isStepReady } from "../scheduling/jobRecord.js";
-import { markRunsLost } from "../scheduling/reconcileListing.js";
+import { endIncarnation, type WorkerIncarnation } from "../scheduling/workerLifecycle.js";
 import type { DemandTracker } from "./demandTracker.js";
 import { logEvents } from "./logEvents.js";
 import type { Logger } from "./logger.js";
@@ -29,7 +29,8 @@
 
 interface PendingMove {
     toPool: string;
-    workerId: string | undefined;
+    /** The worker that the move ends; `undefined` if none is known on the VM. */
+    worker: WorkerIncarnation | undefined;
     requestedAtMs: number;
 }
 
@@ -89,7 +90,7 @@
 
     /** Zones in which no worker responds: VMs that are moved there could not be used. */
     const findUnresponsiveZones = (): Set<string> => {
-        const workers = [...state.workers.values()].filter(worker => worker.isRegistered);
+        const workers = [...state.workers.values()].filter(worker => worker.isRegistered && !worker.hasEnded);
         const responsiveZones = new Set(
             workers.filter(worker => worker.unresponsiveSinceMs === undefined).map(worker => worker.entry.zone),
         );
@@ -160,9 +161,8 @@
             reason: move.reason,
         });
         if (outcome === vmOrderOutcomes.accepted) {
-            const worker = pending.workerId === undefined ? undefined : state.workers.get(pending.workerId);
-            if (worker) {
-                markRunsLost(state, worker, "its VM has moved", { nowMs: timers.nowMs(), wallMs: timers.wallClockMs() });
+            if (pending.worker) {
+                endIncarnation(state, pending.worker, "its VM has moved", { nowMs: timers.nowMs(), wallMs: timers.wallClockMs() });
             }
         }
         else if (outcome !== vmOrderOutcomes.unknown) {
@@ -179,7 +179,7 @@
         inventory.cordon(move.vmId);
         inventory.setMoving(move.vmId, true);
         emptySinceMs.delete(move.vmId);
-        const pending: PendingMove = { toPool: move.toPool, workerId: worker?.entry.workerId, requestedAtMs: timers.nowMs() };
+        const pending: PendingMove = { toPool: move.toPool, worker: worker?.entry, requestedAtMs: timers.nowMs() };
         pendingMoves.set(move.vmId, pending);
         const outcome = await options.vmService.move(move.vmId, move.toPool, {
             name: options.nodeName,
--- a/src/process/waveRunner.ts
+++ b/src/process/waveRunner.ts
@@ -6,8 +6,8 @@
 import { isWaveBehindSchedule, planWave, type WaveVm } from "../decisions/planWave.js";
 import { allowedDisruptionsByStep, disruptionLimitedTasksByStep, stepKey } from "../scheduling/availability.js";
 import { jobKeys } from "../scheduling/jobDocuments.js";
-import { markRunsLost } from "../scheduling/reconcileListing.js";
 import { stopRun } from "../scheduling/schedulerState.js";
+import { endIncarnation, type WorkerIncarnation } from "../scheduling/workerLifecycle.js";
 import { runPhases } from "../scheduling/workerRecord.js";
 import { logEvents } from "./logEvents.js";
 import type { Logger } from "./logger.js";
@@ -50,6 +50,8 @@
 
 interface PendingRestart {
     workerId: string | undefined;
+    /** The worker that the restart ends; `undefined` if none is known on the VM. */
+    worker: WorkerIncarnation | undefined;
     requestedAtMs: number;
     isAccepted: boolean;
 }
@@ -126,9 +128,8 @@
         if (vm && (isBack || vm.state === vmStates.restarting) && !progress.restartedVmIds.includes(vmId)) {
             progress.restartedVmIds.push(vmId);
         }
-        const worker = pending.workerId === undefined ? undefined : state.workers.get(pending.workerId);
-        if (vm && !isUp && worker) {
-            markRunsLost(state, worker, "its VM is restarting", { nowMs: timers.nowMs(), wallMs: timers.wallClockMs() });
+        if (vm && !isUp && pending.worker) {
+            endIncarnation(state, pending.worker, "its VM is restarting", { nowMs: timers.nowMs(), wallMs: timers.wallClockMs() });
         }
         if (!vm || isBack || isNotExecuted) {
             pendingRestarts.delete(vmId);
@@ -171,7 +172,12 @@
             return;
         }
         inventory.cordon(vmId);
-        const pending: PendingRestart = { workerId: vm.workerId, requestedAtMs: timers.nowMs(), isAccepted: false };
+        const pending: PendingRestart = {
+            workerId: vm.workerId,
+            worker: inventory.workerOn(vmId)?.entry,
+            requestedAtMs: timers.nowMs(),
+            isAccepted: false,
+        };
         pendingRestarts.set(vmId, pending);
         inventory.setRestartPending(vmId, true);
         const outcome = await options.vmService.restart(vmId, wave, {
--- a/src/process/workerSessions.ts
+++ b/src/process/workerSessions.ts
@@ -4,7 +4,7 @@
 import { createWorkerSession, type WorkerCommand, type WorkerSession, type WorkerSessionOptions } from "./workerSession.js";
 
 export interface WorkerSessions {
-    /** Opens and closes sessions so that there is one with each worker of the scheduler, at its current address. */
+    /** Opens and closes sessions so that there is one with each worker of the scheduler that has not ended, at its current address. */
     sync(scheduler: Scheduler): void;
     /** Sends the command, if there is a session with its worker. */
     execute(command: WorkerCommand): void;
@@ -26,13 +26,14 @@
         sync: scheduler => {
             const { workers } = scheduler.state;
             for (const [workerId, { address, session }] of sessions) {
-                if (workers.get(workerId)?.entry.address !== address) {
+                const worker = workers.get(workerId);
+                if (worker?.entry.address !== address || worker.hasEnded) {
                     session.close();
                     sessions.delete(workerId);
                 }
             }
-            for (const [workerId, { entry }] of workers) {
-                if (!sessions.has(workerId)) {
+            for (const [workerId, { entry, hasEnded }] of workers) {
+                if (!sessions.has(workerId) && !hasEnded) {
                     const session = createWorkerSession({
                         ...options,
                         workerId,
--- a/src/scheduling/commandResponses.ts
+++ b/src/scheduling/commandResponses.ts
@@ -42,7 +42,9 @@
         reason,
     });
     if (outcome === commandOutcomes.unknown) {
-        worker.unresponsiveSinceMs ??= moment.nowMs;
+        if (!worker.hasEnded) {
+            worker.unresponsiveSinceMs ??= moment.nowMs;
+        }
         if (run.phase === runPhases.starting || run.phase === runPhases.running) {
             run.phase = runPhases.unsettled;
             stopRun(state, run, "the start got no response");
--- a/src/scheduling/dispatchWaitingTasks.ts
+++ b/src/scheduling/dispatchWaitingTasks.ts
@@ -36,7 +36,7 @@
 /** Whether new runs may start on the worker now. */
 function isSchedulable(state: SchedulerState, worker: WorkerRecord, nowMs: number): boolean {
     return worker.isRegistered && isFencedByNewerOwner(state, worker) && worker.snapshotState === snapshotStates.none &&
-        !worker.entry.isDraining &&
+        !worker.entry.isDraining && !worker.hasEnded &&
         !worker.isCordoned &&
         worker.avoidedUntilMs <= nowMs && worker.lastResponseAtMs !== undefined && nowMs - worker.lastResponseAtMs < responseTimeoutMs;
 }
--- a/src/scheduling/reconcileListing.ts
+++ b/src/scheduling/reconcileListing.ts
@@ -76,6 +76,7 @@
     }
     worker.entry = { ...worker.entry, bornWallMs };
     worker.hasRespondedToProvenOwner = false;
+    worker.hasEnded = false;
     worker.lastEndNumber = 0;
     worker.unsavedEnds = [];
     worker.failedJobIds.clear();
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -170,7 +170,7 @@
         /** The worker did not respond; it gets no new runs until it does. */
         workerUnresponsive: (workerId: string, nowMs: number): void => {
             const worker = state.workers.get(workerId);
-            if (worker) {
+            if (worker && !worker.hasEnded) {
                 worker.unresponsiveSinceMs ??= nowMs;
             }
         },
--- a/src/scheduling/workerLifecycle.ts
+++ b/src/scheduling/workerLifecycle.ts
@@ -24,10 +24,27 @@
     return worker;
 }
 
+/** One life of a worker: after a restart, another incarnation may have the same id. */
+export type WorkerIncarnation = Pick<WorkerEntry, "workerId" | "bornWallMs">;
+
+/**
+ * Records that the worker's VM was moved or restarted: its runs are lost, and nothing is asked of it any more. An incarnation that
+ * has begun since is left alone.
+ */
+export function endIncarnation(state: SchedulerState, { workerId, bornWallMs }: WorkerIncarnation, reason: string, moment: Moment): void {
+    const worker = state.workers.get(workerId);
+    if (worker?.entry.bornWallMs !== bornWallMs) {
+        return;
+    }
+    markRunsLost(state, worker, reason, moment);
+    worker.hasEnded = true;
+    worker.unresponsiveSinceMs = undefined;
+}
+
 /** Gives up the runs of workers whose leases have certainly ended, and removes such workers if the store has no entry for them. */
 export function expireLeases(state: SchedulerState, moment: Moment): void {
     for (const worker of state.workers.values()) {
-        if (moment.nowMs <= worker.leaseEndsAtMs) {
+        if (moment.nowMs <= worker.leaseEndsAtMs && !worker.hasEnded) {
             continue;
         }
         if (worker.runs.size > 0) {
--- a/src/scheduling/workerRecord.ts
+++ b/src/scheduling/workerRecord.ts
@@ -114,6 +114,8 @@
     isCordoned: boolean;
     /** Whether a command that ends everything on its VM was sent. */
     isVmStopping: boolean;
+    /** Whether such a command was carried out: this incarnation runs nothing and will not respond again. */
+    hasEnded: boolean;
 }
 
 export function createWorkerRecord(entry: WorkerEntry, leaseEndsAtMs: number): WorkerRecord {
@@ -138,6 +140,7 @@
         pacedAtMs: Number.NEGATIVE_INFINITY,
         isCordoned: false,
         isVmStopping: false,
+        hasEnded: false,
     };
 }
 
