Deny only by the newest version, and keep what the watch delivered during a read

Change: 401 and 404 need a read of the store at most 1 s old that shows no newer version, shared by all requests; otherwise the answer is 503 no-configuration, not run. A read older than the watch's last change is left out.

--- a/src/connection/etcdWatch.ts
+++ b/src/connection/etcdWatch.ts
@@ -43,8 +43,11 @@
         options.onChange([...values.values()]);
     };
 
-    /** Applies a full read; returns whether any value changed. */
+    /** Applies a full read, unless the stream has delivered newer changes since it was sent; returns whether any value changed. */
     const applySnapshot = (snapshot: PrefixSnapshot): boolean => {
+        if (snapshot.revision < streamRevision) {
+            return false;
+        }
         const isChanged = snapshot.values.length !== values.size ||
             snapshot.values.some(value => values.get(value.key)?.revision !== value.revision);
         readRevision = snapshot.revision;
@@ -124,6 +127,8 @@
     const runOnce = async (): Promise<string> => {
         const attempt = new AbortController();
         const signal = AbortSignal.any([attempt.signal, options.signal]);
+        // The service may have been restored to an earlier revision since the last stream.
+        streamRevision = 0;
         let markCreated = (): void => undefined;
         const created = new Promise<void>(resolve => markCreated = resolve);
         const stream = followStream(signal, markCreated).then(() => "the stream ended", (error: Error) => error.message);
--- a/src/process/configurationManager.ts
+++ b/src/process/configurationManager.ts
@@ -25,6 +25,11 @@
     epoch(): number;
     /** Reads the store, and marks the configuration as fresh if it responds. */
     refresh(): Promise<void>;
+    /**
+     * Whether the store has no newer version than the current one, by a read at most `confirmedForMs` old. A denial rests on this: the
+     * key or service may have been added since the current version.
+     */
+    isNewest(): Promise<boolean>;
     /** Registers a callback that is called with each newly applied version. */
     onApplied(callback: (version: AppliedVersion) => void): void;
 }
@@ -37,6 +42,9 @@
     signal: AbortSignal;
 }
 
+/** How long a read of the store is relied on, and a failed read is not repeated. */
+const confirmedForMs = 1_000;
+
 interface QueuedVersion {
     record: FleetVersion;
     source: string;
@@ -50,6 +58,9 @@
     let current: AppliedVersion | undefined;
     let isFresh = true;
     let epoch = 0;
+    /** Version that the store held at the last read that was made to confirm the current one; `undefined` if that read failed. */
+    let confirmed: { version: number | undefined; readAtMs: number } | undefined;
+    let confirmation: Promise<void> | undefined;
 
     const markFresh = (responseEpoch: number | undefined): void => {
         isFresh ||= responseEpoch === epoch;
@@ -89,28 +100,36 @@
         },
     });
 
-    const applyStored = (stored: StoredValue | undefined, requestEpoch?: number): void => {
+    /** Applies what the store holds; returns its version, or `undefined` if it cannot be read. */
+    const applyStored = (stored: StoredValue | undefined, requestEpoch?: number): number | undefined => {
         const parsed = stored ? parseVersion(stored.value) : undefined;
         if (parsed?.err) {
             logger.log(logEvents.configurationRejected, { source: "store", reason: parsed.val });
-            return;
+            return undefined;
         }
         const record = parsed?.val as FleetVersion | undefined;
         const heldVersion = current?.record.version ?? 0;
         if (record && record.version > heldVersion) {
             send({ record, source: "store", epoch: requestEpoch });
-            return;
+            return record.version;
         }
         if (current && (record?.version ?? 0) < heldVersion) {
             void writeBack(current, stored, record?.version ?? 0);
         }
         markFresh(requestEpoch);
+        return record?.version ?? 0;
+    };
+
+    const confirm = async (): Promise<void> => {
+        const readAtMs = timers.nowMs();
+        const read = await store.read(storeKeys.fleetVersion);
+        confirmed = { version: read.ok ? applyStored(read.val) : undefined, readAtMs };
     };
 
     store.watchPrefix(
         storeKeys.fleetVersion,
         options.signal,
-        values => applyStored(values.find(value => value.key === storeKeys.fleetVersion)),
+        values => void applyStored(values.find(value => value.key === storeKeys.fleetVersion)),
     );
 
     return {
@@ -126,6 +145,13 @@
                 applyStored(read.val, requestEpoch);
             }
         },
+        isNewest: async () => {
+            if (!confirmed || timers.nowMs() - confirmed.readAtMs > confirmedForMs) {
+                confirmation ??= confirm().finally(() => confirmation = undefined);
+                await confirmation;
+            }
+            return confirmed?.version !== undefined && confirmed.version <= (current?.record.version ?? 0);
+        },
         markStale: limitMs => {
             isFresh = false;
             epoch++;
--- a/src/request/callerHandler.ts
+++ b/src/request/callerHandler.ts
@@ -75,6 +75,24 @@
         sendProblem(sink, { ...refused, requestId, outcome });
     };
 
+    const deniedProblems: ReadonlySet<RequestRejection["type"]> = new Set([problems.unauthorized, problems.noSuchService]);
+
+    /** Rejects the request; what the current version denies is denied only if the store has no newer one. */
+    const rejectCertainly = async (
+        request: http.IncomingMessage,
+        sink: ResponseSink,
+        requestId: string,
+        refused: RequestRejection,
+    ): Promise<void> => {
+        const isCertain = !deniedProblems.has(refused.type) || await configuration.isNewest();
+        const uncertain = {
+            type: problems.noConfiguration,
+            detail: `${refused.type.id} by version ${configuration.version()}, which may be old: the store has a newer one or does not ` +
+                "respond; send it again in a second",
+        };
+        reject(request, sink, requestId, isCertain ? refused : uncertain);
+    };
+
     /** Returns why requests cannot be served now, or `undefined` if they can. */
     const findUnavailability = (): RequestRejection | undefined => {
         const detail = "the gateway refreshes its configuration after the process was paused; send it again at once";
@@ -130,13 +148,13 @@
         const sink = createCallerResponseSink(response);
         const read = parseCallerRequest(request, site);
         if (read.err) {
-            reject(request, sink, requestId, read.val);
+            await rejectCertainly(request, sink, requestId, read.val);
             return;
         }
         const call: CallerRequest = read.val;
         const caller = authenticate(request, version, site, call.service.isOpen);
         if (!caller) {
-            reject(request, sink, requestId, {
+            await rejectCertainly(request, sink, requestId, {
                 type: problems.unauthorized,
                 detail: "header Authorization: send 'Bearer <key>' with a valid key of a team",
             });
@@ -174,7 +192,7 @@
         const requestId = options.nextRequestId();
         const caller = authenticate(request, version, site, false);
         if (!caller) {
-            reject(request, sink, requestId, {
+            await rejectCertainly(request, sink, requestId, {
                 type: problems.unauthorized,
                 detail: "header Authorization: send 'Bearer <key>' with a valid key of a team",
             });
--- a/tests/process/configurationManager.spec.ts
+++ b/tests/process/configurationManager.spec.ts
@@ -1,11 +1,11 @@
 /**
- * When a configuration counts as fresh after a pause of the process. Updates that were buffered during the pause must not
- * count, since they may be outdated.
+ * When a configuration counts as fresh after a pause of the process, and when it is new enough to deny a request. Updates that were
+ * buffered during the pause must not count, since they may be outdated.
  */
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { makeSmallFleet } from "../../harness/smallFleet.js";
-import { Ok } from "../../src/common/results.js";
+import { Err, Ok } from "../../src/common/results.js";
 import { createManualTimerService } from "../../src/common/timerService.js";
 import { storeKeys } from "../../src/connection/members.js";
 import type { PlatformStore, StoredValue } from "../../src/connection/platformStore.js";
@@ -31,9 +31,17 @@
 function createManager() {
     const lifetime = new AbortController();
     const timers = createManualTimerService();
-    const fake: { stored: StoredValue; deliver(values: StoredValue[]): void } = { stored: makeStored(1), deliver: () => undefined };
+    const fake: { stored: StoredValue; isDown: boolean; readsCount: number; deliver(values: StoredValue[]): void } = {
+        stored: makeStored(1),
+        isDown: false,
+        readsCount: 0,
+        deliver: () => undefined,
+    };
     const store = {
-        read: async () => Ok(fake.stored),
+        read: async () => {
+            fake.readsCount += 1;
+            return fake.isDown ? Err({ call: "read", reason: "the store is down" }) : Ok(fake.stored);
+        },
         watchPrefix: (_prefix: string, _signal: AbortSignal, onChange: (values: StoredValue[]) => void) => fake.deliver = onChange,
     } as Partial<PlatformStore> as PlatformStore;
     const manager = createConfigurationManager({
@@ -84,3 +92,41 @@
         end();
     });
 });
+
+describe("configuration manager when a request is to be denied", () => {
+    it("should not count a version as the newest while the store holds a newer one", async () => {
+        const { manager, fake, timers, applied, end } = createManager();
+        const [first, second] = [applied(1), applied(2)];
+        fake.deliver([makeStored(1)]);
+        await first;
+        fake.stored = makeStored(2);
+        assert.equal(await manager.isNewest(), false, "the watch has not delivered version 2");
+        await second;
+        timers.advance(1_100);
+        assert.equal(await manager.isNewest(), true);
+        end();
+    });
+
+    it("should not count a version as the newest while the store does not respond", async () => {
+        const { manager, fake, timers, applied, end } = createManager();
+        const first = applied(1);
+        fake.deliver([makeStored(1)]);
+        await first;
+        assert.equal(await manager.isNewest(), true);
+        fake.isDown = true;
+        timers.advance(1_100);
+        assert.equal(await manager.isNewest(), false);
+        end();
+    });
+
+    it("should read the store once a second, whatever the number of requests", async () => {
+        const { manager, fake, applied, end } = createManager();
+        const first = applied(1);
+        fake.deliver([makeStored(1)]);
+        await first;
+        await Promise.all(Array.from({ length: 50 }, manager.isNewest));
+        await manager.isNewest();
+        assert.equal(fake.readsCount, 1);
+        end();
+    });
+});
