List idle workers less often, pause listings while the owner is late, and pass the owner's calls on through the strongest neighbour

In a surge each end of a short task returns a listing of its own. Change: listings of workers without runs wait 1.7 s instead of 1 s. After a listing with ends the owner pauses up to 250 ms, in proportion to how late its timers run. Members register what their VM can pass on; calls go to neighbours in proportion to it, the owner's to the strongest.

--- /dev/null
+++ b/src/decisions/paceListings.ts
@@ -0,0 +1,29 @@
+/**
+ * Decides how often the owner lists a worker. It is designed for hundreds of idle workers, whose listings show only that they respond,
+ * and for a surge over hundreds of busy ones, in which each end of a short task returns a listing of its own. Both cost the owner
+ * the processor time that it needs for orders, and an owner that is late keeps free capacity waiting.
+ *
+ * A listing of an idle worker waits longer. After a listing with ended runs, the next one pauses longer the later the owner is, so
+ * that it returns several ends at once; an owner that keeps up does not pause.
+ */
+
+/** How long a listing of a worker with runs waits for an end; each listing also extends the leases. */
+const busyWaitMs = 1_000;
+/** Well below the time after which a worker without a response gets no runs. */
+const idleWaitMs = 1_700;
+/** An owner that keeps up runs its timers this late in a burst of events. */
+const toleratedLatenessMs = 20;
+/** The pause as a multiple of the lateness beyond that. */
+const pauseFactor = 5;
+/** Short against the time that callers allow beyond the work of their jobs. */
+const maxPauseMs = 250;
+
+/** Returns how long a listing of a worker waits for an end. */
+export function listingWaitMs(runsCount: number): number {
+    return runsCount === 0 ? idleWaitMs : busyWaitMs;
+}
+
+/** Returns how long to wait after a listing with ended runs before the next one; `latenessMs` is how late the owner's timers fire. */
+export function listingPauseMs(latenessMs: number): number {
+    return Math.min(maxPauseMs, Math.max(0, latenessMs - toleratedLatenessMs) * pauseFactor);
+}
--- a/src/process/relayMembers.ts
+++ b/src/process/relayMembers.ts
@@ -24,7 +24,11 @@
 
 const memberPrefix = `${jobKeys.prefix}member/`;
 /** The entry has no lease: it changes only when a VM is replaced, and an address where nothing listens is tried and left. */
-const memberSchema = z.object({ address: z.string().regex(/^\d+\.\d+\.\d+\.\d+:\d+$/), zone: z.string() });
+const memberSchema = z.object({
+    address: z.string().regex(/^\d+\.\d+\.\d+\.\d+:\d+$/),
+    zone: z.string(),
+    capacity: z.number().positive().default(1),
+});
 const registrationIntervalMs = 3_000;
 
 export function createRelayMembers(options: RelayMembersOptions): RelayMembers {
@@ -34,7 +38,7 @@
 
     const register = async (): Promise<void> => {
         const key = memberPrefix + own.name;
-        const value = JSON.stringify({ address: own.address, zone: own.zone });
+        const value = JSON.stringify({ address: own.address, zone: own.zone, capacity: own.capacity });
         while (!signal.aborted) {
             const mirror = options.mirror();
             if (mirror.revision() > 0 && mirror.valueOf(key) !== value) {
--- a/src/process/relayedCalls.ts
+++ b/src/process/relayedCalls.ts
@@ -11,6 +11,8 @@
     name: string;
     address: string;
     zone: string;
+    /** Processor and link of its VM, in an arbitrary unit that is the same for all. */
+    capacity: number;
 }
 
 export interface RelayedCalls {
@@ -24,6 +26,8 @@
     /** A cheap call that shows whether the service serves this process. */
     probe: JsonRequest;
     ownZone: string;
+    /** Whether this process makes more calls than a weak VM can pass on. */
+    hasManyCalls(): boolean;
     /** The other processes. */
     members(): readonly RelayMember[];
     openLink(address: string, onClosed: () => void): CallRelayLink;
@@ -127,7 +131,8 @@
         }
         else {
             state.failedAtMs = undefined;
-            if (currentNeighbour === undefined) {
+            const isBetter = options.hasManyCalls() && currentNeighbour !== member.name;
+            if (currentNeighbour === undefined || isBetter) {
                 currentNeighbour = member.name;
                 logger.log(logEvents.callsPassedOn, { neighbour: member.name, address: member.address });
             }
@@ -145,11 +150,13 @@
                 return {
                     name: member.name,
                     isSameZone: member.zone === options.ownZone,
+                    capacity: member.capacity,
                     failedAtMs: states.get(member.name)?.failedAtMs,
                     isCurrent: member.name === currentNeighbour,
                 };
             });
-            const name = chooseNeighbour({ nowMs: timers.nowMs(), neighbours, tried, random: options.random() });
+            const hasManyCalls = options.hasManyCalls();
+            const name = chooseNeighbour({ nowMs: timers.nowMs(), neighbours, tried, random: options.random(), hasManyCalls });
             const member = members.find(each => each.name === name);
             if (!member) {
                 break;
--- a/src/process/schedulingService.ts
+++ b/src/process/schedulingService.ts
@@ -12,6 +12,7 @@
 import type { WorkerEntry } from "../scheduling/workerRecord.js";
 import { addStoredJob } from "./addStoredJob.js";
 import type { DemandTracker } from "./demandTracker.js";
+import { createLatenessMeter } from "./latenessMeter.js";
 import { logEvents } from "./logEvents.js";
 import type { Logger } from "./logger.js";
 import { createPassTrigger } from "./passTrigger.js";
@@ -86,6 +87,7 @@
     const moment = (): Moment => ({ nowMs: timers.nowMs(), wallMs: timers.wallClockMs() });
     const maySendOrders = (): boolean => options.ownership().maySendOrders();
     const summary = createSchedulingSummary(timers, logger);
+    const lateness = createLatenessMeter(stepIntervalMs);
     const logUnreadable = (key: string, reason: string): void => logger.log(logEvents.documentUnreadable, { key, reason });
 
     const createTermProgressWriter = (scheduler: Scheduler): ProgressWriter => {
@@ -165,11 +167,13 @@
         isLeaseValid: () => options.ownership().isLeaseValid(),
         onFenced: () => options.ownership().onFenced(),
         onSchedulerChanged: scheduleStep,
+        latenessMs: lateness.latenessMs,
         onListFailed: (workerId, reason) => logger.log(logEvents.unexpectedError, { where: "worker listing", workerId, error: reason }),
     });
 
     /** Timers run only in the owner: in any other process a timer wake-up would cost as much as handling a message. */
     const startTimers = (progressWriter: ProgressWriter, signal: AbortSignal): void => {
+        timers.every(stepIntervalMs, signal, lateness.recordTick);
         timers.every(stepIntervalMs, signal, scheduleStep);
         summary.start(signal, () => activeTerm?.scheduler.state);
         timers.every(saveIntervalMs, signal, () => progressWriter.flush());
--- a/src/process/workerSession.ts
+++ b/src/process/workerSession.ts
@@ -1,10 +1,12 @@
 /** The owner's session with one worker: long polls that extend leases and return ended runs, and commands in parallel to them. */
 import { delay, type TimerService } from "../common/timerService.js";
 import type { ListResponse, WorkerClient } from "../connection/workerClient.js";
+import { listingPauseMs, listingWaitMs } from "../decisions/paceListings.js";
 import { type CommandOutcome, commandOutcomes } from "../scheduling/commandOutcomes.js";
 import type { Moment } from "../scheduling/reconcileListing.js";
 import { type Scheduler, startValidityMs } from "../scheduling/scheduler.js";
 import { commandKinds, type SchedulerCommand } from "../scheduling/schedulerState.js";
+import type { WorkerRecord } from "../scheduling/workerRecord.js";
 
 /** Scheduler commands that are sent to the worker. */
 export type WorkerCommand = Extract<SchedulerCommand, { kind: "start" | "stop" | "pace" | "list" }>;
@@ -32,10 +34,10 @@
     onSchedulerChanged(): void;
     /** A listing could not be read or applied; called once for several such failures in a row. */
     onListFailed(reason: string): void;
+    /** How late this process runs its timers. */
+    latenessMs(): number;
 }
 
-/** How long a long poll waits for a run to end; each poll also extends the leases. */
-const longPollWaitMs = 1_000;
 const retryDelayMs = 100;
 /** Longest wait for ended runs to be saved before the next poll, which would otherwise return them again at once. */
 const maxSaveWaitMs = 40;
@@ -125,11 +127,17 @@
         }
     };
 
-    const hasUnsavedEnds = (): boolean => (scheduler.state.workers.get(workerId)?.unsavedEnds.length ?? 0) > 0;
+    const worker = (): WorkerRecord | undefined => scheduler.state.workers.get(workerId);
+    const hasUnsavedEnds = (): boolean => (worker()?.unsavedEnds.length ?? 0) > 0;
     const waitForSave = async (): Promise<void> => {
         await Promise.race([delay(timers, maxSaveWaitMs, signal), new Promise<void>(resolve => wakeAfterSave = resolve)]);
         wakeAfterSave = undefined;
     };
+    /** Waits after a listing with ended runs until these are saved, and longer if this process is late. */
+    const pauseAfterEnds = async (): Promise<void> => {
+        const pauseMs = listingPauseMs(options.latenessMs());
+        await (pauseMs > 0 ? Promise.all([waitForSave(), delay(timers, pauseMs, signal)]) : waitForSave());
+    };
 
     const pollLoop = async (): Promise<void> => {
         while (!signal.aborted) {
@@ -137,12 +145,12 @@
                 await delay(timers, retryDelayMs, signal);
                 continue;
             }
-            const outcome = await list(clock ? longPollWaitMs : 0);
+            const outcome = await list(clock ? listingWaitMs(worker()?.runs.size ?? 0) : 0);
             if (outcome !== commandOutcomes.accepted) {
                 await delay(timers, retryDelayMs, signal);
             }
             else if (hasUnsavedEnds()) {
-                await waitForSave();
+                await pauseAfterEnds();
             }
         }
     };
--- a/tests/decisions/chooseCallPath.spec.ts
+++ b/tests/decisions/chooseCallPath.spec.ts
@@ -35,10 +35,11 @@
             const neighbours = processes.map(({ name, zone }): CallNeighbour => ({
                 name,
                 isSameZone: zone === ownZone,
+                capacity: 1,
                 failedAtMs: failures.get(name),
                 isCurrent: name === current,
             }));
-            const name = chooseNeighbour({ nowMs, neighbours, tried, random: random.unit() });
+            const name = chooseNeighbour({ nowMs, neighbours, tried, random: random.unit(), hasManyCalls: false });
             const neighbour = processes.find(each => each.name === name);
             if (!neighbour) {
                 break;
@@ -79,4 +80,30 @@
         // Ten seconds: each neighbour is tried again after its rest only.
         assert.ok(attemptsCount <= processesCount * Math.ceil(500 * stepMs / 1_500), `${attemptsCount} attempts`);
     });
+
+    const members = [0.1, 0.3, 0.3, 1.3].map((capacity, index): CallNeighbour => ({
+        name: `vm-${index}`,
+        isSameZone: index < 3,
+        capacity,
+        failedAtMs: undefined,
+        isCurrent: index === 0,
+    }));
+    const choose = (overrides: Partial<Parameters<typeof chooseNeighbour>[0]>) =>
+        chooseNeighbour({ nowMs: 0, neighbours: members, tried: new Set(), random: 0.5, hasManyCalls: false, ...overrides });
+
+    it("should be the strongest of all for a process with many calls, also while another one serves it", () => {
+        assert.equal(choose({ hasManyCalls: true }), "vm-3");
+        assert.equal(choose({}), "vm-0");
+        const withoutStrongest = members.map(each => ({ ...each, failedAtMs: each.name === "vm-3" ? 0 : undefined }));
+        assert.match(choose({ hasManyCalls: true, neighbours: withoutStrongest })!, /vm-[12]/);
+    });
+
+    it("should get calls in proportion to its capacity", () => {
+        const random = createSeededRandom(1);
+        const neighbours = members.map(each => ({ ...each, isCurrent: false }));
+        const chosen = Array.from({ length: 700 }, () => choose({ neighbours, random: random.unit() }));
+        const shareOf = (name: string): number => chosen.filter(each => each === name).length / chosen.length;
+        assert.ok(Math.abs(shareOf("vm-0") - 1 / 7) < 0.05, "0.1 of 0.7 in the own zone");
+        assert.ok(Math.abs(shareOf("vm-1") - 3 / 7) < 0.07);
+    });
 });
--- a/tests/platform/storeRelay.spec.ts
+++ b/tests/platform/storeRelay.spec.ts
@@ -17,9 +17,9 @@
 import { startStoreStandIn, type StoreStandIn } from "./storeStandIn.js";
 
 const timers = createTimerService();
-const refused: RelayMember = { name: "refused", address: "127.61.0.1:7000", zone: "zone-1" };
-const served: RelayMember = { name: "served", address: "127.61.0.2:7000", zone: "zone-1" };
-const absent: RelayMember = { name: "absent", address: "127.61.0.3:7000", zone: "zone-1" };
+const refused: RelayMember = { name: "refused", address: "127.61.0.1:7000", zone: "zone-1", capacity: 1 };
+const served: RelayMember = { name: "served", address: "127.61.0.2:7000", zone: "zone-1", capacity: 1 };
+const absent: RelayMember = { name: "absent", address: "127.61.0.3:7000", zone: "zone-1", capacity: 1 };
 
 /** A proxy that forwards connections, or resets them once it has received something. */
 async function startProxy(target: string) {
@@ -71,7 +71,7 @@
 
     const openStore = (storeAddress: string, own: RelayMember, known: () => RelayMember[]): ChangeFeedStore =>
         createStoreClient({
-            callService: createStoreCalls({ storeAddress, own, others: known, timers, logger, signal }),
+            callService: createStoreCalls({ storeAddress, own, others: known, hasManyCalls: () => false, timers, logger, signal }),
             timers,
             signal,
             onAvailabilityChange: () => undefined,
--- a/tests/process/endedWorkers.spec.ts
+++ b/tests/process/endedWorkers.spec.ts
@@ -32,6 +32,7 @@
             timers,
             leaseMs: 6_000,
             maySendOrders: () => true,
+            latenessMs: () => 0,
             isLeaseValid: () => true,
             onFenced: () => undefined,
             onSchedulerChanged: () => undefined,
