Expect a pool's first surge to grow as large as those of the other pools

Load: queues that surge one after the other. Change: a pool whose load rises above 0.4 of another pool's peak, and that has had no such peak itself, gets as many VMs as that peak needed.

--- a/src/decisions/planMoves.ts
+++ b/src/decisions/planMoves.ts
@@ -5,7 +5,7 @@
  * A pool that needs more VMs than it has gets empty VMs from pools that need fewer, the most recently used first, and then
  * from standby pools. VMs that stay empty for long go to standby, where they cost nothing. When a surge begins, the pool
  * immediately gets as many VMs as earlier surges needed: adding one VM after another, each delayed by the duration of a
- * move, would lag behind the surge.
+ * move, would lag behind the surge. The first surge of a pool is expected to grow about as large as those of the other pools.
  */
 
 /** VMs and CPU demand of one pool. */
@@ -65,10 +65,19 @@
 /** A surge is assumed to have begun above this fraction of the recent peak; between surges, far less work arrives. */
 const surgeThresholdFraction = 0.4;
 
-/** Returns the number of VMs that the pool needs now. */
-export function requiredVmCount(pool: PoolDemand): number {
-    const isSurging = pool.arrivingCpuMillicores > surgeThresholdFraction * pool.peakCpuMillicores;
-    const arrivingCpu = isSurging ? Math.max(pool.arrivingCpuMillicores, pool.peakCpuMillicores) : pool.arrivingCpuMillicores;
+/** Returns the peak of the pool's present or next surge; `otherPeakCpuMillicores` is the highest of the other pools. */
+function expectedPeakCpu(pool: PoolDemand, otherPeakCpuMillicores: number): number {
+    const isFirstSurge = pool.arrivingCpuMillicores > pool.peakCpuMillicores &&
+        pool.peakCpuMillicores < surgeThresholdFraction * otherPeakCpuMillicores;
+    // Once the pool has had a surge of that order, its own peak is the better estimate.
+    return isFirstSurge ? otherPeakCpuMillicores : pool.peakCpuMillicores;
+}
+
+/** Returns the number of VMs that the pool needs now; `otherPeakCpuMillicores` is the highest peak of the other pools. */
+export function requiredVmCount(pool: PoolDemand, otherPeakCpuMillicores = 0): number {
+    const peakCpu = expectedPeakCpu(pool, otherPeakCpuMillicores);
+    const isSurging = pool.arrivingCpuMillicores > surgeThresholdFraction * peakCpu;
+    const arrivingCpu = isSurging ? Math.max(pool.arrivingCpuMillicores, peakCpu) : pool.arrivingCpuMillicores;
     const shortTaskCpu = Math.max(pool.busyCpuMillicores + pool.waitingCpuMillicores, arrivingCpu);
     return Math.ceil((shortTaskCpu + pool.servingCpuMillicores) / (pool.vmCpuMillicores * usableFraction));
 }
@@ -77,7 +86,11 @@
 export function planMoves(input: MovePlanInput): VmMove[] {
     const standby = input.pools.find(pool => pool.isStandby);
     const active = input.pools.filter(pool => !pool.isStandby && pool.vmCpuMillicores > 0);
-    const surplus = new Map(active.map(pool => [pool.poolName, pool.vmCount + pool.incomingCount - requiredVmCount(pool)]));
+    const otherPeakCpu = (pool: PoolDemand): number =>
+        Math.max(0, ...active.filter(each => each !== pool).map(each => each.peakCpuMillicores));
+    const surplus = new Map(
+        active.map(pool => [pool.poolName, pool.vmCount + pool.incomingCount - requiredVmCount(pool, otherPeakCpu(pool))]),
+    );
     const moves: VmMove[] = [];
     const moved = new Set<string>();
 
--- a/tests/decisions/surgeReplay.ts
+++ b/tests/decisions/surgeReplay.ts
@@ -24,6 +24,8 @@
 export interface SurgeReplayResult {
     /** Waits of all tasks from their submission to their start, ascending. */
     waitsMs: number[];
+    /** Mean wait of the tasks that were submitted during each surge, in the order of the surges. */
+    meanWaitMsBySurge: number[];
     /** Time for which tasks waited while as many VMs as they needed stood empty in other pools, the longest in a row. */
     longestStarvationMs: number;
     vmSecondsInPools: number;
@@ -56,6 +58,7 @@
     );
     const waiting = new Map(poolNames.map(name => [name, [] as number[]]));
     const waitsMs: number[] = [];
+    const surges = Array.from({ length: Math.ceil(options.durationMs / options.surgeMs) }, () => ({ waitMs: 0, tasksCount: 0 }));
     const slotsPerVm = Math.floor(options.vmCpuMillicores / options.taskCpuMillicores);
     const starvedSinceMs = new Map<string, number>();
     let longestStarvationMs = 0;
@@ -84,7 +87,11 @@
         for (const vm of [...vms].sort((a, b) => b.tasksEndAtMs.length - a.tasksEndAtMs.length)) {
             const queue = waiting.get(vm.poolName);
             while (queue && queue.length > 0 && vm.availableAtMs <= nowMs && vm.tasksEndAtMs.length < slotsPerVm) {
-                waitsMs.push(nowMs - queue.shift()!);
+                const submittedAtMs = queue.shift()!;
+                waitsMs.push(nowMs - submittedAtMs);
+                const surge = surges[Math.floor(submittedAtMs / options.surgeMs)]!;
+                surge.waitMs += nowMs - submittedAtMs;
+                surge.tasksCount += 1;
                 vm.tasksEndAtMs.push(nowMs + options.taskMs * (0.5 + random.unit()));
             }
         }
@@ -144,5 +151,6 @@
         recordStarvation();
         vmSecondsInPools += vms.filter(vm => vm.poolName !== standbyPool).length * stepMs / 1000;
     }
-    return { waitsMs: waitsMs.sort((a, b) => a - b), longestStarvationMs, vmSecondsInPools, movesCount };
+    const meanWaitMsBySurge = surges.map(({ waitMs, tasksCount }) => waitMs / Math.max(1, tasksCount));
+    return { waitsMs: waitsMs.sort((a, b) => a - b), meanWaitMsBySurge, longestStarvationMs, vmSecondsInPools, movesCount };
 }
--- a/tests/decisions/surges.spec.ts
+++ b/tests/decisions/surges.spec.ts
@@ -1,9 +1,12 @@
 /** Checks on three sizes of fleet that queues which surge one after the other find the VMs that stand empty in other pools. */
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { requiredVmCount } from "../../src/decisions/planMoves.js";
 import { replaySurges } from "./surgeReplay.js";
 
 const moveMs = 1_500;
+/** Difference of mean waits that four seeds leave to chance. */
+const chanceFraction = 0.1;
 const fleets = {
     "few large VMs": {
         poolsCount: 4,
@@ -50,4 +53,37 @@
             }
         });
     }
+
+    it("should wait no longer in a pool's first surge than in later ones, once another pool has had one", () => {
+        const fleet = fleets["many small VMs"];
+        const waits = [1, 2, 3, 4].map(seed => {
+            const { meanWaitMsBySurge } = replaySurges({ ...fleet, seed, durationMs: 2 * fleet.poolsCount * fleet.surgeMs });
+            return { first: meanWaitMsBySurge.slice(1, fleet.poolsCount), later: meanWaitMsBySurge.slice(fleet.poolsCount) };
+        });
+        const mean = (values: number[]): number => values.reduce((sum, each) => sum + each, 0) / values.length;
+        const [first, later] = [mean(waits.flatMap(each => each.first)), mean(waits.flatMap(each => each.later))];
+        assert.ok(first <= (1 + chanceFraction) * later, `${Math.round(first)} ms in first surges, ${Math.round(later)} ms in later ones`);
+    });
+
+    const quiet = {
+        isStandby: false,
+        vmCount: 4,
+        incomingCount: 0,
+        vmCpuMillicores: 10_000,
+        busyCpuMillicores: 0,
+        waitingCpuMillicores: 0,
+        arrivingCpuMillicores: 2_000,
+        peakCpuMillicores: 4_000,
+        servingCpuMillicores: 0,
+    };
+
+    it("should give a pool that begins its first surge the VMs of another pool's surge", () => {
+        const surged = 170_000;
+        const rising = { ...quiet, poolName: "a", arrivingCpuMillicores: 0.5 * surged };
+        assert.equal(requiredVmCount(rising, surged), 20);
+        assert.equal(requiredVmCount(rising, 0), 10);
+        assert.equal(requiredVmCount({ ...quiet, poolName: "a" }, surged), 1, "a quiet pool gets none of them");
+        const steady = { ...rising, peakCpuMillicores: 0.5 * surged };
+        assert.equal(requiredVmCount(steady, surged), 10, "nor does one with the same load for long");
+    });
 });
