--- a/src/process/schedulingService.ts
+++ b/src/process/schedulingService.ts
@@ -234,8 +234,8 @@
         activeTerm = { scheduler, progressWriter, lifetime };
         const signal = AbortSignal.any([lifetime.signal, options.signal]);
         startTimers(progressWriter, signal);
-        const entriesBySubmissionTime = [...directory.entries.values()].sort((a, b) => a.submittedWallMs - b.submittedWallMs);
-        entriesBySubmissionTime.forEach(entry => addStoredJob(scheduler, entry, now.wallMs, logUnreadable));
+        // Most jobs in the store have ended; decoding them all would delay the first starts of the term.
+        directory.unfinishedEntries().forEach(entry => addStoredJob(scheduler, entry, now.wallMs, logUnreadable));
         registered.forEach(entry => scheduler.registerWorker(entry, now));
         for (const [workerId, { entry, atMs }] of unregistered) {
             if (now.nowMs - atMs < unknownLeaseMs) {
--- a/src/scheduling/jobDirectory.ts
+++ b/src/scheduling/jobDirectory.ts
@@ -1,5 +1,6 @@
 /** Index of the jobs in the store. Every process keeps one, to answer callers and to load the jobs when it becomes the owner. */
 import { decodeProgress, decodeSubmission, jobKeys } from "./jobDocuments.js";
+import { isFinalState } from "./jobRecord.js";
 import { estimateWork, type JobState, jobStates } from "./jobTypes.js";
 
 export interface DirectoryEntry {
@@ -28,6 +29,8 @@
     /** Applies a change of a stored key; returns `undefined` if the key belongs to no job or its document cannot be read. */
     apply(key: string, value: string | undefined): DirectoryEvent | undefined;
     find(jobId: string): DirectoryEntry | undefined;
+    /** The jobs that have not ended, in the order of their submission. */
+    unfinishedEntries(): DirectoryEntry[];
     /** Counts the queue's jobs that have not started. */
     countQueued(queueName: string): number;
 }
@@ -113,6 +116,8 @@
             return undefined;
         },
         find: jobId => entries.get(jobId),
+        unfinishedEntries: () =>
+            [...entries.values()].filter(entry => !isFinalState(entry.state)).sort((a, b) => a.submittedWallMs - b.submittedWallMs),
         countQueued: queueName => {
             let count = 0;
             for (const entry of entries.values()) {
