Expect waiting work that grows to go on growing while VMs move

Load: a surge that begins within some seconds. Change: the growth of the waiting CPU over the last second counts for another second.

--- a/src/decisions/planMoves.ts
+++ b/src/decisions/planMoves.ts
@@ -5,7 +5,8 @@
  * A pool that needs more VMs than it has gets empty VMs from pools that need fewer, the most recently used first, and then
  * from standby pools. VMs that stay empty for long go to standby, where they cost nothing. When a surge begins, the pool
  * immediately gets as many VMs as earlier surges needed: adding one VM after another, each delayed by the duration of a
- * move, would lag behind the surge. The first surge of a pool is expected to grow about as large as those of the other pools.
+ * move, would lag behind the surge. The first surge of a pool is expected to grow about as large as those of the other pools, and
+ * waiting work that grows to go on growing while VMs move.
  */
 
 /** VMs and CPU demand of one pool. */
@@ -22,6 +23,8 @@
     busyCpuMillicores: number;
     /** CPU requested by waiting tasks. */
     waitingCpuMillicores: number;
+    /** Growth of that over the last second, in millicores per second; 0 if it falls. */
+    waitingGrowthMillicoresPerS: number;
     /** Work that arrived recently, in millicore-seconds per second. */
     arrivingCpuMillicores: number;
     /** Highest recent arrival rate, which decays over time. */
@@ -65,6 +68,9 @@
 /** A surge is assumed to have begun above this fraction of the recent peak; between surges, far less work arrives. */
 const surgeThresholdFraction = 0.4;
 
+/** Waiting work is expected to grow for this long as it did; less than a move takes, since the growth also ends. */
+const growthHorizonS = 1;
+
 /** Returns the peak of the pool's present or next surge; `otherPeakCpuMillicores` is the highest of the other pools. */
 function expectedPeakCpu(pool: PoolDemand, otherPeakCpuMillicores: number): number {
     const isFirstSurge = pool.arrivingCpuMillicores > pool.peakCpuMillicores &&
@@ -78,7 +84,8 @@
     const peakCpu = expectedPeakCpu(pool, otherPeakCpuMillicores);
     const isSurging = pool.arrivingCpuMillicores > surgeThresholdFraction * peakCpu;
     const arrivingCpu = isSurging ? Math.max(pool.arrivingCpuMillicores, peakCpu) : pool.arrivingCpuMillicores;
-    const shortTaskCpu = Math.max(pool.busyCpuMillicores + pool.waitingCpuMillicores, arrivingCpu);
+    const waitingCpu = pool.waitingCpuMillicores + pool.waitingGrowthMillicoresPerS * growthHorizonS;
+    const shortTaskCpu = Math.max(pool.busyCpuMillicores + waitingCpu, arrivingCpu);
     return Math.ceil((shortTaskCpu + pool.servingCpuMillicores) / (pool.vmCpuMillicores * usableFraction));
 }
 
--- a/src/process/poolRebalancer.ts
+++ b/src/process/poolRebalancer.ts
@@ -8,6 +8,7 @@
 import { logEvents } from "./logEvents.js";
 import type { Logger } from "./logger.js";
 import type { VmInventory } from "./vmInventory.js";
+import { createWaitingTrend } from "./waitingTrend.js";
 
 export interface PoolRebalancer {
     /** Requests the moves that the pools need now; `true` if there were any. */
@@ -45,6 +46,7 @@
     const pendingMoves = new Map<string, PendingMove>();
     const refusedUntilMs = new Map<string, number>();
     const emptySinceMs = new Map<string, number>();
+    const trend = createWaitingTrend();
 
     const waitingCpuByPool = (): Map<string, number> => {
         const waiting = new Map<string, number>();
@@ -112,6 +114,7 @@
                 vmCpuMillicores: 0,
                 busyCpuMillicores: 0,
                 waitingCpuMillicores: waiting.get(policy.name) ?? 0,
+                waitingGrowthMillicoresPerS: trend.record(policy.name, nowMs, waiting.get(policy.name) ?? 0),
                 ...options.demand.read(policy.name),
                 servingCpuMillicores: 0,
             });
--- a/tests/decisions/schedulingPolicy.spec.ts
+++ b/tests/decisions/schedulingPolicy.spec.ts
@@ -135,6 +135,7 @@
     waitingCpuMillicores: 0,
     arrivingCpuMillicores: 0,
     peakCpuMillicores: 0,
+    waitingGrowthMillicoresPerS: 0,
     servingCpuMillicores: 0,
     ...changes,
 });
--- a/tests/decisions/surgeReplay.ts
+++ b/tests/decisions/surgeReplay.ts
@@ -5,6 +5,7 @@
 import { createSeededRandom } from "../../harness/random.js";
 import { type EmptyVm, planMoves, type PoolDemand, type VmMove } from "../../src/decisions/planMoves.js";
 import { createDemandTracker } from "../../src/process/demandTracker.js";
+import { createWaitingTrend } from "../../src/process/waitingTrend.js";
 
 export interface SurgeReplayOptions {
     seed: number;
@@ -50,6 +51,7 @@
     const poolNames = Array.from({ length: options.poolsCount }, (_, index) => `pool-${index}`);
     let nowMs = 0;
     const demand = createDemandTracker(() => nowMs);
+    const trend = createWaitingTrend();
     const vms = [...poolNames, standbyPool].flatMap(poolName =>
         Array.from(
             { length: options.vmsPerPool },
@@ -99,6 +101,7 @@
     const describePools = (): { pools: PoolDemand[]; emptyVms: EmptyVm[] } => {
         const pools = [...poolNames, standbyPool].map((poolName): PoolDemand => {
             const own = vms.filter(vm => vm.poolName === poolName);
+            const waitingCpuMillicores = (waiting.get(poolName)?.length ?? 0) * options.taskCpuMillicores;
             return {
                 poolName,
                 isStandby: poolName === standbyPool,
@@ -106,7 +109,8 @@
                 incomingCount: own.filter(vm => vm.availableAtMs > nowMs).length,
                 vmCpuMillicores: options.vmCpuMillicores,
                 busyCpuMillicores: own.reduce((sum, vm) => sum + vm.tasksEndAtMs.length, 0) * options.taskCpuMillicores,
-                waitingCpuMillicores: (waiting.get(poolName)?.length ?? 0) * options.taskCpuMillicores,
+                waitingCpuMillicores,
+                waitingGrowthMillicoresPerS: trend.record(poolName, nowMs, waitingCpuMillicores),
                 ...demand.read(poolName),
                 servingCpuMillicores: 0,
             };
--- a/tests/decisions/surges.spec.ts
+++ b/tests/decisions/surges.spec.ts
@@ -2,6 +2,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { requiredVmCount } from "../../src/decisions/planMoves.js";
+import { createWaitingTrend } from "../../src/process/waitingTrend.js";
 import { replaySurges } from "./surgeReplay.js";
 
 const moveMs = 1_500;
@@ -72,6 +73,7 @@
         vmCpuMillicores: 10_000,
         busyCpuMillicores: 0,
         waitingCpuMillicores: 0,
+        waitingGrowthMillicoresPerS: 0,
         arrivingCpuMillicores: 2_000,
         peakCpuMillicores: 4_000,
         servingCpuMillicores: 0,
@@ -79,11 +81,29 @@
 
     it("should give a pool that begins its first surge the VMs of another pool's surge", () => {
         const surged = 170_000;
-        const rising = { ...quiet, poolName: "a", arrivingCpuMillicores: 0.5 * surged };
+        const rising = { ...quiet, poolName: "a", arrivingCpuMillicores: 85_000 };
         assert.equal(requiredVmCount(rising, surged), 20);
         assert.equal(requiredVmCount(rising, 0), 10);
         assert.equal(requiredVmCount({ ...quiet, poolName: "a" }, surged), 1, "a quiet pool gets none of them");
-        const steady = { ...rising, peakCpuMillicores: 0.5 * surged };
+        const steady = { ...rising, peakCpuMillicores: 85_000 };
         assert.equal(requiredVmCount(steady, surged), 10, "nor does one with the same load for long");
     });
+
+    it("should give a pool whose waiting work grows the VMs for what will wait when they arrive", () => {
+        const waiting = { ...quiet, poolName: "a", waitingCpuMillicores: 34_000 };
+        assert.equal(requiredVmCount(waiting), 4);
+        assert.equal(requiredVmCount({ ...waiting, waitingGrowthMillicoresPerS: 34_000 }), 8);
+    });
+});
+
+describe("growth of waiting work", () => {
+    it("should be measured over a second, and be 0 while less and less waits", () => {
+        const trend = createWaitingTrend();
+        assert.equal(trend.record("a", 0, 5_000), 0, "what waited before is not known");
+        assert.equal(trend.record("a", 500, 9_000), 4_000);
+        assert.equal(trend.record("b", 500, 9_000), 0);
+        assert.equal(trend.record("a", 1_000, 10_000), 5_000);
+        assert.equal(trend.record("a", 1_500, 10_000), 1_000);
+        assert.equal(trend.record("a", 2_500, 3_000), 0);
+    });
 });
