Keep the tasks of a VM whose entry cannot be read while its restart has no answer

Cause, found by reading for the operators' list: a VM of which only the id can be read is listed as down, and the wave took any state but up for the restart of which it had no answer. The running tasks of that VM were given up and started a second time elsewhere. Change: only the state of a restart, or another worker on a VM that is up, ends the worker. Result: the new test fails on the code before (a task is given up by an unreadable entry) and passes now.

--- a/src/process/waveRunner.ts
+++ b/src/process/waveRunner.ts
@@ -128,7 +128,9 @@
         if (vm && (isBack || vm.state === vmStates.restarting) && !progress.restartedVmIds.includes(vmId)) {
             progress.restartedVmIds.push(vmId);
         }
-        if (vm && !isUp && pending.worker) {
+        // A VM that is down, or cannot be read, may not have been restarted yet.
+        const hasEndedWorker = vm?.state === vmStates.restarting || (isUp && vm.workerId !== pending.workerId);
+        if (hasEndedWorker && pending.worker) {
             endIncarnation(state, pending.worker, "its VM is restarting", { nowMs: timers.nowMs(), wallMs: timers.wallClockMs() });
         }
         if (!vm || isBack || isNotExecuted) {
