--- a/src/process/schedulingService.ts
+++ b/src/process/schedulingService.ts
@@ -86,8 +86,8 @@
 
     const moment = (): Moment => ({ nowMs: timers.nowMs(), wallMs: timers.wallClockMs() });
     const maySendOrders = (): boolean => options.ownership().maySendOrders();
-    const summary = createSchedulingSummary(timers, logger);
     const lateness = createLatenessMeter(stepIntervalMs);
+    const summary = createSchedulingSummary(timers, logger, lateness.latenessMs);
     const logUnreadable = (key: string, reason: string): void => logger.log(logEvents.documentUnreadable, { key, reason });
 
     const createTermProgressWriter = (scheduler: Scheduler): ProgressWriter => {
--- a/src/process/schedulingSummary.ts
+++ b/src/process/schedulingSummary.ts
@@ -67,7 +67,8 @@
         `tasks waiting: ${inTime} in time, ${late} late, ${worthless} too late`;
 }
 
-export function createSchedulingSummary(timers: TimerService, logger: Logger): SchedulingSummary {
+/** `latenessMs` tells how late this process runs its timers. */
+export function createSchedulingSummary(timers: TimerService, logger: Logger, latenessMs: () => number): SchedulingSummary {
     let passesCount = 0;
     let passMs = 0;
     let longestPassMs = 0;
@@ -82,6 +83,7 @@
             passesCount,
             passMs: Math.round(passMs),
             longestPassMs: Math.round(longestPassMs),
+            latenessMs: Math.round(latenessMs()),
             jobsCount: state.jobs.size,
             unsavedJobsCount: state.unsavedJobs.size,
             pools: [...summarizePools(state, timers.wallClockMs())].map(([name, pool]) => formatPool(name, pool)),
