--- a/src/connection/callRelayMessages.ts
+++ b/src/connection/callRelayMessages.ts
@@ -1,6 +1,6 @@
 /** Messages with which a process asks another one to make a call, encoded as MessagePack in WebSocket frames. */
 import { pack, unpack } from "msgpackr";
-import { z } from "zod";
+import * as z from "zod";
 import { Err, Ok, type Result } from "../common/results.js";
 
 /** Maximum size of an accepted frame: one value of the store as text, and its envelope. */
--- a/src/connection/etcdMessages.ts
+++ b/src/connection/etcdMessages.ts
@@ -1,5 +1,5 @@
 /** Messages of the etcd v3 JSON gateway: keys and values are in base64, 64-bit integers are strings. */
-import { z } from "zod";
+import * as z from "zod";
 import type { StoredValue } from "./platformStore.js";
 
 const int64 = z.union([z.string(), z.number()]).transform(Number);
--- a/src/connection/members.ts
+++ b/src/connection/members.ts
@@ -1,5 +1,5 @@
 /** The record with which each process registers itself in the platform's key-value service. */
-import { z } from "zod";
+import * as z from "zod";
 
 export const memberRoles = { gateway: "gateway", steward: "steward" } as const;
 
--- a/src/connection/peerMessages.ts
+++ b/src/connection/peerMessages.ts
@@ -1,6 +1,6 @@
 /** Messages between the gateways of one zone, encoded as MessagePack in WebSocket frames. */
 import { pack, unpack } from "msgpackr";
-import { z } from "zod";
+import * as z from "zod";
 import { Err, Ok, type Result } from "../common/results.js";
 
 /** Version of the peer protocol; connections to peers with another version are closed. */
--- a/src/connection/vmList.ts
+++ b/src/connection/vmList.ts
@@ -1,6 +1,6 @@
 /** Client of the platform's list of VMs and their states. The list is eventually consistent: it may lag behind. */
 import { request } from "undici";
-import { z } from "zod";
+import * as z from "zod";
 import { Err, Ok, type Result } from "../common/results.js";
 
 export const listedVmStates = { live: "live", leaving: "leaving", gone: "gone" } as const;
--- a/src/process/relayMembers.ts
+++ b/src/process/relayMembers.ts
@@ -1,5 +1,5 @@
 /** The processes that can pass on calls: each registers its address in the store, and knows those of the others from its mirror. */
-import { z } from "zod";
+import * as z from "zod";
 import { delay, type TimerService } from "../common/timerService.js";
 import type { ChangeFeedStore, StoreChange } from "../connection/platformStore.js";
 import { jobKeys } from "../scheduling/jobDocuments.js";
--- a/src/process/settings.ts
+++ b/src/process/settings.ts
@@ -1,5 +1,5 @@
 /** Settings of the processes. One table defines the flag, environment variable, validation and description of each. */
-import { z } from "zod";
+import * as z from "zod";
 import { type Finding, quoteValue } from "../common/findings.js";
 import { Err, Ok, type Result } from "../common/results.js";
 
--- a/src/process/waveRunner.ts
+++ b/src/process/waveRunner.ts
@@ -1,5 +1,5 @@
 /** Runs one maintenance wave, which restarts a set of VMs, in the process that owns the scheduling. */
-import { z } from "zod";
+import * as z from "zod";
 import type { TimerService } from "../common/timerService.js";
 import type { ChangeFeedStore } from "../connection/platformStore.js";
 import { vmOrderOutcomes, type VmService, vmStates, type WaveRequest } from "../connection/vmService.js";
--- a/src/request/adminHandler.ts
+++ b/src/request/adminHandler.ts
@@ -1,6 +1,6 @@
 /** The administration API: configuration, team keys, drains and status. */
 import type http from "node:http";
-import { z } from "zod";
+import * as z from "zod";
 import type { AcceptanceChecker } from "../process/acceptanceChecker.js";
 import type { ConfigurationManager } from "../process/configurationManager.js";
 import { type FleetChange, type FleetContent, type FleetWriter, type WriteFailure, writeFailures } from "../process/fleetWriter.js";
--- a/src/version/fleetDocument.ts
+++ b/src/version/fleetDocument.ts
@@ -1,5 +1,5 @@
 /** Schema of the operators' configuration: a base for all sites and one overlay per availability zone. */
-import { z } from "zod";
+import * as z from "zod";
 
 /** Maximum length of the name of a team, pool, service, server or request kind. */
 const maximumNameChars = 64;
--- a/src/version/fleetVersion.ts
+++ b/src/version/fleetVersion.ts
@@ -1,6 +1,6 @@
 /** One version of everything that operators configure: the fleet document, team keys and drains. */
 import { isDeepStrictEqual } from "node:util";
-import { z } from "zod";
+import * as z from "zod";
 import type { Finding } from "../common/findings.js";
 import { Err, Ok, type Result } from "../common/results.js";
 import { type FleetDocument, fleetDocument } from "./fleetDocument.js";
