--- a/src/process/waveRunner.ts
+++ b/src/process/waveRunner.ts
@@ -49,8 +49,9 @@
 type WaveProgress = z.infer<typeof waveProgressSchema>;
 
 interface PendingRestart {
+    /** Worker that the VM list named when the restart was requested; another one shows that the VM is back. */
     workerId: string | undefined;
-    /** The worker that the restart ends; `undefined` if none is known on the VM. */
+    /** What is known of that worker, which the restart ends; `undefined` if the scheduler does not know it. */
     worker: WorkerIncarnation | undefined;
     requestedAtMs: number;
     isAccepted: boolean;
