Take only another worker's id as a sign that a VM has restarted

Cause, by reading: a VM that is up and listed without a worker, for example while its entry has lapsed, counted as restarted if the answer to its restart was missing; its tasks were given up, and the wave counted it as done. Change: a listed id other than before is needed, or the accepted order and the time of a restart. Result: the extended test fails on the code before and passes now.

--- a/src/process/waveRunner.ts
+++ b/src/process/waveRunner.ts
@@ -122,16 +122,15 @@
             return;
         }
         const isUp = vm?.state === vmStates.up;
+        const hasOtherWorker = isUp && vm.workerId !== undefined && vm.workerId !== pending.workerId;
         // A VM of a standby pool has no worker whose id would change, so the elapsed time decides.
-        const isBack = isUp &&
-            (vm.workerId !== pending.workerId || (pending.isAccepted && sinceRequestMs > options.restartMs + restartSlackMs));
+        const isBack = hasOtherWorker || (isUp && pending.isAccepted && sinceRequestMs > options.restartMs + restartSlackMs);
         const isNotExecuted = isUp && !isBack && sinceRequestMs > restartVisibleWithinMs;
         if (vm && (isBack || vm.state === vmStates.restarting) && !progress.restartedVmIds.includes(vmId)) {
             progress.restartedVmIds.push(vmId);
         }
         // A VM that is down, or cannot be read, may not have been restarted yet.
-        const hasEndedWorker = vm?.state === vmStates.restarting || (isUp && vm.workerId !== pending.workerId);
-        if (hasEndedWorker && pending.worker) {
+        if ((hasOtherWorker || vm?.state === vmStates.restarting) && pending.worker) {
             endIncarnation(state, pending.worker, "its VM is restarting", { nowMs: timers.nowMs(), wallMs: timers.wallClockMs() });
         }
         if (!vm || isBack || isNotExecuted) {
--- a/tests/process/unreadableVms.spec.ts
+++ b/tests/process/unreadableVms.spec.ts
@@ -71,6 +71,7 @@
     it("should be kept while the list does not show that the VM restarts", async () => {
         const { listAs } = await restartWithoutAnswer();
         assert.equal(await listAs(vmStates.down, undefined), 1);
+        assert.equal(await listAs(vmStates.up, undefined), 1, "an entry without a worker shows no other one");
         assert.equal(await listAs(vmStates.up, "w1"), 1);
     });
 
