Log what a 410, an acceptance, a failing watch and a readiness answer rest on

Callers got 410 for jobs that had been accepted 3 to 5 s before, by processes that had just become ready again. The logs could not tell which of three cases it was: no submission in the store, a submission that cannot be decoded, or one of another queue than the path's. Nor did they tell at which revision, how fast and through which process the store had answered the read, at which revision the job had been accepted and by whose write, whether the watch of one prefix kept failing while other calls succeeded, or which figure decided that a process was ready.

- 2102: `reason` names the case; `readRevision` (if the response contains it), `readMs`, `readThrough`, `submissionRevision`, `mirroredRevision` and `queue`.
Callers get the same body as before.
`nutmegjunction_jobs_not_found_total` counts the cases.
- 2101: `revision` of the write that created the key, and `origin`: stored, present or mirrored.
A submission that the copy contains already, which is answered without a call of the store, is now logged too. 2104 has both fields as well.
- 1008: a change of readiness, with the figures that decide it.
`nutmegjunction_store_copy_age_seconds` by prefix.

Statuses, bodies, calls of the store and their timing are unchanged. The specs of the group commit now compare whole results, revision and presence included, instead of the outcome alone. The new specs do not compile on the code before: the fields are new.

--- a/src/connection/platformStore.ts
+++ b/src/connection/platformStore.ts
@@ -40,6 +40,17 @@
     reason: string;
     /** Whether it is certain that the call was not applied and never will be. */
     isKnownNotApplied?: boolean;
+    /** Size of the part of the response that was received. */
+    receivedBytes?: number;
+}
+
+/** How a read was answered. */
+export interface ReadAnswer {
+    /** Revision of the store when it answered, if the response contains it. */
+    storeRevision: number | undefined;
+    durationMs: number;
+    /** Process that passed the call on, if it was not made directly. */
+    neighbour: string | undefined;
 }
 
 /** One change of a key; a value of `undefined` means that the key was deleted. */
@@ -67,7 +78,8 @@
 }
 
 export interface PlatformStore {
-    read(key: string): Promise<Result<StoredValue | undefined, StoreError>>;
+    /** Calls `onAnswered` when a response was received, if the store can tell how. */
+    read(key: string, onAnswered?: (answer: ReadAnswer) => void): Promise<Result<StoredValue | undefined, StoreError>>;
     readPrefix(prefix: string): Promise<Result<StoredValue[], StoreError>>;
     /** Applies all writes if all guards hold, otherwise none. */
     swap(guards: StoreGuard[], writes: StoreWrite[]): Promise<Result<SwapOutcome, StoreError>>;
--- a/src/connection/serviceCalls.ts
+++ b/src/connection/serviceCalls.ts
@@ -5,11 +5,15 @@
     reason: string;
     /** Whether the request certainly did not reach the service. */
     wasNeverSent: boolean;
+    /** Size of the part of the response body that was received. */
+    receivedBytes?: number;
 }
 
 export interface JsonResponse {
     status: number;
     body: Record<string, unknown>;
+    /** Process that passed the call on, if it was not made directly. */
+    neighbour?: string;
 }
 
 export type JsonRequestResult = { hasResponse: true; response: JsonResponse } | { hasResponse: false; failure: RequestFailure };
--- a/src/process/groupCommit.ts
+++ b/src/process/groupCommit.ts
@@ -17,8 +17,16 @@
 } as const;
 export type CommitOutcome = (typeof commitOutcomes)[keyof typeof commitOutcomes];
 
+export interface CommitResult {
+    outcome: CommitOutcome;
+    /** If stored: revision of the write that created the key. */
+    revision?: number;
+    /** If stored: whether the key existed already, perhaps written by an attempt whose response was lost. */
+    wasPresent?: boolean;
+}
+
 export interface GroupCommit {
-    create(key: string, value: string): Promise<CommitOutcome>;
+    create(key: string, value: string): Promise<CommitResult>;
 }
 
 export interface GroupCommitOptions {
@@ -38,7 +46,7 @@
     attemptsCount: number;
     /** An earlier attempt got no response, and may have been applied. */
     mayBeApplied: boolean;
-    settle(outcome: CommitOutcome): void;
+    settle(result: CommitResult): void;
 }
 
 /** Writes within this time share a transaction; short compared with the store's response time. */
@@ -48,6 +56,14 @@
 /** Conflicting transactions after which a key is given up; each conflict settles at least one key of its batch. */
 const maxAttemptsCount = 4;
 
+const notStored: CommitResult = { outcome: commitOutcomes.notStored };
+const outdated: CommitResult = { outcome: commitOutcomes.outdated };
+const unknown: CommitResult = { outcome: commitOutcomes.unknown };
+
+function stored(revision: number, wasPresent: boolean): CommitResult {
+    return { outcome: commitOutcomes.stored, revision, wasPresent };
+}
+
 export function createGroupCommit(options: GroupCommitOptions): GroupCommit {
     const { store, timers } = options;
     let waiting: WaitingKey[] = [];
@@ -63,12 +79,12 @@
 
     const settleByRead = async (batch: readonly WaitingKey[]): Promise<void> => {
         if (!options.isStoreReachable()) {
-            batch.forEach(each => each.settle(commitOutcomes.unknown));
+            batch.forEach(each => each.settle(unknown));
             return;
         }
         await Promise.all(batch.map(async each => {
             const read = await store.read(each.key);
-            each.settle(read.ok && read.val ? commitOutcomes.stored : commitOutcomes.unknown);
+            each.settle(read.ok && read.val ? stored(read.val.revision, true) : unknown);
         }));
     };
 
@@ -79,30 +95,36 @@
         if (swapped.err) {
             const isKnownNotApplied = swapped.val.isKnownNotApplied === true;
             const known = batch.filter(each => isKnownNotApplied && !each.mayBeApplied);
-            known.forEach(each => each.settle(commitOutcomes.notStored));
+            known.forEach(each => each.settle(notStored));
             await settleOrRepeat(batch.filter(each => !known.includes(each)), isKnownNotApplied);
             return;
         }
         if (swapped.val.isSwapped) {
-            batch.forEach(each => each.settle(commitOutcomes.stored));
+            const { revision } = swapped.val;
+            batch.forEach(each => each.settle(stored(revision, false)));
             return;
         }
         const present = new Map(swapped.val.current.map(each => [each.key, each.revision]));
+        const describePresent = ({ key }: WaitingKey): CommitResult | undefined => {
+            const revision = present.get(key) ?? 0;
+            return revision > 0 ? stored(revision, true) : undefined;
+        };
         if (shared && (present.get(shared.key) ?? 0) !== shared.expectedRevision) {
             const current = swapped.val.current.find(each => each.key === shared.key);
             if (current) {
                 options.onGuardChanged(current);
             }
             // A key that exists was created before, perhaps by an attempt without a response. An absent one will not be: the guard has changed.
-            batch.forEach(each => each.settle((present.get(each.key) ?? 0) > 0 ? commitOutcomes.stored : commitOutcomes.outdated));
+            batch.forEach(each => each.settle(describePresent(each) ?? outdated));
             return;
         }
         for (const each of batch) {
-            if ((present.get(each.key) ?? 0) > 0) {
-                each.settle(commitOutcomes.stored);
+            const found = describePresent(each);
+            if (found) {
+                each.settle(found);
             }
             else if (each.attemptsCount >= maxAttemptsCount) {
-                each.settle(each.mayBeApplied ? commitOutcomes.unknown : commitOutcomes.notStored);
+                each.settle(each.mayBeApplied ? unknown : notStored);
             }
             else {
                 enqueue({ ...each, attemptsCount: each.attemptsCount + 1 });
@@ -135,9 +157,9 @@
             void writeBatch([...batch.values()]);
         }
     };
-    const joinSettle = (first: WaitingKey, second: WaitingKey) => (outcome: CommitOutcome): void => {
-        first.settle(outcome);
-        second.settle(outcome);
+    const joinSettle = (first: WaitingKey, second: WaitingKey) => (result: CommitResult): void => {
+        first.settle(result);
+        second.settle(result);
     };
     const enqueue = (each: WaitingKey): void => {
         waiting.push(each);
--- a/src/process/jobService.ts
+++ b/src/process/jobService.ts
@@ -2,15 +2,16 @@
  * Job operations for callers: submit, query, cancel. Writes go to the store. Final states and counts come from this process's
  * mirror of the store, which may be some hundred milliseconds behind; the state of a job that goes on is read from the store.
  */
+import type { Result } from "../common/results.js";
 import type { TimerService } from "../common/timerService.js";
-import type { ChangeFeedStore, StoredValue, StoreGuard } from "../connection/platformStore.js";
+import type { ChangeFeedStore, ReadAnswer, StoredValue, StoreError, StoreGuard } from "../connection/platformStore.js";
 import { createJobDirectory, type DirectoryEntry, type JobDirectory } from "../scheduling/jobDirectory.js";
 import { encodeSubmission, jobKeys } from "../scheduling/jobDocuments.js";
 import { isFinalState } from "../scheduling/jobRecord.js";
 import { type JobState, jobStates, type JobSubmission } from "../scheduling/jobTypes.js";
 import { commitOutcomes, createGroupCommit } from "./groupCommit.js";
 import { logEvents } from "./logEvents.js";
-import type { Logger } from "./logger.js";
+import type { LogFields, Logger } from "./logger.js";
 
 export const jobResultKinds = {
     /** Done and stored. */
@@ -25,11 +26,36 @@
 } as const;
 export type JobResultKind = (typeof jobResultKinds)[keyof typeof jobResultKinds];
 
+/** Why a job counts as not found. */
+export const notFoundCauses = {
+    /** The store contains no submission of the job. */
+    noSubmission: "noSubmission",
+    /** The stored submission cannot be decoded. */
+    unreadable: "unreadable",
+    /** The stored submission names another queue than the call. */
+    otherQueue: "otherQueue",
+} as const;
+export type NotFoundCause = (typeof notFoundCauses)[keyof typeof notFoundCauses];
+
+/** How a submission became known to be stored. */
+const acceptanceOrigins = {
+    /** This call's transaction stored it. */
+    stored: "stored",
+    /** The store contained it already. */
+    present: "present",
+    /** This process's mirror contains it; the store was not asked. */
+    mirrored: "mirrored",
+} as const;
+
 export interface JobResult {
     kind: JobResultKind;
     state?: JobState;
     reason?: string;
     retryAfterMs?: number;
+    /** Set if the job was not found. */
+    cause?: NotFoundCause;
+    /** What the result was decided on, for the log. */
+    logFields?: LogFields;
 }
 
 export interface JobService {
@@ -40,11 +66,22 @@
     countQueued(queueName: string): number | undefined;
 }
 
+/** The read of a submission from the store. */
+interface SubmissionLookup {
+    key: string;
+    /** Queue that the call names. */
+    queueName: string;
+    submission: StoredValue | undefined;
+    answer: ReadAnswer | undefined;
+}
+
 export interface JobServiceOptions {
     store: ChangeFeedStore;
     directory: JobDirectory;
     /** Time since the jobs in the directory were last confirmed to be current. */
     directoryAgeMs(): number;
+    /** Revision of a key in the mirror that fills the directory; 0 if it does not contain the key. */
+    mirroredRevision(key: string): number;
     timers: TimerService;
     logger: Logger;
     /** Store condition that holds while the configuration that requests are validated against is current. */
@@ -84,10 +121,12 @@
     const refuse = (reason: string): JobResult => ({ kind: jobResultKinds.refused, reason, retryAfterMs: storeRetryAfterMs });
 
     const create = async (key: string, value: string, jobId: string): Promise<JobResult> => {
-        const outcome = await commit.create(key, value);
+        const { outcome, revision, wasPresent } = await commit.create(key, value);
         switch (outcome) {
-            case commitOutcomes.stored:
-                return { kind: jobResultKinds.ok };
+            case commitOutcomes.stored: {
+                const origin = wasPresent ? acceptanceOrigins.present : acceptanceOrigins.stored;
+                return { kind: jobResultKinds.ok, logFields: { revision, origin } };
+            }
             case commitOutcomes.outdated:
                 return { kind: jobResultKinds.outdated };
             case commitOutcomes.notStored:
@@ -98,6 +137,9 @@
         }
     };
 
+    const logAcceptance = ({ jobId, queueName, teamName }: JobSubmission, stored: LogFields | undefined): void =>
+        logger.log(logEvents.jobAccepted, { jobId, queue: queueName, team: teamName, ...stored });
+
     const findSubmittedJob = (queueName: string, jobId: string, jobs = directory): DirectoryEntry | undefined => {
         const entry = jobs.find(jobId);
         return entry?.submission !== undefined && entry.queueName === queueName ? entry : undefined;
@@ -108,24 +150,62 @@
         state: isCancelled && !isFinalState(state) ? jobStates.cancelled : state,
     });
 
-    /** Looks up a job that the mirror does not contain, because another process may have accepted it just before. */
+    const describeNotFound = (cause: NotFoundCause, reason: string, lookup: SubmissionLookup): JobResult => {
+        const { storeRevision, durationMs, neighbour } = lookup.answer ?? {};
+        return {
+            kind: jobResultKinds.notFound,
+            cause,
+            reason,
+            logFields: {
+                queue: lookup.queueName,
+                submissionRevision: lookup.submission?.revision,
+                mirroredRevision: options.mirroredRevision(lookup.key),
+                readRevision: storeRevision,
+                readMs: durationMs,
+                readThrough: neighbour ?? "direct",
+            },
+        };
+    };
+    const describeNoSubmission = (lookup: SubmissionLookup): JobResult =>
+        describeNotFound(notFoundCauses.noSubmission, "the store has no submission", lookup);
+
+    /** Reads a submission that the mirror does not contain, because another process may have accepted it just before. */
+    const lookUp = async (queueName: string, jobId: string): Promise<Result<SubmissionLookup, StoreError>> => {
+        const key = jobKeys.submissionPrefix + jobId;
+        let answer: ReadAnswer | undefined;
+        const read = await options.store.read(key, readAnswer => answer = readAnswer);
+        return read.map(submission => ({ key, queueName, submission, answer }));
+    };
+
     const readState = async (queueName: string, jobId: string): Promise<JobResult> => {
-        const read = createJobDirectory({ onUnreadable: (key, reason) => logger.log(logEvents.documentUnreadable, { key, reason }) });
-        for (const prefix of [jobKeys.submissionPrefix, jobKeys.progressPrefix, jobKeys.cancellationPrefix]) {
-            const key = prefix + jobId;
-            const stored = await options.store.read(key);
+        const lookup = await lookUp(queueName, jobId);
+        if (lookup.err) {
+            return refuse("the store does not respond");
+        }
+        const { key, submission } = lookup.val;
+        if (!submission) {
+            return describeNoSubmission(lookup.val);
+        }
+        const read = createJobDirectory({
+            onUnreadable: (unreadableKey, reason) => logger.log(logEvents.documentUnreadable, { key: unreadableKey, reason }),
+        });
+        const isReadable = read.apply(key, submission.value) !== undefined;
+        for (const prefix of [jobKeys.progressPrefix, jobKeys.cancellationPrefix]) {
+            const stored = await options.store.read(prefix + jobId);
             if (stored.err) {
                 return refuse("the store does not respond");
             }
             if (stored.val) {
-                read.apply(key, stored.val.value);
-            }
-            else if (prefix === jobKeys.submissionPrefix) {
-                return { kind: jobResultKinds.notFound };
+                read.apply(prefix + jobId, stored.val.value);
             }
         }
         const entry = findSubmittedJob(queueName, jobId, read);
-        return entry ? describeState(entry) : { kind: jobResultKinds.notFound };
+        if (entry) {
+            return describeState(entry);
+        }
+        return isReadable ?
+            describeNotFound(notFoundCauses.otherQueue, `the job is in queue ${read.find(jobId)?.queueName}`, lookup.val) :
+            describeNotFound(notFoundCauses.unreadable, "the submission cannot be read", lookup.val);
     };
 
     const readsInProgress = new Map<string, Promise<void>>();
@@ -144,15 +224,17 @@
 
     return {
         submit: async submission => {
+            const key = jobKeys.submissionPrefix + submission.jobId;
             if (findSubmittedJob(submission.queueName, submission.jobId)) {
+                logAcceptance(submission, { revision: options.mirroredRevision(key), origin: acceptanceOrigins.mirrored });
                 return { kind: jobResultKinds.ok };
             }
             if (!isStoreReachable()) {
                 return storeUnreachable;
             }
-            const answer = await create(jobKeys.submissionPrefix + submission.jobId, encodeSubmission(submission), submission.jobId);
+            const answer = await create(key, encodeSubmission(submission), submission.jobId);
             if (answer.kind === jobResultKinds.ok) {
-                logger.log(logEvents.jobAccepted, { jobId: submission.jobId, queue: submission.queueName, team: submission.teamName });
+                logAcceptance(submission, answer.logFields);
             }
             return answer;
         },
@@ -175,12 +257,12 @@
                 return storeUnreachable;
             }
             if (!findSubmittedJob(queueName, jobId)) {
-                const read = await options.store.read(jobKeys.submissionPrefix + jobId);
-                if (read.err) {
+                const lookup = await lookUp(queueName, jobId);
+                if (lookup.err) {
                     return refuse("the store does not respond");
                 }
-                if (!read.val) {
-                    return { kind: jobResultKinds.notFound };
+                if (!lookup.val.submission) {
+                    return describeNoSubmission(lookup.val);
                 }
             }
             const answer = await create(
@@ -189,7 +271,7 @@
                 jobId,
             );
             if (answer.kind === jobResultKinds.ok) {
-                logger.log(logEvents.jobCancelled, { jobId, queue: queueName });
+                logger.log(logEvents.jobCancelled, { jobId, queue: queueName, ...answer.logFields });
             }
             return answer;
         },
--- a/src/process/logEvents.ts
+++ b/src/process/logEvents.ts
@@ -82,8 +82,16 @@
         logLevels.info,
         "Load of the process that owns the scheduling since the previous summary, and what waits and runs in each pool.",
     ),
-    jobAccepted: defineEvent(2101, logLevels.info, "A job was accepted and is stored."),
-    jobCallRejected: defineEvent(2102, logLevels.info, "A call of the job API was rejected; 'reason' tells why."),
+    jobAccepted: defineEvent(
+        2101,
+        logLevels.info,
+        "A job was accepted and is stored since 'revision'; 'origin' tells whether this call stored it.",
+    ),
+    jobCallRejected: defineEvent(
+        2102,
+        logLevels.info,
+        "A call of the job API was rejected; 'reason' tells why. With status 410, 'readRevision' is the store's revision of the answer.",
+    ),
     jobOutcomeUnknown: defineEvent(
         2103,
         logLevels.warn,
@@ -91,6 +99,11 @@
     ),
     jobCancelled: defineEvent(2104, logLevels.info, "A job was cancelled by its caller."),
     settingsReloaded: defineEvent(1006, logLevels.info, "The settings were reloaded."),
+    readinessChanged: defineEvent(
+        1008,
+        logLevels.info,
+        "The process has become ready for callers, or is no longer ready ('isReady'); the figures are those that decide it.",
+    ),
     settingsRejected: defineEvent(1007, logLevels.error, "The settings are invalid; see 'findings'."),
     documentUnreadable: defineEvent(4006, logLevels.warn, "A stored document could not be parsed and is ignored."),
     storeUnavailable: defineEvent(
@@ -105,6 +118,12 @@
         logLevels.info,
         "A watch returned many changes, or the first ones after a gap; 'newestKnownRevision' is the newest that the store has reported.",
     ),
+    watchFailed: defineEvent(
+        7011,
+        logLevels.warn,
+        "A call of a watch failed and is repeated; repeated failures in a row are logged at intervals.",
+    ),
+    watchRecovered: defineEvent(7012, logLevels.info, "A watch responds again after failed calls."),
     serviceRefusesProcess: defineEvent(
         7007,
         logLevels.warn,
--- a/src/process/metrics.ts
+++ b/src/process/metrics.ts
@@ -61,6 +61,18 @@
             labelNames: ["call"],
             registers,
         }),
+        storeCopyAgeSeconds: new Gauge({
+            name: "nutmegjunction_store_copy_age_seconds",
+            help: "Time since the copy of the keys with this prefix was last confirmed to be current.",
+            labelNames: ["prefix"],
+            registers,
+        }),
+        jobsNotFoundTotal: new Counter({
+            name: "nutmegjunction_jobs_not_found_total",
+            help: "Calls about jobs that were answered with 410, by cause.",
+            labelNames: ["cause"],
+            registers,
+        }),
         peerBytesTotal: new Counter({
             name: "nutmegjunction_peer_bytes_total",
             help: "Bytes sent to and received from peers.",
@@ -73,10 +85,20 @@
 }
 
 /** Updates the process metrics and renders all metrics in the Prometheus text format. */
-export async function renderMetrics(metrics: Metrics, storeCalls: Readonly<Record<string, number>>): Promise<string> {
+export async function renderMetrics(
+    metrics: Metrics,
+    storeCalls: Readonly<Record<string, number>>,
+    /** Ages of the copies of the store by prefix; `undefined` before the first confirmation. */
+    copyAgesMs: Readonly<Record<string, number | undefined>> = {},
+): Promise<string> {
     const usage = process.cpuUsage();
     metrics.processCpuSeconds.set((usage.user + usage.system) / 1e6);
     metrics.processMemoryBytes.set(process.memoryUsage.rss());
     Object.entries(storeCalls).forEach(([call, count]) => metrics.storeCallsTotal.set({ call }, count));
+    for (const [prefix, ageMs] of Object.entries(copyAgesMs)) {
+        if (ageMs !== undefined) {
+            metrics.storeCopyAgeSeconds.set({ prefix }, ageMs / 1000);
+        }
+    }
     return metrics.registry.metrics();
 }
--- a/src/process/relayedCalls.ts
+++ b/src/process/relayedCalls.ts
@@ -140,7 +140,7 @@
                 logger.log(logEvents.callsPassedOn, { neighbour: member.name, address: member.address });
             }
         }
-        return result;
+        return result.hasResponse ? { hasResponse: true, response: { ...result.response, neighbour: member.name } } : result;
     };
 
     /** Makes the call through neighbours; `undefined` if none of them was tried. */
--- a/tests/platform/jobApiServer.spec.ts
+++ b/tests/platform/jobApiServer.spec.ts
@@ -5,8 +5,9 @@
 import { request } from "undici";
 import { decodeConfiguration } from "../../platform/configurationDocument.js";
 import { createJobApiServer } from "../../platform/jobApiServer.js";
-import { jobResultKinds, type JobService } from "../../src/process/jobService.js";
-import { createSilentLogger } from "../../src/process/logger.js";
+import { jobResultKinds, type JobService, notFoundCauses } from "../../src/process/jobService.js";
+import { logEvents } from "../../src/process/logEvents.js";
+import { createSilentLogger, type LogFields } from "../../src/process/logger.js";
 import { createMetrics } from "../../src/process/metrics.js";
 
 const configuration = decodeConfiguration(JSON.stringify({
@@ -71,3 +72,62 @@
         assert.equal((await get("/open/")).status, 200);
     });
 });
+
+describe("the job API's answer that there is no such job", () => {
+    const logged: LogFields[] = [];
+    const metrics = createMetrics();
+    const lookup = { queue: "open", readRevision: 7, readMs: 12, readThrough: "neighbour" };
+    const jobs = {
+        state: () =>
+            Promise.resolve({
+                kind: jobResultKinds.notFound,
+                cause: notFoundCauses.otherQueue,
+                reason: "the job is in queue other",
+                logFields: lookup,
+            }),
+    } as unknown as JobService;
+    const server = createJobApiServer({
+        configuration: () => configuration,
+        configurationAgeMs: () => 100,
+        storeRevision: () => 5,
+        maxConfigurationAgeMs: 4_000,
+        maxAgeForAbsenceMs: 2_000,
+        jobs,
+        logger: {
+            ...createSilentLogger(),
+            log: (event, fields = {}) => {
+                if (event.id === logEvents.jobCallRejected.id) {
+                    logged.push(fields);
+                }
+            },
+        },
+        metrics,
+        nowMs: () => 0,
+        wallClockMs: () => 0,
+        isStopping: () => false,
+    });
+
+    before(() => new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve)));
+    after(() => server.closeAllConnections());
+    after(() => server.close());
+
+    it("should log and count the cause, which the caller does not get", async () => {
+        const { port } = server.address() as AddressInfo;
+        const path = `/open/${jobId}`;
+        const response = await request(`http://127.0.0.1:${port}${path}`, { headers: { host: "a.example" } });
+        assert.equal(response.statusCode, 410);
+        assert.deepEqual(await response.body.json(), { error: "no such job" });
+        assert.deepEqual(logged, [{
+            method: "GET",
+            path,
+            status: 410,
+            reason: "no such job: the job is in queue other",
+            configurationVersion: 3,
+            configurationAgeMs: 100,
+            storeRevision: 5,
+            durationMs: 0,
+            ...lookup,
+        }]);
+        assert.match(await metrics.registry.metrics(), /nutmegjunction_jobs_not_found_total{cause="otherQueue"} 1/);
+    });
+});
--- a/tests/platform/storeClient.spec.ts
+++ b/tests/platform/storeClient.spec.ts
@@ -2,8 +2,9 @@
 import assert from "node:assert/strict";
 import { after, before, describe, it } from "node:test";
 import { createStoreClient } from "../../platform/storeClient.js";
+import type { WatchFailure, WatchObserver, WatchResponse } from "../../platform/storeFollower.js";
 import { createTimerService, delay } from "../../src/common/timerService.js";
-import type { ChangeFeedStore } from "../../src/connection/platformStore.js";
+import type { ChangeFeedStore, ReadAnswer } from "../../src/connection/platformStore.js";
 import { commitOutcomes, createGroupCommit } from "../../src/process/groupCommit.js";
 import { createSilentLogger } from "../../src/process/logger.js";
 import { createSchedulingOwnership, type OwnershipTerm, type SchedulingOwnership } from "../../src/process/schedulingOwnership.js";
@@ -25,7 +26,7 @@
     let standIn: StoreStandIn;
     let store: ChangeFeedStore;
 
-    const openStore = (): ChangeFeedStore =>
+    const openStore = (observer: Partial<WatchObserver> = {}): ChangeFeedStore =>
         createStoreClient({
             callService: openStoreCalls(standIn.address, lifetime.signal),
             timers,
@@ -33,6 +34,8 @@
             onAvailabilityChange: () => undefined,
             onWatchRestart: () => undefined,
             onWatchResponse: () => undefined,
+            onWatchFailure: () => undefined,
+            ...observer,
         });
     const put = async (key: string, value: string): Promise<void> => {
         const present = (await store.read(key)).unwrap();
@@ -66,6 +69,49 @@
         assert.equal((await store.read("a/none")).unwrap(), undefined);
     });
 
+    it("should tell how a read was answered", async () => {
+        const answers: ReadAnswer[] = [];
+        await put("a/answered", "x");
+        const stored = (await store.read("a/answered", answer => answers.push(answer))).unwrap()!;
+        await store.read("a/none", answer => answers.push(answer));
+        assert.deepEqual(answers.map(({ storeRevision, neighbour }) => [storeRevision, neighbour]), [
+            [stored.revision, undefined],
+            [undefined, undefined],
+        ]);
+        standIn.faults.errorStatus = 503;
+        await store.read("a/answered", answer => answers.push(answer));
+        standIn.faults.errorStatus = undefined;
+        assert.equal(answers.length, 2, "a read without a usable response has no answer");
+    });
+
+    it("should report each failed call of a watch, and the first response after them", async () => {
+        const following = new AbortController();
+        const failures: WatchFailure[] = [];
+        const responses: WatchResponse[] = [];
+        const observed = openStore({ onWatchFailure: each => failures.push(each), onWatchResponse: each => responses.push(each) });
+        let revision = 0;
+        observed.followChanges("w/", following.signal, {
+            onSnapshot: (_, atRevision) => revision = atRevision,
+            onChanges: () => undefined,
+            onUpToDate: () => undefined,
+        }, () => 5);
+        await waitUntil("the prefix is followed", () => revision > 0);
+        standIn.faults.errorStatus = 503;
+        await waitUntil("the watch has failed three times", () => failures.length >= 3);
+        standIn.faults.errorStatus = undefined;
+        await waitUntil("the watch responds", () => responses.at(-1)?.failuresInARow === failures.length);
+        await waitUntil("it responds again", () => responses.at(-1)?.failuresInARow === 0);
+        following.abort();
+        assert.deepEqual(failures.map(each => each.failuresInARow), failures.map((_, index) => index + 1));
+        for (const { prefix, fromRevision, newestKnownRevision, reason, ageMs } of failures) {
+            assert.deepEqual([prefix, fromRevision], ["w/", responses[0]!.fromRevision]);
+            assert.ok(newestKnownRevision >= fromRevision);
+            assert.match(reason, /status 503/);
+            assert.ok(ageMs !== undefined && ageMs >= 0);
+        }
+        assert.ok(failures[2]!.ageMs! > failures[0]!.ageMs!, "the age grows while the watch fails");
+    });
+
     it("should read all pages of a prefix", async () => {
         standIn.faults.itemsPerPage = 2;
         for (const key of ["b/1", "b/2", "b/3", "b/4", "b/5"]) {
@@ -114,9 +160,10 @@
         });
         const callsBefore = standIn.callCount("/api/kv-txn");
         const outcomes = await Promise.all(["f/1", "f/2", "f/2", "f/3"].map(key => commit.create(key, key)));
-        assert.deepEqual(outcomes, Array.from({ length: 4 }, () => commitOutcomes.stored));
+        const { revision } = (await store.read("f/1")).unwrap()!;
+        assert.deepEqual(outcomes, Array.from({ length: 4 }, () => ({ outcome: commitOutcomes.stored, revision, wasPresent: false })));
         assert.equal(standIn.callCount("/api/kv-txn") - callsBefore, 1);
-        assert.equal(await commit.create("f/1", "again"), commitOutcomes.stored);
+        assert.deepEqual(await commit.create("f/1", "again"), { outcome: commitOutcomes.stored, revision, wasPresent: true });
         assert.equal((await store.read("f/1")).unwrap()?.value, "f/1");
     });
 
@@ -129,7 +176,9 @@
             isStoreReachable: () => true,
         });
         standIn.faults.droppedResponsesCount = 1;
-        assert.equal(await commit.create("g/1", "x"), commitOutcomes.stored);
+        const { outcome, revision, wasPresent } = await commit.create("g/1", "x");
+        assert.deepEqual([outcome, wasPresent], [commitOutcomes.stored, true]);
+        assert.equal(revision, (await store.read("g/1")).unwrap()?.revision);
     });
 
     it("should not commit a write that was checked against an older configuration, and return the newer one", async () => {
@@ -144,7 +193,7 @@
             onGuardChanged: current => returned.push(current.value),
             isStoreReachable: () => true,
         });
-        assert.equal(await commit.create("h/job", "x"), commitOutcomes.outdated);
+        assert.deepEqual(await commit.create("h/job", "x"), { outcome: commitOutcomes.outdated });
         assert.deepEqual(returned, ["2"]);
         assert.equal((await store.read("h/job")).unwrap(), undefined);
     });
--- a/tests/platform/storeMirror.spec.ts
+++ b/tests/platform/storeMirror.spec.ts
@@ -48,6 +48,7 @@
             onAvailabilityChange: () => undefined,
             onWatchRestart: () => undefined,
             onWatchResponse: () => undefined,
+            onWatchFailure: () => undefined,
         });
     });
     after(() => {
--- a/tests/platform/storeRelay.spec.ts
+++ b/tests/platform/storeRelay.spec.ts
@@ -77,6 +77,7 @@
             onAvailabilityChange: () => undefined,
             onWatchRestart: () => undefined,
             onWatchResponse: () => undefined,
+            onWatchFailure: () => undefined,
         });
     const put = async (key: string, value: string): Promise<void> => {
         const swapped = await store.swap([{ key, expectedRevision: 0 }], [{ key, value }]);
@@ -126,7 +127,10 @@
         const lease = (await store.grantLease(2)).unwrap();
         await refuse();
         await put("relayed/a", "value");
-        assert.equal((await store.read("relayed/a")).unwrap()?.value, "value");
+        const neighbours: (string | undefined)[] = [];
+        const read = await store.read("relayed/a", ({ neighbour }) => neighbours.push(neighbour));
+        assert.equal(read.unwrap()?.value, "value");
+        assert.deepEqual(neighbours, ["served"], "the answer tells who passed the call on");
         assert.equal((await store.keepLeaseAlive(lease)).unwrap(), true);
         await put("followed/b", "seen");
         while (changes.length === 0) {
--- a/tests/process/groupCommit.spec.ts
+++ b/tests/process/groupCommit.spec.ts
@@ -4,7 +4,7 @@
 import { Err, Ok, type Result } from "../../src/common/results.js";
 import { createManualTimerService } from "../../src/common/timerService.js";
 import type { PlatformStore, StoreError, StoreGuard, SwapOutcome } from "../../src/connection/platformStore.js";
-import { commitOutcomes, createGroupCommit } from "../../src/process/groupCommit.js";
+import { commitOutcomes, type CommitResult, createGroupCommit } from "../../src/process/groupCommit.js";
 
 type Swapped = Result<SwapOutcome, StoreError>;
 
@@ -15,11 +15,11 @@
     Ok({ isSwapped: false, revision: 0, current: keys.map(key => ({ key, value: "value", revision: 3 })) });
 
 describe("a commit whose response was lost", () => {
-    /** Commits one key with the given answers to its writes; returns the outcome and the number of writes. */
+    /** Commits one key with the given answers to its writes; returns the result and the number of writes. */
     const commit = async (answers: Swapped[], options = { isStoreReachable: true }) => {
         const timers = createManualTimerService();
         const guards: StoreGuard[][] = [];
-        let outcome: string | undefined;
+        let result: CommitResult | undefined;
         const group = createGroupCommit({
             store: {
                 swap: (sent: StoreGuard[]) => {
@@ -33,20 +33,25 @@
             onGuardChanged: () => undefined,
             isStoreReachable: () => options.isStoreReachable,
         });
-        void group.create("job", "value").then(settled => outcome = settled);
+        void group.create("job", "value").then(settled => result = settled);
         for (let round = 0; round < 10; round++) {
             timers.advance(5);
             await new Promise(resolve => setImmediate(resolve));
         }
-        return { outcome, writesCount: guards.length };
+        return { ...result, writesCount: guards.length };
     };
 
     it("should be repeated once and succeed", async () => {
-        assert.deepEqual(await commit([lost, applied]), { outcome: commitOutcomes.stored, writesCount: 2 });
+        assert.deepEqual(await commit([lost, applied]), { outcome: commitOutcomes.stored, revision: 5, wasPresent: false, writesCount: 2 });
     });
 
     it("should be stored if the repeated write finds the key", async () => {
-        assert.deepEqual(await commit([lost, conflict("configuration", "job")]), { outcome: commitOutcomes.stored, writesCount: 2 });
+        assert.deepEqual(await commit([lost, conflict("configuration", "job")]), {
+            outcome: commitOutcomes.stored,
+            revision: 3,
+            wasPresent: true,
+            writesCount: 2,
+        });
     });
 
     it("should be stored, not outdated, if the key exists though the configuration has changed since", async () => {
@@ -55,7 +60,7 @@
             revision: 0,
             current: [{ key: "configuration", value: "value", revision: 4 }, { key: "job", value: "value", revision: 2 }],
         });
-        assert.deepEqual(await commit([lost, changed]), { outcome: commitOutcomes.stored, writesCount: 2 });
+        assert.deepEqual(await commit([lost, changed]), { outcome: commitOutcomes.stored, revision: 2, wasPresent: true, writesCount: 2 });
     });
 
     it("should be unknown, not refused, if the repeated write was rejected", async () => {
--- a/tests/process/jobService.spec.ts
+++ b/tests/process/jobService.spec.ts
@@ -3,9 +3,10 @@
 import { describe, it } from "node:test";
 import { Err, Ok } from "../../src/common/results.js";
 import { createTimerService } from "../../src/common/timerService.js";
-import type { ChangeFeedStore } from "../../src/connection/platformStore.js";
-import { createJobService, jobResultKinds, type JobService } from "../../src/process/jobService.js";
-import { createSilentLogger } from "../../src/process/logger.js";
+import type { ChangeFeedStore, ReadAnswer, StoreGuard } from "../../src/connection/platformStore.js";
+import { createJobService, jobResultKinds, type JobService, notFoundCauses } from "../../src/process/jobService.js";
+import { logEvents } from "../../src/process/logEvents.js";
+import { createSilentLogger, type LogFields } from "../../src/process/logger.js";
 import { createJobDirectory } from "../../src/scheduling/jobDirectory.js";
 import { encodeProgress, encodeSubmission, jobKeys } from "../../src/scheduling/jobDocuments.js";
 import { jobStates } from "../../src/scheduling/jobTypes.js";
@@ -14,25 +15,36 @@
 interface Fixture {
     jobs: JobService;
     calls: string[];
+    /** Fields of the logged acceptances. */
+    acceptances: LogFields[];
     /** Sets the time since the known jobs were confirmed to be current; there is one queued job. */
     setDirectoryAgeMs(ageMs: number): void;
     /** Sets the time since the last response of the store. */
     setUnresponsiveForMs(durationMs: number): void;
 }
 
+/** A store that contains `stored`, all at revision 1, or does not answer reads; a write of one of its keys finds it present. */
 function createFixture(options: { isWriteAnswered: boolean; stored?: Record<string, string> }): Fixture {
     const calls: string[] = [];
+    const acceptances: LogFields[] = [];
     let unresponsiveForMs = 100;
     let directoryAgeMs = 100;
     const lost = { call: "swap", reason: "timeout", isKnownNotApplied: false };
     const store = {
-        swap: () => {
+        swap: (guards: StoreGuard[]) => {
             calls.push("swap");
+            const present = guards.filter(({ key }) => options.stored?.[key] !== undefined);
+            if (present.length > 0) {
+                return Promise.resolve(
+                    Ok({ isSwapped: false, revision: 0, current: present.map(({ key }) => ({ key, value: "", revision: 1 })) }),
+                );
+            }
             return Promise.resolve(options.isWriteAnswered ? Ok({ isSwapped: true, revision: 2, current: [] }) : Err(lost));
         },
-        read: (key: string) => {
+        read: (key: string, onAnswered?: (answer: ReadAnswer) => void) => {
             calls.push("read");
             if (options.stored) {
+                onAnswered?.({ storeRevision: 7, durationMs: 12, neighbour: "neighbour" });
                 const value = options.stored[key];
                 return Promise.resolve(Ok(value === undefined ? undefined : { key, value, revision: 1 }));
             }
@@ -47,8 +59,16 @@
         store,
         directory,
         directoryAgeMs: () => directoryAgeMs,
+        mirroredRevision: key => key === jobKeys.submissionPrefix + submission.jobId ? 4 : 0,
         timers: createTimerService(),
-        logger: createSilentLogger(),
+        logger: {
+            ...createSilentLogger(),
+            log: (event, fields = {}) => {
+                if (event.id === logEvents.jobAccepted.id) {
+                    acceptances.push(fields);
+                }
+            },
+        },
         configurationGuard: () => undefined,
         onConfigurationChanged: () => undefined,
         onProgressRead: ({ key, value }) => void directory.apply(key, value),
@@ -56,6 +76,7 @@
     return {
         jobs,
         calls,
+        acceptances,
         setDirectoryAgeMs: ageMs => directoryAgeMs = ageMs,
         setUnresponsiveForMs: durationMs => unresponsiveForMs = durationMs,
     };
@@ -117,6 +138,41 @@
         assert.deepEqual(calls, ["read"]);
     });
 
+    it("should tell the causes apart for which it answers that a job is unknown, and what the store answered", async () => {
+        const key = jobKeys.submissionPrefix + jobId;
+        const read = { queue: queueName, mirroredRevision: 0, readRevision: 7, readMs: 12, readThrough: "neighbour" };
+        const cases = [
+            { stored: {}, cause: notFoundCauses.noSubmission, reason: "the store has no submission", submissionRevision: undefined },
+            { stored: { [key]: "{" }, cause: notFoundCauses.unreadable, reason: "the submission cannot be read", submissionRevision: 1 },
+            {
+                stored: { [key]: encodeSubmission({ ...modelSubmission, queueName: "other" }) },
+                cause: notFoundCauses.otherQueue,
+                reason: "the job is in queue other",
+                submissionRevision: 1,
+            },
+        ];
+        for (const { stored, cause, reason, submissionRevision } of cases) {
+            const { jobs } = createFixture({ isWriteAnswered: true, stored });
+            const logFields = { ...read, submissionRevision };
+            assert.deepEqual(await jobs.state(queueName, jobId), { kind: jobResultKinds.notFound, cause, reason, logFields });
+        }
+        const { jobs } = createFixture({ isWriteAnswered: true, stored: {} });
+        assert.equal((await jobs.cancel(queueName, jobId)).cause, notFoundCauses.noSubmission);
+    });
+
+    it("should log the revision at which a job was accepted, and whether it was stored before", async () => {
+        const acceptanceOf = async (stored: Record<string, string>, submittedId: string): Promise<LogFields> => {
+            const { jobs, acceptances } = createFixture({ isWriteAnswered: true, stored });
+            assert.equal((await jobs.submit({ ...modelSubmission, jobId: submittedId })).kind, jobResultKinds.ok);
+            assert.equal(acceptances.length, 1);
+            return acceptances[0]!;
+        };
+        const described = { queue: queueName, team: undefined };
+        assert.deepEqual(await acceptanceOf({}, jobId), { ...described, jobId, revision: 2, origin: "stored" });
+        assert.deepEqual(await acceptanceOf(submission, jobId), { ...described, jobId, revision: 1, origin: "present" });
+        assert.deepEqual(await acceptanceOf({}, "queued"), { ...described, jobId: "queued", revision: 4, origin: "mirrored" });
+    });
+
     it("should count queued jobs only while the known jobs are current", () => {
         const { jobs, setDirectoryAgeMs } = createFixture({ isWriteAnswered: true });
         assert.equal(jobs.countQueued(queueName), 1);
