Expect a process on a slow link to catch up with a large value that keeps changing

Callers saw: after a cut of their zone, processes on links of 7 Mbit/s answered 503 and were not ready for 14 s more, while the configuration had 1,320 routes and changed each 1.3 s.

--- a/tests/platform/storeMirror.spec.ts
+++ b/tests/platform/storeMirror.spec.ts
@@ -8,6 +8,7 @@
 import { openStoreCalls, startStoreStandIn, type StoreStandIn } from "./storeStandIn.js";
 
 const timers = createTimerService();
+const largeValueBytes = 50_000;
 
 async function waitUntil(what: string, condition: () => boolean): Promise<void> {
     const deadlineMs = timers.nowMs() + 8_000;
@@ -167,6 +168,31 @@
         following.abort();
     });
 
+    // Guards against a watch whose response takes longer than its timeout, and which is therefore repeated without end.
+    it("should catch up over a slow link with a large value that keeps changing", async context => {
+        const following = new AbortController();
+        context.after(() => {
+            following.abort();
+            standIn.faults.bytesPerS = Number.POSITIVE_INFINITY;
+        });
+        const mirror = mirrorOf("v/", following.signal);
+        const describeVersion = (version: number): string => `${version} `.padEnd(largeValueBytes, "x");
+        await put("v/large", describeVersion(0));
+        await waitUntil("the first version is visible", () => mirror.valueOf("v/large") !== undefined);
+        standIn.faults.bytesPerS = 4 * largeValueBytes;
+        let newestVersion = 0;
+        const writeNext = async (): Promise<void> => {
+            newestVersion += 1;
+            (await store.swap([], [{ key: "v/large", value: describeVersion(newestVersion) }])).unwrap();
+        };
+        for (let count = 0; count < 12; count++) {
+            await writeNext();
+        }
+        timers.every(1_000, following.signal, () => void writeNext());
+        await waitUntil("a version of the last two seconds is visible", () => Number(mirror.valueOf("v/large")!.split(" ")[0]) > 11);
+        await waitUntil("the mirror counts as current", () => mirror.ageMs()! < 2_000);
+    });
+
     it("should apply a learned change at once, and neither it nor an older one again", async () => {
         const following = new AbortController();
         const applied: (string | undefined)[] = [];
--- a/tests/platform/storeStandIn.ts
+++ b/tests/platform/storeStandIn.ts
@@ -23,6 +23,8 @@
     itemsPerPage: number;
     /** Transactions whose changes one response of a watch may contain; it then ends at the last of them. */
     revisionsPerWatch: number;
+    /** Rate at which all responses together are sent. */
+    bytesPerS: number;
 }
 
 export interface StoreStandIn {
@@ -36,6 +38,8 @@
 }
 
 const watchPollMs = 5;
+/** Size of the pieces in which a response is sent at a limited rate. */
+const pieceBytes = 4_000;
 
 export async function startStoreStandIn(): Promise<StoreStandIn> {
     const items = new Map<string, Item>();
@@ -44,7 +48,9 @@
         isSilent: false,
         itemsPerPage: 500,
         revisionsPerWatch: Number.POSITIVE_INFINITY,
+        bytesPerS: Number.POSITIVE_INFINITY,
     };
+    let linkFreeAtMs = 0;
     const calls = new Map<string, number>();
     const leases = new Set<number>();
     let history: Event[] = [];
@@ -138,6 +144,16 @@
         }
     };
 
+    const send = async (response: http.ServerResponse, status: number, text: string): Promise<void> => {
+        response.writeHead(status, { "content-type": "application/json" });
+        for (let offset = 0; offset < text.length && Number.isFinite(faults.bytesPerS) && !response.destroyed; offset += pieceBytes) {
+            linkFreeAtMs = Math.max(linkFreeAtMs, performance.now()) + 1_000 * pieceBytes / faults.bytesPerS;
+            await new Promise(resolve => setTimeout(resolve, linkFreeAtMs - performance.now()));
+            response.write(text.slice(offset, offset + pieceBytes));
+        }
+        response.end(Number.isFinite(faults.bytesPerS) ? undefined : text);
+    };
+
     const server = http.createServer((request, response) => {
         let text = "";
         request.on("data", (chunk: Buffer) => text += chunk.toString());
@@ -157,7 +173,7 @@
                     response.destroy();
                     return;
                 }
-                response.writeHead(status, { "content-type": "application/json" }).end(JSON.stringify(body));
+                return send(response, status, JSON.stringify(body));
             });
         });
     });
