Let a response that keeps arriving take longer than the call's timeout

Cause: the watch of the configuration returns every version since the cut, 0.3 MB each; together they take longer than the call's timeout, and the next call begins from the start. Bytes arrived all the time, at the full rate of the link, and none was ever used, until the store discarded its history. Class: a retry that makes no progress.

--- a/src/connection/callRelay.ts
+++ b/src/connection/callRelay.ts
@@ -95,6 +95,8 @@
 const connectTimeoutMs = 400;
 /** Time beyond the call's own timeout after which the other process is taken not to answer any more. */
 const answerMarginMs = 100;
+/** While a response arrives beyond its timeout, its progress is checked at this interval. */
+const transferCheckMs = 500;
 
 interface PendingCall {
     isSent: boolean;
@@ -111,6 +113,7 @@
     const pending = new Map<number, PendingCall>();
     let nextCallId = 1;
     let isClosed = false;
+    let receivedBytes = (): number => 0;
 
     const close = (reason: string): void => {
         if (!isClosed) {
@@ -123,6 +126,7 @@
         }
     };
     const opened = new Promise<void>(resolve => socket.on("open", resolve));
+    socket.on("upgrade", ({ socket: connection }) => receivedBytes = () => connection.bytesRead);
     socket.on("error", error => close(`the link to ${address} failed: ${String(error)}`));
     socket.on("close", () => close(`the link to ${address} was closed`));
     socket.on("message", data => {
@@ -136,19 +140,37 @@
         call?.settle(decoded.val.result);
     });
 
+    /** Closes the link after `timeoutMs`, or up to `transferTimeoutMs` later if something keeps arriving. Returns a function that cancels this. */
+    const closeUnlessArriving = (timeoutMs: number, transferTimeoutMs: number): () => void => {
+        let checkedBytes = receivedBytes();
+        let remainingTransferMs = transferTimeoutMs;
+        const check = (): void => {
+            if (receivedBytes() <= checkedBytes || remainingTransferMs <= 0) {
+                close(`${address} did not answer a call`);
+                return;
+            }
+            checkedBytes = receivedBytes();
+            const untilCheckMs = Math.min(transferCheckMs, remainingTransferMs);
+            remainingTransferMs -= untilCheckMs;
+            cancelCheck = timers.after(untilCheckMs, check);
+        };
+        let cancelCheck = timers.after(timeoutMs, check);
+        return () => cancelCheck();
+    };
+
     return {
-        call: ({ method, path, body, timeoutMs, mayStillSend }) =>
+        call: ({ method, path, body, timeoutMs, transferTimeoutMs, mayStillSend }) =>
             new Promise(resolve => {
                 if (isClosed) {
                     resolve(neverSent(`the link to ${address} is closed`));
                     return;
                 }
                 const callId = nextCallId++;
-                const cancelTimer = timers.after(timeoutMs + answerMarginMs, () => close(`${address} did not answer a call`));
+                const cancelTimeout = closeUnlessArriving(timeoutMs + answerMarginMs, transferTimeoutMs ?? 0);
                 const call: PendingCall = {
                     isSent: false,
                     settle: result => {
-                        cancelTimer();
+                        cancelTimeout();
                         resolve(result);
                     },
                 };
@@ -163,7 +185,7 @@
                         return;
                     }
                     call.isSent = true;
-                    socket.send(encodeRelayMessage({ callId, method, path, body, timeoutMs }));
+                    socket.send(encodeRelayMessage({ callId, method, path, body, timeoutMs, transferTimeoutMs }));
                 });
             }),
         close: () => close("closed locally"),
--- a/src/connection/callRelayMessages.ts
+++ b/src/connection/callRelayMessages.ts
@@ -13,6 +13,7 @@
     path: z.string().max(2_000),
     body: z.unknown(),
     timeoutMs: z.number().positive().max(maximumTimeoutMs),
+    transferTimeoutMs: z.number().nonnegative().max(maximumTimeoutMs).optional(),
 });
 const relayResponse = z.object({
     callId: z.number().int(),
--- a/src/connection/serviceCalls.ts
+++ b/src/connection/serviceCalls.ts
@@ -24,6 +24,8 @@
     headers?: Record<string, string>;
     body?: unknown;
     timeoutMs: number;
+    /** How much longer than `timeoutMs` the call may take while its response keeps arriving; 0 if not set. */
+    transferTimeoutMs?: number;
     /** Asked when the request is about to be written; `false` drops it. It may have waited long for a connection, or in a paused process. */
     mayStillSend?(): boolean;
     /** Whether the service may receive the request twice without another effect than once. */
--- a/tests/platform/storeRelay.spec.ts
+++ b/tests/platform/storeRelay.spec.ts
@@ -22,7 +22,7 @@
 const absent: RelayMember = { name: "absent", address: "127.61.0.3:7000", zone: "zone-1", capacity: 1 };
 
 /** A proxy that forwards connections, or resets them once it has received something. */
-async function startProxy(target: string) {
+async function startProxy(target: string, bytesPerS = Number.POSITIVE_INFINITY) {
     const [host, port] = target.split(":");
     const sockets = new Set<net.Socket>();
     let isRefusing = false;
@@ -38,7 +38,17 @@
         upstream.on("error", () => undefined);
         socket.on("close", () => upstream.destroy());
         upstream.on("close", () => socket.destroy());
-        socket.pipe(upstream).pipe(socket);
+        socket.pipe(upstream);
+        if (Number.isFinite(bytesPerS)) {
+            upstream.on("data", chunk => {
+                socket.write(chunk);
+                upstream.pause();
+                timers.after(1_000 * chunk.length / bytesPerS, () => upstream.resume());
+            });
+        }
+        else {
+            upstream.pipe(socket);
+        }
     });
     server.listen(0, "127.0.0.1");
     await once(server, "listening");
@@ -166,6 +176,18 @@
         await put("relayed/after-nonsense", "value");
     });
 
+    it("should receive values through a neighbour over a slow link", async context => {
+        const slowLink = await startProxy(served.address, 200_000);
+        context.after(() => slowLink.close());
+        const values = Array.from({ length: 3 }, (_, index) => String(index).repeat(100_000));
+        for (const [index, value] of values.entries()) {
+            await put(`slow/${index}`, value);
+        }
+        others = [{ ...served, name: "behind a slow link", address: slowLink.address }];
+        await refuse();
+        assert.deepEqual((await store.readPrefix("slow/")).unwrap().map(({ value }) => value), values);
+    });
+
     it("should learn from an overloaded store's rejection that a write was not applied", async () => {
         others = [served];
         standIn.faults.errorStatus = 503;
