Keep the link to a neighbour when a response is too large to be passed on

A process that the store refuses passes its calls through a neighbour. A response beyond the maximum size of a frame closed the link, and with it failed every other call on it, writes included, whose outcome is then unknown to callers (504). After a cut, the versions of a large configuration exceed that size. Only the call itself fails now.

Failed before: storeRelay 'should go on with other calls when a response is too large to be passed on'.

--- a/src/connection/callRelay.ts
+++ b/src/connection/callRelay.ts
@@ -47,6 +47,13 @@
             callsInProgress -= 1;
         }
     };
+    /** A larger frame would close the link, and with it all other calls. */
+    const encodeResult = (callId: number, result: JsonRequestResult): Buffer => {
+        const encoded = encodeRelayMessage({ callId, result });
+        return encoded.length <= maximumRelayFrameBytes ?
+            encoded :
+            encodeRelayMessage({ callId, result: responseLost(`the response of ${encoded.length} bytes is too large to be passed on`) });
+    };
     const receive = async (socket: WebSocket, frame: Buffer): Promise<void> => {
         const decoded = decodeRelayRequest(frame);
         if (decoded.err) {
@@ -60,7 +67,7 @@
             socket.terminate();
         }
         else if (socket.readyState === socket.OPEN) {
-            socket.send(encodeRelayMessage({ callId, result }));
+            socket.send(encodeResult(callId, result));
         }
     };
 
--- a/tests/platform/storeRelay.spec.ts
+++ b/tests/platform/storeRelay.spec.ts
@@ -188,6 +188,23 @@
         assert.deepEqual((await store.readPrefix("slow/")).unwrap().map(({ value }) => value), values);
     });
 
+    it("should go on with other calls when a response is too large to be passed on", async () => {
+        for (let index = 0; index < 3; index++) {
+            await put(`large/${index}`, "x".repeat(800_000));
+        }
+        await put("relayed/beside-large", "value");
+        others = [served];
+        await refuse();
+        const [large, read, written] = await Promise.all([
+            store.readPrefix("large/"),
+            store.read("relayed/beside-large"),
+            store.swap([], [{ key: "relayed/written", value: "x" }]),
+        ]);
+        assert.ok(large.err && !large.val.isKnownNotApplied);
+        assert.equal(read.unwrap()?.value, "value");
+        assert.ok(written.unwrap().isSwapped);
+    });
+
     it("should learn from an overloaded store's rejection that a write was not applied", async () => {
         others = [served];
         standIn.faults.errorStatus = 503;
