Do not answer 410 for a job whose submission is stored

Callers could get 410 for an accepted job in two cases that the log now tells apart: its stored submission cannot be decoded, or it is in a queue that the configuration of the process lacks, which is then older than the submission. Both are negative answers from state that cannot tell; they are 503 with Retry-After now. The case 'the submission cannot be read' of a test that came with the log fields of a 410 moves to a test of its own, which asks for the refusal.

Failed before: jobService 'should not answer that a job is unknown while the store has a submission ...' (got notFound).

--- a/src/process/jobService.ts
+++ b/src/process/jobService.ts
@@ -30,8 +30,6 @@
 export const notFoundCauses = {
     /** The store contains no submission of the job. */
     noSubmission: "noSubmission",
-    /** The stored submission cannot be decoded. */
-    unreadable: "unreadable",
     /** The stored submission names another queue than the call. */
     otherQueue: "otherQueue",
 } as const;
@@ -86,6 +84,8 @@
     logger: Logger;
     /** Store condition that holds while the configuration that requests are validated against is current. */
     configurationGuard(): StoreGuard | undefined;
+    /** Whether the configuration in force has the queue. */
+    isQueueConfigured(queueName: string): boolean;
     /** Called with the stored configuration when a write shows that it is newer than the one that requests are validated against. */
     onConfigurationChanged(current: StoredValue): void;
     /** Called with the progress of a job that was read from the store, which may be newer than the directory's. */
@@ -203,9 +203,13 @@
         if (entry) {
             return describeState(entry);
         }
-        return isReadable ?
-            describeNotFound(notFoundCauses.otherQueue, `the job is in queue ${read.find(jobId)?.queueName}`, lookup.val) :
-            describeNotFound(notFoundCauses.unreadable, "the submission cannot be read", lookup.val);
+        if (!isReadable) {
+            return refuse("the stored submission cannot be read");
+        }
+        const otherQueueName = read.find(jobId)!.queueName;
+        return options.isQueueConfigured(otherQueueName) ?
+            describeNotFound(notFoundCauses.otherQueue, `the job is in queue ${otherQueueName}`, lookup.val) :
+            refuse(`the job is in queue ${otherQueueName}, which the configuration lacks`);
     };
 
     const readsInProgress = new Map<string, Promise<void>>();
--- a/tests/process/jobService.spec.ts
+++ b/tests/process/jobService.spec.ts
@@ -70,6 +70,7 @@
             },
         },
         configurationGuard: () => undefined,
+        isQueueConfigured: name => name !== "of a newer configuration",
         onConfigurationChanged: () => undefined,
         onProgressRead: ({ key, value }) => void directory.apply(key, value),
     });
@@ -143,7 +144,6 @@
         const read = { queue: queueName, mirroredRevision: 0, readRevision: 7, readMs: 12, readThrough: "neighbour" };
         const cases = [
             { stored: {}, cause: notFoundCauses.noSubmission, reason: "the store has no submission", submissionRevision: undefined },
-            { stored: { [key]: "{" }, cause: notFoundCauses.unreadable, reason: "the submission cannot be read", submissionRevision: 1 },
             {
                 stored: { [key]: encodeSubmission({ ...modelSubmission, queueName: "other" }) },
                 cause: notFoundCauses.otherQueue,
@@ -160,6 +160,21 @@
         assert.equal((await jobs.cancel(queueName, jobId)).cause, notFoundCauses.noSubmission);
     });
 
+    // Guards against a 410 for a job that was accepted.
+    it("should not answer that a job is unknown while the store has a submission that it cannot read or assign to a queue", async () => {
+        const key = jobKeys.submissionPrefix + jobId;
+        const inNewQueue = encodeSubmission({ ...modelSubmission, queueName: "of a newer configuration" });
+        for (const stored of ["{", inNewQueue]) {
+            const { jobs } = createFixture({ isWriteAnswered: true, stored: { [key]: stored } });
+            const { kind, retryAfterMs } = await jobs.state(queueName, jobId);
+            assert.deepEqual(
+                { kind, hasRetryAfter: retryAfterMs !== undefined },
+                { kind: jobResultKinds.refused, hasRetryAfter: true },
+                stored,
+            );
+        }
+    });
+
     it("should log the revision at which a job was accepted, and whether it was stored before", async () => {
         const acceptanceOf = async (stored: Record<string, string>, submittedId: string): Promise<LogFields> => {
             const { jobs, acceptances } = createFixture({ isWriteAnswered: true, stored });
