Open each worker's session by itself, so that one entry cannot stop the scheduling

With one entry among those of the workers whose address no connection can be created for (127.0.0.1:99999, 999.1.1.1:80), the owner of the scheduling started nothing, and neither did the next one. Jobs were accepted and stayed queued.

Cause: the sessions are opened in one loop at the beginning of each pass. The connection's constructor throws TypeError: Invalid URL, which ends the pass before anything is scheduled, while the process goes on renewing its lease.

A worker whose connection cannot be created is now reported once and left alone until its address changes; the others get their sessions.

The processes did not end. Now the job starts at once, also with the next owner, and each owner logs one line for each of the two entries.

--- a/src/process/schedulingService.ts
+++ b/src/process/schedulingService.ts
@@ -168,7 +168,7 @@
         onFenced: () => options.ownership().onFenced(),
         onSchedulerChanged: scheduleStep,
         latenessMs: lateness.latenessMs,
-        onListFailed: (workerId, reason) => logger.log(logEvents.unexpectedError, { where: "worker listing", workerId, error: reason }),
+        onFailed: (workerId, where, reason) => logger.log(logEvents.unexpectedError, { where, workerId, error: reason }),
     });
 
     /** Timers run only in the owner: in any other process a timer wake-up would cost as much as handling a message. */
--- a/src/process/workerSessions.ts
+++ b/src/process/workerSessions.ts
@@ -1,6 +1,8 @@
 /** The owner's sessions with all workers of its scheduler. */
+import { describeError } from "../common/describeError.js";
 import type { ConnectWorker } from "../connection/workerClient.js";
 import type { Scheduler } from "../scheduling/scheduler.js";
+import type { WorkerEntry } from "../scheduling/workerRecord.js";
 import { createWorkerSession, type WorkerCommand, type WorkerSession, type WorkerSessionOptions } from "./workerSession.js";
 
 export interface WorkerSessions {
@@ -16,39 +18,51 @@
 
 export interface WorkerSessionsOptions extends Omit<WorkerSessionOptions, "workerId" | "client" | "scheduler" | "onListFailed"> {
     connectWorker: ConnectWorker;
-    /** A listing of the worker could not be read or applied. */
-    onListFailed(workerId: string, reason: string): void;
+    /** A listing of the worker could not be read or applied, or no session with it could be opened at its address. */
+    onFailed(workerId: string, where: string, reason: string): void;
 }
 
 export function createWorkerSessions(options: WorkerSessionsOptions): WorkerSessions {
-    const sessions = new Map<string, { address: string; session: WorkerSession }>();
+    /** The session is `undefined` if none could be opened; it is tried again at another address only. */
+    const sessions = new Map<string, { address: string; session: WorkerSession | undefined }>();
+
+    /** A worker that cannot be connected must not hold up the others. */
+    const open = (entry: WorkerEntry, scheduler: Scheduler): WorkerSession | undefined => {
+        const { workerId } = entry;
+        try {
+            return createWorkerSession({
+                ...options,
+                workerId,
+                client: options.connectWorker(entry),
+                scheduler,
+                onListFailed: reason => options.onFailed(workerId, "worker listing", reason),
+            });
+        }
+        catch (error) {
+            options.onFailed(workerId, `connection to ${entry.address}`, describeError(error));
+            return undefined;
+        }
+    };
     return {
         sync: scheduler => {
             const { workers } = scheduler.state;
             for (const [workerId, { address, session }] of sessions) {
                 const worker = workers.get(workerId);
                 if (worker?.entry.address !== address || worker.hasEnded) {
-                    session.close();
+                    session?.close();
                     sessions.delete(workerId);
                 }
             }
             for (const [workerId, { entry, hasEnded }] of workers) {
                 if (!sessions.has(workerId) && !hasEnded) {
-                    const session = createWorkerSession({
-                        ...options,
-                        workerId,
-                        client: options.connectWorker(entry),
-                        scheduler,
-                        onListFailed: reason => options.onListFailed(workerId, reason),
-                    });
-                    sessions.set(workerId, { address: entry.address, session });
+                    sessions.set(workerId, { address: entry.address, session: open(entry, scheduler) });
                 }
             }
         },
-        execute: command => sessions.get("run" in command ? command.run.workerId : command.workerId)?.session.execute(command),
-        onProgressSaved: () => sessions.forEach(({ session }) => session.onProgressSaved()),
+        execute: command => sessions.get("run" in command ? command.run.workerId : command.workerId)?.session?.execute(command),
+        onProgressSaved: () => sessions.forEach(({ session }) => session?.onProgressSaved()),
         close: () => {
-            sessions.forEach(({ session }) => session.close());
+            sessions.forEach(({ session }) => session?.close());
             sessions.clear();
         },
     };
--- /dev/null
+++ b/tests/platform/oddEntries.spec.ts
@@ -0,0 +1,145 @@
+/**
+ * Guards against an entry of another writer among those of the workers that ends the processes, or keeps the owner of the scheduling
+ * and each next one from starting anything. Whole processes on a store stand-in, with one usable worker.
+ */
+import assert from "node:assert/strict";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import path from "node:path";
+import { after, before, describe, it } from "node:test";
+import { type Child, startChild } from "../../harness/childProcess.js";
+import { waitUntil } from "../../harness/waitUntil.js";
+import { createJsonHttpClient } from "../../platform/jsonHttpClient.js";
+import { platformKeys } from "../../platform/platformKeys.js";
+import { logEvents } from "../../src/process/logEvents.js";
+import { type PlatformWorkerStandIn, startPlatformWorkerStandIn } from "./platformWorkerStandIn.js";
+import { startStoreStandIn, type StoreStandIn } from "./storeStandIn.js";
+
+const usable = {
+    service: "pool",
+    zone: "zone",
+    version: 1,
+    slots: 8,
+    state: "ready",
+    capacity: { cpu: 16_000, memMb: 64_000 },
+    labels: ["kind", "rack"],
+    seq: 1,
+    born: Date.now(),
+};
+const configuration = {
+    version: 1,
+    routes: [{ name: "queue", host: "a.example", prefix: "/q/", service: "pool", public: true, maxAttempts: 3 }],
+    services: [{ name: "pool" }],
+    limits: {},
+};
+
+/** Entries that name no worker to use, each under its own key. */
+const oddEntries: Record<string, string | Uint8Array> = {
+    "port-too-large": JSON.stringify({ ...usable, address: "127.0.0.1:99999" }),
+    "octet-too-large": JSON.stringify({ ...usable, address: "999.1.1.1:80" }),
+};
+
+interface PlatformProcess {
+    child: Child;
+    submit(jobId: string): Promise<void>;
+    events(id: number): Record<string, unknown>[];
+}
+
+describe("odd entries among those of the workers", () => {
+    const folder = mkdtempSync(path.join(tmpdir(), "odd-entries-"));
+    const processes: PlatformProcess[] = [];
+    let store: StoreStandIn;
+    let worker: PlatformWorkerStandIn;
+
+    const put = async (key: string, value: string | Uint8Array): Promise<void> => {
+        const client = createJsonHttpClient(store.address, 1);
+        const writes = [{ key, value: Buffer.from(value).toString("base64") }];
+        const result = await client.call({
+            method: "POST",
+            path: "/api/kv-txn",
+            body: { expectedRev: [], writes, deletes: [] },
+            timeoutMs: 5_000,
+        });
+        client.close();
+        assert.ok(result.hasResponse && result.response.status === 200, JSON.stringify(result));
+    };
+
+    const startProcess = async (host: string): Promise<PlatformProcess> => {
+        const file = path.join(folder, `${host}.json`);
+        writeFileSync(
+            file,
+            JSON.stringify({
+                nodeName: host,
+                zone: "zone",
+                ip: host,
+                portRange: [7_000, 7_010],
+                listenAddrs: { front: `${host}:7001`, readiness: `${host}:7002` },
+                limits: { memoryMb: 160 },
+                heartbeatMs: 1_000,
+                bounds: { graceS: 1, maxHoldMs: 6_000, stopMs: 900, revokeMs: 3_000, status_s: 60 },
+                platform: { address: store.address, minTtlMs: 500 },
+            }),
+        );
+        const child = startChild({
+            script: "platform/main.js",
+            args: [],
+            environment: { NUTMEGJUNCTION_SETTINGS: file },
+            keepsLines: true,
+        });
+        const readiness = createJsonHttpClient(`${host}:7002`, 1);
+        await waitUntil(`${host} is ready`, async () => {
+            const result = await readiness.call({ method: "GET", path: "/api/ready", timeoutMs: 500 });
+            return result.hasResponse && result.response.status === 200;
+        });
+        readiness.close();
+        const started: PlatformProcess = {
+            child,
+            submit: async jobId => {
+                const client = createJsonHttpClient(`${host}:7001`, 1);
+                const body = { spec: "", steps: [{ count: 1, cpu: 100, memMb: 10, estDurationMs: 30 }] };
+                const headers = { host: "a.example" };
+                const result = await client.call({ method: "POST", path: `/q/${jobId}`, headers, body, timeoutMs: 3_000 });
+                client.close();
+                assert.ok(result.hasResponse && result.response.status === 200, JSON.stringify(result));
+            },
+            events: id => child.lines.map(line => JSON.parse(line) as Record<string, unknown>).filter(line => line["event"] === id),
+        };
+        processes.push(started);
+        return started;
+    };
+    const waitForStart = (jobId: string): Promise<void> =>
+        waitUntil(`a task of job ${jobId} has started`, () => worker.startedTasks.includes(`${jobId}.0.0.0`));
+
+    before(async () => {
+        store = await startStoreStandIn();
+        worker = await startPlatformWorkerStandIn();
+        await put(platformKeys.configuration, JSON.stringify(configuration));
+        await put(`${platformKeys.workerPrefix}usable`, JSON.stringify({ ...usable, address: worker.address, born: worker.bornWallMs }));
+        for (const [name, value] of Object.entries(oddEntries)) {
+            await put(platformKeys.workerPrefix + name, value);
+        }
+    });
+    after(async () => {
+        processes.forEach(({ child }) => child.kill("SIGKILL"));
+        await Promise.all(processes.map(({ child }) => child.exited));
+        worker.close();
+        store.close();
+        rmSync(folder, { recursive: true });
+    });
+
+    it("should leave the owner and the next owner able to start tasks on the usable worker", async () => {
+        const first = await startProcess("127.62.0.1");
+        await first.submit("000000000000000a");
+        await waitForStart("000000000000000a");
+        const second = await startProcess("127.62.0.2");
+        first.child.kill("SIGTERM");
+        await first.child.exited;
+        await second.submit("000000000000000b");
+        await waitForStart("000000000000000b");
+        for (const each of [first, second]) {
+            const failures = each.events(logEvents.unexpectedError.id);
+            assert.ok(failures.length <= Object.keys(oddEntries).length, `${failures.length} failures are logged`);
+            assert.equal(each.child.stderrText(), "");
+        }
+    });
+});
--- a/tests/process/endedWorkers.spec.ts
+++ b/tests/process/endedWorkers.spec.ts
@@ -35,7 +35,7 @@
                 }) as unknown as WorkerClient,
             timers,
             ...sessionDefaults,
-            onListFailed: (_, reason) => assert.fail(reason),
+            onFailed: (_, where, reason) => assert.fail(`${where}: ${reason}`),
         });
         context.after(sessions.close);
         const now = { nowMs: harness.nowMs(), wallMs: harness.nowMs() };
