Go on following the store after a change that cannot be applied

An error while a change was applied, or an item of the store that was none, ended the following of the whole prefix for good: the process kept running and never learned of another change.

Cause: the error left the loop of the follower as the rejection of a promise that nothing waited for.

An error with one change is now logged with its key, and the others are applied.

--- a/src/process/storeMirror.ts
+++ b/src/process/storeMirror.ts
@@ -1,4 +1,5 @@
 /** In-memory copy of the keys below a prefix of the store, kept up to date by one change feed. */
+import { describeError } from "../common/describeError.js";
 import type { TimerService } from "../common/timerService.js";
 import type { ChangeFeedStore, StoreChange } from "../connection/platformStore.js";
 
@@ -25,6 +26,8 @@
     pauseMs(): number;
     /** Called for each change in the order of revisions; after a gap in the feed, for the differences to the mirrored state. */
     onChange(change: StoreChange): void;
+    /** `onChange` has thrown for the key's change, which is not passed in again; later changes are. */
+    onChangeFailed(key: string, reason: string): void;
     /** Called after each batch of changes has been applied. */
     onBatchApplied(): void;
     /** Called whenever the mirror was confirmed to be current, with or without changes. */
@@ -51,7 +54,13 @@
         else {
             entries.set(change.key, { value: change.value, revision: change.revision });
         }
-        options.onChange(change);
+        try {
+            options.onChange(change);
+        }
+        catch (error) {
+            // Other keys must be followed all the same.
+            options.onChangeFailed(change.key, describeError(error));
+        }
     };
 
     store.followChanges(options.prefix, options.signal, {
--- a/tests/platform/storeClient.spec.ts
+++ b/tests/platform/storeClient.spec.ts
@@ -47,6 +47,7 @@
             signal,
             pauseMs: () => 5,
             onChange: () => undefined,
+            onChangeFailed: (_, reason) => assert.fail(reason),
             onBatchApplied: () => undefined,
             onConfirmed: () => undefined,
         });
--- a/tests/platform/storeMirror.spec.ts
+++ b/tests/platform/storeMirror.spec.ts
@@ -35,6 +35,7 @@
             signal,
             pauseMs: () => 5,
             onChange: () => undefined,
+            onChangeFailed: (_, reason) => assert.fail(reason),
             onBatchApplied: () => undefined,
             onConfirmed: () => undefined,
         });
@@ -82,6 +83,7 @@
             // The changes are made during the first pause.
             pauseMs: () => 300,
             onChange: () => undefined,
+            onChangeFailed: (_, reason) => assert.fail(reason),
             onBatchApplied: () =>
                 queueMicrotask(() => {
                     const count = mirror.values("m/").length;
@@ -119,6 +121,7 @@
             signal: following.signal,
             pauseMs: () => 5,
             onChange: () => undefined,
+            onChangeFailed: (_, reason) => assert.fail(reason),
             onBatchApplied: () => batchesCount += 1,
             onConfirmed: () => confirmedCount += 1,
         });
@@ -137,6 +140,7 @@
             signal: following.signal,
             pauseMs: () => 1_500,
             onChange: () => undefined,
+            onChangeFailed: (_, reason) => assert.fail(reason),
             onBatchApplied: () => undefined,
             onConfirmed: () => undefined,
         });
@@ -166,6 +170,63 @@
         following.abort();
     });
 
+    it("should go on after a change that cannot be applied, and report it once", async () => {
+        const following = new AbortController();
+        const failed: string[] = [];
+        const mirror = createStoreMirror({
+            store,
+            prefix: "f/",
+            timers,
+            signal: following.signal,
+            pauseMs: () => 5,
+            onChange: ({ value }) => {
+                if (value === "odd") {
+                    throw new Error("cannot be applied");
+                }
+            },
+            onChangeFailed: key => failed.push(key),
+            onBatchApplied: () => undefined,
+            onConfirmed: () => undefined,
+        });
+        await put("f/1", "first");
+        await waitUntil("the first value is visible", () => mirror.valueOf("f/1") === "first");
+        (await store.swap([], [{ key: "f/2", value: "odd" }, { key: "f/3", value: "beside" }])).unwrap();
+        await put("f/4", "later");
+        await waitUntil("later values are visible", () => mirror.valueOf("f/4") === "later");
+        assert.deepEqual([mirror.valueOf("f/3"), failed], ["beside", ["f/2"]]);
+        following.abort();
+    });
+
+    it("should go on following after an item that is none, and after a subscriber has failed", async () => {
+        const following = new AbortController();
+        let failuresCount = 0;
+        const mirror = createStoreMirror({
+            store,
+            prefix: "i/",
+            timers,
+            signal: following.signal,
+            pauseMs: () => 5,
+            onChange: () => undefined,
+            onChangeFailed: () => undefined,
+            onBatchApplied: () => {
+                if (mirror.valueOf("i/2") !== undefined && failuresCount === 0) {
+                    failuresCount += 1;
+                    throw new Error("failed once");
+                }
+            },
+            onConfirmed: () => undefined,
+        });
+        await put("i/1", "first");
+        await waitUntil("the first value is visible", () => mirror.valueOf("i/1") === "first");
+        standIn.putItem({ key: "i/odd", value: 7 });
+        await put("i/2", "second");
+        await waitUntil("the second value is visible", () => mirror.valueOf("i/2") === "second");
+        await put("i/3", "third");
+        await waitUntil("the third value is visible", () => mirror.valueOf("i/3") === "third");
+        assert.equal(failuresCount, 1);
+        following.abort();
+    });
+
     it("should apply a learned change at once, and neither it nor an older one again", async () => {
         const following = new AbortController();
         const applied: (string | undefined)[] = [];
@@ -176,6 +237,7 @@
             signal: following.signal,
             pauseMs: () => 5,
             onChange: change => applied.push(change.value),
+            onChangeFailed: (_, reason) => assert.fail(reason),
             onBatchApplied: () => undefined,
             onConfirmed: () => undefined,
         });
--- a/tests/platform/storeStandIn.ts
+++ b/tests/platform/storeStandIn.ts
@@ -31,6 +31,8 @@
     /** Discards the history, as a compaction does. */
     compact(): void;
     endLease(leaseId: number): void;
+    /** Writes an item as it is, whatever the type of its value. */
+    putItem(item: { key: string; value: unknown }): void;
     callCount(path: string): number;
     close(): void;
 }
@@ -170,6 +172,7 @@
             history = [];
         },
         endLease,
+        putItem: ({ key, value }) => void transact({ expectedRev: [], writes: [{ key, value }], deletes: [] }),
         callCount: path => calls.get(path) ?? 0,
         close: () => {
             server.closeAllConnections();
