Pass over a neighbour to which no link can be opened

With 999.1.1.1:80 among the members, each call of a process that the store refuses could fail with an exception instead of going through another neighbour, and the first watch that met it never followed its prefix again.

Cause: the constructor of the WebSocket throws, and nothing on the way to the caller of the store expects an exception.

Before: "should pass over a neighbour to which no link can be opened" failed with "Invalid URL: ws://999.1.1.1:80".

--- a/src/process/relayedCalls.ts
+++ b/src/process/relayedCalls.ts
@@ -1,7 +1,7 @@
 /** Calls a service directly while it serves this process, and through a neighbour while it does not. */
 import { delay, type TimerService } from "../common/timerService.js";
 import type { CallRelayLink } from "../connection/callRelay.js";
-import type { CallService, JsonRequest, JsonRequestResult } from "../connection/serviceCalls.js";
+import { type CallService, type JsonRequest, type JsonRequestResult, neverSent } from "../connection/serviceCalls.js";
 import { type CallNeighbour, chooseNeighbour } from "../decisions/chooseCallPath.js";
 import { logEvents } from "./logEvents.js";
 import type { Logger } from "./logger.js";
@@ -102,6 +102,18 @@
         return isRefused;
     };
 
+    /** A neighbour whose address cannot be used must not fail the calls of this process. */
+    const openLink = (member: RelayMember, onClosed: () => void): CallRelayLink => {
+        try {
+            return options.openLink(member.address, onClosed);
+        }
+        catch (error) {
+            const reason = `no link to ${member.address} can be opened: ${String(error)}`;
+            logger.log(logEvents.unexpectedError, { where: "link to a neighbour", neighbour: member.name, error: reason });
+            return { call: () => Promise.resolve(neverSent(reason)), close: () => undefined };
+        }
+    };
+
     const stateOf = (member: RelayMember): NeighbourState => {
         const known = states.get(member.name);
         if (known?.address === member.address) {
@@ -110,7 +122,7 @@
         known?.link.close();
         const state: NeighbourState = {
             address: member.address,
-            link: options.openLink(member.address, () => {
+            link: openLink(member, () => {
                 if (states.get(member.name) === state) {
                     // The next call opens a new link; the time of the failure stays.
                     state.address = "";
--- a/tests/platform/storeRelay.spec.ts
+++ b/tests/platform/storeRelay.spec.ts
@@ -7,6 +7,7 @@
 import net, { type AddressInfo } from "node:net";
 import { after, afterEach, before, describe, it } from "node:test";
 import { WebSocket } from "ws";
+import { waitUntil } from "../../harness/waitUntil.js";
 import { createStoreCalls } from "../../platform/storeCalls.js";
 import { createStoreClient } from "../../platform/storeClient.js";
 import { createTimerService, delay } from "../../src/common/timerService.js";
@@ -152,6 +153,27 @@
         }
     });
 
+    it("should pass over a neighbour to which no link can be opened, and go on following changes", async () => {
+        const followed = new AbortController();
+        const changes: StoreChange[] = [];
+        others = [served];
+        store.followChanges("passed-over/", followed.signal, {
+            onSnapshot: () => undefined,
+            onChanges: received => void changes.push(...received),
+            onUpToDate: () => undefined,
+        }, () => 5);
+        await store.read("any");
+        others = [{ ...served, name: "invalid", address: "999.1.1.1:80" }];
+        await refuse();
+        assert.ok((await store.read("any")).err);
+        others = [...others, served];
+        for (let call = 0; call < 5; call++) {
+            await put(`passed-over/${call}`, "value");
+        }
+        await waitUntil("the changes are followed", () => changes.length === 5);
+        followed.abort();
+    });
+
     it("should close a link with an unreadable message, and go on passing on calls", async () => {
         const socket = new WebSocket(`ws://${served.address}`);
         await once(socket, "open");
