Keep the runs of a worker whose entry cannot be read

When another writer had overwritten a worker's entry for more than 10.4 s, a new owner did not know the worker: nothing extended its leases, so all it ran ended and was started again.

Cause: an entry that cannot be read was passed on as a deleted one, and a deleted entry is forgotten after the longest lease. The owner of that time was not affected: it keeps a worker that responds, extends its leases, and starts nothing on it.

A worker with an unreadable entry has not left, and only its own entry says what it is. Its last readable entry is therefore kept for as long as the store holds one under its id. It gets no new runs, and each owner asks it for its runs and extends its leases. It counts as gone when the entry is deleted, or no longer responds. A process that has never read an entry of the worker cannot reach it, and waits until the leases have ended, as before; nothing is started twice.

--- a/src/process/schedulingService.ts
+++ b/src/process/schedulingService.ts
@@ -12,6 +12,7 @@
 import type { WorkerEntry } from "../scheduling/workerRecord.js";
 import { addStoredJob } from "./addStoredJob.js";
 import type { DemandTracker } from "./demandTracker.js";
+import { createKnownWorkers } from "./knownWorkers.js";
 import { createLatenessMeter } from "./latenessMeter.js";
 import { logEvents } from "./logEvents.js";
 import type { Logger } from "./logger.js";
@@ -30,6 +31,8 @@
     onPolicyChanged(policy: SchedulingPolicy): void;
     /** `entry` is `undefined` when the worker's entry was deleted from the store. */
     onWorkerChanged(workerId: string, entry: WorkerEntry | undefined): void;
+    /** The worker's entry cannot be read: the worker gets no new runs until it can, and keeps those that it has. */
+    onWorkerUnreadable(workerId: string): void;
     onJobEvent(event: DirectoryEvent): void;
     /** The mirror has applied a batch of changes. */
     onStoreChanged(): void;
@@ -77,9 +80,7 @@
 
 export function createSchedulingService(options: SchedulingServiceOptions): SchedulingService {
     const { store, directory, timers, logger } = options;
-    const registered = new Map<string, WorkerEntry>();
-    /** Workers whose entries were deleted recently: they may still run tasks that an earlier owner started. */
-    const unregistered = new Map<string, { entry: WorkerEntry; atMs: number }>();
+    const knownWorkers = createKnownWorkers(timers.nowMs);
     let policy: SchedulingPolicy | undefined;
     let activeTerm: ActiveTerm | undefined;
     let pendingTerm: OwnershipTerm | undefined;
@@ -157,8 +158,7 @@
         }
         summary.recordPass(timers.nowMs() - startedAtMs);
     };
-    const passTrigger = createPassTrigger(timers, runStep);
-    const scheduleStep = passTrigger.request;
+    const scheduleStep = createPassTrigger(timers, runStep).request;
     const sessions = createWorkerSessions({
         connectWorker: options.connectWorker,
         timers,
@@ -236,14 +236,12 @@
         startTimers(progressWriter, signal);
         // Most jobs in the store have ended; decoding them all would delay the first starts of the term.
         directory.unfinishedEntries().forEach(entry => addStoredJob(scheduler, entry, now.wallMs, logUnreadable));
-        registered.forEach(entry => scheduler.registerWorker(entry, now));
-        for (const [workerId, { entry, atMs }] of unregistered) {
-            if (now.nowMs - atMs < unknownLeaseMs) {
-                scheduler.registerWorker(entry, now);
-                scheduler.unregisterWorker(workerId);
-            }
+        knownWorkers.registered().forEach(entry => scheduler.registerWorker(entry, now));
+        for (const entry of knownWorkers.unregistered(unknownLeaseMs)) {
+            scheduler.registerWorker(entry, now);
+            scheduler.unregisterWorker(entry.workerId);
         }
-        restoreSnapshots(scheduler, options.mirror(), registered, now, logUnreadable);
+        restoreSnapshots(scheduler, options.mirror(), knownWorkers.isRegistered, now, logUnreadable);
         options.onTermStarted(scheduler, signal);
         scheduleStep();
     };
@@ -267,15 +265,16 @@
             scheduleStep();
         },
         onWorkerChanged: (workerId, entry) => {
-            const knownEntry = registered.get(workerId);
             if (entry) {
-                unregistered.delete(workerId);
-                registered.set(workerId, entry);
+                knownWorkers.register(entry);
                 activeTerm?.scheduler.registerWorker(entry, moment());
             }
-            else if (knownEntry) {
-                registered.delete(workerId);
-                unregistered.set(workerId, { entry: knownEntry, atMs: timers.nowMs() });
+            else if (knownWorkers.remove(workerId)) {
+                activeTerm?.scheduler.unregisterWorker(workerId);
+            }
+        },
+        onWorkerUnreadable: workerId => {
+            if (knownWorkers.markUnreadable(workerId)) {
                 activeTerm?.scheduler.unregisterWorker(workerId);
             }
         },
--- a/src/process/workerSnapshotWriter.ts
+++ b/src/process/workerSnapshotWriter.ts
@@ -11,7 +11,6 @@
     snapshotStates,
     type WorkerSnapshot,
 } from "../scheduling/unresponsiveWorkers.js";
-import type { WorkerEntry } from "../scheduling/workerRecord.js";
 import type { StoreMirror } from "./storeMirror.js";
 import { createWrittenRevisions } from "./writtenRevisions.js";
 
@@ -68,7 +67,7 @@
 export function restoreSnapshots(
     scheduler: Scheduler,
     mirror: StoreMirror,
-    registered: ReadonlyMap<string, WorkerEntry>,
+    isRegistered: (workerId: string) => boolean,
     moment: Moment,
     onUnreadable: (key: string, reason: string) => void,
 ): void {
@@ -77,7 +76,7 @@
             continue;
         }
         try {
-            scheduler.restoreSnapshot(decodeSnapshot(value), registered.has(key.slice(jobKeys.workerSnapshotPrefix.length)), moment);
+            scheduler.restoreSnapshot(decodeSnapshot(value), isRegistered(key.slice(jobKeys.workerSnapshotPrefix.length)), moment);
         }
         catch (error) {
             onUnreadable(key, String(error));
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -136,7 +136,10 @@
                 worker.isRegistered = true;
             }
         },
-        /** The entry is gone: the worker has left or cannot reach the store. Its record is kept while it may run anything. */
+        /**
+         * The entry is gone or cannot be read: the worker has left, cannot reach the store, or its entry was overwritten. Its record is kept
+         * while it may run anything.
+         */
         unregisterWorker: (workerId: string): void => {
             const worker = state.workers.get(workerId);
             if (worker) {
