--- a/tests/platform/workerHttpClient.spec.ts
+++ b/tests/platform/workerHttpClient.spec.ts
@@ -5,8 +5,22 @@
 import { connectWorker } from "../../platform/workerHttpClient.js";
 import { vmStates } from "../../src/connection/vmService.js";
 import type { WorkerClient } from "../../src/connection/workerClient.js";
+import { commandOutcomes } from "../../src/scheduling/commandOutcomes.js";
+import type { WorkerEntry } from "../../src/scheduling/workerRecord.js";
 import { jsonResponse, type RawServer, startRawServer } from "./rawServer.js";
 
+const entry: WorkerEntry = {
+    workerId: "w1",
+    bornWallMs: 1,
+    address: "",
+    poolName: "pool",
+    zone: "zone",
+    rack: "rack",
+    labels: [],
+    capacity: { cpuMillicores: 1_000, memoryMb: 1_000, accelerators: 0 },
+    isDraining: false,
+};
+
 describe("a list with a malformed entry", () => {
     let server: RawServer;
     let worker: WorkerClient | undefined;
@@ -22,17 +36,7 @@
 
     const list = (body: object) => {
         server.respond = socket => socket.write(jsonResponse(JSON.stringify(body)));
-        worker = connectWorker({
-            workerId: "w1",
-            bornWallMs: 1,
-            address: server.address,
-            poolName: "pool",
-            zone: "zone",
-            rack: "rack",
-            labels: [],
-            capacity: { cpuMillicores: 1_000, memoryMb: 1_000, accelerators: 0 },
-            isDraining: false,
-        });
+        worker = connectWorker({ ...entry, address: server.address });
         return worker.list({ token: 1, acknowledgedEndNumber: 0, leaseUntilClockMs: undefined, waitMs: 0 });
     };
     const listing = { born: 1, clockMs: 5, running: [["a.0.0.0", 1, "", 40]], endedRuns: [[1, "a.0.0.1", 1, "done", ""]] };
@@ -57,6 +61,37 @@
         });
     }
 
+    const nested = "[".repeat(200_000) + "]".repeat(200_000);
+    const nonsense = [
+        { name: "an object that cannot be converted to text", text: '{"reason":{"toString":1,"valueOf":1}}' },
+        { name: "a reason that is nested deeply", text: `{"reason":${nested}}` },
+        { name: "a list", text: "[1]" },
+    ];
+    for (const { name, text } of nonsense) {
+        it(`should not be needed to settle a rejected start: ${name}`, async () => {
+            server.respond = socket => socket.write(jsonResponse(text, "409 Conflict"));
+            worker = connectWorker({ ...entry, address: server.address });
+            const order = {
+                taskName: "a.0.0.0",
+                runId: 1,
+                token: 1,
+                payload: "",
+                checkpoint: "",
+                validUntilClockMs: 1,
+                mayStillSend: () => true,
+            };
+            const { outcome, isFenced } = await worker.start(order);
+            assert.deepEqual([outcome, isFenced], [commandOutcomes.refused, false]);
+        });
+    }
+
+    it("should be rejected with the place: rows that are nested deeply", async () => {
+        server.respond = socket =>
+            socket.write(jsonResponse(JSON.stringify({ ...listing, running: 0 }).replace('"running":0', `"running":[${nested}]`)));
+        worker = connectWorker({ ...entry, address: server.address });
+        await assert.rejects(worker.list({ token: 1, acknowledgedEndNumber: 0, leaseUntilClockMs: undefined, waitMs: 0 }), /running\[0\]/);
+    });
+
     it("should keep a VM of which only the id can be read, and leave out one without an id", async () => {
         const places: string[] = [];
         const client = createVmServiceClient(server.address, place => places.push(place));
