Log a document that cannot be read at most once a minute

A document that another writer rewrites every second, an entry of the VM list that cannot be read, and an unreadable owner's key were logged each time they were read: once a second, every 0.4 s and every 60 ms, by each process that reads them.

Each key is now logged once a minute, with the number of repeats, and at most 1,000 keys a minute. The event and its other fields are as before.

--- a/src/process/jobService.ts
+++ b/src/process/jobService.ts
@@ -11,6 +11,7 @@
 import { commitOutcomes, createGroupCommit } from "./groupCommit.js";
 import { logEvents } from "./logEvents.js";
 import type { Logger } from "./logger.js";
+import { createUnreadableDocumentLog } from "./unreadableDocuments.js";
 
 export const jobResultKinds = {
     /** Done and stored. */
@@ -67,6 +68,7 @@
 
 export function createJobService(options: JobServiceOptions): JobService {
     const { directory, logger } = options;
+    const reportUnreadable = createUnreadableDocumentLog(logger, options.timers.nowMs);
     const commit = createGroupCommit({
         store: options.store,
         timers: options.timers,
@@ -110,7 +112,7 @@
 
     /** Looks up a job that the mirror does not contain, because another process may have accepted it just before. */
     const readState = async (queueName: string, jobId: string): Promise<JobResult> => {
-        const read = createJobDirectory({ onUnreadable: (key, reason) => logger.log(logEvents.documentUnreadable, { key, reason }) });
+        const read = createJobDirectory({ onUnreadable: reportUnreadable });
         for (const prefix of [jobKeys.submissionPrefix, jobKeys.progressPrefix, jobKeys.cancellationPrefix]) {
             const key = prefix + jobId;
             const stored = await options.store.read(key);
--- a/src/process/schedulingOwnership.ts
+++ b/src/process/schedulingOwnership.ts
@@ -10,6 +10,7 @@
 import { logEvents } from "./logEvents.js";
 import type { Logger } from "./logger.js";
 import type { StoreMirror } from "./storeMirror.js";
+import { createUnreadableDocumentLog } from "./unreadableDocuments.js";
 
 /** One period of ownership, from its acquisition until it is lost or acquired again. */
 export interface OwnershipTerm {
@@ -81,6 +82,7 @@
     let vacantSinceMs: number | undefined;
     const chooseStaggerMs = (): number => options.acquireDelayMs + options.random() * maxStaggerMs;
     let staggerMs = chooseStaggerMs();
+    const reportUnreadable = createUnreadableDocumentLog(logger, timers.nowMs);
 
     /** Time since the last renewal by whichever clock shows more: on a suspended VM the monotonic clock stops, the wall clock does not. */
     const timeSinceRenewalMs = (lease: HeldLease): number =>
@@ -108,7 +110,7 @@
                 0;
         }
         catch (error) {
-            logger.log(logEvents.documentUnreadable, { key: jobKeys.owner, reason: String(error) });
+            reportUnreadable(jobKeys.owner, String(error));
             return 0;
         }
     };
--- a/src/process/schedulingService.ts
+++ b/src/process/schedulingService.ts
@@ -22,6 +22,7 @@
 import type { OwnershipTerm, SchedulingOwnership } from "./schedulingOwnership.js";
 import { createSchedulingSummary } from "./schedulingSummary.js";
 import type { StoreMirror } from "./storeMirror.js";
+import { createUnreadableDocumentLog } from "./unreadableDocuments.js";
 import { createWorkerSessions } from "./workerSessions.js";
 import { createWorkerSnapshotWriter, restoreSnapshots } from "./workerSnapshotWriter.js";
 
@@ -89,7 +90,7 @@
     const maySendOrders = (): boolean => options.ownership().maySendOrders();
     const lateness = createLatenessMeter(timers);
     const summary = createSchedulingSummary(timers, logger, lateness.latenessMs);
-    const logUnreadable = (key: string, reason: string): void => logger.log(logEvents.documentUnreadable, { key, reason });
+    const logUnreadable = createUnreadableDocumentLog(logger, timers.nowMs);
 
     const createTermProgressWriter = (scheduler: Scheduler): ProgressWriter => {
         const isActive = (): boolean => activeTerm?.scheduler === scheduler;
