Reject a job that is too large for a process to load

A job with one task and repeatCount 1,000,000 was accepted and stored. Loading it takes more memory than a process has, so the owner of the scheduling would end by it, and each next owner too, and no job would run any more.

Cause: each step had at most 100,000 tasks, but neither the steps nor the occurrences were bounded, and an owner keeps a record of each.

--- a/src/scheduling/jobDocuments.ts
+++ b/src/scheduling/jobDocuments.ts
@@ -2,7 +2,7 @@
  * Documents that the store holds for a job: the submission, written once by the process that accepted it; the progress,
  * written only by the process that owns the scheduling; and the cancellation marker, written by any process.
  */
-import type { JobState, JobSubmission } from "./jobTypes.js";
+import { describeExcessiveSize, type JobState, type JobSubmission } from "./jobTypes.js";
 
 export const jobKeys = {
     submissionPrefix: "nutmegjunction/job/",
@@ -52,6 +52,10 @@
     if (typeof value.jobId !== "string" || !Array.isArray(value.steps)) {
         throw new Error(`stored job has no id or steps: ${text.slice(0, 80)}`);
     }
+    const excess = describeExcessiveSize(value.steps, value.repeat?.count ?? 1);
+    if (excess !== undefined) {
+        throw new Error(`stored job is too large: ${excess}`);
+    }
     return value;
 }
 
--- a/src/scheduling/jobTypes.ts
+++ b/src/scheduling/jobTypes.ts
@@ -55,6 +55,21 @@
     submittedWallMs: number;
 }
 
+/** Bounds of a job's size: each process that loads the job keeps a record of every step of every occurrence, and of every task. */
+export const maxTasksPerJob = 200_000;
+export const maxStepOccurrencesPerJob = 10_000;
+
+/** Returns what is too large about the job's size, or `undefined` if it is within the bounds. */
+export function describeExcessiveSize(steps: readonly Pick<StepSpec, "taskCount">[], occurrencesCount: number): string | undefined {
+    const stepOccurrencesCount = steps.length * occurrencesCount;
+    const tasksCount = steps.reduce((sum, step) => sum + step.taskCount, 0) * occurrencesCount;
+    // Written so that a count that is no number is too large as well.
+    if (!(stepOccurrencesCount <= maxStepOccurrencesPerJob)) {
+        return `${stepOccurrencesCount} steps in all occurrences; at most ${maxStepOccurrencesPerJob} are accepted`;
+    }
+    return tasksCount <= maxTasksPerJob ? undefined : `${tasksCount} tasks in all occurrences; at most ${maxTasksPerJob} are accepted`;
+}
+
 export const jobStates = {
     queued: "queued",
     running: "running",
