--- a/src/process/workerSnapshotWriter.ts
+++ b/src/process/workerSnapshotWriter.ts
@@ -1,11 +1,11 @@
 /** Writes the snapshots of unresponsive workers, from which the next owner learns what may run there. */
+import * as z from "zod";
 import { delay, type TimerService } from "../common/timerService.js";
 import type { PlatformStore } from "../connection/platformStore.js";
 import { jobKeys } from "../scheduling/jobDocuments.js";
 import type { Moment } from "../scheduling/reconcileListing.js";
 import type { Scheduler } from "../scheduling/scheduler.js";
 import {
-    decodeSnapshot,
     encodeSnapshot,
     type SnapshotState,
     snapshotStates,
@@ -63,6 +63,30 @@
     };
 }
 
+const snapshotSchema = z.object({
+    entry: z.object({
+        workerId: z.string(),
+        bornWallMs: z.number(),
+        address: z.string(),
+        poolName: z.string(),
+        zone: z.string(),
+        rack: z.string(),
+        labels: z.array(z.string()),
+        capacity: z.object({ cpuMillicores: z.number(), memoryMb: z.number(), accelerators: z.number() }),
+        isDraining: z.boolean(),
+    }),
+    runs: z.array(z.tuple([z.string(), z.number()])),
+});
+
+/** Throws if the text is no snapshot of the worker. A part of a snapshot must not be used: a run that it lacks would count as ended. */
+function decodeSnapshot(workerId: string, text: string): WorkerSnapshot {
+    const snapshot = snapshotSchema.parse(JSON.parse(text));
+    if (snapshot.entry.workerId !== workerId) {
+        throw new Error(`the snapshot is of another worker: ${snapshot.entry.workerId}`);
+    }
+    return snapshot;
+}
+
 /** Passes the snapshots that earlier owners stored to the scheduler of a new term. */
 export function restoreSnapshots(
     scheduler: Scheduler,
@@ -76,7 +100,8 @@
             continue;
         }
         try {
-            scheduler.restoreSnapshot(decodeSnapshot(value), isRegistered(key.slice(jobKeys.workerSnapshotPrefix.length)), moment);
+            const workerId = key.slice(jobKeys.workerSnapshotPrefix.length);
+            scheduler.restoreSnapshot(decodeSnapshot(workerId, value), isRegistered(workerId), moment);
         }
         catch (error) {
             onUnreadable(key, String(error));
--- a/src/scheduling/jobDocuments.ts
+++ b/src/scheduling/jobDocuments.ts
@@ -2,7 +2,7 @@
  * Documents that the store holds for a job: the submission, written once by the process that accepted it; the progress,
  * written only by the process that owns the scheduling; and the cancellation marker, written by any process.
  */
-import { describeExcessiveSize, type JobState, type JobSubmission } from "./jobTypes.js";
+import { describeExcessiveSize, type JobState, jobStates, type JobSubmission } from "./jobTypes.js";
 
 export const jobKeys = {
     submissionPrefix: "nutmegjunction/job/",
@@ -47,11 +47,40 @@
     return JSON.stringify(submission);
 }
 
+const isAmount = (value: unknown): boolean => Number.isFinite(value) && Number(value) >= 0;
+
+/** Returns the path of a field on which the scheduler relies and that is not as it should be. */
+function findUnreadableField({ queueName, submittedWallMs, repeat, steps }: JobSubmission): string | undefined {
+    if (typeof queueName !== "string") {
+        return "queueName";
+    }
+    if (!Number.isFinite(submittedWallMs)) {
+        return "submittedWallMs";
+    }
+    if (repeat && ![repeat.firstDueWallMs, repeat.intervalMs, repeat.count].every(Number.isFinite)) {
+        return "repeat";
+    }
+    for (const [index, step] of steps.entries()) {
+        const { taskCount, request, estimatedDurationMs, dependsOn } = step;
+        const isReadable = Number.isSafeInteger(taskCount) && taskCount > 0 &&
+            [request.cpuMillicores, request.memoryMb, request.accelerators, estimatedDurationMs].every(isAmount) &&
+            dependsOn.every(before => Number.isSafeInteger(before) && before >= 0 && before < index);
+        if (!isReadable) {
+            return `steps.${index}`;
+        }
+    }
+    return undefined;
+}
+
 export function decodeSubmission(text: string): JobSubmission {
     const value = JSON.parse(text) as JobSubmission;
     if (typeof value.jobId !== "string" || !Array.isArray(value.steps)) {
         throw new Error(`stored job has no id or steps: ${text.slice(0, 80)}`);
     }
+    const unreadableField = findUnreadableField(value);
+    if (unreadableField !== undefined) {
+        throw new Error(`stored job has an unreadable field: ${unreadableField}`);
+    }
     const excess = describeExcessiveSize(value.steps, value.repeat?.count ?? 1);
     if (excess !== undefined) {
         throw new Error(`stored job is too large: ${excess}`);
@@ -65,8 +94,11 @@
 
 export function decodeProgress(text: string): JobProgress {
     const value = JSON.parse(text) as JobProgress;
-    if (typeof value.state !== "string") {
+    if (!Object.hasOwn(jobStates, value.state)) {
         throw new Error(`stored progress has no state: ${text.slice(0, 80)}`);
     }
+    if (value.workerIds !== undefined && !(Array.isArray(value.workerIds) && value.workerIds.every(each => typeof each === "string"))) {
+        throw new Error(`stored progress has an unreadable field: workerIds`);
+    }
     return value;
 }
--- a/src/scheduling/unresponsiveWorkers.ts
+++ b/src/scheduling/unresponsiveWorkers.ts
@@ -26,10 +26,6 @@
     return JSON.stringify(snapshot);
 }
 
-export function decodeSnapshot(text: string): WorkerSnapshot {
-    return JSON.parse(text) as WorkerSnapshot;
-}
-
 function createSnapshot(worker: WorkerRecord): WorkerSnapshot {
     const sent = [...worker.runs.values()].filter(run => run.phase !== runPhases.planned);
     return { entry: worker.entry, runs: sent.map(run => [run.taskName, run.runId] as const) };
--- a/tests/process/schedulingTermFixture.ts
+++ b/tests/process/schedulingTermFixture.ts
@@ -68,7 +68,7 @@
 export const saved = (revision: number): Swapped => Ok({ isSwapped: true, revision, current: [] });
 
 /** One worker, and a store whose answers the test gives. */
-export function createTermFixture(options?: { hasUnreadableDocuments: boolean }): TermFixture {
+export function createTermFixture(options?: { hasUnreadableDocuments: boolean; snapshots?: Record<string, string> }): TermFixture {
     const timers = createManualTimerService();
     const lifetime = new AbortController();
     const swaps: PendingSwap[] = [];
@@ -86,6 +86,11 @@
             }
         },
     };
+    const snapshots = Object.entries(options?.snapshots ?? {}).map(([workerId, value]) => ({
+        key: jobKeys.workerSnapshotPrefix + workerId,
+        value,
+        revision: 1,
+    }));
     let token: number | undefined;
     let areWorkersCurrent = true;
 
@@ -125,7 +130,7 @@
         store: {
             swap: (guards: StoreGuard[], writes: StoreWrite[]) => new Promise<Swapped>(answer => swaps.push({ guards, writes, answer })),
         } as unknown as ChangeFeedStore,
-        mirror: () => ({ revision: () => token ?? 0, revisionOf: () => 0, values: () => [] }) as unknown as StoreMirror,
+        mirror: () => ({ revision: () => token ?? 0, revisionOf: () => 0, values: () => snapshots }) as unknown as StoreMirror,
         directory,
         ownership: () =>
             ({
--- a/tests/process/schedulingTerms.spec.ts
+++ b/tests/process/schedulingTerms.spec.ts
@@ -67,6 +67,31 @@
     });
 });
 
+describe("a new term that finds a snapshot which cannot be read", () => {
+    const unreadable = [
+        { title: "without runs", text: JSON.stringify({ entry: workerEntry }) },
+        { title: "of another worker", text: JSON.stringify({ entry: { ...workerEntry, workerId: "w2" }, runs: [] }) },
+        { title: "with a run without an id", text: JSON.stringify({ entry: workerEntry, runs: [["job.0.0.0"]] }) },
+    ];
+    unreadable.forEach(({ title, text }) => {
+        it(`should not start again what may run on the worker: ${title}`, async () => {
+            const { service, lists, swaps, startedTasks, unreadableKeys, store, acquire, pass } = createTermFixture({
+                hasUnreadableDocuments: true,
+                snapshots: { w1: text },
+            });
+            store("job", { state: "running", occurrences: { 0: [{ done: [] }] }, workerIds: ["w1"] });
+            service.onWorkerChanged("w1", undefined);
+            service.onWorkerChanged("w2", { ...workerEntry, workerId: "w2", address: "10.0.0.2:80" });
+            await acquire(20);
+            await lists.find(({ address }) => address === "10.0.0.2:80")!.answer({});
+            swaps.splice(0).forEach(swap => swap.answer(saved(21)));
+            await pass();
+            assert.deepEqual(startedTasks, []);
+            assert.deepEqual(unreadableKeys, [`${jobKeys.workerSnapshotPrefix}w1`]);
+        });
+    });
+});
+
 describe("a running term", () => {
     it("should go on after a submitted job whose progress cannot be read", async () => {
         const { service, unreadableKeys, applyChange, acquire } = createTermFixture({ hasUnreadableDocuments: true });
