Skip a member's record that is not JSON

One record that is not JSON among those of the members ended the processing of each list of members: the function that says it skips records of an unknown format threw for it.

Before: "should be read without those that cannot be" failed with "Unexpected end of JSON input".

--- a/src/connection/members.ts
+++ b/src/connection/members.ts
@@ -39,10 +39,20 @@
     return `${storeKeys.membersPrefix}${memberId}`;
 }
 
-/** Parses stored member records; records of an unknown format are skipped. */
+const storedMemberRecord = z.string().transform((text, context): unknown => {
+    try {
+        return JSON.parse(text);
+    }
+    catch (error) {
+        context.addIssue({ code: "custom", message: String(error) });
+        return z.NEVER;
+    }
+}).pipe(memberRecord);
+
+/** Parses stored member records; records that are not JSON or of an unknown format are skipped. */
 export function parseMembers(values: readonly { value: string }[]): MemberRecord[] {
     return values.flatMap(stored => {
-        const parsed = memberRecord.safeParse(JSON.parse(stored.value));
+        const parsed = storedMemberRecord.safeParse(stored.value);
         return parsed.success ? [parsed.data] : [];
     });
 }
