Test that an overwritten entry neither ends nor repeats the runs of its worker

Whole processes, two workers: the entry of the worker that runs a task is overwritten 16 times in 8 s by one whose start is 9e15. The task goes on with its leases extended, new ones start on the other worker, one line is logged, and the worker is used again once its own entry is back.

--- a/tests/platform/oddEntries.spec.ts
+++ b/tests/platform/oddEntries.spec.ts
@@ -1,6 +1,6 @@
 /**
  * Guards against an entry of another writer among those of the workers that ends the processes, or keeps the owner of the scheduling
- * and each next one from starting anything. Whole processes on a store stand-in, with one usable worker.
+ * and each next one from starting anything. Whole processes on a store stand-in, with two usable workers.
  */
 import assert from "node:assert/strict";
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
@@ -11,6 +11,7 @@
 import { waitUntil } from "../../harness/waitUntil.js";
 import { createJsonHttpClient } from "../../platform/jsonHttpClient.js";
 import { platformKeys } from "../../platform/platformKeys.js";
+import { createTimerService, delay } from "../../src/common/timerService.js";
 import { logEvents } from "../../src/process/logEvents.js";
 import { type PlatformWorkerStandIn, startPlatformWorkerStandIn } from "./platformWorkerStandIn.js";
 import { startStoreStandIn, type StoreStandIn } from "./storeStandIn.js";
@@ -72,7 +73,7 @@
     const folder = mkdtempSync(path.join(tmpdir(), "odd-entries-"));
     const processes: PlatformProcess[] = [];
     let store: StoreStandIn;
-    let worker: PlatformWorkerStandIn;
+    const workers = new Map<string, PlatformWorkerStandIn>();
 
     const put = async (key: string, value: string | Uint8Array): Promise<void> => {
         const client = createJsonHttpClient(store.address, 1);
@@ -130,14 +131,23 @@
         processes.push(started);
         return started;
     };
+    const startsOf = (jobId: string): string[] =>
+        [...workers].flatMap(([workerId, { startedTasks }]) => startedTasks.filter(task => task === `${jobId}.0.0.0`).map(() => workerId));
     const waitForStart = (jobId: string): Promise<void> =>
-        waitUntil(`a task of job ${jobId} has started`, () => worker.startedTasks.includes(`${jobId}.0.0.0`));
+        waitUntil(`a task of job ${jobId} has started`, () => startsOf(jobId).length > 0);
+    const putUsable = (workerId: string, changed?: object): Promise<void> => {
+        const { address: workerAddress, bornWallMs } = workers.get(workerId)!;
+        const entry = { ...usable, address: workerAddress, born: bornWallMs, ...changed };
+        return put(platformKeys.workerPrefix + workerId, JSON.stringify(entry));
+    };
 
     before(async () => {
         store = await startStoreStandIn();
-        worker = await startPlatformWorkerStandIn();
         await put(platformKeys.configuration, JSON.stringify(configuration));
-        await put(`${platformKeys.workerPrefix}usable`, JSON.stringify({ ...usable, address: worker.address, born: worker.bornWallMs }));
+        for (const workerId of ["usable-1", "usable-2"]) {
+            workers.set(workerId, await startPlatformWorkerStandIn());
+            await putUsable(workerId);
+        }
         for (const [name, value] of Object.entries(oddEntries)) {
             await put(platformKeys.workerPrefix + name, value);
         }
@@ -148,12 +158,12 @@
     after(async () => {
         processes.forEach(({ child }) => child.kill("SIGKILL"));
         await Promise.all(processes.map(({ child }) => child.exited));
-        worker.close();
+        workers.forEach(worker => worker.close());
         store.close();
         rmSync(folder, { recursive: true });
     });
 
-    it("should leave the owner and the next owner able to start tasks on the usable worker", async () => {
+    it("should leave the owner and the next owner able to start tasks on the usable workers", async () => {
         const first = await startProcess("127.62.0.1");
         await first.submit("000000000000000a");
         await waitForStart("000000000000000a");
@@ -169,4 +179,32 @@
             assert.equal(each.child.stderrText(), "");
         }
     });
+
+    it("should neither end nor start again what runs on a worker whose own entry is overwritten", async () => {
+        const { submit, events } = processes.at(-1)!;
+        workers.forEach(worker => worker.keepsRunning = true);
+        await submit("000000000000000c");
+        await waitForStart("000000000000000c");
+        // The owner has seen the run in a listing.
+        await delay(createTimerService(), 500);
+        const [workerId] = startsOf("000000000000000c");
+        const worker = workers.get(workerId!)!;
+        for (let seq = 0; seq < 16; seq++) {
+            await putUsable(workerId!, { born: 9e15, seq });
+            await delay(createTimerService(), 500);
+        }
+        assert.deepEqual(startsOf("000000000000000c"), [workerId]);
+        assert.ok(worker.leaseUntilMs() > performance.now(), "the leases are extended");
+        await submit("000000000000000d");
+        await waitForStart("000000000000000d");
+        assert.notDeepEqual(startsOf("000000000000000d"), [workerId]);
+        const logged = events(logEvents.documentUnreadable.id).filter(({ key }) => key === platformKeys.workerPrefix + workerId);
+        assert.equal(logged.length, 1);
+        await putUsable(workerId!);
+        await putUsable([...workers.keys()].find(each => each !== workerId)!, { state: "draining" });
+        await delay(createTimerService(), 300);
+        await submit("000000000000000e");
+        await waitForStart("000000000000000e");
+        assert.deepEqual(startsOf("000000000000000e"), [workerId]);
+    });
 });
--- a/tests/platform/platformWorkerStandIn.ts
+++ b/tests/platform/platformWorkerStandIn.ts
@@ -28,7 +28,7 @@
     const clockMs = (): number => Math.round(performance.now());
 
     const start = ({ task, runId }: { task: string; runId: number }): void => {
-        if (running.has(task)) {
+        if (running.get(task) === runId) {
             return;
         }
         worker.startedTasks.push(task);
