Answer 400 to a body whose check throws

A request whose body had, in place of the steps, an object with a length that cannot be compared ended without an answer: the connection was closed.

Cause: zod checks the length of a list even after its type was found to be wrong, and comparing such an object throws. Only the parsing of the text was expected to throw, not the check.

Before: "should answer 400 to a body whose check throws" failed with "other side closed", platform/jobBounds with "Cannot convert object to primitive value".

--- a/tests/platform/jobApiServer.spec.ts
+++ b/tests/platform/jobApiServer.spec.ts
@@ -70,4 +70,13 @@
         assert.equal((await get("/keyed/", "known")).status, 503);
         assert.equal((await get("/open/")).status, 200);
     });
+
+    it("should answer 400 to a body whose check throws", async () => {
+        const { port } = server.address() as AddressInfo;
+        const body = '{"steps":{"length":{"toString":1,"valueOf":1}}}';
+        const headers = { host: "a.example" };
+        const response = await request(`http://127.0.0.1:${port}/open/${jobId}`, { method: "POST", headers, body });
+        await response.body.dump();
+        assert.equal(response.statusCode, 400);
+    });
 });
--- a/tests/platform/jobBounds.spec.ts
+++ b/tests/platform/jobBounds.spec.ts
@@ -18,6 +18,10 @@
         { title: "a start before 1970", text: '{"steps":[{"count":1}],"repeatCount":2,"startAtMs":-1}' },
         { title: "a negative interval", text: '{"steps":[{"count":1}],"repeatCount":2,"intervalMs":-1}' },
         { title: "nested lists in place of a step", text: `{"steps":[${"[".repeat(200_000)}${"]".repeat(200_000)}]}` },
+        {
+            title: "an object in place of the steps whose length cannot be compared",
+            text: '{"steps":{"length":{"toString":1,"valueOf":1}}}',
+        },
         { title: "5 million opening brackets", text: "[".repeat(5_000_000) },
     ];
     rejected.forEach(({ title, text }) => {
