Give up a task under which three workers have crashed

Cause: `applyEnd` counts only runs that end as failed. A run that was lost with its worker counted for nothing, whichever path saw the worker's end, and nothing of it was stored, so a new owner started from nothing as well.

Change: `workerCrashes` counts, per task (per gang with its first task), the runs under which their worker crashed, and ends the job as failed after three. They are kept as run ids in the task's progress, so each counts once whichever owners see it; the field is optional, so that older progress still decodes. A crash needs proof: another incarnation or another worker at the address. Silence, a lapsed lease, an ordered move or restart and a drained worker do not count; runs lost with their lease are counted if the proof comes later, also after the worker's record is gone. Only runs that were younger than 2 s when their worker was last in touch count. A start whose fate is open when its worker restarts counts when it is settled without having been listed.

--- a/src/scheduling/commandResponses.ts
+++ b/src/scheduling/commandResponses.ts
@@ -22,6 +22,7 @@
     }
     run.respondedAtMs = moment.nowMs;
     if (outcome === commandOutcomes.accepted) {
+        worker.lastContactAtMs = moment.nowMs;
         if (run.phase === runPhases.starting) {
             run.phase = runPhases.running;
         }
--- a/src/scheduling/jobDocuments.ts
+++ b/src/scheduling/jobDocuments.ts
@@ -21,6 +21,8 @@
 export interface TaskProgress {
     /** Ids of the failed runs, so that an end that is listed again, to another owner, counts once. */
     failedRunIds: number[];
+    /** Ids of the runs under which their worker crashed; missing if there are none. */
+    crashedRunIds?: number[];
     /** Checkpoint from which the next run resumes; empty if there is none. */
     checkpoint: string;
 }
--- a/src/scheduling/jobRecord.ts
+++ b/src/scheduling/jobRecord.ts
@@ -73,7 +73,7 @@
     const all = Array.from({ length: spec.taskCount }, (_, task) => task);
     const done = new Set(progress?.done === "all" ? all : progress?.done ?? []);
     const tasks = new Map(
-        Object.entries(progress?.tasks ?? {}).map(([task, each]) => [Number(task), { ...each, failedRunIds: [...each.failedRunIds] }]),
+        Object.entries(progress?.tasks ?? {}).map(([task, each]) => [Number(task), structuredClone(each)]),
     );
     return {
         spec,
--- a/src/scheduling/reconcileListing.ts
+++ b/src/scheduling/reconcileListing.ts
@@ -14,6 +14,8 @@
     type SchedulerState,
     stopRun,
 } from "./schedulerState.js";
+import { recordCrash } from "./workerCrashes.js";
+import { beginIncarnation } from "./workerEnds.js";
 import { createRun, parseTaskName, type Run, runKey, runPhases, type WorkerRecord } from "./workerRecord.js";
 
 /** Each measurement covers half a second, so the effect of a new pace shows only after that. */
@@ -52,36 +54,6 @@
     wallMs: number;
 }
 
-/** Marks all runs of a worker as lost, because its incarnation or its leases have ended. */
-export function markRunsLost(state: SchedulerState, worker: WorkerRecord, reason: string, moment: Moment): void {
-    markLost(state, [...worker.runs.values()], reason, moment);
-}
-
-function markLost(state: SchedulerState, runs: readonly Run[], reason: string, moment: Moment): void {
-    for (const run of runs) {
-        state.onDecision({ what: "run lost", jobId: run.jobId, taskName: run.taskName, runId: run.runId, workerId: run.workerId, reason });
-        applyEnd(state, { ...run, end: runEnds.lost }, moment.nowMs, moment.wallMs);
-        detachRun(state, run);
-    }
-}
-
-/** Resets the record of a worker that has restarted. */
-export function beginIncarnation(state: SchedulerState, worker: WorkerRecord, bornWallMs: number, moment: Moment): void {
-    const runs = [...worker.runs.values()];
-    markLost(state, runs.filter(run => run.isStartConfirmed), "the worker restarted", moment);
-    for (const run of runs.filter(each => !each.isStartConfirmed && each.phase === runPhases.stopping)) {
-        // The new incarnation does not know of the stop, and the start may still reach it.
-        run.respondedAtMs = undefined;
-        state.commands.push({ kind: commandKinds.stop, run, reason: "the worker restarted" });
-    }
-    worker.entry = { ...worker.entry, bornWallMs };
-    worker.hasRespondedToProvenOwner = false;
-    worker.hasEnded = false;
-    worker.lastEndNumber = 0;
-    worker.unsavedEnds = [];
-    worker.failedJobIds.clear();
-}
-
 function addUnsavedEnd(state: SchedulerState, worker: WorkerRecord, endNumber: number, job: JobRecord): void {
     worker.unsavedEnds.push({ endNumber, jobId: job.jobId, version: job.version });
     const workers = state.workersWithUnsavedEnds.get(job.jobId);
@@ -206,6 +178,9 @@
                 reason: run.phase,
             });
             detachRun(state, run);
+            if (run.hasWorkerRestarted) {
+                recordCrash(state, [run], moment.wallMs);
+            }
         }
     }
 }
@@ -260,6 +235,7 @@
             continue;
         }
         run.isStartConfirmed = true;
+        run.hasWorkerRestarted = false;
         run.isPresumed = false;
         run.percent = listed.percent;
         run.measured = listed.measured;
@@ -276,6 +252,8 @@
     adjustPace(state, worker, moment.nowMs);
     worker.unresponsiveSinceMs = undefined;
     worker.lastResponseAtMs = moment.nowMs;
+    worker.lastContactAtMs = moment.nowMs;
+    worker.unexplainedRuns = [];
     worker.fencedSinceMs ??= moment.nowMs;
     worker.hasRespondedToProvenOwner ||= state.isOwnershipProven;
     if (worker.unsavedEnds.length === 0 && listing.hasMoreEnds) {
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -10,7 +10,7 @@
 import { createJobRecord, isFinalState, progressOf } from "./jobRecord.js";
 import { jobStates, type SchedulingPolicy } from "./jobTypes.js";
 import { possibleWorkerIds, sendPersistedStarts, settleWorkerIdsWrite } from "./plannedStarts.js";
-import { beginIncarnation, forgetSavedEnds, type Listing, markRunsLost, type Moment, reconcileListing } from "./reconcileListing.js";
+import { forgetSavedEnds, type Listing, type Moment, reconcileListing } from "./reconcileListing.js";
 import {
     type Decision,
     endJob,
@@ -19,7 +19,15 @@
     type SchedulerState,
     type Term,
 } from "./schedulerState.js";
-import { adoptSnapshot, type SnapshotState, snapshotStates, updateSnapshots, type WorkerSnapshot } from "./unresponsiveWorkers.js";
+import {
+    adoptSnapshot,
+    recordSnapshotCrash,
+    type SnapshotState,
+    snapshotStates,
+    updateSnapshots,
+    type WorkerSnapshot,
+} from "./unresponsiveWorkers.js";
+import { beginIncarnation, endWorker } from "./workerEnds.js";
 import { addWorker, evacuateDrainingWorkers, expireLeases, maxLeaseMs } from "./workerLifecycle.js";
 import { acknowledgedEndNumber, markUnresponsive, type Run, type WorkerEntry } from "./workerRecord.js";
 
@@ -64,6 +72,7 @@
         isStoreWritable: true,
         commands: [],
         plannedRuns: new Set(),
+        unexplainedRunsByAddress: new Map(),
         workersWithUnsavedEnds: new Map(),
         unsavedJobs: new Set(),
         nextRunNumber: 1,
@@ -125,7 +134,7 @@
         registerWorker: (entry: WorkerEntry, moment: Moment): void => {
             const worker = state.workers.get(entry.workerId);
             if (!worker) {
-                addWorker(state, entry, options.unknownLeaseMs, moment.nowMs);
+                addWorker(state, entry, options.unknownLeaseMs, moment);
                 return;
             }
             if (entry.bornWallMs > worker.entry.bornWallMs) {
@@ -177,13 +186,14 @@
         /** Restores the snapshot that an earlier owner wrote of an unresponsive worker. Call it when the term begins. */
         restoreSnapshot: (snapshot: WorkerSnapshot, isRegistered: boolean, moment: Moment): void => {
             const { workerId, bornWallMs } = snapshot.entry;
-            const worker = state.workers.get(workerId) ?? addWorker(state, snapshot.entry, options.unknownLeaseMs, moment.nowMs);
+            const worker = state.workers.get(workerId) ?? addWorker(state, snapshot.entry, options.unknownLeaseMs, moment);
             worker.isRegistered = isRegistered;
             if (worker.entry.bornWallMs === bornWallMs) {
                 worker.leaseEndsAtMs = moment.nowMs + maxLeaseMs(options.workerLeaseMs);
                 adoptSnapshot(state, worker, snapshot, moment.nowMs);
             }
             else {
+                recordSnapshotCrash(state, snapshot, moment);
                 worker.snapshotState = snapshotStates.written;
             }
         },
@@ -198,7 +208,7 @@
         workerReplaced: (workerId: string, moment: Moment): void => {
             const worker = state.workers.get(workerId);
             if (worker) {
-                markRunsLost(state, worker, "another worker responds at its address", moment);
+                endWorker(state, worker, "another worker responds at its address", moment);
                 worker.isRunStateKnown = true;
             }
         },
--- a/src/scheduling/schedulerState.ts
+++ b/src/scheduling/schedulerState.ts
@@ -85,6 +85,8 @@
     commands: SchedulerCommand[];
     /** Runs whose starts were not sent yet. */
     plannedRuns: Set<Run>;
+    /** Runs that were lost with workers that are gone, by address; see `WorkerRecord.unexplainedRuns`. */
+    unexplainedRunsByAddress: Map<string, Run[]>;
     /** Workers with reported ends that are not stored yet, by the job that the ends are part of. */
     workersWithUnsavedEnds: Map<string, Set<WorkerRecord>>;
     /** Jobs whose latest progress is not in the store yet. */
--- a/src/scheduling/unresponsiveWorkers.ts
+++ b/src/scheduling/unresponsiveWorkers.ts
@@ -3,15 +3,17 @@
  * until its snapshot is removed. The next owner therefore knows from the snapshot which tasks to wait for, and does not have to
  * hold back all others.
  */
-import { isFinalState } from "./jobRecord.js";
+import { isFinalState, type StepRecord } from "./jobRecord.js";
+import type { Moment } from "./reconcileListing.js";
 import { attachRun, commandKinds, findStep, runNeeds, type SchedulerState } from "./schedulerState.js";
-import { createRun, parseTaskName, type Run, runPhases, type WorkerEntry, type WorkerRecord } from "./workerRecord.js";
+import { ageAtLastContactMs, crashSuspects, recordCrash } from "./workerCrashes.js";
+import { createRun, createWorkerRecord, parseTaskName, type Run, runPhases, type WorkerEntry, type WorkerRecord } from "./workerRecord.js";
 
 /** What the store holds of an unresponsive worker. */
 export interface WorkerSnapshot {
     entry: WorkerEntry;
-    /** Task names and run ids. */
-    runs: (readonly [string, number])[];
+    /** Task names, run ids, and the runs' ages in milliseconds when the worker was last in touch; missing ages are unknown. */
+    runs: (readonly [string, number, number?])[];
 }
 
 export const snapshotStates = {
@@ -32,7 +34,10 @@
 
 function createSnapshot(worker: WorkerRecord): WorkerSnapshot {
     const sent = [...worker.runs.values()].filter(run => run.phase !== runPhases.planned);
-    return { entry: worker.entry, runs: sent.map(run => [run.taskName, run.runId] as const) };
+    // An end of the worker that was ordered must not count as a crash under the next owner either.
+    const ageMs = (run: Run): number | undefined =>
+        worker.isVmStopping ? undefined : Math.max(0, Math.round(ageAtLastContactMs(worker, run)));
+    return { entry: worker.entry, runs: sent.map(run => [run.taskName, run.runId, ageMs(run)] as const) };
 }
 
 /** Requests snapshots of workers that became unresponsive, and the removal of those of workers that respond again. */
@@ -51,25 +56,38 @@
     }
 }
 
-/** Treats the runs in a worker's snapshot as running until the worker responds or its lease has ended. */
-export function adoptSnapshot(state: SchedulerState, worker: WorkerRecord, snapshot: WorkerSnapshot, nowMs: number): void {
-    worker.snapshotState = snapshotStates.written;
-    worker.unresponsiveSinceMs = nowMs;
-    worker.isRunStateKnown = true;
-    for (const [taskName, runId] of snapshot.runs) {
+/** The runs of a snapshot that may have been running when the worker was last in touch, and the steps that still need them. */
+function snapshotRuns(state: SchedulerState, snapshot: WorkerSnapshot, lastContactAtMs: number): { run: Run; step: StepRecord }[] {
+    return snapshot.runs.flatMap(([taskName, runId, ageMs]) => {
         const task = parseTaskName(taskName);
         const step = task && findStep(state, task);
         const job = task && state.jobs.get(task.jobId);
         if (!task || !step || !job || isFinalState(job.state) || step.done.has(task.taskIndex)) {
-            continue;
+            return [];
         }
         const run: Run = {
-            ...createRun({ ...task, taskName, runId, workerId: worker.entry.workerId }, runNeeds(job, step), nowMs),
+            ...createRun({ ...task, taskName, runId, workerId: snapshot.entry.workerId }, runNeeds(job, step), lastContactAtMs),
+            startedAtMs: lastContactAtMs - (ageMs ?? Number.POSITIVE_INFINITY),
             phase: runPhases.running,
             isPresumed: true,
             isStartConfirmed: true,
-            respondedAtMs: nowMs,
+            respondedAtMs: lastContactAtMs,
         };
-        attachRun(state, worker, step, run);
-    }
+        return [{ run, step }];
+    });
+}
+
+/** Treats the runs in a worker's snapshot as running until the worker responds or its lease has ended. */
+export function adoptSnapshot(state: SchedulerState, worker: WorkerRecord, snapshot: WorkerSnapshot, nowMs: number): void {
+    worker.snapshotState = snapshotStates.written;
+    worker.unresponsiveSinceMs = nowMs;
+    worker.lastContactAtMs = nowMs;
+    worker.isRunStateKnown = true;
+    snapshotRuns(state, snapshot, nowMs).forEach(({ run, step }) => attachRun(state, worker, step, run));
+}
+
+/** Counts the crash of a worker that an earlier owner took for unresponsive and that has restarted since. */
+export function recordSnapshotCrash(state: SchedulerState, snapshot: WorkerSnapshot, { nowMs, wallMs }: Moment): void {
+    const ended = { ...createWorkerRecord(snapshot.entry, nowMs), lastContactAtMs: nowMs };
+    recordCrash(state, crashSuspects(ended, snapshotRuns(state, snapshot, nowMs).map(({ run }) => run)), wallMs);
 }
--- /dev/null
+++ b/src/scheduling/workerCrashes.ts
@@ -0,0 +1,60 @@
+/**
+ * Workers that crash under the runs of a task. A task that crashes each worker that starts it would go through the whole pool,
+ * so its job is given up after some crashes. Which of the runs on a worker made it crash is unknown: all young ones are suspected.
+ */
+import { isFinalState, type StepRecord, taskProgress } from "./jobRecord.js";
+import { jobStates } from "./jobTypes.js";
+import { endJob, findStep, markChanged, type SchedulerState } from "./schedulerState.js";
+import { type Run, runPhases, type WorkerRecord } from "./workerRecord.js";
+
+/** A run that its worker was seen to survive for this long is not suspected of the worker's crash. */
+const maxSuspectAgeMs = 2_000;
+/** A task is given up when this many workers have crashed under it. */
+const maxWorkerCrashes = 3;
+
+/** The age of a run when its worker was last in touch; negative if the start was sent later. */
+export function ageAtLastContactMs(worker: WorkerRecord, run: Run): number {
+    return (worker.lastContactAtMs ?? Number.NEGATIVE_INFINITY) - run.startedAtMs;
+}
+
+/** Whether an end of the worker that nobody ordered is a crash. */
+function endsUnexpectedly({ entry, isVmStopping, hasEnded }: WorkerRecord): boolean {
+    return !entry.isDraining && !isVmStopping && !hasEnded;
+}
+
+/** The runs that may have crashed the worker, if it has ended without an order; call it before they are detached. */
+export function crashSuspects(worker: WorkerRecord, runs: Iterable<Run>): Run[] {
+    return endsUnexpectedly(worker) ?
+        [...runs].filter(run => run.phase !== runPhases.planned && ageAtLastContactMs(worker, run) < maxSuspectAgeMs) :
+        [];
+}
+
+/** Counts the crash of a worker for the tasks of these runs, and gives up those under which too many workers have crashed. */
+export function recordCrash(state: SchedulerState, suspects: readonly Run[], wallMs: number): void {
+    for (const { jobId, taskName, taskIndex, runId, workerId, ...place } of suspects) {
+        const job = state.jobs.get(jobId);
+        const step = findStep(state, { jobId, ...place });
+        if (!job || !step || isFinalState(job.state) || step.done.has(taskIndex)) {
+            continue;
+        }
+        const progress = taskProgress(step, countingTask(step, taskIndex));
+        const crashedRunIds = progress.crashedRunIds ??= [];
+        if (crashedRunIds.includes(runId)) {
+            continue;
+        }
+        crashedRunIds.push(runId);
+        markChanged(state, job);
+        const detail = `runs ${crashedRunIds.join(", ")}`;
+        const crashesCount = crashedRunIds.length;
+        state.onDecision({ what: "worker crashed under run", jobId, taskName, runId, workerId, detail });
+        if (crashesCount >= maxWorkerCrashes) {
+            state.onDecision({ what: "give up task", jobId, taskName, reason: `${crashesCount} workers crashed under it`, detail });
+            endJob(state, job, jobStates.failed, wallMs);
+        }
+    }
+}
+
+/** A gang has a single count, which is stored with its first task. */
+function countingTask(step: StepRecord, taskIndex: number): number {
+    return step.spec.isGang ? 0 : taskIndex;
+}
--- /dev/null
+++ b/src/scheduling/workerEnds.ts
@@ -0,0 +1,51 @@
+/** What follows when a worker has ended or restarted, or its leases have ended: its runs are lost. */
+import type { Moment } from "./reconcileListing.js";
+import { applyEnd, commandKinds, detachRun, runEnds, type SchedulerState } from "./schedulerState.js";
+import { crashSuspects, recordCrash } from "./workerCrashes.js";
+import { type Run, runPhases, type WorkerRecord } from "./workerRecord.js";
+
+/** Marks all runs of a worker as lost, because its incarnation or its leases have ended. */
+export function markRunsLost(state: SchedulerState, worker: WorkerRecord, reason: string, moment: Moment): void {
+    markLost(state, [...worker.runs.values()], reason, moment);
+}
+
+/** Marks all runs of a worker as lost, because it has certainly ended, and counts the crash if nobody ordered that. */
+export function endWorker(state: SchedulerState, worker: WorkerRecord, reason: string, moment: Moment): void {
+    const suspects = [...crashSuspects(worker, worker.runs.values()), ...worker.unexplainedRuns];
+    worker.unexplainedRuns = [];
+    markRunsLost(state, worker, reason, moment);
+    recordCrash(state, suspects, moment.wallMs);
+}
+
+function markLost(state: SchedulerState, runs: readonly Run[], reason: string, moment: Moment): void {
+    for (const run of runs) {
+        state.onDecision({ what: "run lost", jobId: run.jobId, taskName: run.taskName, runId: run.runId, workerId: run.workerId, reason });
+        applyEnd(state, { ...run, end: runEnds.lost }, moment.nowMs, moment.wallMs);
+        detachRun(state, run);
+    }
+    recordCrash(state, runs.filter(run => run.hasWorkerRestarted), moment.wallMs);
+}
+
+/** Resets the record of a worker that has restarted. */
+export function beginIncarnation(state: SchedulerState, worker: WorkerRecord, bornWallMs: number, moment: Moment): void {
+    const runs = [...worker.runs.values()];
+    const suspects = crashSuspects(worker, runs);
+    const lost = runs.filter(run => run.isStartConfirmed);
+    const counted = [...suspects.filter(run => run.isStartConfirmed || run.hasWorkerRestarted), ...worker.unexplainedRuns];
+    markLost(state, lost, "the worker restarted", moment);
+    recordCrash(state, counted, moment.wallMs);
+    suspects.forEach(run => run.hasWorkerRestarted = true);
+    for (const run of runs.filter(each => !each.isStartConfirmed && each.phase === runPhases.stopping)) {
+        // The new incarnation does not know of the stop, and the start may still reach it.
+        run.respondedAtMs = undefined;
+        state.commands.push({ kind: commandKinds.stop, run, reason: "the worker restarted" });
+    }
+    worker.entry = { ...worker.entry, bornWallMs };
+    worker.lastContactAtMs = undefined;
+    worker.unexplainedRuns = [];
+    worker.hasRespondedToProvenOwner = false;
+    worker.hasEnded = false;
+    worker.lastEndNumber = 0;
+    worker.unsavedEnds = [];
+    worker.failedJobIds.clear();
+}
--- a/src/scheduling/workerLifecycle.ts
+++ b/src/scheduling/workerLifecycle.ts
@@ -1,7 +1,9 @@
 /** Adds, drains and removes workers, and bounds how long their runs may keep their leases. */
-import { markRunsLost, type Moment } from "./reconcileListing.js";
+import type { Moment } from "./reconcileListing.js";
 import { commandKinds, type SchedulerState, stopRun } from "./schedulerState.js";
 import { snapshotStates } from "./unresponsiveWorkers.js";
+import { crashSuspects, recordCrash } from "./workerCrashes.js";
+import { markRunsLost } from "./workerEnds.js";
 import { createWorkerRecord, runPhases, type WorkerEntry, type WorkerRecord } from "./workerRecord.js";
 
 /** Fraction by which a worker's clock may run slower than this process's clock; its leases then end later. */
@@ -15,12 +17,15 @@
 }
 
 /** Adds a worker that may hold runs of an earlier owner until it has responded or `unknownLeaseMs` have passed. */
-export function addWorker(state: SchedulerState, entry: WorkerEntry, unknownLeaseMs: number, nowMs: number): WorkerRecord {
+export function addWorker(state: SchedulerState, entry: WorkerEntry, unknownLeaseMs: number, { nowMs, wallMs }: Moment): WorkerRecord {
     const worker = createWorkerRecord(entry, nowMs + unknownLeaseMs);
     // An incarnation that began during this term cannot hold runs of an earlier owner.
     worker.isRunStateKnown = entry.bornWallMs > state.term.startedWallMs + clockEstimateSlackMs;
     state.workers.set(entry.workerId, worker);
     state.onDecision({ what: "worker joined", workerId: entry.workerId, detail: `${entry.poolName} ${entry.rack} ${entry.address}` });
+    // The earlier worker at the address has ended.
+    recordCrash(state, state.unexplainedRunsByAddress.get(entry.address) ?? [], wallMs);
+    state.unexplainedRunsByAddress.delete(entry.address);
     return worker;
 }
 
@@ -41,6 +46,18 @@
     worker.unresponsiveSinceMs = undefined;
 }
 
+/** Keeps the runs under which a worker that is gone may have crashed, until another worker at its address shows that it has ended. */
+function keepUnexplainedRuns(state: SchedulerState, worker: WorkerRecord): void {
+    for (const [address, runs] of state.unexplainedRunsByAddress) {
+        if (!runs.some(run => state.jobs.has(run.jobId))) {
+            state.unexplainedRunsByAddress.delete(address);
+        }
+    }
+    if (worker.unexplainedRuns.length > 0) {
+        state.unexplainedRunsByAddress.set(worker.entry.address, worker.unexplainedRuns);
+    }
+}
+
 /** Gives up the runs of workers whose leases have certainly ended, and removes such workers if the store has no entry for them. */
 export function expireLeases(state: SchedulerState, moment: Moment): void {
     for (const worker of state.workers.values()) {
@@ -48,6 +65,7 @@
             continue;
         }
         if (worker.runs.size > 0) {
+            worker.unexplainedRuns.push(...crashSuspects(worker, worker.runs.values()));
             markRunsLost(state, worker, "its lease has ended", moment);
         }
         worker.isRunStateKnown = true;
@@ -56,6 +74,7 @@
                 state.commands.push({ kind: commandKinds.removeSnapshot, workerId: worker.entry.workerId });
             }
             state.workers.delete(worker.entry.workerId);
+            keepUnexplainedRuns(state, worker);
             state.onDecision({ what: "worker left", workerId: worker.entry.workerId });
         }
     }
--- a/src/scheduling/workerRecord.ts
+++ b/src/scheduling/workerRecord.ts
@@ -47,7 +47,10 @@
     requested: Resources;
     /** Counts toward the worker's capacity. */
     reserved: Resources;
+    /** When the start was sent, or the run of an earlier owner was first seen. */
     startedAtMs: number;
+    /** Whether the worker has restarted since the start was sent, and has not listed the run since. */
+    hasWorkerRestarted: boolean;
     /** Known only from a snapshot by an earlier owner; the worker has not responded since. */
     isPresumed: boolean;
     /**
@@ -91,6 +94,10 @@
     lastEndNumber: number;
     unsavedEnds: UnsavedEnd[];
     lastResponseAtMs: number | undefined;
+    /** When this incarnation last listed its runs or accepted a command. */
+    lastContactAtMs: number | undefined;
+    /** Runs that were lost with their leases while the worker did not respond; it may have crashed under them. */
+    unexplainedRuns: Run[];
     /** Time of the first response in this term: since then, the worker refuses commands of earlier owners. */
     fencedSinceMs: number | undefined;
     /**
@@ -130,6 +137,8 @@
         lastEndNumber: 0,
         unsavedEnds: [],
         lastResponseAtMs: undefined,
+        lastContactAtMs: undefined,
+        unexplainedRuns: [],
         fencedSinceMs: undefined,
         hasRespondedToProvenOwner: false,
         leaseEndsAtMs,
@@ -171,6 +180,7 @@
         reserved: needs.reserved,
         phase: runPhases.planned,
         startedAtMs: nowMs,
+        hasWorkerRestarted: false,
         isPresumed: false,
         isStartConfirmed: false,
         isAdopted: false,
--- a/tests/scheduling/schedulerHarness.ts
+++ b/tests/scheduling/schedulerHarness.ts
@@ -4,8 +4,9 @@
 import { jobStates, type RepeatSpec, type SchedulingPolicy, type StepSpec, type TeamPolicy } from "../../src/scheduling/jobTypes.js";
 import type { Moment } from "../../src/scheduling/reconcileListing.js";
 import { createScheduler, type Scheduler } from "../../src/scheduling/scheduler.js";
-import { commandKinds, type RunEnd, type SchedulerCommand } from "../../src/scheduling/schedulerState.js";
-import type { Run } from "../../src/scheduling/workerRecord.js";
+import { commandKinds, type Decision, type RunEnd, type SchedulerCommand } from "../../src/scheduling/schedulerState.js";
+import type { WorkerSnapshot } from "../../src/scheduling/unresponsiveWorkers.js";
+import type { Run, WorkerEntry } from "../../src/scheduling/workerRecord.js";
 import { defaultStep } from "./defaultStep.js";
 import { modelPolicy } from "./modelJob.js";
 
@@ -16,6 +17,7 @@
     teams?: readonly TeamPolicy[];
     /** Progress is saved only by `saveAll`; otherwise also whenever a start waits for it. */
     isSavedManually?: boolean;
+    onDecision?(decision: Decision): void;
 }
 
 export interface ListingInput {
@@ -47,8 +49,14 @@
     answerStarts(outcome: CommandOutcome): void;
     answerStops(outcome: CommandOutcome): void;
     saveAll(): void;
+    /** The worker crashes and starts again under its id. */
+    restartWorker(workerId: string): void;
+    /** The worker crashes, and another one responds at its address. */
+    replaceWorker(workerId: string): void;
+    /** Updates what the worker says of itself. */
+    updateEntry(workerId: string, change: Partial<WorkerEntry>): void;
     /** Passes in the snapshot that an earlier owner wrote of an unresponsive worker. */
-    restoreSnapshot(workerId: string, runs: readonly (readonly [string, number])[]): void;
+    restoreSnapshot(workerId: string, runs: WorkerSnapshot["runs"]): void;
     /** Names of the started tasks, in order. */
     startedTasks(): string[];
     commands(kind: "start" | "stop" | "pace"): Run[];
@@ -71,7 +79,7 @@
         workerLeaseMs,
         taskStopMs,
         unknownLeaseMs: 10_000,
-        onDecision: () => undefined,
+        onDecision: options.onDecision ?? (() => undefined),
     });
     const sentCommands: SchedulerCommand[] = [];
     const pendingCommands: SchedulerCommand[] = [];
@@ -106,11 +114,17 @@
             .flatMap(command => command.kind === commandKinds.start && command.run.taskName === taskName ? [command.run.runId] : [])
             .at(-1) ?? 0;
 
+    const bornWallMs = (workerId: string): number => scheduler.state.workers.get(workerId)?.entry.bornWallMs ?? 0;
+    const updateEntry = (workerId: string, change: Partial<WorkerEntry>): void => {
+        scheduler.registerWorker({ ...scheduler.state.workers.get(workerId)!.entry, ...change }, now());
+        runStep();
+    };
+
     for (let number = 1; number <= options.workers; number++) {
         scheduler.registerWorker({
             workerId: `w${number}`,
             bornWallMs: 0,
-            address: "",
+            address: `address${number}`,
             poolName: "pool",
             zone: "zone",
             rack: `rack${number}`,
@@ -154,7 +168,22 @@
                 const { taskName, runId } = typeof each === "string" ? { taskName: each, runId: lastRunId(each) } : each;
                 return { taskName, runId, checkpoint: "", percent: 100, measured: 0 };
             });
-            scheduler.listingReceived(workerId, { bornWallMs: 0, running: runs, ended: ends, hasMoreEnds }, sentAtMs ?? nowMs, now());
+            scheduler.listingReceived(
+                workerId,
+                { bornWallMs: bornWallMs(workerId), running: runs, ended: ends, hasMoreEnds },
+                sentAtMs ?? nowMs,
+                now(),
+            );
+            runStep();
+        },
+        updateEntry,
+        restartWorker: workerId => {
+            nextEndNumbers.delete(workerId);
+            updateEntry(workerId, { bornWallMs: bornWallMs(workerId) + 1 });
+        },
+        replaceWorker: workerId => {
+            scheduler.workerReplaced(workerId, now());
+            scheduler.unregisterWorker(workerId);
             runStep();
         },
         answerStarts: outcome => answer(commandKinds.start, outcome),
