Do not give up a task for the crashes that another one on its workers causes

What callers would see: a job whose task happened to run beside a deadly one on three workers is given up with it. Runs that are lost together are started again together, best fit, often on the same worker.

Change: a task that the next crash would give up starts only on a worker without other current suspects, and nothing joins it there while it is young, so that the third crash shows the cause. A task with a single counted crash prefers workers without suspects, after the rack of its data. Tasks without a count see no difference unless such a run is young on the worker. A suspect that waits does not hold up its step's other tasks, and a gang is not planned in part while it waits.

--- a/src/decisions/placeTask.ts
+++ b/src/decisions/placeTask.ts
@@ -21,6 +21,8 @@
     /** Tasks of the same step on all workers of the rack. */
     sameStepOnRackCount: number;
     longRunningCount: number;
+    /** Runs of tasks that may have crashed other workers. */
+    suspectsCount: number;
     /** Fraction of the worker's CPU capacity that long-running tasks have reserved, 0 to 1. */
     longRunningPart: number;
 }
@@ -28,6 +30,8 @@
 export interface PlacementRequirements {
     isLongRunning: boolean;
     isFiller: boolean;
+    /** The task may have crashed other workers. */
+    isSuspect: boolean;
     preferredRack: string | undefined;
 }
 
@@ -44,6 +48,10 @@
     if (byRack !== 0) {
         return byRack;
     }
+    // Suspects that run apart show by the next crash which of them is the cause.
+    if (requirements.isSuspect && left.suspectsCount !== right.suspectsCount) {
+        return left.suspectsCount - right.suspectsCount;
+    }
     if (requirements.isFiller) {
         return left.longRunningCount - right.longRunningCount ||
             left.sameStepCount - right.sameStepCount ||
--- a/src/scheduling/dispatchWaitingTasks.ts
+++ b/src/scheduling/dispatchWaitingTasks.ts
@@ -1,7 +1,7 @@
 /** Assigns waiting tasks to workers, in one pass over all pools. */
 import { orderSteps, type StepOrderInput } from "../decisions/orderSteps.js";
 import { placeTask } from "../decisions/placeTask.js";
-import { isFinalState, isStepReady, type JobRecord, type OccurrenceRecord, type StepRecord } from "./jobRecord.js";
+import { countWorkerCrashes, isFinalState, isStepReady, type JobRecord, type OccurrenceRecord, type StepRecord } from "./jobRecord.js";
 import { isServing, type QueuePolicy, reservedResources, type Resources } from "./jobTypes.js";
 import { cancelStaleStarts, isFencedByNewerOwner, isHeldBack, sendPersistedStarts } from "./plannedStarts.js";
 import { type Candidate, createPoolCandidates, hasRoom, type PoolCandidates } from "./poolCandidates.js";
@@ -9,6 +9,7 @@
 import { attachRun, detachRun, nextRunId, runNeeds, type SchedulerState } from "./schedulerState.js";
 import { isWithinTeamLimit } from "./teamUsage.js";
 import { snapshotStates } from "./unresponsiveWorkers.js";
+import { mayStartBeside } from "./workerCrashes.js";
 import { createRun, formatTaskName, type Run, type WorkerRecord } from "./workerRecord.js";
 
 interface WaitingStep extends StepOrderInput {
@@ -126,8 +127,14 @@
     return ordered;
 }
 
-function canRun(state: SchedulerState, candidate: Candidate, { spec }: StepRecord, needed: Resources): boolean {
-    return hasRoom(candidate, needed) &&
+/** The crashes under earlier runs of a task, and the run id if other tasks of its gang have one already. */
+interface RunHistory {
+    crashesCount: number;
+    gangRunId?: number;
+}
+
+function canRun(state: SchedulerState, candidate: Candidate, { spec }: StepRecord, needed: Resources, history: RunHistory): boolean {
+    return hasRoom(candidate, needed) && mayStartBeside(candidate.suspects, history.crashesCount, history.gangRunId) &&
         (state.isStoreWritable || candidate.isStartRecorded) &&
         (spec.requiredLabel === undefined || candidate.worker.entry.labels.includes(spec.requiredLabel)) &&
         (spec.maxTasksPerWorker === undefined || candidate.sameStepCount < spec.maxTasksPerWorker);
@@ -148,7 +155,11 @@
         return undefined;
     }
     const needed = reservedResources(spec);
-    const best = placeTask(spec, candidates, candidate => canRun(state, candidate, step, needed));
+    const needs = runNeeds(job, step, taskIndex);
+    const history = { crashesCount: needs.crashesCount, gangRunId };
+    const { isLongRunning, isFiller, preferredRack } = spec;
+    const requirements = { isLongRunning, isFiller, preferredRack, isSuspect: needs.crashesCount > 0 };
+    const best = placeTask(requirements, candidates, candidate => canRun(state, candidate, step, needed, history));
     if (!best) {
         return undefined;
     }
@@ -162,7 +173,7 @@
             runId: gangRunId ?? nextRunId(state),
             workerId: best.workerId,
         },
-        runNeeds(job, step),
+        needs,
         nowMs,
     );
     attachRun(state, best.worker, step, run);
@@ -170,9 +181,12 @@
     return run;
 }
 
-/** How many tasks of the step the candidate has room for. */
-function countRoom(candidate: Candidate, { spec }: StepRecord, needed: Resources): number {
-    if (!hasRoom(candidate, needed) || (spec.requiredLabel !== undefined && !candidate.worker.entry.labels.includes(spec.requiredLabel))) {
+/** For how many tasks of the step the candidate has room, if any of them may start there. */
+function countRoom(candidate: Candidate, { spec }: StepRecord, needed: Resources, crashesCount: number): number {
+    if (
+        !hasRoom(candidate, needed) || !mayStartBeside(candidate.suspects, crashesCount, undefined) ||
+        (spec.requiredLabel !== undefined && !candidate.worker.entry.labels.includes(spec.requiredLabel))
+    ) {
         return 0;
     }
     const count = (free: number, each: number): number => each > 0 ? Math.floor(free / each) : Number.POSITIVE_INFINITY;
@@ -187,9 +201,10 @@
 /** Whether the candidates have room for the whole gang, so that it is not planned in part and cancelled in each pass. */
 function mayHoldGang(candidates: readonly Candidate[], step: StepRecord): boolean {
     const needed = reservedResources(step.spec);
+    const crashesCount = countWorkerCrashes(step, 0);
     let missing = step.waiting.size;
     for (const candidate of candidates) {
-        missing -= countRoom(candidate, step, needed);
+        missing -= countRoom(candidate, step, needed, crashesCount);
         if (missing <= 0) {
             return true;
         }
@@ -235,8 +250,13 @@
             const needed = reservedResources(step.spec);
             if (!pool.all().some(candidate => hasRoom(candidate, needed))) {
                 pool.recordMisfit(needed);
+                break;
+            }
+            if (countWorkerCrashes(step, taskIndex) === 0) {
+                break;
             }
-            break;
+            // The step's other tasks need not run apart from suspects.
+            continue;
         }
         hasPlanned = true;
     }
--- a/src/scheduling/jobRecord.ts
+++ b/src/scheduling/jobRecord.ts
@@ -169,6 +169,21 @@
     return { state: job.state, occurrences, workerIds: [...job.workerIdsInFlight ?? job.persistedWorkerIds] };
 }
 
+/** A gang's failures and crashes are counted once, with its first task. */
+function countingTask(step: StepRecord, task: number): number {
+    return step.spec.isGang ? 0 : task;
+}
+
+/** How many workers have crashed under the runs of the task. */
+export function countWorkerCrashes(step: StepRecord, task: number): number {
+    return step.tasks.get(countingTask(step, task))?.crashedRunIds?.length ?? 0;
+}
+
+/** Returns the progress that holds the failures and crashes of a task, and creates it if there is none yet. */
+export function attemptsProgress(step: StepRecord, task: number): TaskProgress {
+    return taskProgress(step, countingTask(step, task));
+}
+
 /** Returns the progress of a task, and creates it if there is none yet. */
 export function taskProgress(step: StepRecord, task: number): TaskProgress {
     const known = step.tasks.get(task) ?? { failedRunIds: [], checkpoint: "" };
--- a/src/scheduling/poolCandidates.ts
+++ b/src/scheduling/poolCandidates.ts
@@ -6,11 +6,14 @@
 import type { JobRecord, StepRecord } from "./jobRecord.js";
 import { fitsInto, noResources, type Resources } from "./jobTypes.js";
 import { isWorkerPersisted } from "./plannedStarts.js";
-import type { WorkerRecord } from "./workerRecord.js";
+import { currentSuspects } from "./workerCrashes.js";
+import type { Run, WorkerRecord } from "./workerRecord.js";
 
 /** A worker of the pool with its free resources, which are updated during the pass. */
 export interface Candidate extends PlacementCandidate {
     worker: WorkerRecord;
+    /** Runs on the worker that would be suspected again if it crashed now. */
+    suspects: readonly Run[];
     freeAccelerators: number;
 }
 
@@ -31,11 +34,14 @@
 /** Needs that fitted nowhere are kept up to this number; further ones are looked for again. */
 const maxMisfits = 16;
 
-function updateFreeCapacity(candidate: Candidate): void {
+/** Updates what depends on the worker's runs. */
+function updateFromRuns(candidate: Candidate): void {
     const { entry: { capacity }, used, longRunningCount, longRunningCpuMillicores } = candidate.worker;
     candidate.freeCpuMillicores = capacity.cpuMillicores - used.cpuMillicores;
     candidate.freeMemoryMb = capacity.memoryMb - used.memoryMb;
     candidate.freeAccelerators = capacity.accelerators - used.accelerators;
+    candidate.suspects = currentSuspects(candidate.worker);
+    candidate.suspectsCount = candidate.suspects.length;
     candidate.longRunningCount = longRunningCount;
     candidate.longRunningPart = longRunningCpuMillicores / Math.max(1, capacity.cpuMillicores);
 }
@@ -50,13 +56,15 @@
         freeCpuMillicores: 0,
         freeMemoryMb: 0,
         freeAccelerators: 0,
+        suspects: [],
+        suspectsCount: 0,
         longRunningCount: 0,
         longRunningPart: 0,
         isStartRecorded: false,
         sameStepCount: 0,
         sameStepOnRackCount: 0,
     };
-    updateFreeCapacity(candidate);
+    updateFromRuns(candidate);
     return candidate;
 }
 
@@ -144,10 +152,10 @@
             }
         },
         recordPlanned: (candidate, step) => {
-            updateFreeCapacity(candidate);
+            updateFromRuns(candidate);
             isRoomCurrent = false;
             countRun(candidate, step);
         },
-        recordCancelled: cancelled => cancelled.forEach(updateFreeCapacity),
+        recordCancelled: cancelled => cancelled.forEach(updateFromRuns),
     };
 }
--- a/src/scheduling/reconcileListing.ts
+++ b/src/scheduling/reconcileListing.ts
@@ -132,8 +132,15 @@
     const isWanted = job && step && !isFinalState(job.state) && !step.done.has(task.taskIndex) && !step.runs.has(task.taskIndex);
     // The size of a run whose job is over is unknown, so it reserves the whole worker until it has ended.
     const needs = job && step ?
-        runNeeds(job, step) :
-        { isServing: false, isFiller: false, teamName: undefined, requested: noResources, reserved: worker.entry.capacity };
+        runNeeds(job, step, task.taskIndex) :
+        {
+            crashesCount: 0,
+            isServing: false,
+            isFiller: false,
+            teamName: undefined,
+            requested: noResources,
+            reserved: worker.entry.capacity,
+        };
     const { taskName, runId, percent, measured, checkpoint } = listed;
     const run: Run = {
         ...createRun({ ...task, taskName, runId, workerId: worker.entry.workerId }, needs, moment.nowMs),
--- a/src/scheduling/schedulerState.ts
+++ b/src/scheduling/schedulerState.ts
@@ -1,6 +1,15 @@
 /** The scheduler's state, and the operations on it that its modules share. */
 import type { ShareTokenBucket } from "../decisions/teamShare.js";
-import { isFinalState, isOccurrenceDone, type JobRecord, type StepRecord, stepsOf, taskProgress } from "./jobRecord.js";
+import {
+    attemptsProgress,
+    countWorkerCrashes,
+    isFinalState,
+    isOccurrenceDone,
+    type JobRecord,
+    type StepRecord,
+    stepsOf,
+    taskProgress,
+} from "./jobRecord.js";
 import {
     addResources,
     isServing,
@@ -129,9 +138,10 @@
     return state.jobs.get(place.jobId)?.occurrences.get(place.occurrence)?.steps[place.stepIndex];
 }
 
-/** The resources that a run of the step needs, and its team. */
-export function runNeeds(job: JobRecord, step: StepRecord): RunNeeds {
+/** What a run of the task needs, its team, and the crashes under earlier runs. */
+export function runNeeds(job: JobRecord, step: StepRecord, taskIndex: number): RunNeeds {
     return {
+        crashesCount: countWorkerCrashes(step, taskIndex),
         isServing: isServing(step.spec),
         isFiller: step.spec.isFiller,
         teamName: job.submission.teamName,
@@ -276,8 +286,7 @@
         markChanged(state, job);
     }
     if (ended.end === runEnds.failed && !step.spec.isLongRunning) {
-        // A gang has a single attempt count, which is stored with its first task.
-        const progress = taskProgress(step, step.spec.isGang ? 0 : ended.taskIndex);
+        const progress = attemptsProgress(step, ended.taskIndex);
         if (progress.failedRunIds.includes(ended.runId)) {
             return;
         }
--- a/src/scheduling/unresponsiveWorkers.ts
+++ b/src/scheduling/unresponsiveWorkers.ts
@@ -66,7 +66,11 @@
             return [];
         }
         const run: Run = {
-            ...createRun({ ...task, taskName, runId, workerId: snapshot.entry.workerId }, runNeeds(job, step), lastContactAtMs),
+            ...createRun(
+                { ...task, taskName, runId, workerId: snapshot.entry.workerId },
+                runNeeds(job, step, task.taskIndex),
+                lastContactAtMs,
+            ),
             startedAtMs: lastContactAtMs - (ageMs ?? Number.POSITIVE_INFINITY),
             phase: runPhases.running,
             isPresumed: true,
--- a/src/scheduling/workerCrashes.ts
+++ b/src/scheduling/workerCrashes.ts
@@ -2,7 +2,7 @@
  * Workers that crash under the runs of a task. A task that crashes each worker that starts it would go through the whole pool,
  * so its job is given up after some crashes. Which of the runs on a worker made it crash is unknown: all young ones are suspected.
  */
-import { isFinalState, type StepRecord, taskProgress } from "./jobRecord.js";
+import { attemptsProgress, isFinalState } from "./jobRecord.js";
 import { jobStates } from "./jobTypes.js";
 import { endJob, findStep, markChanged, type SchedulerState } from "./schedulerState.js";
 import { type Run, runPhases, type WorkerRecord } from "./workerRecord.js";
@@ -17,7 +17,7 @@
     return (worker.lastContactAtMs ?? Number.NEGATIVE_INFINITY) - run.startedAtMs;
 }
 
-/** Whether an end of the worker that nobody ordered is a crash. */
+/** Whether the worker's end, if it has ended, is a crash. */
 function endsUnexpectedly({ entry, isVmStopping, hasEnded }: WorkerRecord): boolean {
     return !entry.isDraining && !isVmStopping && !hasEnded;
 }
@@ -37,7 +37,7 @@
         if (!job || !step || isFinalState(job.state) || step.done.has(taskIndex)) {
             continue;
         }
-        const progress = taskProgress(step, countingTask(step, taskIndex));
+        const progress = attemptsProgress(step, taskIndex);
         const crashedRunIds = progress.crashedRunIds ??= [];
         if (crashedRunIds.includes(runId)) {
             continue;
@@ -54,7 +54,19 @@
     }
 }
 
-/** A gang has a single count, which is stored with its first task. */
-function countingTask(step: StepRecord, taskIndex: number): number {
-    return step.spec.isGang ? 0 : taskIndex;
+function isSuspect(worker: WorkerRecord, run: Run): boolean {
+    return run.phase === runPhases.planned || ageAtLastContactMs(worker, run) < maxSuspectAgeMs;
+}
+
+/** The runs that would be suspected again if the worker crashed now. */
+export function currentSuspects(worker: WorkerRecord): Run[] {
+    return worker.suspectRuns.size === 0 ? [] : [...worker.suspectRuns].filter(run => isSuspect(worker, run));
+}
+
+/**
+ * Whether a task may start beside these suspects. A task that the next crash would give up runs apart from the others, so that a
+ * crash shows whether it is the cause; the members of a gang are not apart from each other.
+ */
+export function mayStartBeside(suspects: readonly Run[], crashesCount: number, gangRunId: number | undefined): boolean {
+    return suspects.every(run => run.runId === gangRunId || Math.max(run.crashesCount, crashesCount) < maxWorkerCrashes - 1);
 }
--- a/src/scheduling/workerRecord.ts
+++ b/src/scheduling/workerRecord.ts
@@ -49,6 +49,8 @@
     reserved: Resources;
     /** When the start was sent, or the run of an earlier owner was first seen. */
     startedAtMs: number;
+    /** How many workers have crashed under earlier runs of the task. */
+    crashesCount: number;
     /** Whether the worker has restarted since the start was sent, and has not listed the run since. */
     hasWorkerRestarted: boolean;
     /** Known only from a snapshot by an earlier owner; the worker has not responded since. */
@@ -90,6 +92,8 @@
     longRunningCpuMillicores: number;
     /** Runs by `runKey`. */
     runs: Map<string, Run>;
+    /** Runs of tasks under which workers have crashed. */
+    suspectRuns: Set<Run>;
     /** Highest end number that was processed. */
     lastEndNumber: number;
     unsavedEnds: UnsavedEnd[];
@@ -134,6 +138,7 @@
         longRunningCount: 0,
         longRunningCpuMillicores: 0,
         runs: new Map(),
+        suspectRuns: new Set(),
         lastEndNumber: 0,
         unsavedEnds: [],
         lastResponseAtMs: undefined,
@@ -156,8 +161,8 @@
 /** Identifies a run; its other properties follow from its step. */
 export type RunIdentity = Pick<Run, "taskName" | "jobId" | "occurrence" | "stepIndex" | "taskIndex" | "runId" | "workerId">;
 
-/** What a run takes, and for whom. */
-export type RunNeeds = Pick<Run, "isServing" | "isFiller" | "teamName" | "requested" | "reserved">;
+/** What follows for a run from its step and its task. */
+export type RunNeeds = Pick<Run, "isServing" | "isFiller" | "teamName" | "requested" | "reserved" | "crashesCount">;
 
 /** Creates the record of a run that is known only from its start, a listing or a snapshot. */
 export function createRun(
@@ -180,6 +185,7 @@
         reserved: needs.reserved,
         phase: runPhases.planned,
         startedAtMs: nowMs,
+        crashesCount: needs.crashesCount,
         hasWorkerRestarted: false,
         isPresumed: false,
         isStartConfirmed: false,
@@ -206,11 +212,15 @@
 
 export function addRun(worker: WorkerRecord, run: Run): void {
     worker.runs.set(runKey(run.taskName, run.runId), run);
+    if (run.crashesCount > 0) {
+        worker.suspectRuns.add(run);
+    }
     reserve(worker, run, 1);
 }
 
 export function removeRun(worker: WorkerRecord, run: Run): void {
     if (worker.runs.delete(runKey(run.taskName, run.runId))) {
+        worker.suspectRuns.delete(run);
         reserve(worker, run, -1);
     }
 }
--- a/tests/decisions/schedulingPolicy.spec.ts
+++ b/tests/decisions/schedulingPolicy.spec.ts
@@ -89,11 +89,12 @@
     sameStepOnRackCount: 0,
     longRunningCount: 0,
     longRunningPart: 0,
+    suspectsCount: 0,
     ...changes,
 });
 
 describe("the placement of tasks", () => {
-    const short = { isLongRunning: false, isFiller: false, preferredRack: undefined };
+    const short = { isLongRunning: false, isFiller: false, isSuspect: false, preferredRack: undefined };
 
     it("should fill one worker before using another, so that whole workers stay empty", () => {
         const [empty, half] = [candidate({ workerId: "empty" }), candidate({ workerId: "half", freeCpuMillicores: 8_000 })];
@@ -119,6 +120,12 @@
         assert.equal(placeTask(serving, [empty, full]), empty);
     });
 
+    it("should keep tasks that may have crashed workers apart, and otherwise pay no attention to them", () => {
+        const [fuller, apart] = [candidate({ freeCpuMillicores: 2_000, suspectsCount: 1 }), candidate({ workerId: "apart" })];
+        assert.equal(placeTask({ ...short, isSuspect: true }, [fuller, apart]), apart);
+        assert.equal(placeTask(short, [fuller, apart]), fuller);
+    });
+
     it("should prefer the rack of the data", () => {
         const near = candidate({ rack: "r2", freeCpuMillicores: 15_000 });
         assert.equal(placeTask({ ...short, preferredRack: "r2" }, [candidate({ freeCpuMillicores: 1_000 }), near]), near);
