Count a crash under a task's last start although the owner ends with it

What callers would see: a task goes on crashing workers if the owner ends in the moment of each crash: the next owner has neither the run nor the crash.

Change: the start of a task that the next crash gives up is stored before it is sent, with its run, worker and incarnation. The next owner takes the run for running until its worker responds, and counts a crash if the worker has restarted or another one responds at its address. It may count a start that was stored and never sent. That is why earlier starts are not stored: with two crashes seen, the job may be given up. These starts need a write each, and are not sent while the store takes none.

--- a/src/process/schedulingService.ts
+++ b/src/process/schedulingService.ts
@@ -22,7 +22,7 @@
 import { createSchedulingSummary } from "./schedulingSummary.js";
 import type { StoreMirror } from "./storeMirror.js";
 import { createWorkerSessions } from "./workerSessions.js";
-import { createWorkerSnapshotWriter, restoreSnapshots } from "./workerSnapshotWriter.js";
+import { createWorkerSnapshotWriter, restoreEarlierRuns } from "./workerSnapshotWriter.js";
 
 export interface SchedulingService {
     onOwnershipAcquired(term: OwnershipTerm): void;
@@ -243,7 +243,7 @@
                 scheduler.unregisterWorker(workerId);
             }
         }
-        restoreSnapshots(scheduler, options.mirror(), registered, now, logUnreadable);
+        restoreEarlierRuns(scheduler, options.mirror(), registered, now, logUnreadable);
         options.onTermStarted(scheduler, signal);
         scheduleStep();
     };
--- a/src/process/workerSnapshotWriter.ts
+++ b/src/process/workerSnapshotWriter.ts
@@ -64,8 +64,8 @@
     };
 }
 
-/** Passes the snapshots that earlier owners stored to the scheduler of a new term. */
-export function restoreSnapshots(
+/** Passes what earlier owners stored of their runs to the scheduler of a new term: snapshots, and starts of suspected tasks. */
+export function restoreEarlierRuns(
     scheduler: Scheduler,
     mirror: StoreMirror,
     registered: ReadonlyMap<string, WorkerEntry>,
@@ -83,4 +83,5 @@
             onUnreadable(key, String(error));
         }
     }
+    scheduler.restoreSuspectStarts(moment);
 }
--- a/src/scheduling/dispatchWaitingTasks.ts
+++ b/src/scheduling/dispatchWaitingTasks.ts
@@ -6,10 +6,11 @@
 import { cancelStaleStarts, isFencedByNewerOwner, isHeldBack, sendPersistedStarts } from "./plannedStarts.js";
 import { type Candidate, createPoolCandidates, hasRoom, type PoolCandidates } from "./poolCandidates.js";
 import type { Moment } from "./reconcileListing.js";
-import { attachRun, detachRun, nextRunId, runNeeds, type SchedulerState } from "./schedulerState.js";
+import { runNeeds } from "./runNeeds.js";
+import { attachRun, detachRun, nextRunId, type SchedulerState } from "./schedulerState.js";
 import { isWithinTeamLimit } from "./teamUsage.js";
 import { snapshotStates } from "./unresponsiveWorkers.js";
-import { mayStartBeside } from "./workerCrashes.js";
+import { isNextCrashLast, mayStartBeside } from "./workerCrashes.js";
 import { createRun, formatTaskName, type Run, type WorkerRecord } from "./workerRecord.js";
 
 interface WaitingStep extends StepOrderInput {
@@ -135,7 +136,7 @@
 
 function canRun(state: SchedulerState, candidate: Candidate, { spec }: StepRecord, needed: Resources, history: RunHistory): boolean {
     return hasRoom(candidate, needed) && mayStartBeside(candidate.suspects, history.crashesCount, history.gangRunId) &&
-        (state.isStoreWritable || candidate.isStartRecorded) &&
+        (state.isStoreWritable || (candidate.isStartRecorded && !isNextCrashLast(history.crashesCount))) &&
         (spec.requiredLabel === undefined || candidate.worker.entry.labels.includes(spec.requiredLabel)) &&
         (spec.maxTasksPerWorker === undefined || candidate.sameStepCount < spec.maxTasksPerWorker);
 }
--- a/src/scheduling/jobDocuments.ts
+++ b/src/scheduling/jobDocuments.ts
@@ -17,12 +17,21 @@
     prefix: "nutmegjunction/",
 } as const;
 
+/** The run that a start begins, and the incarnation of the worker to which it is sent. */
+export interface SuspectStart {
+    runId: number;
+    workerId: string;
+    bornWallMs: number;
+}
+
 /** Progress of one task that is not done. */
 export interface TaskProgress {
     /** Ids of the failed runs, so that an end that is listed again, to another owner, counts once. */
     failedRunIds: number[];
     /** Ids of the runs under which their worker crashed; missing if there are none. */
     crashedRunIds?: number[];
+    /** The start of a task that the next crash gives up, until its run has ended. */
+    suspectStart?: SuspectStart;
     /** Checkpoint from which the next run resumes; empty if there is none. */
     checkpoint: string;
 }
--- a/src/scheduling/jobRecord.ts
+++ b/src/scheduling/jobRecord.ts
@@ -179,6 +179,16 @@
     return step.tasks.get(countingTask(step, task))?.crashedRunIds?.length ?? 0;
 }
 
+/** Removes the stored start of the run; `false` if there is none. */
+export function forgetSuspectStart(step: StepRecord, { taskIndex, runId }: Run): boolean {
+    const progress = step.tasks.get(taskIndex);
+    if (progress?.suspectStart?.runId !== runId) {
+        return false;
+    }
+    progress.suspectStart = undefined;
+    return true;
+}
+
 /** Returns the progress that holds the failures and crashes of a task, and creates it if there is none yet. */
 export function attemptsProgress(step: StepRecord, task: number): TaskProgress {
     return taskProgress(step, countingTask(step, task));
--- a/src/scheduling/plannedStarts.ts
+++ b/src/scheduling/plannedStarts.ts
@@ -5,6 +5,7 @@
  */
 import { type JobRecord, type StepRecord, stepsOf } from "./jobRecord.js";
 import { commandKinds, detachRun, findStep, markChanged, type SchedulerState } from "./schedulerState.js";
+import { isSuspectStartPersisted, recordSuspectStart } from "./suspectStarts.js";
 import { type Run, runPhases, type WorkerRecord } from "./workerRecord.js";
 
 /** Whether the current owner knows which runs the worker has. */
@@ -75,11 +76,11 @@
     return [...step.runs.values()].flat().length === step.spec.taskCount;
 }
 
-/** Whether the store lists the workers of the run, and of all other runs of its gang. */
+/** Whether the store holds what it must before the start is sent, of the run and of all other runs of its gang. */
 function isStartPersisted(job: JobRecord, step: StepRecord, run: Run): boolean {
     return step.spec.isGang ?
-        [...step.runs.values()].flat().every(each => isWorkerPersisted(job, each.workerId)) :
-        isWorkerPersisted(job, run.workerId);
+        [...step.runs.values()].flat().every(each => isWorkerPersisted(job, each.workerId) && isSuspectStartPersisted(job, each)) :
+        isWorkerPersisted(job, run.workerId) && isSuspectStartPersisted(job, run);
 }
 
 /**
@@ -90,6 +91,7 @@
     let hasUnpersisted = false;
     for (const step of stepsOf(job)) {
         const planned = [...step.runs.values()].flat().filter(isPlanned);
+        planned.forEach(run => recordSuspectStart(state, job, step, run));
         for (const run of planned) {
             if (!state.plannedRuns.has(run)) {
                 continue;
--- a/src/scheduling/reconcileListing.ts
+++ b/src/scheduling/reconcileListing.ts
@@ -2,6 +2,7 @@
 import { paceFillers } from "../decisions/paceFillers.js";
 import { isFinalState, type JobRecord } from "./jobRecord.js";
 import { noResources } from "./jobTypes.js";
+import { runNeeds } from "./runNeeds.js";
 import {
     applyEnd,
     attachRun,
@@ -10,7 +11,6 @@
     findStep,
     type RunEnd,
     runEnds,
-    runNeeds,
     type SchedulerState,
     stopRun,
 } from "./schedulerState.js";
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -19,6 +19,7 @@
     type SchedulerState,
     type Term,
 } from "./schedulerState.js";
+import { restoreSuspectStarts } from "./suspectStarts.js";
 import {
     adoptSnapshot,
     recordSnapshotCrash,
@@ -197,6 +198,8 @@
                 worker.snapshotState = snapshotStates.written;
             }
         },
+        /** Restores the starts of suspected tasks that an earlier owner stored. Call it when the term begins, after the snapshots. */
+        restoreSuspectStarts: (moment: Moment): void => restoreSuspectStarts(state, moment),
         /** The snapshot was written or removed, or its write must be retried. */
         snapshotStateChanged: (workerId: string, snapshotState: SnapshotState): void => {
             const worker = state.workers.get(workerId);
--- a/src/scheduling/schedulerState.ts
+++ b/src/scheduling/schedulerState.ts
@@ -2,7 +2,7 @@
 import type { ShareTokenBucket } from "../decisions/teamShare.js";
 import {
     attemptsProgress,
-    countWorkerCrashes,
+    forgetSuspectStart,
     isFinalState,
     isOccurrenceDone,
     type JobRecord,
@@ -12,16 +12,14 @@
 } from "./jobRecord.js";
 import {
     addResources,
-    isServing,
     type JobState,
     jobStates,
-    reservedResources,
     type Resources,
     type SchedulingPolicy,
 } from "./jobTypes.js";
 import { teamUsage } from "./teamUsage.js";
 import type { WorkerSnapshot } from "./unresponsiveWorkers.js";
-import { addRun, removeRun, type Run, type RunIdentity, runKey, type RunNeeds, runPhases, type WorkerRecord } from "./workerRecord.js";
+import { addRun, removeRun, type Run, type RunIdentity, runKey, runPhases, type WorkerRecord } from "./workerRecord.js";
 
 export const commandKinds = {
     start: "start",
@@ -138,18 +136,6 @@
     return state.jobs.get(place.jobId)?.occurrences.get(place.occurrence)?.steps[place.stepIndex];
 }
 
-/** What a run of the task needs, its team, and the crashes under earlier runs. */
-export function runNeeds(job: JobRecord, step: StepRecord, taskIndex: number): RunNeeds {
-    return {
-        crashesCount: countWorkerCrashes(step, taskIndex),
-        isServing: isServing(step.spec),
-        isFiller: step.spec.isFiller,
-        teamName: job.submission.teamName,
-        requested: step.spec.request,
-        reserved: reservedResources(step.spec),
-    };
-}
-
 /** Adds a run to its worker, its step and its team's usage. */
 export function attachRun(state: SchedulerState, worker: WorkerRecord, step: StepRecord | undefined, run: Run): void {
     addRun(worker, run);
@@ -176,6 +162,9 @@
     if (!job || !step) {
         return;
     }
+    if (!isFinalState(job.state) && forgetSuspectStart(step, run)) {
+        markChanged(state, job);
+    }
     const remaining = (step.runs.get(run.taskIndex) ?? []).filter(each => each !== run);
     if (remaining.length > 0) {
         step.runs.set(run.taskIndex, remaining);
--- /dev/null
+++ b/src/scheduling/suspectStarts.ts
@@ -0,0 +1,67 @@
+/**
+ * Starts of tasks that the next crash gives up. The store holds such a start before it is sent: if the owner ends when the worker
+ * crashes, the next owner has seen neither the run nor the crash, and could not count it otherwise. It may count a start that was never
+ * sent, so this does not apply to earlier crashes: those that were counted must be enough to give up the task.
+ */
+import { isFinalState, type JobRecord, type StepRecord, stepsOf, taskProgress } from "./jobRecord.js";
+import type { Moment } from "./reconcileListing.js";
+import { runNeeds } from "./runNeeds.js";
+import { attachRun, markChanged, type SchedulerState } from "./schedulerState.js";
+import { isNextCrashLast, recordCrash } from "./workerCrashes.js";
+import { createRun, formatTaskName, type Run, runPhases, type WorkerRecord } from "./workerRecord.js";
+
+/** Adds a planned start to the job's progress, if the next crash gives up its task. */
+export function recordSuspectStart(state: SchedulerState, job: JobRecord, step: StepRecord, run: Run): void {
+    const worker = state.workers.get(run.workerId);
+    if (worker && isNextCrashLast(run.crashesCount) && run.recordedVersion === undefined) {
+        const { workerId, bornWallMs } = worker.entry;
+        taskProgress(step, run.taskIndex).suspectStart = { runId: run.runId, workerId, bornWallMs };
+        markChanged(state, job);
+        run.recordedVersion = job.version;
+    }
+}
+
+/** Whether the store holds the start, or need not. */
+export function isSuspectStartPersisted(job: JobRecord, run: Run): boolean {
+    return !isNextCrashLast(run.crashesCount) || (run.recordedVersion !== undefined && run.recordedVersion <= job.persistedVersion);
+}
+
+function restoreStart(state: SchedulerState, job: JobRecord, step: StepRecord, taskIndex: number, moment: Moment): void {
+    const start = step.tasks.get(taskIndex)?.suspectStart;
+    const worker = start && state.workers.get(start.workerId);
+    if (!worker || step.done.has(taskIndex) || step.runs.has(taskIndex)) {
+        return;
+    }
+    const run = createPresumedRun(job, step, taskIndex, start.runId, worker, moment.nowMs);
+    if (worker.entry.bornWallMs > start.bornWallMs) {
+        recordCrash(state, [run], moment.wallMs);
+    }
+    else {
+        attachRun(state, worker, step, run);
+    }
+}
+
+function createPresumedRun(job: JobRecord, step: StepRecord, taskIndex: number, runId: number, worker: WorkerRecord, nowMs: number): Run {
+    const place = { jobId: job.jobId, occurrence: step.occurrence, stepIndex: step.index, taskIndex };
+    const taskName = formatTaskName(job.jobId, step.occurrence, step.index, taskIndex);
+    return {
+        ...createRun({ ...place, taskName, runId, workerId: worker.entry.workerId }, runNeeds(job, step, taskIndex), nowMs),
+        phase: runPhases.running,
+        isPresumed: true,
+        isStartConfirmed: true,
+        isAdopted: true,
+        respondedAtMs: nowMs,
+    };
+}
+
+/**
+ * Treats the suspect starts that an earlier owner stored as running until their workers have responded. Call it when the term begins
+ * and the workers are known.
+ */
+export function restoreSuspectStarts(state: SchedulerState, moment: Moment): void {
+    for (const job of state.jobs.values()) {
+        for (const step of isFinalState(job.state) ? [] : stepsOf(job)) {
+            [...step.tasks.keys()].forEach(taskIndex => restoreStart(state, job, step, taskIndex, moment));
+        }
+    }
+}
--- a/src/scheduling/unresponsiveWorkers.ts
+++ b/src/scheduling/unresponsiveWorkers.ts
@@ -5,7 +5,8 @@
  */
 import { isFinalState, type StepRecord } from "./jobRecord.js";
 import type { Moment } from "./reconcileListing.js";
-import { attachRun, commandKinds, findStep, runNeeds, type SchedulerState } from "./schedulerState.js";
+import { runNeeds } from "./runNeeds.js";
+import { attachRun, commandKinds, findStep, type SchedulerState } from "./schedulerState.js";
 import { ageAtLastContactMs, crashSuspects, recordCrash } from "./workerCrashes.js";
 import { createRun, createWorkerRecord, parseTaskName, type Run, runPhases, type WorkerEntry, type WorkerRecord } from "./workerRecord.js";
 
--- a/src/scheduling/workerCrashes.ts
+++ b/src/scheduling/workerCrashes.ts
@@ -63,10 +63,15 @@
     return worker.suspectRuns.size === 0 ? [] : [...worker.suspectRuns].filter(run => isSuspect(worker, run));
 }
 
+/** Whether the next crash gives up a task under which this many workers have crashed. */
+export function isNextCrashLast(crashesCount: number): boolean {
+    return crashesCount >= maxWorkerCrashes - 1;
+}
+
 /**
  * Whether a task may start beside these suspects. A task that the next crash would give up runs apart from the others, so that a
  * crash shows whether it is the cause; the members of a gang are not apart from each other.
  */
 export function mayStartBeside(suspects: readonly Run[], crashesCount: number, gangRunId: number | undefined): boolean {
-    return suspects.every(run => run.runId === gangRunId || Math.max(run.crashesCount, crashesCount) < maxWorkerCrashes - 1);
+    return suspects.every(run => run.runId === gangRunId || !isNextCrashLast(Math.max(run.crashesCount, crashesCount)));
 }
--- a/src/scheduling/workerRecord.ts
+++ b/src/scheduling/workerRecord.ts
@@ -51,6 +51,8 @@
     startedAtMs: number;
     /** How many workers have crashed under earlier runs of the task. */
     crashesCount: number;
+    /** Version of the job's progress that holds the start; only for tasks that the next crash gives up. */
+    recordedVersion: number | undefined;
     /** Whether the worker has restarted since the start was sent, and has not listed the run since. */
     hasWorkerRestarted: boolean;
     /** Known only from a snapshot by an earlier owner; the worker has not responded since. */
@@ -186,6 +188,7 @@
         phase: runPhases.planned,
         startedAtMs: nowMs,
         crashesCount: needs.crashesCount,
+        recordedVersion: undefined,
         hasWorkerRestarted: false,
         isPresumed: false,
         isStartConfirmed: false,
