Cancel planned starts for which a worker has no room any more

A start is planned, waits for a write to the store, and was sent when the write was answered, whatever had become of the worker's room: its capacity may have shrunk meanwhile, or a listing may have shown a run that this owner did not know.

Change: a planned start is cancelled when it is about to be sent, and in each pass, if its worker's runs take more than its capacity; a gang as a whole. Its task then waits for another worker.

--- a/src/scheduling/plannedStarts.ts
+++ b/src/scheduling/plannedStarts.ts
@@ -6,7 +6,7 @@
 import { type JobRecord, type StepRecord, stepsOf } from "./jobRecord.js";
 import { commandKinds, detachRun, findStep, markChanged, type SchedulerState } from "./schedulerState.js";
 import { isSuspectStartPersisted, recordSuspectStart } from "./suspectStarts.js";
-import { type Run, runPhases, type WorkerRecord } from "./workerRecord.js";
+import { isOvercommitted, type Run, runPhases, type WorkerRecord } from "./workerRecord.js";
 
 /** Whether the current owner knows which runs the worker has. */
 function isWorkerStateKnown(state: SchedulerState, workerId: string, nowMs: number): boolean {
@@ -83,6 +83,15 @@
         isWorkerPersisted(job, run.workerId) && isSuspectStartPersisted(job, run);
 }
 
+/** Whether the worker of the run, and those of all other runs of its gang, still have the room that was reserved for them. */
+function hasRoomForStart(state: SchedulerState, step: StepRecord | undefined, run: Run): boolean {
+    const group = step?.spec.isGang ? [...step.runs.values()].flat().filter(isPlanned) : [run];
+    return group.every(({ workerId }) => {
+        const worker = state.workers.get(workerId);
+        return worker !== undefined && !isOvercommitted(worker);
+    });
+}
+
 /**
  * Sends the planned starts whose workers the store lists for the job; those of a gang are sent together. The others wait for
  * the next write of the job's progress.
@@ -96,7 +105,7 @@
             if (!state.plannedRuns.has(run)) {
                 continue;
             }
-            if (step.spec.isGang && !isGangComplete(step)) {
+            if ((step.spec.isGang && !isGangComplete(step)) || !hasRoomForStart(state, step, run)) {
                 cancelPlannedStart(state, run);
             }
             else if (isStartPersisted(job, step, run)) {
@@ -120,7 +129,7 @@
 }
 
 /**
- * Cancels the planned starts on workers that can no longer run them, and those of gangs that have lost a task; all of them while
+ * Cancels the planned starts on workers that can no longer run them or have no room left, and those of gangs that have lost a task; all of them while
  * the store takes no writes.
  */
 export function cancelStaleStarts(state: SchedulerState, isSchedulable: (worker: WorkerRecord) => boolean): void {
@@ -128,7 +137,8 @@
         const worker = state.workers.get(run.workerId);
         const step = findStep(state, run);
         const isGangBroken = step !== undefined && step.spec.isGang && !isGangComplete(step);
-        if (state.plannedRuns.has(run) && (!state.isStoreWritable || !worker || !isSchedulable(worker) || isGangBroken)) {
+        const mayStart = state.isStoreWritable && worker && isSchedulable(worker) && !isGangBroken && hasRoomForStart(state, step, run);
+        if (state.plannedRuns.has(run) && !mayStart) {
             cancelPlannedStart(state, run);
         }
     }
--- a/src/scheduling/poolCandidates.ts
+++ b/src/scheduling/poolCandidates.ts
@@ -7,7 +7,7 @@
 import { fitsInto, noResources, type Resources } from "./jobTypes.js";
 import { isWorkerPersisted } from "./plannedStarts.js";
 import { currentSuspects } from "./workerCrashes.js";
-import type { Run, WorkerRecord } from "./workerRecord.js";
+import { freeResources, type Run, type WorkerRecord } from "./workerRecord.js";
 
 /** A worker of the pool with its free resources, which are updated during the pass. */
 export interface Candidate extends PlacementCandidate {
@@ -36,10 +36,11 @@
 
 /** Updates what depends on the worker's runs. */
 function updateFromRuns(candidate: Candidate): void {
-    const { entry: { capacity }, used, longRunningCount, longRunningCpuMillicores } = candidate.worker;
-    candidate.freeCpuMillicores = capacity.cpuMillicores - used.cpuMillicores;
-    candidate.freeMemoryMb = capacity.memoryMb - used.memoryMb;
-    candidate.freeAccelerators = capacity.accelerators - used.accelerators;
+    const { entry: { capacity }, longRunningCount, longRunningCpuMillicores } = candidate.worker;
+    const free = freeResources(candidate.worker);
+    candidate.freeCpuMillicores = free.cpuMillicores;
+    candidate.freeMemoryMb = free.memoryMb;
+    candidate.freeAccelerators = free.accelerators;
     candidate.suspects = currentSuspects(candidate.worker);
     candidate.suspectsCount = candidate.suspects.length;
     candidate.longRunningCount = longRunningCount;
@@ -76,10 +77,11 @@
 /** The most that any worker has free, for each resource by itself. */
 function largestRoom(workers: readonly WorkerRecord[]): Resources {
     const room = { ...noResources };
-    for (const { entry: { capacity }, used } of workers) {
-        room.cpuMillicores = Math.max(room.cpuMillicores, capacity.cpuMillicores - used.cpuMillicores);
-        room.memoryMb = Math.max(room.memoryMb, capacity.memoryMb - used.memoryMb);
-        room.accelerators = Math.max(room.accelerators, capacity.accelerators - used.accelerators);
+    for (const worker of workers) {
+        const free = freeResources(worker);
+        room.cpuMillicores = Math.max(room.cpuMillicores, free.cpuMillicores);
+        room.memoryMb = Math.max(room.memoryMb, free.memoryMb);
+        room.accelerators = Math.max(room.accelerators, free.accelerators);
     }
     return room;
 }
--- a/src/scheduling/workerRecord.ts
+++ b/src/scheduling/workerRecord.ts
@@ -1,5 +1,5 @@
 /** The scheduler's state of one worker: its resources, its runs, and which of its reported ends are stored. */
-import { addResources, type Resources } from "./jobTypes.js";
+import { addResources, fitsInto, noResources, type Resources } from "./jobTypes.js";
 
 /** A worker's entry in the store. */
 export interface WorkerEntry {
@@ -228,6 +228,20 @@
     }
 }
 
+/** What the worker has left. It is below zero where its runs take more than its capacity, which may shrink at any time. */
+export function freeResources({ entry: { capacity }, used }: WorkerRecord): Resources {
+    return {
+        cpuMillicores: capacity.cpuMillicores - used.cpuMillicores,
+        memoryMb: capacity.memoryMb - used.memoryMb,
+        accelerators: capacity.accelerators - used.accelerators,
+    };
+}
+
+/** Whether the worker's runs, planned ones included, take more than its capacity. */
+export function isOvercommitted(worker: WorkerRecord): boolean {
+    return !fitsInto(noResources, freeResources(worker));
+}
+
 /** The highest end number up to which every end is stored. */
 export function acknowledgedEndNumber(worker: WorkerRecord): number {
     return worker.unsavedEnds.reduce((lowest, end) => Math.min(lowest, end.endNumber - 1), worker.lastEndNumber);
