Start nothing beside a run of unknown size, also when the worker's capacity grows

A run whose job is over reserved the capacity that its worker had when the run was listed. When that capacity had shrunk and grew again, the difference counted as free although the run may take it, and a start could bring the worker over its capacity (LIMIT).

Change: such a run is marked, and its worker has no room while there is one, whatever its capacity. The load of a pool and the logged free cores go by the same room, and no longer below zero for a worker that has shrunk below its runs.

Evidence: on the code before, `scheduling/shrinkingCapacity` "should get no start beside a run of unknown size, although its capacity has grown since the run was listed" fails: the task is started.

--- a/src/process/schedulingSummary.ts
+++ b/src/process/schedulingSummary.ts
@@ -3,6 +3,7 @@
 import { latenessClass } from "../decisions/orderSteps.js";
 import { isFinalState, isStepReady } from "../scheduling/jobRecord.js";
 import type { SchedulerState } from "../scheduling/schedulerState.js";
+import { freeResources } from "../scheduling/workerRecord.js";
 import { logEvents } from "./logEvents.js";
 import type { Logger } from "./logger.js";
 
@@ -32,11 +33,12 @@
         pools.set(poolName, known);
         return known;
     };
-    for (const { entry, used, runs, isRegistered } of [...state.workers.values()].filter(worker => !worker.hasEnded)) {
+    for (const worker of [...state.workers.values()].filter(each => !each.hasEnded)) {
+        const { entry, runs, isRegistered } = worker;
         const pool = poolOf(entry.poolName);
         pool.workersCount += isRegistered ? 1 : 0;
         pool.capacityCpuMillicores += entry.capacity.cpuMillicores;
-        pool.freeCpuMillicores += entry.capacity.cpuMillicores - used.cpuMillicores;
+        pool.freeCpuMillicores += Math.max(0, freeResources(worker).cpuMillicores);
         pool.runsCount += runs.size;
     }
     for (const job of state.jobs.values()) {
--- a/src/process/waveRunner.ts
+++ b/src/process/waveRunner.ts
@@ -8,7 +8,7 @@
 import { jobKeys } from "../scheduling/jobDocuments.js";
 import { stopRun } from "../scheduling/schedulerState.js";
 import { endIncarnation, type WorkerIncarnation } from "../scheduling/workerLifecycle.js";
-import { runPhases } from "../scheduling/workerRecord.js";
+import { freeResources, runPhases } from "../scheduling/workerRecord.js";
 import { logEvents } from "./logEvents.js";
 import type { Logger } from "./logger.js";
 import type { VmInventory } from "./vmInventory.js";
@@ -147,11 +147,12 @@
     /** Fraction of each pool's CPU capacity that is in use. */
     const measurePoolLoads = (): Map<string, number> => {
         const sums = new Map<string, { used: number; capacity: number }>();
-        for (const { entry, used } of [...state.workers.values()].filter(worker => !worker.hasEnded)) {
-            const sum = sums.get(entry.poolName) ?? { used: 0, capacity: 0 };
-            sums.set(entry.poolName, sum);
-            sum.used += used.cpuMillicores;
-            sum.capacity += entry.capacity.cpuMillicores;
+        for (const worker of [...state.workers.values()].filter(each => !each.hasEnded)) {
+            const { poolName, capacity } = worker.entry;
+            const sum = sums.get(poolName) ?? { used: 0, capacity: 0 };
+            sums.set(poolName, sum);
+            sum.used += capacity.cpuMillicores - Math.max(0, freeResources(worker).cpuMillicores);
+            sum.capacity += capacity.cpuMillicores;
         }
         return new Map([...sums].map(([poolName, { used, capacity }]) => [poolName, capacity === 0 ? 0 : used / capacity]));
     };
--- a/src/scheduling/reconcileListing.ts
+++ b/src/scheduling/reconcileListing.ts
@@ -16,7 +16,7 @@
 } from "./schedulerState.js";
 import { recordCrash } from "./workerCrashes.js";
 import { beginIncarnation } from "./workerEnds.js";
-import { createRun, parseTaskName, type Run, runKey, runPhases, type WorkerRecord } from "./workerRecord.js";
+import { createRun, parseTaskName, type Run, runKey, type RunNeeds, runPhases, type WorkerRecord } from "./workerRecord.js";
 
 /** Each measurement covers half a second, so the effect of a new pace shows only after that. */
 const paceIntervalMs = 500;
@@ -118,6 +118,17 @@
     }
 }
 
+/** Needs of a run whose job is over. */
+const unknownNeeds: RunNeeds = {
+    isServing: false,
+    isFiller: false,
+    teamName: undefined,
+    requested: noResources,
+    reserved: noResources,
+    isSizeUnknown: true,
+    crashesCount: 0,
+};
+
 /** Adopts a run that an earlier owner started, or stops it if no job needs it. */
 function adoptOrStop(state: SchedulerState, worker: WorkerRecord, listed: ListedRun, moment: Moment): void {
     const task = parseTaskName(listed.taskName);
@@ -130,17 +141,7 @@
     const knownRuns = step?.runs.get(task.taskIndex) ?? [];
     knownRuns.filter(run => run.isPresumed && run.runId < listed.runId).forEach(run => detachRun(state, run));
     const isWanted = job && step && !isFinalState(job.state) && !step.done.has(task.taskIndex) && !step.runs.has(task.taskIndex);
-    // The size of a run whose job is over is unknown, so it reserves the whole worker until it has ended.
-    const needs = job && step ?
-        runNeeds(job, step, task.taskIndex) :
-        {
-            crashesCount: 0,
-            isServing: false,
-            isFiller: false,
-            teamName: undefined,
-            requested: noResources,
-            reserved: worker.entry.capacity,
-        };
+    const needs = job && step ? runNeeds(job, step, task.taskIndex) : unknownNeeds;
     const { taskName, runId, percent, measured, checkpoint } = listed;
     const run: Run = {
         ...createRun({ ...task, taskName, runId, workerId: worker.entry.workerId }, needs, moment.nowMs),
--- a/src/scheduling/runNeeds.ts
+++ b/src/scheduling/runNeeds.ts
@@ -12,5 +12,6 @@
         teamName: job.submission.teamName,
         requested: step.spec.request,
         reserved: reservedResources(step.spec),
+        isSizeUnknown: false,
     };
 }
--- a/src/scheduling/workerRecord.ts
+++ b/src/scheduling/workerRecord.ts
@@ -47,6 +47,8 @@
     requested: Resources;
     /** Counts toward the worker's capacity. */
     reserved: Resources;
+    /** Whether the run may take anything up to the whole worker, because its job is not known. */
+    isSizeUnknown: boolean;
     /** When the start was sent, or the run of an earlier owner was first seen. */
     startedAtMs: number;
     /** How many workers have crashed under earlier runs of the task. */
@@ -89,6 +91,8 @@
     /** Whether the runs on the worker are known, usually because it has responded to this owner, which fences earlier ones. */
     isRunStateKnown: boolean;
     used: Resources;
+    /** Runs whose size is unknown; while there are any, the worker has no room. */
+    unknownSizeCount: number;
     /** Long-running tasks on the worker, and the CPU that they have reserved. */
     longRunningCount: number;
     longRunningCpuMillicores: number;
@@ -137,6 +141,7 @@
         isRegistered: true,
         isRunStateKnown: false,
         used: { cpuMillicores: 0, memoryMb: 0, accelerators: 0 },
+        unknownSizeCount: 0,
         longRunningCount: 0,
         longRunningCpuMillicores: 0,
         runs: new Map(),
@@ -164,7 +169,7 @@
 export type RunIdentity = Pick<Run, "taskName" | "jobId" | "occurrence" | "stepIndex" | "taskIndex" | "runId" | "workerId">;
 
 /** What follows for a run from its step and its task. */
-export type RunNeeds = Pick<Run, "isServing" | "isFiller" | "teamName" | "requested" | "reserved" | "crashesCount">;
+export type RunNeeds = Pick<Run, "isServing" | "isFiller" | "teamName" | "requested" | "reserved" | "isSizeUnknown" | "crashesCount">;
 
 /** Creates the record of a run that is known only from its start, a listing or a snapshot. */
 export function createRun(
@@ -185,6 +190,7 @@
         teamName: needs.teamName,
         requested: needs.requested,
         reserved: needs.reserved,
+        isSizeUnknown: needs.isSizeUnknown,
         phase: runPhases.planned,
         startedAtMs: nowMs,
         crashesCount: needs.crashesCount,
@@ -207,6 +213,7 @@
 
 function reserve(worker: WorkerRecord, run: Run, factor: 1 | -1): void {
     addResources(worker.used, run.reserved, factor);
+    worker.unknownSizeCount += run.isSizeUnknown ? factor : 0;
     if (run.isServing) {
         worker.longRunningCount += factor;
         worker.longRunningCpuMillicores += factor * run.reserved.cpuMillicores;
@@ -229,7 +236,10 @@
 }
 
 /** What the worker has left. It is below zero where its runs take more than its capacity, which may shrink at any time. */
-export function freeResources({ entry: { capacity }, used }: WorkerRecord): Resources {
+export function freeResources({ entry: { capacity }, used, unknownSizeCount }: WorkerRecord): Resources {
+    if (unknownSizeCount > 0) {
+        return { cpuMillicores: -1, memoryMb: -1, accelerators: -1 };
+    }
     return {
         cpuMillicores: capacity.cpuMillicores - used.cpuMillicores,
         memoryMb: capacity.memoryMb - used.memoryMb,
--- a/tests/scheduling/shrinkingCapacity.spec.ts
+++ b/tests/scheduling/shrinkingCapacity.spec.ts
@@ -6,7 +6,7 @@
 import { commandKinds } from "../../src/scheduling/schedulerState.js";
 import { createSchedulerHarness, type SchedulerHarness, type SchedulerHarnessOptions } from "./schedulerHarness.js";
 
-const cores = (count: number): Resources => ({ cpuMillicores: count * 1_000, memoryMb: 64_000, accelerators: 0 });
+const cores = (count: number): Resources => ({ cpuMillicores: count * 1_000, memoryMb: count * 16_000, accelerators: 0 });
 
 function createPool(options: Partial<SchedulerHarnessOptions> = {}): SchedulerHarness {
     const harness = createSchedulerHarness({ workers: 1, cpuMillicores: 4_000, ...options });
@@ -81,6 +81,19 @@
         }
     });
 
+    it("should get no start beside a run of unknown size, although its capacity has grown since the run was listed", () => {
+        const harness = createPool();
+        setCores(harness, 1);
+        harness.list("w1", { running: [{ taskName: "over.0.0.0", runId: 3 }] });
+        setCores(harness, 4);
+        harness.submit("job", { taskCount: 1 });
+        assert.deepEqual(harness.startedTasks(), []);
+        harness.answerStops(commandOutcomes.accepted);
+        harness.advance(10);
+        harness.list("w1", { ended: [{ taskName: "over.0.0.0", runId: 3, end: "stopped" }] });
+        assert.deepEqual(harness.startedTasks(), ["job.0.0.0"]);
+    });
+
     it("should get no planned start beside a run of unknown size that it lists meanwhile", () => {
         const harness = createPool({ isSavedManually: true });
         harness.submit("job", { taskCount: 1 });
