Count a pool's VMs by the capacity that their workers offer

The rebalancer counted a VM whose worker's capacity had shrunk as a whole one, by the VM list's capacity, so a pool of shrunk VMs got no more of them while its tasks waited, and gave up VMs that it needed.

Change: each VM counts as the part that its worker's entry offers of what the VM list says, at most one; the sum is rounded down.

Evidence: on the code before, `process/poolRebalancer` "should count VMs by the capacity that their workers offer, which may have shrunk" fails: no move is requested.

--- a/src/process/poolRebalancer.ts
+++ b/src/process/poolRebalancer.ts
@@ -4,6 +4,7 @@
 import { type EmptyVm, planMoves, type PoolDemand, type VmMove } from "../decisions/planMoves.js";
 import { isFinalState, isStepReady } from "../scheduling/jobRecord.js";
 import { endIncarnation, type WorkerIncarnation } from "../scheduling/workerLifecycle.js";
+import type { WorkerRecord } from "../scheduling/workerRecord.js";
 import type { DemandTracker } from "./demandTracker.js";
 import { logEvents } from "./logEvents.js";
 import type { Logger } from "./logger.js";
@@ -42,6 +43,12 @@
 /** Time after a refused move during which the VM is not moved. */
 const refusalCooldownMs = 2_000;
 
+/** The part of the VM's CPU that its worker offers, which may be less than the VM list says. */
+function usablePart(vm: VmRecord, worker: WorkerRecord | undefined): number {
+    const listed = vm.capacity.cpuMillicores;
+    return worker && listed > 0 ? Math.min(1, worker.entry.capacity.cpuMillicores / listed) : 1;
+}
+
 export function createPoolRebalancer(options: PoolRebalancerOptions): PoolRebalancer {
     const { inventory, timers } = options;
     const { state } = inventory.scheduler;
@@ -105,6 +112,8 @@
         const nowMs = timers.nowMs();
         const unresponsiveZones = findUnresponsiveZones();
         const pools = new Map<string, PoolDemand>();
+        /** VMs available in each pool, counted by the part of their capacity that their workers offer. */
+        const usableVms = new Map<string, number>();
         const emptyVms: EmptyVm[] = [];
         for (const policy of state.policy.pools.values()) {
             pools.set(policy.name, {
@@ -137,7 +146,7 @@
             if (inventory.cordonedSinceMs(vm.vmId) !== undefined || worker?.isCordoned || worker?.entry.isDraining) {
                 return;
             }
-            pool.vmCount += 1;
+            usableVms.set(pool.poolName, (usableVms.get(pool.poolName) ?? 0) + usablePart(vm, worker));
             if ((worker && worker.runs.size > 0) || inventory.mayRunUnknownTasks(vm)) {
                 emptySinceMs.delete(vm.vmId);
                 return;
@@ -151,6 +160,7 @@
         for (const vm of inventory.vms()) {
             describeVm(vm);
         }
+        pools.forEach(pool => pool.vmCount = Math.floor(usableVms.get(pool.poolName) ?? 0));
         const largestVmCpuMillicores = Math.max(0, ...[...pools.values()].map(pool => pool.vmCpuMillicores));
         pools.forEach(pool => pool.vmCpuMillicores ||= largestVmCpuMillicores);
         return { pools: [...pools.values()], emptyVms };
--- a/tests/process/poolRebalancer.spec.ts
+++ b/tests/process/poolRebalancer.spec.ts
@@ -3,19 +3,46 @@
 import { describe, it } from "node:test";
 import { Ok } from "../../src/common/results.js";
 import type { TimerService } from "../../src/common/timerService.js";
-import { vmOrderOutcomes, type VmService } from "../../src/connection/vmService.js";
+import { vmOrderOutcomes, type VmRecord, type VmService } from "../../src/connection/vmService.js";
 import { createDemandTracker } from "../../src/process/demandTracker.js";
 import { createSilentLogger } from "../../src/process/logger.js";
 import { createPoolRebalancer } from "../../src/process/poolRebalancer.js";
 import { createVmInventory } from "../../src/process/vmInventory.js";
-import { createSchedulerHarness } from "../scheduling/schedulerHarness.js";
+import { createSchedulerHarness, type SchedulerHarness } from "../scheduling/schedulerHarness.js";
 import { describeVm } from "./describeVm.js";
 
+/** The moves that are requested for a pool of 16 cores a VM, beside a standby pool. */
+async function requestedMoves(harness: SchedulerHarness, vms: readonly VmRecord[]): Promise<string[]> {
+    const { state } = harness.scheduler;
+    state.policy = { ...state.policy, pools: new Map([...state.policy.pools, ["idle", { name: "idle", isStandby: true }]]) };
+    const orders: string[] = [];
+    const vmService: VmService = {
+        list: () => Promise.resolve(Ok([...vms])),
+        move: (vmId, toPool) => Promise.resolve((orders.push(`${vmId} to ${toPool}`), vmOrderOutcomes.accepted)),
+        restart: () => Promise.reject(new Error("unexpected restart")),
+    };
+    const timers = { nowMs: harness.nowMs, wallClockMs: harness.nowMs } as TimerService;
+    const logger = createSilentLogger();
+    const inventory = createVmInventory({ scheduler: harness.scheduler, vmService, timers, logger });
+    await inventory.refresh();
+    const rebalancer = createPoolRebalancer({
+        inventory,
+        vmService,
+        nodeName: "node",
+        orderToken: () => 10,
+        timers,
+        logger,
+        demand: createDemandTracker(harness.nowMs),
+        mustStay: () => false,
+    });
+    await rebalancer.advance();
+    return orders;
+}
+
 describe("pool rebalancer during a surge", () => {
     it("should not count unresponsive VMs, and not move VMs of an unreachable zone", async () => {
         const harness = createSchedulerHarness({ workers: 2 });
         const { state } = harness.scheduler;
-        state.policy = { ...state.policy, pools: new Map([...state.policy.pools, ["idle", { name: "idle", isStandby: true }]]) };
         const unreachable = state.workers.get("w1")!;
         unreachable.entry = { ...unreachable.entry, zone: "cut" };
         harness.list("w2", { sentAtMs: 0 });
@@ -23,35 +50,29 @@
         // More than one VM can run; the pool has two VMs, of which one responds.
         harness.submit("job", { taskCount: 24 });
 
-        const orders: string[] = [];
-        const vmService: VmService = {
-            list: () =>
-                Promise.resolve(Ok([
-                    describeVm({ vmId: "vm1", zone: "cut", workerId: "w1" }),
-                    describeVm({ vmId: "vm2", workerId: "w2" }),
-                    describeVm({ vmId: "idle1", poolName: "idle", zone: "cut" }),
-                    describeVm({ vmId: "idle2", poolName: "idle" }),
-                ])),
-            move: (vmId, toPool) => Promise.resolve((orders.push(`${vmId} to ${toPool}`), vmOrderOutcomes.accepted)),
-            restart: () => Promise.reject(new Error("unexpected restart")),
-        };
-        const timers = { nowMs: harness.nowMs, wallClockMs: harness.nowMs } as TimerService;
-        const logger = createSilentLogger();
-        const inventory = createVmInventory({ scheduler: harness.scheduler, vmService, timers, logger });
-        await inventory.refresh();
-        const rebalancer = createPoolRebalancer({
-            inventory,
-            vmService,
-            nodeName: "node",
-            orderToken: () => 10,
-            timers,
-            logger,
-            demand: createDemandTracker(harness.nowMs),
-            mustStay: () => false,
-        });
-        await rebalancer.advance();
+        const orders = await requestedMoves(harness, [
+            describeVm({ vmId: "vm1", zone: "cut", workerId: "w1" }),
+            describeVm({ vmId: "vm2", workerId: "w2" }),
+            describeVm({ vmId: "idle1", poolName: "idle", zone: "cut" }),
+            describeVm({ vmId: "idle2", poolName: "idle" }),
+        ]);
         assert.deepEqual(orders, ["idle2 to pool"]);
     });
+
+    it("should count VMs by the capacity that their workers offer, which may have shrunk", async () => {
+        const harness = createSchedulerHarness({ workers: 2 });
+        ["w1", "w2"].forEach(workerId => harness.list(workerId, { sentAtMs: 0 }));
+        // Two whole VMs would be enough.
+        harness.submit("job", { taskCount: 24 });
+        const vms = [
+            describeVm({ vmId: "vm1", workerId: "w1" }),
+            describeVm({ vmId: "vm2", workerId: "w2" }),
+            describeVm({ vmId: "idle1", poolName: "idle" }),
+        ];
+        assert.deepEqual(await requestedMoves(harness, vms), []);
+        harness.updateEntry("w2", { capacity: { cpuMillicores: 4_000, memoryMb: 64_000, accelerators: 0 } });
+        assert.deepEqual(await requestedMoves(harness, vms), ["idle1 to pool"]);
+    });
 });
 
 describe("demand tracker", () => {
