Explore tasks that crash their workers, and workers whose capacity shrinks

The model has a task that crashes each worker that starts it, and workers whose capacity shrinks and grows. Deliberate faults that it finds: a next owner that forgets the crashes, owners that are not told of the capacity.

It found a fault in the counting while that was written: a start without a response, on a worker that had restarted, counted for nothing when the end of the lease settled it. The explorer's key holds the violation now: a state that was reached without one hid the same state reached with one.

The functions that bring a job to its end moved from `schedulingLiveness` to `recoveryRounds`, unchanged but for the number of rounds.

--- a/tests/model/schedulingLiveness.spec.ts
+++ b/tests/model/schedulingLiveness.spec.ts
@@ -9,41 +9,13 @@
 import { defaultLimits, type ModelLimits } from "../scheduling/modelLimits.js";
 import { createSchedulingModel, type SchedulingModel } from "../scheduling/schedulingModel.js";
 import { type Exploration, explore } from "./explore.js";
+import { countRecoveryRounds, maxRecoveryRounds } from "./recoveryRounds.js";
 
-/** Each round lasts one second of the model's time; the leases of an unknown worker end after five. */
-const maxRecoveryRounds = 10;
 /** As in the model's policy. */
 const maxAttempts = 2;
 
 const limits: ModelLimits = { ...defaultLimits, departures: 1, takeOvers: 3, renewals: 1, failures: 1, slowSaves: 1 };
 
-/** Performs the actions of this name that are possible, each at most once on average. */
-function performAll(model: SchedulingModel, name: string): void {
-    const isNamed = (action: string): boolean => action === name || action.startsWith(`${name} `);
-    for (let count = model.actions().filter(isNamed).length; count > 0; count--) {
-        const action = model.actions().find(isNamed);
-        if (action === undefined) {
-            return;
-        }
-        model.perform(action);
-    }
-}
-
-/** Number of rounds after which the job is in its final state; `undefined` if it is not within the bound. */
-function countRecoveryRounds(model: SchedulingModel): number | undefined {
-    const isFinal = (): boolean => ["completed", "failed"].includes(model.progress()?.state ?? "");
-    model.perform("recover");
-    for (let round = 0; round < maxRecoveryRounds; round++) {
-        if (isFinal()) {
-            return round;
-        }
-        const current = model.currentOwner();
-        const listAndSave = ["deliver", `list ${current} w1`, `list ${current} w2`, "landSave", "answerSave", `save ${current}`, "deliver"];
-        ["late", ...listAndSave, "finish", ...listAndSave, "tick"].forEach(name => performAll(model, name));
-    }
-    return isFinal() ? maxRecoveryRounds : undefined;
-}
-
 /** Why the job does not end as it must; `undefined` if it does. */
 function describeLoss(model: SchedulingModel): string | undefined {
     if (model.violation() !== undefined) {
@@ -103,6 +75,7 @@
     renewals: 3,
     failures: 3,
     slowSaves: 6,
+    shrinkages: 2,
 };
 const minLongHistory = 10;
 const maxLongHistory = 70;
--- a/tests/scheduling/describeScheduler.ts
+++ b/tests/scheduling/describeScheduler.ts
@@ -11,6 +11,9 @@
         worker.isRunStateKnown,
         worker.hasRespondedToProvenOwner,
         worker.entry.bornWallMs,
+        worker.entry.capacity.cpuMillicores,
+        worker.lastContactAtMs,
+        worker.unexplainedRuns.map(run => run.runId),
         worker.leaseEndsAtMs,
         worker.lastEndNumber,
         worker.unsavedEnds,
@@ -18,7 +21,9 @@
         worker.lastResponseAtMs,
         worker.unresponsiveSinceMs,
         worker.snapshotState,
-        [...worker.runs.values()].map(run => [run.taskName, run.runId, run.phase, run.respondedAtMs, run.isStartConfirmed]),
+        [...worker.runs.values()].map(
+            run => [run.taskName, run.runId, run.phase, run.respondedAtMs, run.isStartConfirmed, run.hasWorkerRestarted],
+        ),
     ];
 }
 
@@ -40,11 +45,21 @@
 
 export function describePendingCommand(pending: PendingCommand): unknown {
     const { kind, run } = pending.command;
-    return [pending.owner, pending.token, kind, run.taskName, run.runId, run.workerId, pending.sentAtMs, pending.isLate];
+    return [
+        pending.isSentBeforeShrinkage,
+        pending.owner,
+        pending.token,
+        kind,
+        run.taskName,
+        run.runId,
+        run.workerId,
+        pending.sentAtMs,
+        pending.isLate,
+    ];
 }
 
 export function describeModelWorker(worker: ModelWorker): unknown {
-    return [worker.bornWallMs, worker.leftAtMs, worker.highestToken, worker.leaseEndsAtMs, [...worker.running], [
+    return [worker.capacity, worker.bornWallMs, worker.leftAtMs, worker.highestToken, worker.leaseEndsAtMs, [...worker.running], [
         ...worker.highestEndedRunIds,
     ], worker.ends];
 }
--- a/tests/scheduling/faultInjection.ts
+++ b/tests/scheduling/faultInjection.ts
@@ -16,13 +16,29 @@
     forgetsUnansweredSaves?: boolean;
     /** The next owner does not recognize a failed run whose end is listed again, and counts it once more. */
     countsListedFailuresAgain?: boolean;
+    /** The next owner does not know under which runs workers have crashed. */
+    forgetsCrashes?: boolean;
+    /** The owners are not told that a worker's capacity has shrunk. */
+    ignoresShrinkage?: boolean;
+}
+
+/** Removes the runs under which workers have crashed. */
+function forgetCrashes(progress: JobProgress | undefined): JobProgress | undefined {
+    const omitted = new Set(["crashedRunIds", "suspectStart"]);
+    return progress && JSON.parse(JSON.stringify(progress, (key, value: unknown) => omitted.has(key) ? undefined : value)) as JobProgress;
 }
 
 /** Replaces the ids of failed runs, so that the ends of these runs are not recognized. */
-export function forgetRunIds(progress: JobProgress | undefined): JobProgress | undefined {
+function forgetRunIds(progress: JobProgress | undefined): JobProgress | undefined {
     return progress &&
         JSON.parse(
             JSON.stringify(progress),
             (key, value: unknown) => key === "failedRunIds" ? (value as number[]).map(runId => -runId) : value,
         ) as JobProgress;
 }
+
+/** The stored progress as the next owner reads it. */
+export function injectIntoProgress(faults: FaultInjection, progress: JobProgress | undefined): JobProgress | undefined {
+    const known = faults.forgetsCrashes ? forgetCrashes(progress) : progress;
+    return faults.countsListedFailuresAgain ? forgetRunIds(known) : known;
+}
--- a/tests/scheduling/modelActions.ts
+++ b/tests/scheduling/modelActions.ts
@@ -52,6 +52,8 @@
         actions.push(
             ...(worker.running.size > 0 ? [`finish ${worker.id}`, ...(left.failures > 0 ? [`fail ${worker.id}`] : [])] : []),
             ...(left.crashes > 0 ? [`crash ${worker.id}`] : []),
+            ...(left.shrinkages > 0 && worker.capacity > 0 ? [`shrink ${worker.id}`] : []),
+            ...(worker.capacity === 0 ? [`grow ${worker.id}`] : []),
         );
     }
     if (left.departures > 0 && present.length > 1) {
--- a/tests/scheduling/modelGuarantees.ts
+++ b/tests/scheduling/modelGuarantees.ts
@@ -12,14 +12,25 @@
     failedRuns: Map<string, number>;
     /** The first guarantee that was violated. */
     violation(): string | undefined;
+    /** Starts of the deadly task. */
+    deadlyStartsCount(): number;
     /** Must be called before a worker starts the task. */
     checkStart(taskName: string, workers: readonly ModelWorker[]): void;
+    /** Must be called before a worker starts a task in response to a command that was sent when its room was known. */
+    checkRoom(worker: ModelWorker, runsCount: number): void;
     /** Must be called when progress was stored. */
     checkStored(progress: JobProgress): void;
     endFirstRun(worker: ModelWorker, end: RunEnd): void;
 }
 
-export function createModelGuarantees(): ModelGuarantees {
+/** A task that has crashed three workers may be started twice more. */
+const maxDeadlyStarts = 5;
+/** A task may be given up after two crashes. */
+const minCrashesBeforeGivingUp = 2;
+
+/** `deadlyTask` crashes each worker that starts it. */
+export function createModelGuarantees(deadlyTask?: string): ModelGuarantees {
+    let deadlyStartsCount = 0;
     const doneTasks = new Set<string>();
     const acknowledgedDone = new Set<string>();
     const failedRuns = new Map<string, number>();
@@ -32,7 +43,12 @@
         acknowledgedDone,
         failedRuns,
         violation: () => violation,
+        deadlyStartsCount: () => deadlyStartsCount,
         checkStart: (taskName, workers) => {
+            deadlyStartsCount += taskName === deadlyTask ? 1 : 0;
+            if (deadlyStartsCount > maxDeadlyStarts) {
+                report(`${taskName} has crashed ${maxDeadlyStarts} workers and starts again`);
+            }
             if (workers.some(each => each.running.has(taskName))) {
                 report(`${taskName} runs twice`);
             }
@@ -43,7 +59,15 @@
                 report("a step starts before the one that it depends on is done");
             }
         },
+        checkRoom: (worker, runsCount) => {
+            if (runsCount >= worker.capacity) {
+                report(`${worker.id} starts a task for which it has no room`);
+            }
+        },
         checkStored: ({ state }) => {
+            if (state === jobStates.failed && deadlyTask !== undefined && deadlyStartsCount < minCrashesBeforeGivingUp) {
+                report("the job shows as failed before two workers have crashed");
+            }
             if (state === jobStates.completed && doneTasks.size < 2) {
                 report("the job shows as completed before its tasks are done");
             }
--- a/tests/scheduling/modelJob.ts
+++ b/tests/scheduling/modelJob.ts
@@ -27,7 +27,7 @@
     teams: new Map(),
 };
 
-/** A worker's entry in the store, with capacity for one task. */
+/** A worker's entry in the store. */
 export const entryOf = (worker: ModelWorker): WorkerEntry => ({
     workerId: worker.id,
     bornWallMs: worker.bornWallMs,
@@ -36,6 +36,6 @@
     zone: "zone",
     rack: worker.id,
     labels: [],
-    capacity: { cpuMillicores: 1_000, memoryMb: 1_000, accelerators: 0 },
+    capacity: { cpuMillicores: 1_000 * worker.capacity, memoryMb: 1_000, accelerators: 0 },
     isDraining: false,
 });
--- a/tests/scheduling/modelLimits.ts
+++ b/tests/scheduling/modelLimits.ts
@@ -14,6 +14,8 @@
     failures: number;
     /** Writes that reach the store and are answered by separate actions. */
     slowSaves: number;
+    /** Workers whose capacity shrinks, and grows again later. */
+    shrinkages: number;
 }
 
 export const defaultLimits: ModelLimits = {
@@ -26,4 +28,5 @@
     renewals: 0,
     failures: 0,
     slowSaves: 0,
+    shrinkages: 0,
 };
--- a/tests/scheduling/modelOwner.ts
+++ b/tests/scheduling/modelOwner.ts
@@ -22,6 +22,8 @@
     sentAtMs: number;
     /** The owner no longer waits for the response. */
     isLate: boolean;
+    /** The capacity of the worker has shrunk since, so that the start may bring the worker over it. */
+    isSentBeforeShrinkage?: boolean;
 }
 
 /** Registers the workers in the store, and those whose entries were deleted a short time ago. */
--- a/tests/scheduling/modelWorker.ts
+++ b/tests/scheduling/modelWorker.ts
@@ -18,6 +18,8 @@
     leftAtMs: number | undefined;
     highestToken: number;
     leaseEndsAtMs: number;
+    /** How many tasks the worker has room for, as its entry says; it starts whatever it is told to. */
+    capacity: number;
     /** Running tasks and their run ids. */
     running: Map<string, number>;
     /** Highest run id that was stopped or ended, by task. */
@@ -39,6 +41,7 @@
         leftAtMs: undefined,
         highestToken: 0,
         leaseEndsAtMs: 0,
+        capacity: 1,
         running: new Map(),
         highestEndedRunIds: new Map(),
         ends: [],
--- a/tests/scheduling/schedulingModel.ts
+++ b/tests/scheduling/schedulingModel.ts
@@ -11,15 +11,16 @@
 import { commandKinds, runEnds, type SchedulerCommand } from "../../src/scheduling/schedulerState.js";
 import { snapshotStates, type WorkerSnapshot } from "../../src/scheduling/unresponsiveWorkers.js";
 import { describeModelWorker, describeOwner, describePendingCommand } from "./describeScheduler.js";
-import { type FaultInjection, forgetRunIds } from "./faultInjection.js";
+import { type FaultInjection, injectIntoProgress } from "./faultInjection.js";
 import { possibleActions } from "./modelActions.js";
 import { createModelGuarantees } from "./modelGuarantees.js";
-import { entryOf, modelPolicy, modelSubmission } from "./modelJob.js";
+import { modelPolicy, modelSubmission } from "./modelJob.js";
 import { defaultLimits, type ModelLimits } from "./modelLimits.js";
 import { type ModelOwner, type PendingCommand, registerWorkers } from "./modelOwner.js";
 import { createSaveActions } from "./modelSaves.js";
 import { createModelStore, describePendingSave } from "./modelStore.js";
 import { createModelWorker, type ModelWorker } from "./modelWorker.js";
+import { createWorkerActions } from "./modelWorkerActions.js";
 
 const tickMs = 1_000;
 const workerLeaseMs = 2_000;
@@ -42,17 +43,23 @@
     currentOwner(): number;
     /** Number of runs that have ended as failed, for the task for which it is highest. */
     failedRunsCount(): number;
+    /** Number of starts of the deadly task. */
+    deadlyStartsCount(): number;
 }
 
-/** `storedWorkerIds` are the workers that the store lists for the job when the first owner begins. */
+/**
+ * `storedWorkerIds` are the workers that the store lists for the job when the first owner begins; `deadlyTask` crashes each worker
+ * that starts it.
+ */
 export function createSchedulingModel(
     faults: FaultInjection,
     storedWorkerIds: readonly string[] = [],
     limits: ModelLimits = defaultLimits,
+    deadlyTask?: string,
 ): SchedulingModel {
     const left = { ...limits };
     let nowMs = 0;
-    const guarantees = createModelGuarantees();
+    const guarantees = createModelGuarantees(deadlyTask);
     const { doneTasks, acknowledgedDone, failedRuns, endFirstRun } = guarantees;
     const snapshots = new Map<string, WorkerSnapshot>();
     let pendingCommands: PendingCommand[] = [];
@@ -112,10 +119,11 @@
             unknownLeaseMs: faults.takesOverWithoutWaiting ? -1 : unknownLeaseMs,
             onDecision: () => undefined,
         });
-        const stored = faults.countsListedFailuresAgain ? forgetRunIds(store.progress()) : store.progress();
+        const stored = injectIntoProgress(faults, store.progress());
         scheduler.addJob(encodeSubmission(modelSubmission), stored && encodeProgress(stored), false, nowMs);
         registerWorkers(scheduler, workers.filter(({ leftAtMs }) => nowMs - (leftAtMs ?? nowMs) < unknownLeaseMs), moment());
         snapshots.forEach(each => scheduler.restoreSnapshot(each, workerOf(each.entry.workerId).leftAtMs === undefined, moment()));
+        scheduler.restoreSuspectStarts(moment());
         owners.push({ token, scheduler, isProven: true, startedAtMs: nowMs, lostAtMs: undefined, partitionedFrom: new Set() });
     };
 
@@ -123,9 +131,18 @@
         const worker = workerOf(pending.command.run.workerId);
         const { taskName, runId } = pending.command.run;
         const { token } = pending;
-        return pending.command.kind === commandKinds.start ?
-            worker.start({ taskName, runId, token, untilMs: pending.sentAtMs + startValidityMs }, nowMs) :
-            worker.stop({ taskName, runId, token });
+        if (pending.command.kind === commandKinds.stop) {
+            return worker.stop({ taskName, runId, token });
+        }
+        const runsBefore = new Map(worker.running);
+        const isAccepted = worker.start({ taskName, runId, token, untilMs: pending.sentAtMs + startValidityMs }, nowMs);
+        if (isAccepted && runsBefore.get(taskName) !== runId && !pending.isSentBeforeShrinkage) {
+            guarantees.checkRoom(worker, runsBefore.size);
+        }
+        if (isAccepted && taskName === deadlyTask) {
+            crash(worker);
+        }
+        return isAccepted;
     };
     const answer = (pending: PendingCommand, outcome: "accepted" | "refused" | "unknown"): void => {
         const { scheduler } = owners[pending.owner]!;
@@ -189,19 +206,11 @@
         owners.forEach((_, index) => stepOwner(index));
     };
 
-    const crash = (worker: ModelWorker): void => {
-        left.crashes -= 1;
-        worker.restart();
-        // Pending commands end with the connections to the old incarnation. Only the current owner, while it still waits for
-        // the response, may reach the new incarnation with a command that waited for a connection.
-        pendingCommands = pendingCommands.filter(pending =>
-            pending.command.run.workerId !== worker.id || (!pending.isLate && owners[pending.owner]!.token === store.highestTerm)
-        );
-        owners.filter(owner => !owner.partitionedFrom.has(worker.id)).forEach(owner =>
-            owner.scheduler.registerWorker(entryOf(worker), moment())
-        );
-        owners.forEach((_, index) => stepOwner(index));
-    };
+    const { crash, handlers: workerHandlers } = createWorkerActions({
+        ...{ workers, owners, store, left, faults, moment, stepOwner, endFirstRun },
+        commands: () => pendingCommands,
+        setCommands: commands => pendingCommands = commands,
+    });
 
     addOwner();
 
@@ -219,19 +228,7 @@
         late: index => void execute(pendingCommands.splice(Number(index), 1)[0]!),
         list: (index, workerId) => list(Number(index), workerId),
         ...createSaveActions({ store, owners, left, faults, nowMs: () => nowMs, stepOwner }),
-        finish: workerId => endFirstRun(workerOf(workerId), runEnds.done),
-        fail: workerId => {
-            left.failures -= 1;
-            endFirstRun(workerOf(workerId), runEnds.failed);
-        },
-        leave: workerId => {
-            left.departures -= 1;
-            const worker = workerOf(workerId);
-            worker.restart();
-            worker.leftAtMs = nowMs;
-            owners.forEach(owner => owner.scheduler.unregisterWorker(workerId));
-        },
-        crash: workerId => crash(workerOf(workerId)),
+        ...workerHandlers,
         partition: (index, workerId) => {
             left.partitions -= 1;
             owners[Number(index)]!.partitionedFrom.add(workerId);
@@ -259,6 +256,7 @@
             const owner = owners.at(-1)!;
             owner.partitionedFrom.clear();
             setProven(owner, true);
+            workers.filter(worker => worker.capacity === 0).forEach(worker => workerHandlers.grow(worker.id));
         },
         tick,
     };
@@ -266,6 +264,7 @@
     return {
         progress: store.progress,
         currentOwner: () => owners.length - 1,
+        deadlyStartsCount: guarantees.deadlyStartsCount,
         failedRunsCount: () => Math.max(0, ...failedRuns.values()),
         violation: guarantees.violation,
         actions: () =>
@@ -284,6 +283,7 @@
         },
         key: () =>
             JSON.stringify([
+                guarantees.violation(),
                 nowMs,
                 left,
                 store.progress(),
@@ -291,6 +291,7 @@
                 [...doneTasks],
                 [...acknowledgedDone],
                 [...failedRuns],
+                guarantees.deadlyStartsCount(),
                 pendingCommands.map(describePendingCommand),
             ]) +
             JSON.stringify([workers.map(describeModelWorker), owners.map(describeOwner), [...snapshots]]),
