--- a/src/process/schedulingService.ts
+++ b/src/process/schedulingService.ts
@@ -24,7 +24,7 @@
 import type { StoreMirror } from "./storeMirror.js";
 import { createUnreadableDocumentLog } from "./unreadableDocuments.js";
 import { createWorkerSessions } from "./workerSessions.js";
-import { createWorkerSnapshotWriter, restoreSnapshots } from "./workerSnapshotWriter.js";
+import { createWorkerSnapshotWriter, restoreEarlierRuns } from "./workerSnapshotWriter.js";
 
 export interface SchedulingService {
     onOwnershipAcquired(term: OwnershipTerm): void;
@@ -242,7 +242,7 @@
             scheduler.registerWorker(entry, now);
             scheduler.unregisterWorker(entry.workerId);
         }
-        restoreSnapshots(scheduler, options.mirror(), knownWorkers.isRegistered, now, logUnreadable);
+        restoreEarlierRuns(scheduler, options.mirror(), knownWorkers.isRegistered, now, logUnreadable);
         options.onTermStarted(scheduler, signal);
         scheduleStep();
     };
--- a/src/process/workerSnapshotWriter.ts
+++ b/src/process/workerSnapshotWriter.ts
@@ -75,7 +75,8 @@
         capacity: z.object({ cpuMillicores: z.number(), memoryMb: z.number(), accelerators: z.number() }),
         isDraining: z.boolean(),
     }),
-    runs: z.array(z.tuple([z.string(), z.number()])),
+    // JSON has `null` for an age that is unknown.
+    runs: z.array(z.tuple([z.string(), z.number(), z.number().nullish().transform(ageMs => ageMs ?? undefined)])),
 });
 
 /** Throws if the text is no snapshot of the worker. A part of a snapshot must not be used: a run that it lacks would count as ended. */
@@ -87,8 +88,8 @@
     return snapshot;
 }
 
-/** Passes the snapshots that earlier owners stored to the scheduler of a new term. */
-export function restoreSnapshots(
+/** Passes what earlier owners stored of their runs to the scheduler of a new term: snapshots, and starts of suspected tasks. */
+export function restoreEarlierRuns(
     scheduler: Scheduler,
     mirror: StoreMirror,
     isRegistered: (workerId: string) => boolean,
@@ -107,4 +108,5 @@
             onUnreadable(key, String(error));
         }
     }
+    scheduler.restoreSuspectStarts(moment);
 }
--- a/src/scheduling/jobRecord.ts
+++ b/src/scheduling/jobRecord.ts
@@ -73,7 +73,7 @@
     const all = Array.from({ length: spec.taskCount }, (_, task) => task);
     const done = new Set(progress?.done === "all" ? all : progress?.done ?? []);
     const tasks = new Map(
-        Object.entries(progress?.tasks ?? {}).map(([task, each]) => [Number(task), { ...each, failedRunIds: [...each.failedRunIds] }]),
+        Object.entries(progress?.tasks ?? {}).map(([task, each]) => [Number(task), structuredClone(each)]),
     );
     return {
         spec,
@@ -169,6 +169,31 @@
     return { state: job.state, occurrences, workerIds: [...job.workerIdsInFlight ?? job.persistedWorkerIds] };
 }
 
+/** A gang's failures and crashes are counted once, with its first task. */
+function countingTask(step: StepRecord, task: number): number {
+    return step.spec.isGang ? 0 : task;
+}
+
+/** How many workers have crashed under the runs of the task. */
+export function countWorkerCrashes(step: StepRecord, task: number): number {
+    return step.tasks.get(countingTask(step, task))?.crashedRunIds?.length ?? 0;
+}
+
+/** Removes the stored start of the run; `false` if there is none. */
+export function forgetSuspectStart(step: StepRecord, { taskIndex, runId }: Run): boolean {
+    const progress = step.tasks.get(taskIndex);
+    if (progress?.suspectStart?.runId !== runId) {
+        return false;
+    }
+    progress.suspectStart = undefined;
+    return true;
+}
+
+/** Returns the progress that holds the failures and crashes of a task, and creates it if there is none yet. */
+export function attemptsProgress(step: StepRecord, task: number): TaskProgress {
+    return taskProgress(step, countingTask(step, task));
+}
+
 /** Returns the progress of a task, and creates it if there is none yet. */
 export function taskProgress(step: StepRecord, task: number): TaskProgress {
     const known = step.tasks.get(task) ?? { failedRunIds: [], checkpoint: "" };
--- a/src/scheduling/poolCandidates.ts
+++ b/src/scheduling/poolCandidates.ts
@@ -6,11 +6,14 @@
 import type { JobRecord, StepRecord } from "./jobRecord.js";
 import { fitsInto, noResources, type Resources } from "./jobTypes.js";
 import { isWorkerPersisted } from "./plannedStarts.js";
-import type { WorkerRecord } from "./workerRecord.js";
+import { currentSuspects } from "./workerCrashes.js";
+import { freeResources, type Run, type WorkerRecord } from "./workerRecord.js";
 
 /** A worker of the pool with its free resources, which are updated during the pass. */
 export interface Candidate extends PlacementCandidate {
     worker: WorkerRecord;
+    /** Runs on the worker that would be suspected again if it crashed now. */
+    suspects: readonly Run[];
     freeAccelerators: number;
 }
 
@@ -31,11 +34,15 @@
 /** Needs that fitted nowhere are kept up to this number; further ones are looked for again. */
 const maxMisfits = 16;
 
-function updateFreeCapacity(candidate: Candidate): void {
-    const { entry: { capacity }, used, longRunningCount, longRunningCpuMillicores } = candidate.worker;
-    candidate.freeCpuMillicores = capacity.cpuMillicores - used.cpuMillicores;
-    candidate.freeMemoryMb = capacity.memoryMb - used.memoryMb;
-    candidate.freeAccelerators = capacity.accelerators - used.accelerators;
+/** Updates what depends on the worker's runs. */
+function updateFromRuns(candidate: Candidate): void {
+    const { entry: { capacity }, longRunningCount, longRunningCpuMillicores } = candidate.worker;
+    const free = freeResources(candidate.worker);
+    candidate.freeCpuMillicores = free.cpuMillicores;
+    candidate.freeMemoryMb = free.memoryMb;
+    candidate.freeAccelerators = free.accelerators;
+    candidate.suspects = currentSuspects(candidate.worker);
+    candidate.suspectsCount = candidate.suspects.length;
     candidate.longRunningCount = longRunningCount;
     candidate.longRunningPart = longRunningCpuMillicores / Math.max(1, capacity.cpuMillicores);
 }
@@ -50,13 +57,15 @@
         freeCpuMillicores: 0,
         freeMemoryMb: 0,
         freeAccelerators: 0,
+        suspects: [],
+        suspectsCount: 0,
         longRunningCount: 0,
         longRunningPart: 0,
         isStartRecorded: false,
         sameStepCount: 0,
         sameStepOnRackCount: 0,
     };
-    updateFreeCapacity(candidate);
+    updateFromRuns(candidate);
     return candidate;
 }
 
@@ -68,10 +77,11 @@
 /** The most that any worker has free, for each resource by itself. */
 function largestRoom(workers: readonly WorkerRecord[]): Resources {
     const room = { ...noResources };
-    for (const { entry: { capacity }, used } of workers) {
-        room.cpuMillicores = Math.max(room.cpuMillicores, capacity.cpuMillicores - used.cpuMillicores);
-        room.memoryMb = Math.max(room.memoryMb, capacity.memoryMb - used.memoryMb);
-        room.accelerators = Math.max(room.accelerators, capacity.accelerators - used.accelerators);
+    for (const worker of workers) {
+        const free = freeResources(worker);
+        room.cpuMillicores = Math.max(room.cpuMillicores, free.cpuMillicores);
+        room.memoryMb = Math.max(room.memoryMb, free.memoryMb);
+        room.accelerators = Math.max(room.accelerators, free.accelerators);
     }
     return room;
 }
@@ -144,10 +154,10 @@
             }
         },
         recordPlanned: (candidate, step) => {
-            updateFreeCapacity(candidate);
+            updateFromRuns(candidate);
             isRoomCurrent = false;
             countRun(candidate, step);
         },
-        recordCancelled: cancelled => cancelled.forEach(updateFreeCapacity),
+        recordCancelled: cancelled => cancelled.forEach(updateFromRuns),
     };
 }
--- a/src/scheduling/schedulerState.ts
+++ b/src/scheduling/schedulerState.ts
@@ -1,18 +1,25 @@
 /** The scheduler's state, and the operations on it that its modules share. */
 import type { ShareTokenBucket } from "../decisions/teamShare.js";
-import { isFinalState, isOccurrenceDone, type JobRecord, type StepRecord, stepsOf, taskProgress } from "./jobRecord.js";
+import {
+    attemptsProgress,
+    forgetSuspectStart,
+    isFinalState,
+    isOccurrenceDone,
+    type JobRecord,
+    type StepRecord,
+    stepsOf,
+    taskProgress,
+} from "./jobRecord.js";
 import {
     addResources,
-    isServing,
     type JobState,
     jobStates,
-    reservedResources,
     type Resources,
     type SchedulingPolicy,
 } from "./jobTypes.js";
 import { teamUsage } from "./teamUsage.js";
 import type { WorkerSnapshot } from "./unresponsiveWorkers.js";
-import { addRun, removeRun, type Run, type RunIdentity, runKey, type RunNeeds, runPhases, type WorkerRecord } from "./workerRecord.js";
+import { addRun, removeRun, type Run, type RunIdentity, runKey, runPhases, type WorkerRecord } from "./workerRecord.js";
 
 export const commandKinds = {
     start: "start",
@@ -85,6 +92,8 @@
     commands: SchedulerCommand[];
     /** Runs whose starts were not sent yet. */
     plannedRuns: Set<Run>;
+    /** Runs that were lost with workers that are gone, by address; see `WorkerRecord.unexplainedRuns`. */
+    unexplainedRunsByAddress: Map<string, Run[]>;
     /** Workers with reported ends that are not stored yet, by the job that the ends are part of. */
     workersWithUnsavedEnds: Map<string, Set<WorkerRecord>>;
     /** Jobs whose latest progress is not in the store yet. */
@@ -127,17 +136,6 @@
     return state.jobs.get(place.jobId)?.occurrences.get(place.occurrence)?.steps[place.stepIndex];
 }
 
-/** The resources that a run of the step needs, and its team. */
-export function runNeeds(job: JobRecord, step: StepRecord): RunNeeds {
-    return {
-        isServing: isServing(step.spec),
-        isFiller: step.spec.isFiller,
-        teamName: job.submission.teamName,
-        requested: step.spec.request,
-        reserved: reservedResources(step.spec),
-    };
-}
-
 /** Adds a run to its worker, its step and its team's usage. */
 export function attachRun(state: SchedulerState, worker: WorkerRecord, step: StepRecord | undefined, run: Run): void {
     addRun(worker, run);
@@ -164,6 +162,9 @@
     if (!job || !step) {
         return;
     }
+    if (!isFinalState(job.state) && forgetSuspectStart(step, run)) {
+        markChanged(state, job);
+    }
     const remaining = (step.runs.get(run.taskIndex) ?? []).filter(each => each !== run);
     if (remaining.length > 0) {
         step.runs.set(run.taskIndex, remaining);
@@ -274,8 +275,7 @@
         markChanged(state, job);
     }
     if (ended.end === runEnds.failed && !step.spec.isLongRunning) {
-        // A gang has a single attempt count, which is stored with its first task.
-        const progress = taskProgress(step, step.spec.isGang ? 0 : ended.taskIndex);
+        const progress = attemptsProgress(step, ended.taskIndex);
         if (progress.failedRunIds.includes(ended.runId)) {
             return;
         }
--- a/src/scheduling/workerRecord.ts
+++ b/src/scheduling/workerRecord.ts
@@ -1,5 +1,5 @@
 /** The scheduler's state of one worker: its resources, its runs, and which of its reported ends are stored. */
-import { addResources, type Resources } from "./jobTypes.js";
+import { addResources, fitsInto, noResources, type Resources } from "./jobTypes.js";
 
 /** A worker's entry in the store. */
 export interface WorkerEntry {
@@ -47,7 +47,16 @@
     requested: Resources;
     /** Counts toward the worker's capacity. */
     reserved: Resources;
+    /** Whether the run may take anything up to the whole worker, because its job is not known. */
+    isSizeUnknown: boolean;
+    /** When the start was sent, or the run of an earlier owner was first seen. */
     startedAtMs: number;
+    /** How many workers have crashed under earlier runs of the task. */
+    crashesCount: number;
+    /** Version of the job's progress that holds the start; only for tasks that the next crash gives up. */
+    recordedVersion: number | undefined;
+    /** Whether the worker has restarted since the start was sent, and has not listed the run since. */
+    hasWorkerRestarted: boolean;
     /** Known only from a snapshot by an earlier owner; the worker has not responded since. */
     isPresumed: boolean;
     /**
@@ -82,15 +91,23 @@
     /** Whether the runs on the worker are known, usually because it has responded to this owner, which fences earlier ones. */
     isRunStateKnown: boolean;
     used: Resources;
+    /** Runs whose size is unknown; while there are any, the worker has no room. */
+    unknownSizeCount: number;
     /** Long-running tasks on the worker, and the CPU that they have reserved. */
     longRunningCount: number;
     longRunningCpuMillicores: number;
     /** Runs by `runKey`. */
     runs: Map<string, Run>;
+    /** Runs of tasks under which workers have crashed. */
+    suspectRuns: Set<Run>;
     /** Highest end number that was processed. */
     lastEndNumber: number;
     unsavedEnds: UnsavedEnd[];
     lastResponseAtMs: number | undefined;
+    /** When this incarnation last listed its runs or accepted a command. */
+    lastContactAtMs: number | undefined;
+    /** Runs that were lost with their leases while the worker did not respond; it may have crashed under them. */
+    unexplainedRuns: Run[];
     /** Time of the first response in this term: since then, the worker refuses commands of earlier owners. */
     fencedSinceMs: number | undefined;
     /**
@@ -124,12 +141,16 @@
         isRegistered: true,
         isRunStateKnown: false,
         used: { cpuMillicores: 0, memoryMb: 0, accelerators: 0 },
+        unknownSizeCount: 0,
         longRunningCount: 0,
         longRunningCpuMillicores: 0,
         runs: new Map(),
+        suspectRuns: new Set(),
         lastEndNumber: 0,
         unsavedEnds: [],
         lastResponseAtMs: undefined,
+        lastContactAtMs: undefined,
+        unexplainedRuns: [],
         fencedSinceMs: undefined,
         hasRespondedToProvenOwner: false,
         leaseEndsAtMs,
@@ -147,8 +168,8 @@
 /** Identifies a run; its other properties follow from its step. */
 export type RunIdentity = Pick<Run, "taskName" | "jobId" | "occurrence" | "stepIndex" | "taskIndex" | "runId" | "workerId">;
 
-/** What a run takes, and for whom. */
-export type RunNeeds = Pick<Run, "isServing" | "isFiller" | "teamName" | "requested" | "reserved">;
+/** What follows for a run from its step and its task. */
+export type RunNeeds = Pick<Run, "isServing" | "isFiller" | "teamName" | "requested" | "reserved" | "isSizeUnknown" | "crashesCount">;
 
 /** Creates the record of a run that is known only from its start, a listing or a snapshot. */
 export function createRun(
@@ -169,8 +190,12 @@
         teamName: needs.teamName,
         requested: needs.requested,
         reserved: needs.reserved,
+        isSizeUnknown: needs.isSizeUnknown,
         phase: runPhases.planned,
         startedAtMs: nowMs,
+        crashesCount: needs.crashesCount,
+        recordedVersion: undefined,
+        hasWorkerRestarted: false,
         isPresumed: false,
         isStartConfirmed: false,
         isAdopted: false,
@@ -188,6 +213,7 @@
 
 function reserve(worker: WorkerRecord, run: Run, factor: 1 | -1): void {
     addResources(worker.used, run.reserved, factor);
+    worker.unknownSizeCount += run.isSizeUnknown ? factor : 0;
     if (run.isServing) {
         worker.longRunningCount += factor;
         worker.longRunningCpuMillicores += factor * run.reserved.cpuMillicores;
@@ -196,15 +222,36 @@
 
 export function addRun(worker: WorkerRecord, run: Run): void {
     worker.runs.set(runKey(run.taskName, run.runId), run);
+    if (run.crashesCount > 0) {
+        worker.suspectRuns.add(run);
+    }
     reserve(worker, run, 1);
 }
 
 export function removeRun(worker: WorkerRecord, run: Run): void {
     if (worker.runs.delete(runKey(run.taskName, run.runId))) {
+        worker.suspectRuns.delete(run);
         reserve(worker, run, -1);
     }
 }
 
+/** What the worker has left. It is below zero where its runs take more than its capacity, which may shrink at any time. */
+export function freeResources({ entry: { capacity }, used, unknownSizeCount }: WorkerRecord): Resources {
+    if (unknownSizeCount > 0) {
+        return { cpuMillicores: -1, memoryMb: -1, accelerators: -1 };
+    }
+    return {
+        cpuMillicores: capacity.cpuMillicores - used.cpuMillicores,
+        memoryMb: capacity.memoryMb - used.memoryMb,
+        accelerators: capacity.accelerators - used.accelerators,
+    };
+}
+
+/** Whether the worker's runs, planned ones included, take more than its capacity. */
+export function isOvercommitted(worker: WorkerRecord): boolean {
+    return !fitsInto(noResources, freeResources(worker));
+}
+
 /** The highest end number up to which every end is stored. */
 export function acknowledgedEndNumber(worker: WorkerRecord): number {
     return worker.unsavedEnds.reduce((lowest, end) => Math.min(lowest, end.endNumber - 1), worker.lastEndNumber);
