Keep to one clock in the test of a refused token

'should repeat a command that was refused for the token of a term which this process has continued' failed once in a run of the specs: the session passes times of the real clock to the scheduler, the harness times of its own. A process that starts 900 ms earlier failed each time ('', expected ''), now and on earlier code; the harness now goes on from the real time. The assertions are the same. Passes with starts 1, 900 and 3,000 ms earlier.

--- a/tests/process/workerSession.spec.ts
+++ b/tests/process/workerSession.spec.ts
@@ -109,7 +109,8 @@
         answers.shift()!(true);
         await delay(timers, 0);
         assert.deepEqual(fenced, []);
-        harness.advance(1_000);
+        // The session has told the scheduler times of the real clock.
+        harness.advance(timers.nowMs() + 1_000);
         harness.list("w1", {});
         const nextRun = harness.commands(commandKinds.start).at(-1)!;
         assert.equal(nextRun.runId, 20_000_001);
