Remember that a worker has left when its jobs are held back after a takeover

Callers: after a takeover, a job stayed without runs for up to 10.4 s although the only workers that it could have run on had responded or left.

Cause: a new owner holds a job back while a worker that the store lists for it may run its tasks. Once such a worker had left, because its VM was moved or its leases had ended, its record was removed, and a worker without a record counted as unknown again until the longest lease of an earlier owner had ended. Class: a fact that is lost with the record that held it.

Change: the scheduler keeps the ids of the workers whose records it has removed in the term; they count as known.

Result: on the code before, the test fails: `should not hold a job back for a worker that has left since the takeover`: expected `['job.0.0.0']`, actual `[]`. It passes now.

--- a/src/scheduling/plannedStarts.ts
+++ b/src/scheduling/plannedStarts.ts
@@ -10,7 +10,7 @@
 /** Whether the current owner knows which runs the worker has. */
 function isWorkerStateKnown(state: SchedulerState, workerId: string, nowMs: number): boolean {
     const worker = state.workers.get(workerId);
-    return worker ? worker.isRunStateKnown : nowMs >= state.term.unknownWorkersUntilMs;
+    return worker?.isRunStateKnown ?? (state.departedWorkerIds.has(workerId) || nowMs >= state.term.unknownWorkersUntilMs);
 }
 
 /** Whether an earlier owner may have started tasks of the job on a worker whose runs are not known yet. */
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -56,6 +56,7 @@
         term: options.term,
         jobs: new Map(),
         workers: new Map(),
+        departedWorkerIds: new Set(),
         teamUsed: new Map(),
         teamShareBuckets: new Map(),
         startLeaseMs: maxLeaseMs(startValidityMs),
--- a/src/scheduling/schedulerState.ts
+++ b/src/scheduling/schedulerState.ts
@@ -71,6 +71,8 @@
     term: Term;
     jobs: Map<string, JobRecord>;
     workers: Map<string, WorkerRecord>;
+    /** Workers whose records were removed: nothing that an earlier owner started runs there any more. */
+    departedWorkerIds: Set<string>;
     teamUsed: Map<string, Resources>;
     /** Token bucket of each team, by which its submissions are within its share or not. */
     teamShareBuckets: Map<string, ShareTokenBucket>;
--- a/src/scheduling/workerLifecycle.ts
+++ b/src/scheduling/workerLifecycle.ts
@@ -56,6 +56,7 @@
                 state.commands.push({ kind: commandKinds.removeSnapshot, workerId: worker.entry.workerId });
             }
             state.workers.delete(worker.entry.workerId);
+            state.departedWorkerIds.add(worker.entry.workerId);
             state.onDecision({ what: "worker left", workerId: worker.entry.workerId });
         }
     }
