--- a/src/process/storeMirror.ts
+++ b/src/process/storeMirror.ts
@@ -1,6 +1,11 @@
 /** In-memory copy of the keys below a prefix of the store, kept up to date by one change feed. */
 import type { TimerService } from "../common/timerService.js";
-import type { ChangeFeedStore, StoreChange } from "../connection/platformStore.js";
+import type { ChangeFeedStore, StoreChange, StoredValue } from "../connection/platformStore.js";
+
+export interface MirroredValue extends StoredValue {
+    /** When this process received the value, which is after it was written. */
+    receivedAtMs: number;
+}
 
 export interface StoreMirror {
     /** Revision up to which the mirror is complete. */
@@ -8,7 +13,7 @@
     /** Time since the mirror was last confirmed to be complete; `undefined` before the first confirmation. */
     ageMs(): number | undefined;
     /** The entries whose keys start with the prefix. */
-    values(prefix: string): { key: string; value: string; revision: number }[];
+    values(prefix: string): MirroredValue[];
     valueOf(key: string): string | undefined;
     /** 0 if the key does not exist. */
     revisionOf(key: string): number;
@@ -33,7 +38,7 @@
 
 export function createStoreMirror(options: StoreMirrorOptions): StoreMirror {
     const { store, timers } = options;
-    const entries = new Map<string, { value: string; revision: number }>();
+    const entries = new Map<string, Omit<MirroredValue, "key">>();
     let revision = 0;
     let confirmedAtMs: number | undefined;
 
@@ -49,7 +54,7 @@
             entries.delete(change.key);
         }
         else {
-            entries.set(change.key, { value: change.value, revision: change.revision });
+            entries.set(change.key, { value: change.value, revision: change.revision, receivedAtMs: timers.nowMs() });
         }
         options.onChange(change);
     };
--- a/src/process/workerSnapshotWriter.ts
+++ b/src/process/workerSnapshotWriter.ts
@@ -72,12 +72,13 @@
     moment: Moment,
     onUnreadable: (key: string, reason: string) => void,
 ): void {
-    for (const { key, value } of mirror.values(jobKeys.workerSnapshotPrefix)) {
+    for (const { key, value, receivedAtMs } of mirror.values(jobKeys.workerSnapshotPrefix)) {
         if (value === emptySnapshotValue) {
             continue;
         }
         try {
-            scheduler.restoreSnapshot(decodeSnapshot(value), registered.has(key.slice(jobKeys.workerSnapshotPrefix.length)), moment);
+            const isRegistered = registered.has(key.slice(jobKeys.workerSnapshotPrefix.length));
+            scheduler.restoreSnapshot(decodeSnapshot(value), isRegistered, receivedAtMs, moment);
         }
         catch (error) {
             onUnreadable(key, String(error));
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -12,6 +12,7 @@
 import { possibleWorkerIds, sendPersistedStarts, settleWorkerIdsWrite } from "./plannedStarts.js";
 import { beginIncarnation, forgetSavedEnds, type Listing, markRunsLost, type Moment, reconcileListing } from "./reconcileListing.js";
 import {
+    commandKinds,
     type Decision,
     endJob,
     releaseHeldBack,
@@ -145,11 +146,10 @@
             }
         },
         /**
-         * Whether a listing request may extend the leases of a worker. Without proof of ownership, those of a worker with a
-         * snapshot must not be extended: the next owner relies on the leases as they were when it took over.
+         * Whether a listing request may extend the leases of a worker. Those of a worker with a snapshot must not be extended: the next
+         * owner relies on the leases as they were when the snapshot was taken.
          */
-        mayExtendLeases: (workerId: string): boolean =>
-            state.isOwnershipProven || state.workers.get(workerId)?.snapshotState === snapshotStates.none,
+        mayExtendLeases: (workerId: string): boolean => state.workers.get(workerId)?.snapshotState === snapshotStates.none,
         /** A listing request that extends the leases of the worker was sent. */
         leaseExtensionSent: (workerId: string, durationMs: number, nowMs: number): void => {
             const worker = state.workers.get(workerId);
@@ -175,14 +175,16 @@
                 markUnresponsive(worker, nowMs);
             }
         },
-        /** Restores the snapshot that an earlier owner wrote of an unresponsive worker. Call it when the term begins. */
-        restoreSnapshot: (snapshot: WorkerSnapshot, isRegistered: boolean, moment: Moment): void => {
+        /**
+         * Restores the snapshot that an earlier owner wrote of an unresponsive worker, and that this process knows since `receivedAtMs`.
+         * Call it when the term begins.
+         */
+        restoreSnapshot: (snapshot: WorkerSnapshot, isRegistered: boolean, receivedAtMs: number, moment: Moment): void => {
             const { workerId, bornWallMs } = snapshot.entry;
             const worker = state.workers.get(workerId) ?? addWorker(state, snapshot.entry, options.unknownLeaseMs, moment.nowMs);
             worker.isRegistered = isRegistered;
             if (worker.entry.bornWallMs === bornWallMs) {
-                worker.leaseEndsAtMs = moment.nowMs + maxLeaseMs(options.workerLeaseMs);
-                adoptSnapshot(state, worker, snapshot, moment.nowMs);
+                adoptSnapshot(state, worker, snapshot, receivedAtMs, moment.nowMs);
             }
             else {
                 worker.snapshotState = snapshotStates.written;
@@ -193,6 +195,10 @@
             const worker = state.workers.get(workerId);
             if (worker) {
                 worker.snapshotState = snapshotState;
+                if (snapshotState === snapshotStates.none) {
+                    // The leases may be extended again.
+                    state.commands.push({ kind: commandKinds.list, workerId });
+                }
             }
         },
         /** The worker's address belongs to another incarnation, so all its runs are lost. */
@@ -261,7 +267,7 @@
                 expireLeases(state, moment);
             }
             evacuateDrainingWorkers(state);
-            updateSnapshots(state);
+            updateSnapshots(state, moment.nowMs);
             dispatchWaitingTasks(state, moment);
         },
         takeCommands: (): SchedulerCommand[] => state.commands.splice(0),
--- a/src/scheduling/unresponsiveWorkers.ts
+++ b/src/scheduling/unresponsiveWorkers.ts
@@ -1,7 +1,7 @@
 /**
  * Stored snapshots of unresponsive workers, with the runs that may exist on them. The owner starts nothing on such a worker
- * until its snapshot is removed. The next owner therefore knows from the snapshot which tasks to wait for, and does not have to
- * hold back all others.
+ * and extends no lease on it until its snapshot is removed. The next owner therefore knows from the snapshot which tasks to wait for,
+ * and until when, and does not have to hold back all others.
  */
 import { isFinalState } from "./jobRecord.js";
 import { attachRun, commandKinds, findStep, runNeeds, type SchedulerState } from "./schedulerState.js";
@@ -12,6 +12,8 @@
     entry: WorkerEntry;
     /** Task names and run ids. */
     runs: (readonly [string, number])[];
+    /** How long after the snapshot was taken the leases of the runs may last; no lease is extended until the snapshot is removed. */
+    leaseLeftMs: number;
 }
 
 export const snapshotStates = {
@@ -30,19 +32,27 @@
     return JSON.parse(text) as WorkerSnapshot;
 }
 
-function createSnapshot(worker: WorkerRecord): WorkerSnapshot {
+function createSnapshot(worker: WorkerRecord, nowMs: number): WorkerSnapshot {
     const sent = [...worker.runs.values()].filter(run => run.phase !== runPhases.planned);
-    return { entry: worker.entry, runs: sent.map(run => [run.taskName, run.runId] as const) };
+    return {
+        entry: worker.entry,
+        runs: sent.map(run => [run.taskName, run.runId] as const),
+        leaseLeftMs: Math.max(0, Math.ceil(worker.leaseEndsAtMs - nowMs)),
+    };
 }
 
 /** Requests snapshots of workers that became unresponsive, and the removal of those of workers that respond again. */
-export function updateSnapshots(state: SchedulerState): void {
+export function updateSnapshots(state: SchedulerState, nowMs: number): void {
     for (const worker of state.workers.values()) {
         const isUnresponsive = worker.unresponsiveSinceMs !== undefined;
         const needsSnapshot = isUnresponsive && worker.snapshotState === snapshotStates.none && worker.isRunStateKnown;
         if (needsSnapshot && ![...worker.runs.values()].some(run => run.phase === runPhases.starting)) {
             worker.snapshotState = snapshotStates.changing;
-            state.commands.push({ kind: commandKinds.writeSnapshot, workerId: worker.entry.workerId, snapshot: createSnapshot(worker) });
+            state.commands.push({
+                kind: commandKinds.writeSnapshot,
+                workerId: worker.entry.workerId,
+                snapshot: createSnapshot(worker, nowMs),
+            });
         }
         else if (!isUnresponsive && worker.snapshotState === snapshotStates.written) {
             worker.snapshotState = snapshotStates.changing;
@@ -51,8 +61,15 @@
     }
 }
 
-/** Treats the runs in a worker's snapshot as running until the worker responds or its lease has ended. */
-export function adoptSnapshot(state: SchedulerState, worker: WorkerRecord, snapshot: WorkerSnapshot, nowMs: number): void {
+/** Treats the runs in a worker's snapshot as running until the worker responds or their leases have ended. */
+export function adoptSnapshot(
+    state: SchedulerState,
+    worker: WorkerRecord,
+    snapshot: WorkerSnapshot,
+    receivedAtMs: number,
+    nowMs: number,
+): void {
+    worker.leaseEndsAtMs = receivedAtMs + snapshot.leaseLeftMs;
     worker.snapshotState = snapshotStates.written;
     worker.unresponsiveSinceMs = nowMs;
     worker.isRunStateKnown = true;
--- a/tests/process/schedulingSimulation.ts
+++ b/tests/process/schedulingSimulation.ts
@@ -1,22 +1,16 @@
 /** Several processes that compete for the scheduling, with one store and two workers, on a simulated clock. */
 import type { SeededRandom } from "../../harness/random.js";
 import { createManualTimerService } from "../../src/common/timerService.js";
-import type { StoreChange } from "../../src/connection/platformStore.js";
 import type { ListOrder, ListResponse, OrderResponse, StartOrder, WorkerClient } from "../../src/connection/workerClient.js";
-import { createDemandTracker } from "../../src/process/demandTracker.js";
-import { createSilentLogger } from "../../src/process/logger.js";
-import { createSchedulingOwnership, type SchedulingOwnership } from "../../src/process/schedulingOwnership.js";
-import { createSchedulingService, type SchedulingService } from "../../src/process/schedulingService.js";
-import type { StoreMirror } from "../../src/process/storeMirror.js";
 import { commandOutcomes } from "../../src/scheduling/commandOutcomes.js";
-import { createJobDirectory } from "../../src/scheduling/jobDirectory.js";
 import { decodeProgress, encodeSubmission, jobKeys } from "../../src/scheduling/jobDocuments.js";
 import type { SchedulingPolicy } from "../../src/scheduling/jobTypes.js";
 import { runEnds } from "../../src/scheduling/schedulerState.js";
 import { defaultStep } from "../scheduling/defaultStep.js";
 import { entryOf, modelPolicy } from "../scheduling/modelJob.js";
 import { createModelWorker, type ModelWorker } from "../scheduling/modelWorker.js";
-import { taskStopMs, workerLeaseMs } from "../scheduling/schedulerHarness.js";
+import { workerLeaseMs } from "../scheduling/schedulerHarness.js";
+import { type SimulatedProcess, startSimulatedProcess } from "./simulatedProcess.js";
 import { createSimulatedStore } from "./simulatedStore.js";
 
 export interface SchedulingSimulation {
@@ -29,14 +23,6 @@
     close(): void;
 }
 
-interface SimulatedProcess {
-    lifetime: AbortController;
-    ownership: SchedulingOwnership;
-    service: SchedulingService;
-    /** Applies the store's changes up to a revision. */
-    follow(): void;
-}
-
 const turnMs = 20;
 const processesCount = 3;
 const jobsCount = 4;
@@ -127,83 +113,20 @@
         close: () => undefined,
     });
 
-    const startProcess = (nodeName: string): SimulatedProcess => {
-        const lifetime = new AbortController();
-        const { signal } = lifetime;
-        const logger = createSilentLogger();
-        const directory = createJobDirectory({ onUnreadable: (key, reason) => violations.push(`${key}: ${reason}`) });
-        const mirrored = new Map<string, { value: string; revision: number }>();
-        let mirroredRevision = 0;
-        let nextChange = 0;
-        const mirror = {
-            revision: () => mirroredRevision,
-            valueOf: (key: string) => mirrored.get(key)?.value,
-            revisionOf: (key: string) => mirrored.get(key)?.revision ?? 0,
-            values: (prefix: string) => [...mirrored].filter(([key]) => key.startsWith(prefix)).map(([key, each]) => ({ key, ...each })),
-        } as StoreMirror;
-        const processStore = store.connect(() => hasFaults);
-        const service = createSchedulingService({
-            store: processStore,
-            mirror: () => mirror,
-            directory,
-            ownership: () => ownership,
-            timers,
-            logger,
-            signal,
-            areWorkersCurrent: () => true,
-            connectWorker: entry => connectWorker(workers.find(worker => worker.id === entry.workerId)!),
-            workerLeaseMs,
-            taskStopMs,
-            ownershipGracePeriodMs: 4_000,
-            jobRetentionMs: 600_000,
-            demand: createDemandTracker(timers.nowMs),
-            onTermStarted: () => undefined,
-        });
-        const ownership = createSchedulingOwnership({
-            memberId: `member${nextMemberId++}`,
+    const startProcess = (nodeName: string): SimulatedProcess =>
+        startSimulatedProcess({
             nodeName,
-            store: processStore,
-            mirror: () => mirror,
+            memberId: `member${nextMemberId++}`,
             timers,
-            logger,
-            signal,
-            leaseMs: 1_800,
-            gracePeriodMs: 4_000,
-            acquireDelayMs: 0,
-            random: random.unit,
-            onAcquired: term => {
-                termsCount += 1;
-                service.onOwnershipAcquired(term);
-            },
-            onLost: () => service.onOwnershipLost(),
+            random,
+            store,
+            processStore: store.connect(() => hasFaults),
+            policy,
+            workerEntries: workers.map(entryOf),
+            connectWorker: entry => connectWorker(workers.find(worker => worker.id === entry.workerId)!),
+            onUnreadable: (key, reason) => violations.push(`${key}: ${reason}`),
+            onTermStarted: () => termsCount += 1,
         });
-        service.onPolicyChanged(policy);
-        workers.forEach(worker => service.onWorkerChanged(worker.id, entryOf(worker)));
-        const applyChange = ({ key, value, revision }: StoreChange): void => {
-            if (value === undefined) {
-                mirrored.delete(key);
-            }
-            else {
-                mirrored.set(key, { value, revision });
-            }
-            const event = directory.apply(key, value);
-            if (event) {
-                service.onJobEvent(event);
-            }
-        };
-        const follow = (): void => {
-            if (signal.aborted || isFault(80)) {
-                return;
-            }
-            const revision = store.revision();
-            store.changes.slice(nextChange).forEach(applyChange);
-            nextChange = store.changes.length;
-            mirroredRevision = revision;
-            ownership.onStoreChanged();
-            service.onStoreChanged();
-        };
-        return { lifetime, ownership, service, follow };
-    };
 
     const restartProcess = (index: number): void => {
         const { lifetime, ownership } = processes[index]!;
@@ -262,7 +185,7 @@
             while (timers.nowMs() < untilMs) {
                 timers.advance(turnMs);
                 advanceWorkers();
-                processes.forEach(each => each.follow());
+                processes.filter(({ lifetime }) => !lifetime.signal.aborted && !isFault(80)).forEach(each => each.follow());
                 if (isFault(workerRestartPercent)) {
                     restartWorker(random.pick(workers));
                 }
--- a/tests/scheduling/schedulerHarness.ts
+++ b/tests/scheduling/schedulerHarness.ts
@@ -5,6 +5,7 @@
 import type { Moment } from "../../src/scheduling/reconcileListing.js";
 import { createScheduler, type Scheduler } from "../../src/scheduling/scheduler.js";
 import { commandKinds, type RunEnd, type SchedulerCommand } from "../../src/scheduling/schedulerState.js";
+import { maxLeaseMs } from "../../src/scheduling/workerLifecycle.js";
 import type { Run } from "../../src/scheduling/workerRecord.js";
 import { defaultStep } from "./defaultStep.js";
 import { modelPolicy } from "./modelJob.js";
@@ -48,7 +49,7 @@
     answerStops(outcome: CommandOutcome): void;
     saveAll(): void;
     /** Passes in the snapshot that an earlier owner wrote of an unresponsive worker. */
-    restoreSnapshot(workerId: string, runs: readonly (readonly [string, number])[]): void;
+    restoreSnapshot(workerId: string, runs: readonly (readonly [string, number])[], leaseLeftMs?: number): void;
     /** Names of the started tasks, in order. */
     startedTasks(): string[];
     commands(kind: "start" | "stop" | "pace"): Run[];
@@ -163,8 +164,13 @@
             saveAll();
             runStep();
         },
-        restoreSnapshot: (workerId, runs) =>
-            scheduler.restoreSnapshot({ entry: scheduler.state.workers.get(workerId)!.entry, runs: [...runs] }, true, now()),
+        restoreSnapshot: (workerId, runs, leaseLeftMs = maxLeaseMs(workerLeaseMs)) =>
+            scheduler.restoreSnapshot(
+                { entry: scheduler.state.workers.get(workerId)!.entry, runs: [...runs], leaseLeftMs },
+                true,
+                nowMs,
+                now(),
+            ),
         startedTasks: () => sentCommands.flatMap(command => command.kind === commandKinds.start ? [command.run.taskName] : []),
         commands: kind => sentCommands.flatMap(command => command.kind === kind && "run" in command ? [command.run] : []),
     };
--- a/tests/scheduling/schedulingModel.ts
+++ b/tests/scheduling/schedulingModel.ts
@@ -54,7 +54,7 @@
     let nowMs = 0;
     const guarantees = createModelGuarantees();
     const { doneTasks, acknowledgedDone, failedRuns, endFirstRun } = guarantees;
-    const snapshots = new Map<string, WorkerSnapshot>();
+    const snapshots = new Map<string, { snapshot: WorkerSnapshot; writtenAtMs: number }>();
     let pendingCommands: PendingCommand[] = [];
     const workers: ModelWorker[] = ["w1", "w2"].map(id =>
         createModelWorker(id, taskName => guarantees.checkStart(taskName, workers), taskName => doneTasks.add(taskName))
@@ -71,7 +71,7 @@
     /** Snapshots of unresponsive workers are written at once, and only by the current owner. */
     const changeSnapshot = (owner: ModelOwner, command: SchedulerCommand): void => {
         if (owner.token === store.highestTerm && command.kind === commandKinds.writeSnapshot) {
-            snapshots.set(command.workerId, command.snapshot);
+            snapshots.set(command.workerId, { snapshot: command.snapshot, writtenAtMs: nowMs });
             owner.scheduler.snapshotStateChanged(command.workerId, snapshotStates.written);
         }
         else if (owner.token === store.highestTerm && command.kind === commandKinds.removeSnapshot) {
@@ -115,7 +115,9 @@
         const stored = faults.countsListedFailuresAgain ? forgetRunIds(store.progress()) : store.progress();
         scheduler.addJob(encodeSubmission(modelSubmission), stored && encodeProgress(stored), false, nowMs);
         registerWorkers(scheduler, workers.filter(({ leftAtMs }) => nowMs - (leftAtMs ?? nowMs) < unknownLeaseMs), moment());
-        snapshots.forEach(each => scheduler.restoreSnapshot(each, workerOf(each.entry.workerId).leftAtMs === undefined, moment()));
+        snapshots.forEach(({ snapshot, writtenAtMs }, workerId) =>
+            scheduler.restoreSnapshot(snapshot, workerOf(workerId).leftAtMs === undefined, writtenAtMs, moment())
+        );
         owners.push({ token, scheduler, isProven: true, startedAtMs: nowMs, lostAtMs: undefined, partitionedFrom: new Set() });
     };
 
--- a/tests/scheduling/takeoverWaits.spec.ts
+++ b/tests/scheduling/takeoverWaits.spec.ts
@@ -1,6 +1,7 @@
 /** Guards against tasks that wait after a takeover for workers on which nothing can run any more. */
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { snapshotStates } from "../../src/scheduling/unresponsiveWorkers.js";
 import { endIncarnation } from "../../src/scheduling/workerLifecycle.js";
 import { createSchedulerHarness } from "./schedulerHarness.js";
 
@@ -17,4 +18,29 @@
         harness.list("w2", { sentAtMs: 0 });
         assert.deepEqual(harness.startedTasks(), ["job.0.0.0"]);
     });
+
+    it("should wait for the tasks in a snapshot only until the leases have ended that they had when it was written", () => {
+        const harness = createSchedulerHarness({ workers: 2, token: 100 });
+        harness.submit("job", { taskCount: 1, formerWorkerIds: ["w1"] });
+        harness.restoreSnapshot("w1", [["job.0.0.0", 7]], 1_500);
+        harness.list("w2", { sentAtMs: 0 });
+        harness.advance(1_400);
+        assert.deepEqual(harness.startedTasks(), []);
+        harness.advance(200);
+        assert.deepEqual(harness.startedTasks(), ["job.0.0.0"]);
+    });
+
+    it("should not extend the leases of a worker before its snapshot is removed", () => {
+        const harness = createSchedulerHarness({ workers: 1 });
+        const { scheduler } = harness;
+        harness.list("w1", { sentAtMs: 0 });
+        assert.equal(scheduler.mayExtendLeases("w1"), true);
+        scheduler.workerUnresponsive("w1", harness.nowMs());
+        harness.advance(10);
+        scheduler.snapshotStateChanged("w1", snapshotStates.written);
+        harness.list("w1", {});
+        assert.equal(scheduler.mayExtendLeases("w1"), false, "the next owner may still read the snapshot");
+        scheduler.snapshotStateChanged("w1", snapshotStates.none);
+        assert.equal(scheduler.mayExtendLeases("w1"), true);
+    });
 });
