--- a/tests/process/longRunningRecovery.spec.ts
+++ b/tests/process/longRunningRecovery.spec.ts
@@ -2,7 +2,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import type { SeededRandom } from "../../harness/random.js";
-import { chooseNoticedLoss, chooseUnnoticedLoss, type Fault, playHistory } from "./outageHistory.js";
+import { chooseNoticedLoss, chooseReturnDuringCut, chooseUnnoticedLoss, type Fault, playHistory } from "./outageHistory.js";
 
 const historiesCount = 30;
 
@@ -19,4 +19,7 @@
 
     it("should run again soon when an owner ends that has not noticed the loss, and its successor can know that it has ended", () =>
         checkHistories(chooseUnnoticedLoss));
+
+    it("should not be started elsewhere while a worker that only the former owner has reached again holds them", () =>
+        checkHistories(chooseReturnDuringCut));
 });
--- a/tests/process/outageHistory.ts
+++ b/tests/process/outageHistory.ts
@@ -65,6 +65,19 @@
     ].sort((a, b) => a.atMs - b.atMs);
 }
 
+/** A worker is cut off for a while; when it is back, the owner is cut off from the store, and then the worker again. */
+export function chooseReturnDuringCut(random: SeededRandom): Fault[] {
+    const worker = random.between(0, workersCount - 1);
+    const durationMs = random.between(1_600, 2_600);
+    const cutWorker = (atMs: number, forMs: number): Fault =>
+        lastingFault(`w${worker} is cut off`, atMs, forMs, simulation => simulation.cutWorker(worker, forMs));
+    return [
+        cutWorker(0, durationMs),
+        lastingFault("the owner is cut off", durationMs, 6_000, simulation => simulation.cutOwner(6_000)),
+        cutWorker(durationMs + random.between(800, 1_700), 6_000),
+    ];
+}
+
 /** Two to four faults of any kind. */
 export function chooseAnyFaults(random: SeededRandom): Fault[] {
     const lostWorkers = new Set<number>();
