Restart an adopted task while its job is held back after a takeover

Callers: after a takeover, a long-running task that failed on a worker in touch stayed without a run for up to 10.4 s, because another worker that the store lists for its job did not respond.

Cause: a job was held back as a whole while any of its stored workers was unknown. But a run that a worker lists as running in this term is the last one of its task: an earlier owner starts a further one only once the run has certainly ended. Class: a wait for the whole where only a part is unknown.

Change: a held back job may restart the tasks of which a run was adopted in this term. A task of which only the end is listed still waits, since an earlier owner may have seen that end and started the task again; so do gangs.

Result: on the code before, `scheduling/takeoverWaits` "should restart a task whose run it has adopted while other tasks of the job may run on an unreachable worker" fails: expected `['job.0.0.0']`, actual `[]`. It passes now, as do `model/scheduling` with all injected faults found, `model/schedulingLiveness` and `process/schedulingRecovery`; the explored states tell adopted tasks and departed workers apart.

--- a/src/scheduling/dispatchWaitingTasks.ts
+++ b/src/scheduling/dispatchWaitingTasks.ts
@@ -14,6 +14,8 @@
 interface WaitingStep extends StepOrderInput {
     job: JobRecord;
     step: StepRecord;
+    /** Whether only tasks that have been adopted may start. */
+    isHeldBack: boolean;
 }
 
 /** A pool during a pass: its workers, and the waiting steps that may fit on them. */
@@ -41,10 +43,17 @@
         worker.avoidedUntilMs <= nowMs && worker.lastResponseAtMs !== undefined && nowMs - worker.lastResponseAtMs < responseTimeoutMs;
 }
 
-function createWaitingStep(job: JobRecord, occurrence: OccurrenceRecord, step: StepRecord, queue: QueuePolicy): WaitingStep {
+function createWaitingStep(
+    job: JobRecord,
+    occurrence: OccurrenceRecord,
+    step: StepRecord,
+    queue: QueuePolicy,
+    isJobHeldBack: boolean,
+): WaitingStep {
     return {
         job,
         step,
+        isHeldBack: isJobHeldBack,
         isLongRunning: isServing(step.spec),
         workMillicoreS: job.workMillicoreS,
         isWithinShare: job.isWithinShare,
@@ -55,21 +64,27 @@
     };
 }
 
+/** Whether a task of the step waits and may start. */
+function hasStartableTask(step: StepRecord, isJobHeldBack: boolean): boolean {
+    return isJobHeldBack ? !step.spec.isGang && [...step.adopted].some(task => step.waiting.has(task)) : step.waiting.size > 0;
+}
+
 /** Adds the job's steps that wait and may fit on a worker of the pool. */
 function collectJob(state: SchedulerState, job: JobRecord, { queue, pool }: QueuePass, moment: Moment): void {
     const { candidates } = pool;
-    if (isFinalState(job.state) || isHeldBack(state, job, moment.nowMs) || (pool.hasWaiting && !candidates.mayFit(job.smallestNeed))) {
+    if (isFinalState(job.state) || (pool.hasWaiting && !candidates.mayFit(job.smallestNeed))) {
         return;
     }
+    const isJobHeldBack = isHeldBack(state, job, moment.nowMs);
     for (const occurrence of job.occurrences.values()) {
         if (occurrence.dueWallMs > moment.wallMs) {
             continue;
         }
         for (const step of occurrence.steps) {
-            if (step.waiting.size > 0 && isStepReady(occurrence, step)) {
+            if (hasStartableTask(step, isJobHeldBack) && isStepReady(occurrence, step)) {
                 pool.hasWaiting = true;
                 if (candidates.mayFit(reservedResources(step.spec))) {
-                    pool.waiting.push(createWaitingStep(job, occurrence, step, queue));
+                    pool.waiting.push(createWaitingStep(job, occurrence, step, queue, isJobHeldBack));
                 }
             }
         }
@@ -231,6 +246,9 @@
     const { step } = waiting;
     let hasPlanned = false;
     for (const taskIndex of step.waiting) {
+        if (waiting.isHeldBack && !step.adopted.has(taskIndex)) {
+            continue;
+        }
         if (!planTask(state, waiting, taskIndex, pool, pool.all(), nowMs)) {
             const needed = reservedResources(step.spec);
             if (!pool.all().some(candidate => hasRoom(candidate, needed))) {
--- a/src/scheduling/jobRecord.ts
+++ b/src/scheduling/jobRecord.ts
@@ -20,6 +20,8 @@
     waiting: Set<number>;
     /** Tasks that must not start again until the ownership is proven. */
     heldBack: Set<number>;
+    /** Tasks of which a run of an earlier owner was listed in this term: no other run that such an owner started can exist. */
+    adopted: Set<number>;
     done: Set<number>;
     /** Runs that may be active, by task index. */
     runs: Map<number, Run[]>;
@@ -81,6 +83,7 @@
         occurrence,
         waiting: new Set(all.filter(task => !done.has(task))),
         heldBack: new Set(),
+        adopted: new Set(),
         done,
         runs: new Map(),
         tasks,
--- a/src/scheduling/plannedStarts.ts
+++ b/src/scheduling/plannedStarts.ts
@@ -13,7 +13,10 @@
     return worker?.isRunStateKnown ?? (state.departedWorkerIds.has(workerId) || nowMs >= state.term.unknownWorkersUntilMs);
 }
 
-/** Whether an earlier owner may have started tasks of the job on a worker whose runs are not known yet. */
+/**
+ * Whether an earlier owner may have started tasks of the job on a worker whose runs are not known yet. Only tasks with a run that has
+ * been adopted in this term may then start.
+ */
 export function isHeldBack(state: SchedulerState, job: JobRecord, nowMs: number): boolean {
     if (job.formerWorkerIds.size === 0) {
         return false;
--- a/src/scheduling/reconcileListing.ts
+++ b/src/scheduling/reconcileListing.ts
@@ -176,6 +176,7 @@
     attachRun(state, worker, isWanted ? step : undefined, run);
     if (isWanted) {
         job.hasStarted = true;
+        step.adopted.add(task.taskIndex);
         state.onDecision({ what: "adopt run", jobId: run.jobId, taskName: run.taskName, runId: run.runId, workerId: run.workerId });
     }
     else {
--- a/tests/scheduling/describeScheduler.ts
+++ b/tests/scheduling/describeScheduler.ts
@@ -30,12 +30,12 @@
         job.version - job.persistedVersion,
         workerIds,
         job.workerIdsInFlight && [...job.workerIdsInFlight],
-        steps.map(step => [[...step.waiting], [...step.heldBack], [...step.done], [...step.tasks]]),
+        steps.map(step => [[...step.waiting], [...step.heldBack], [...step.adopted], [...step.done], [...step.tasks]]),
     ];
 }
 
 export function describeScheduler({ state }: Scheduler): unknown {
-    return [[...state.workers.values()].map(describeWorker), [...state.jobs.values()].map(describeJob)];
+    return [[...state.workers.values()].map(describeWorker), [...state.jobs.values()].map(describeJob), [...state.departedWorkerIds]];
 }
 
 export function describePendingCommand(pending: PendingCommand): unknown {
--- a/tests/scheduling/takeoverWaits.spec.ts
+++ b/tests/scheduling/takeoverWaits.spec.ts
@@ -19,6 +19,22 @@
         assert.deepEqual(harness.startedTasks(), ["job.0.0.0"]);
     });
 
+    it("should restart a task whose run it has adopted while other tasks of the job may run on an unreachable worker", () => {
+        const harness = createSchedulerHarness({ workers: 2, token: 100 });
+        harness.submit("job", { taskCount: 2, isLongRunning: true, formerWorkerIds: ["w1", "w2"] });
+        harness.list("w1", { running: [{ taskName: "job.0.0.0", runId: 7 }] });
+        assert.deepEqual(harness.startedTasks(), []);
+        harness.list("w1", { ended: [{ taskName: "job.0.0.0", runId: 7, end: "failed" }] });
+        assert.deepEqual(harness.startedTasks(), ["job.0.0.0"], "the other task may run on w2");
+    });
+
+    it("should hold back a task whose run had ended before the takeover, since a later one may run on an unreachable worker", () => {
+        const harness = createSchedulerHarness({ workers: 2, token: 100 });
+        harness.submit("job", { taskCount: 1, isLongRunning: true, formerWorkerIds: ["w1", "w2"] });
+        harness.list("w1", { ended: [{ taskName: "job.0.0.0", runId: 7, end: "failed" }] });
+        assert.deepEqual(harness.startedTasks(), []);
+    });
+
     it("should wait for the tasks in a snapshot only until the leases have ended that they had when it was written", () => {
         const harness = createSchedulerHarness({ workers: 2, token: 100 });
         harness.submit("job", { taskCount: 1, formerWorkerIds: ["w1"] });
