Remove a worker that has left from the jobs that list it

Callers: a task that waited after a takeover stayed without a run for up to 10.4 s, because the store listed a worker for its job that had left long before.

Cause: the workers that the store lists for a job change only when a start needs a further one. When a task of a lost worker was restarted on one that was listed already, the lost one stayed, and a later owner, which knows nothing of it, took it for one that may still run tasks. Class: stored state that is not withdrawn when it no longer holds.

Change: when a worker's record is removed, the progress of the jobs that list it is written again without it. A held back job also forgets each worker as soon as it is known, not only all of them at once.

Result: on the code before, `scheduling/takeoverWaits` "should not find a worker that had left among those on which a job may run" fails: nothing was to be written, expected `[['w2']]`. It passes now, as do `scheduling/guarantees` and `process/schedulingRecovery`.

--- a/src/scheduling/plannedStarts.ts
+++ b/src/scheduling/plannedStarts.ts
@@ -18,16 +18,22 @@
  * been adopted in this term may then start.
  */
 export function isHeldBack(state: SchedulerState, job: JobRecord, nowMs: number): boolean {
-    if (job.formerWorkerIds.size === 0) {
-        return false;
-    }
     for (const workerId of job.formerWorkerIds) {
-        if (!isWorkerStateKnown(state, workerId, nowMs)) {
-            return true;
+        if (isWorkerStateKnown(state, workerId, nowMs)) {
+            job.formerWorkerIds.delete(workerId);
+        }
+    }
+    return job.formerWorkerIds.size > 0;
+}
+
+/** Lets the progress of the jobs that list a worker be written without it, since it has left: a next owner could not reach it. */
+export function forgetWorker(state: SchedulerState, workerId: string): void {
+    for (const job of state.jobs.values()) {
+        if (job.persistedWorkerIds.has(workerId)) {
+            job.formerWorkerIds.delete(workerId);
+            markChanged(state, job);
         }
     }
-    job.formerWorkerIds.clear();
-    return false;
 }
 
 /** The worker ids to store with the next write of the job's progress. */
--- a/src/scheduling/workerLifecycle.ts
+++ b/src/scheduling/workerLifecycle.ts
@@ -1,4 +1,5 @@
 /** Adds, drains and removes workers, and bounds how long their runs may keep their leases. */
+import { forgetWorker } from "./plannedStarts.js";
 import { markRunsLost, type Moment } from "./reconcileListing.js";
 import { commandKinds, type SchedulerState, stopRun } from "./schedulerState.js";
 import { snapshotStates } from "./unresponsiveWorkers.js";
@@ -57,6 +58,7 @@
             }
             state.workers.delete(worker.entry.workerId);
             state.departedWorkerIds.add(worker.entry.workerId);
+            forgetWorker(state, worker.entry.workerId);
             state.onDecision({ what: "worker left", workerId: worker.entry.workerId });
         }
     }
--- a/tests/scheduling/takeoverWaits.spec.ts
+++ b/tests/scheduling/takeoverWaits.spec.ts
@@ -1,6 +1,8 @@
 /** Guards against tasks that wait after a takeover for workers on which nothing can run any more. */
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { commandOutcomes } from "../../src/scheduling/commandOutcomes.js";
+import { commandKinds } from "../../src/scheduling/schedulerState.js";
 import { snapshotStates } from "../../src/scheduling/unresponsiveWorkers.js";
 import { endIncarnation } from "../../src/scheduling/workerLifecycle.js";
 import { createSchedulerHarness } from "./schedulerHarness.js";
@@ -35,6 +37,23 @@
         assert.deepEqual(harness.startedTasks(), []);
     });
 
+    it("should not find a worker that had left among those on which a job may run", () => {
+        const harness = createSchedulerHarness({ workers: 2, isSavedManually: true });
+        const { scheduler } = harness;
+        harness.list("w1", { sentAtMs: 0 });
+        harness.list("w2", { sentAtMs: 0 });
+        harness.submit("job", { taskCount: 2, isLongRunning: true });
+        harness.saveAll();
+        harness.answerStarts(commandOutcomes.accepted);
+        assert.deepEqual(harness.commands(commandKinds.start).map(run => run.workerId).sort(), ["w1", "w2"]);
+        harness.saveAll();
+        scheduler.unregisterWorker("w1");
+        endIncarnation(scheduler.state, { workerId: "w1", bornWallMs: 0 }, "its VM has moved", { nowMs: 0, wallMs: 0 });
+        harness.advance(10);
+        assert.equal(harness.commands(commandKinds.start).at(-1)?.workerId, "w2", "a start that needs no write");
+        assert.deepEqual(scheduler.takeUnsavedJobs(1).map(({ progress }) => progress.workerIds), [["w2"]]);
+    });
+
     it("should wait for the tasks in a snapshot only until the leases have ended that they had when it was written", () => {
         const harness = createSchedulerHarness({ workers: 2, token: 100 });
         harness.submit("job", { taskCount: 1, formerWorkerIds: ["w1"] });
