Recognize this process's own term when the mirror shows it first

Callers: after an outage that outlasted the owner's lease, the same process went on as the owner, but as if it had taken over: it loaded all jobs again, gave up what it knew of its workers, and held jobs back for those that did not respond, for 10.4 s from then.

Cause: to continue its term, an owner rewrites the term key. If its watch showed that write before the response to it arrived, or no response came, the process took its own write for another process's term and gave the ownership up; the response then continued a term whose state was gone. Class: an event of one's own that is taken for another's.

Change: a term key that names this process, written in place of this process's last term, is its own. Whether a term is continued is decided when its write is sent. What owners store of themselves is read in a module of its own.

On the code before, `process/schedulingOwnership` "should be continued although the mirror shows the new term before the store responds" fails with that loss in each of four continuations.

--- a/src/process/schedulingOwnership.ts
+++ b/src/process/schedulingOwnership.ts
@@ -10,6 +10,7 @@
 import { jobKeys } from "../scheduling/jobDocuments.js";
 import { logEvents } from "./logEvents.js";
 import type { Logger } from "./logger.js";
+import { createOwnerDocuments, type Handover, type OwnerDocument } from "./ownerDocuments.js";
 import type { StoreMirror } from "./storeMirror.js";
 
 /** One period of ownership, from its acquisition until it is lost or acquired again. */
@@ -72,15 +73,6 @@
     isSoleOwnerRecorded: boolean;
 }
 
-/**
- * Written by an owner once no earlier owner sends commands to workers any more, and when it stops sending them itself. It lets the
- * next owner conclude sooner that what a lost worker ran has ended.
- */
-interface Handover {
-    token: number;
-    hasEnded: boolean;
-}
-
 const checkIntervalMs = 60;
 /** Fraction of the lease duration after which it is renewed; leaves time for two failed renewals. */
 const renewAfterFraction = 0.3;
@@ -91,9 +83,13 @@
 export function createSchedulingOwnership(options: SchedulingOwnershipOptions): SchedulingOwnership {
     const { store, timers, logger, signal } = options;
     const startedAtMs = timers.nowMs();
+    const own: OwnerDocument = { memberId: options.memberId, nodeName: options.nodeName };
+    const documents = createOwnerDocuments(own, options.mirror, logger);
     let held: HeldLease | undefined;
     /** Revision of this process's last write of the term key. */
     let ownTermRevision = 0;
+    /** Revision of the term key that the last attempt to acquire the ownership replaces. */
+    let replacedTermRevision = 0;
     let isReleased = false;
     let vacantSinceMs: number | undefined;
     const chooseStaggerMs = (): number => options.acquireDelayMs + options.random() * maxStaggerMs;
@@ -112,31 +108,22 @@
         }
     };
 
-    const readDocument = <T>(key: string): Partial<T> => {
-        const text = options.mirror().valueOf(key);
-        try {
-            return text === undefined ? {} : JSON.parse(text) as T;
+    /** The mirror may show an attempt of this process to continue its term before the response to it arrives, or without one. */
+    const recognizeOwnTerm = (): void => {
+        if (replacedTermRevision === ownTermRevision && documents.isOwn(jobKeys.term)) {
+            ownTermRevision = Math.max(ownTermRevision, options.mirror().revisionOf(jobKeys.term));
         }
-        catch (error) {
-            logger.log(logEvents.documentUnreadable, { key, reason: String(error) });
-            return {};
-        }
-    };
-    /** Whether a previous process of this node wrote the document; it has certainly ended. */
-    const isByPreviousProcess = (key: string): boolean => {
-        const { memberId, nodeName } = readDocument<{ memberId: string; nodeName: string }>(key);
-        return nodeName === options.nodeName && memberId !== options.memberId;
     };
     /** Revision of the owner key if a previous process of this node wrote it; otherwise 0. */
-    const staleOwnerRevision = (): number => isByPreviousProcess(jobKeys.owner) ? options.mirror().revisionOf(jobKeys.owner) : 0;
+    const staleOwnerRevision = (): number => documents.isByPreviousProcess(jobKeys.owner) ? options.mirror().revisionOf(jobKeys.owner) : 0;
 
     /** A time at which the owners up to the term of this revision had all ended; `undefined` if one may still send commands. */
     const findFormerOwnersEndMs = (termRevision: number): number | undefined => {
-        const { token, hasEnded } = readDocument<Handover>(jobKeys.handover);
+        const { token, hasEnded } = documents.readHandover();
         if (termRevision === 0 || (token === termRevision && hasEnded === true)) {
             return timers.nowMs();
         }
-        return token === termRevision && isByPreviousProcess(jobKeys.term) ? startedAtMs : undefined;
+        return token === termRevision && documents.isByPreviousProcess(jobKeys.term) ? startedAtMs : undefined;
     };
     const writeHandover = async (lease: HeldLease, hasEnded: boolean): Promise<Result<SwapOutcome, StoreError>> => {
         const handover: Handover = { token: lease.token, hasEnded };
@@ -161,6 +148,8 @@
         const mirror = options.mirror();
         const expectedOwnerRevision = held ? 0 : staleOwnerRevision();
         const termRevision = mirror.revisionOf(jobKeys.term);
+        const isContinued = ownTermRevision !== 0 && ownTermRevision === termRevision;
+        replacedTermRevision = termRevision;
         const formerOwnersEndedAtMs = findFormerOwnersEndMs(termRevision);
         const sentAtMs = timers.nowMs();
         const sentWallMs = timers.wallClockMs();
@@ -168,7 +157,7 @@
         if (lease.err) {
             return;
         }
-        const value = JSON.stringify({ memberId: options.memberId, nodeName: options.nodeName });
+        const value = JSON.stringify(own);
         const swapped = await store.swap([
             { key: jobKeys.owner, expectedRevision: expectedOwnerRevision },
             { key: jobKeys.term, expectedRevision: termRevision },
@@ -179,7 +168,6 @@
             await store.revokeLease(lease.val);
             return;
         }
-        const isContinued = ownTermRevision !== 0 && ownTermRevision === termRevision;
         ownTermRevision = swapped.val.revision;
         const formerOwnersEndAtMs = (isContinued ? held?.formerOwnersEndAtMs : undefined) ?? formerOwnersEndedAtMs ??
             timers.nowMs() + options.gracePeriodMs;
@@ -252,6 +240,7 @@
     };
 
     const onStoreChanged = (): void => {
+        recognizeOwnTerm();
         const termRevision = options.mirror().revisionOf(jobKeys.term);
         if (held && termRevision > ownTermRevision) {
             loseOwnership("another process has acquired the ownership");
--- a/tests/process/schedulingOwnership.spec.ts
+++ b/tests/process/schedulingOwnership.spec.ts
@@ -3,17 +3,21 @@
 import { describe, it } from "node:test";
 import { Ok } from "../../src/common/results.js";
 import { createManualTimerService } from "../../src/common/timerService.js";
-import type { PlatformStore, SwapOutcome } from "../../src/connection/platformStore.js";
+import type { PlatformStore, StoreGuard, StoreWrite, SwapOutcome } from "../../src/connection/platformStore.js";
 import { createSilentLogger } from "../../src/process/logger.js";
 import {
     createSchedulingOwnership,
+    type OwnershipTerm,
     type SchedulingOwnership,
     type SchedulingOwnershipOptions,
 } from "../../src/process/schedulingOwnership.js";
 import type { StoreMirror } from "../../src/process/storeMirror.js";
+import { jobKeys } from "../../src/scheduling/jobDocuments.js";
 
 /** A process that finds the ownership vacant. */
-const createOwnership = (options: Pick<SchedulingOwnershipOptions, "store" | "timers" | "signal" | "onAcquired">): SchedulingOwnership =>
+const createOwnership = (
+    options: Pick<SchedulingOwnershipOptions, "store" | "timers" | "signal" | "onAcquired"> & Partial<SchedulingOwnershipOptions>,
+): SchedulingOwnership =>
     createSchedulingOwnership({
         memberId: "member",
         nodeName: "node",
@@ -55,6 +59,50 @@
         lifetime.abort();
     });
 
+    it("should be continued although the mirror shows the new term before the store responds", async () => {
+        const timers = createManualTimerService();
+        const lifetime = new AbortController();
+        const terms: OwnershipTerm[] = [];
+        const losses: string[] = [];
+        let revision = 1;
+        let termDocument: { value: string; revision: number } | undefined;
+        const mirror = {
+            revision: () => revision,
+            revisionOf: (key: string) => key === jobKeys.term ? termDocument?.revision ?? 0 : 0,
+            valueOf: (key: string) => key === jobKeys.term ? termDocument?.value : undefined,
+        } as unknown as StoreMirror;
+        const store = {
+            grantLease: () => Promise.resolve(Ok("lease")),
+            swap: async (_guards: StoreGuard[], writes: StoreWrite[]) => {
+                const term = writes.find(each => each.key === jobKeys.term);
+                if (term) {
+                    termDocument = { value: term.value!, revision: ++revision };
+                    ownership.onStoreChanged();
+                    await new Promise(resolve => setImmediate(resolve));
+                }
+                return Ok({ isSwapped: true, revision, current: [] });
+            },
+            keepLeaseAlive: () => Promise.resolve(Ok(false)),
+            revokeLease: () => Promise.resolve(Ok(undefined)),
+        } as unknown as PlatformStore;
+        const ownership = createOwnership({
+            store,
+            timers,
+            signal: lifetime.signal,
+            mirror: () => mirror,
+            onAcquired: term => terms.push(term),
+            onLost: reason => losses.push(reason),
+        });
+        for (let round = 0; round < 40; round++) {
+            await new Promise(resolve => setImmediate(resolve));
+            timers.advance(60);
+        }
+        assert.ok(terms.length > 2, `${terms.length} terms`);
+        assert.deepEqual(losses, []);
+        assert.deepEqual(terms.map(term => term.isContinued), terms.map((_, index) => index > 0));
+        lifetime.abort();
+    });
+
     it("should be given up and acquired again if its term cannot be started, and renewed after that", async () => {
         const timers = createManualTimerService();
         const lifetime = new AbortController();
