Request no longer leases than a lost worker's tasks can wait

Callers: where workers grant leases of 10 s, a long-running task of a worker that was lost for good stayed without a run for 10.4 s, with nothing else amiss: a task may be without a run for 9 s, wherever it runs.

Cause: leases were extended by the longest duration that the workers grant, and the tasks of a lost worker start elsewhere once the leases have certainly ended. Class: a limit of another party taken for a value to use.

Change: leases of at most 6 s are requested. The price: where workers grant 10 s, running tasks outlast an outage of the store of 11.8 s instead of 15.8 s, as they do elsewhere. A process of the code before, which requests 10 s, must not own the scheduling shortly before one of this code: it counts on 6 s.

--- a/src/process/schedulingService.ts
+++ b/src/process/schedulingService.ts
@@ -9,6 +9,7 @@
 import { createScheduler, type Scheduler } from "../scheduling/scheduler.js";
 import { commandKinds } from "../scheduling/schedulerState.js";
 import type { WorkerSnapshot } from "../scheduling/unresponsiveWorkers.js";
+import { formerLeasesEndMs, requestedLeaseMs } from "../scheduling/workerLifecycle.js";
 import type { WorkerEntry } from "../scheduling/workerRecord.js";
 import { addStoredJob } from "./addStoredJob.js";
 import type { DemandTracker } from "./demandTracker.js";
@@ -50,6 +51,7 @@
     /** Whether the workers' entries that were passed in are recent. */
     areWorkersCurrent(): boolean;
     connectWorker: ConnectWorker;
+    /** Longest lease that a worker grants. */
     workerLeaseMs: number;
     taskStopMs: number;
     jobRetentionMs: number;
@@ -70,13 +72,12 @@
 /** Progress is collected for this long before each write; short compared with the duration of a step. */
 const saveIntervalMs = 20;
 const cleanupIntervalMs = 5_000;
-/** Upper bound of the clock difference and delivery delay by which a worker's lease may outlast its nominal duration. */
-const leaseSlackMs = 400;
 /** A worker whose entry was deleted longer ago is not asked by a new owner what it runs. */
 const maxUnregisteredMs = 10_400;
 
 export function createSchedulingService(options: SchedulingServiceOptions): SchedulingService {
     const { store, directory, timers, logger } = options;
+    const workerLeaseMs = requestedLeaseMs(options.workerLeaseMs);
     const registered = new Map<string, WorkerEntry>();
     /** Workers whose entries were deleted recently: they may still run tasks that an earlier owner started. */
     const unregistered = new Map<string, { entry: WorkerEntry; atMs: number }>();
@@ -162,7 +163,7 @@
     const sessions = createWorkerSessions({
         connectWorker: options.connectWorker,
         timers,
-        leaseMs: options.workerLeaseMs,
+        leaseMs: workerLeaseMs,
         maySendOrders,
         isLeaseValid: () => options.ownership().isLeaseValid(),
         onFenced: () => options.ownership().onFenced(),
@@ -214,12 +215,12 @@
         const now = moment();
         const hasPriorProgress = [...directory.entries.values()].some(entry => entry.progress !== undefined);
         // A worker that has not responded yet may still hold leases from an earlier owner.
-        const unknownWorkersUntilMs = hasPriorProgress ? formerOwnersEndAtMs + options.workerLeaseMs + leaseSlackMs : now.nowMs;
+        const unknownWorkersUntilMs = hasPriorProgress ? formerLeasesEndMs(formerOwnersEndAtMs, workerLeaseMs) : now.nowMs;
         const lifetime = new AbortController();
         const scheduler = createScheduler({
             policy,
             term: { token, startedWallMs: now.wallMs, unknownWorkersUntilMs },
-            workerLeaseMs: options.workerLeaseMs,
+            workerLeaseMs,
             taskStopMs: options.taskStopMs,
             onDecision: decision => {
                 // A late response may still change the state of an ended term, but what follows from that is not carried out.
--- a/src/scheduling/workerLifecycle.ts
+++ b/src/scheduling/workerLifecycle.ts
@@ -9,6 +9,23 @@
 const maxClockDriftRatio = 0.02;
 /** Upper bound on the time between estimating a worker's clock and sending the command that uses the estimate. */
 const clockEstimateSlackMs = 200;
+/** Upper bound of the clock difference and delivery delay by which a lease of an earlier owner may outlast its nominal duration. */
+const formerLeaseSlackMs = 400;
+/**
+ * The tasks of a lost worker wait until their leases have ended, so leases are not extended for as long as some workers would grant.
+ * They still outlast an outage of the store of usual length.
+ */
+const maxRequestedLeaseMs = 6_000;
+
+/** The lease to request from workers that grant at most `maxGrantedMs`. */
+export function requestedLeaseMs(maxGrantedMs: number): number {
+    return Math.min(maxGrantedMs, maxRequestedLeaseMs);
+}
+
+/** When the leases of `leaseMs` that earlier owners have granted end, if these owners send no commands after `ownersEndAtMs`. */
+export function formerLeasesEndMs(ownersEndAtMs: number, leaseMs: number): number {
+    return ownersEndAtMs + leaseMs + formerLeaseSlackMs;
+}
 
 /** How long, on this process's clock, a lease of `durationMs` that is granted now may last at most. */
 export function maxLeaseMs(durationMs: number): number {
--- a/tests/process/outageHistory.ts
+++ b/tests/process/outageHistory.ts
@@ -1,5 +1,6 @@
 /** Random histories of outages, each followed by a calm time in which only single runs fail. */
 import { createSeededRandom, type SeededRandom } from "../../harness/random.js";
+import { workerLeaseMs } from "../scheduling/schedulerHarness.js";
 import { createOutageSimulation, type OutageSimulation } from "./outageSimulation.js";
 
 export interface Fault {
@@ -45,6 +46,11 @@
 const ownerStop = (atMs: number, durationMs: number): Fault =>
     finalFault(`the owner is stopped and returns after ${durationMs} ms`, atMs, simulation => simulation.stopOwner(durationMs));
 
+/** A worker is lost. */
+export function chooseLoss(random: SeededRandom): Fault[] {
+    return [workerLoss(random.between(0, workersCount - 1), 0)];
+}
+
 /** A worker is lost, and once the owner must have noticed, that owner is killed, and at times the next one too. */
 export function chooseNoticedLoss(random: SeededRandom): Fault[] {
     const killedAtMs = random.between(1_700, 6_000);
@@ -105,9 +111,13 @@
     return Array.from({ length: random.between(2, 4) }, () => random.between(0, 5_000)).sort((a, b) => a - b).map(chooseFault);
 }
 
-export async function playHistory(seed: number, chooseFaults: (random: SeededRandom) => Fault[]): Promise<OutageHistory> {
+export async function playHistory(
+    seed: number,
+    chooseFaults: (random: SeededRandom) => Fault[],
+    maxLeaseMs = workerLeaseMs,
+): Promise<OutageHistory> {
     const random = createSeededRandom(seed);
-    const simulation = createOutageSimulation(random);
+    const simulation = createOutageSimulation(random, maxLeaseMs);
     await simulation.run(random.between(6_000, 16_000));
     const startedAtMs = simulation.nowMs();
     const faults = chooseFaults(random);
--- a/tests/process/outageSimulation.ts
+++ b/tests/process/outageSimulation.ts
@@ -14,7 +14,6 @@
 import { defaultStep } from "../scheduling/defaultStep.js";
 import { entryOf, modelPolicy } from "../scheduling/modelJob.js";
 import { createModelWorker, type ModelWorker } from "../scheduling/modelWorker.js";
-import { workerLeaseMs } from "../scheduling/schedulerHarness.js";
 import { type SimulatedProcess, startSimulatedProcess } from "./simulatedProcess.js";
 import { createSimulatedStore } from "./simulatedStore.js";
 
@@ -51,7 +50,7 @@
 const entryLifetimeMs = 2_000;
 const lostAnswerPercent = 30;
 
-export function createOutageSimulation(random: SeededRandom): OutageSimulation {
+export function createOutageSimulation(random: SeededRandom, workerLeaseMs: number): OutageSimulation {
     const timers = createManualTimerService();
     const store = createSimulatedStore(timers, random, false);
     const violations: string[] = [];
@@ -160,6 +159,7 @@
             processStore: connectStore(nodeName),
             policy: modelPolicy,
             workerEntries: workers.filter(worker => !unregistered.has(worker)).map(entryOf),
+            workerLeaseMs,
             connectWorker: entry => connectWorker(nodeName, workers.find(worker => worker.id === entry.workerId)!),
             onUnreadable: (key, reason) => violations.push(`${key}: ${reason}`),
             onTermStarted: () => termsCount += 1,
--- a/tests/process/schedulingHandover.spec.ts
+++ b/tests/process/schedulingHandover.spec.ts
@@ -5,6 +5,7 @@
 import { createManualTimerService } from "../../src/common/timerService.js";
 import type { OwnershipTerm } from "../../src/process/schedulingOwnership.js";
 import { modelPolicy } from "../scheduling/modelJob.js";
+import { workerLeaseMs } from "../scheduling/schedulerHarness.js";
 import { type SimulatedProcess, startSimulatedProcess } from "./simulatedProcess.js";
 import { createSimulatedStore } from "./simulatedStore.js";
 
@@ -29,6 +30,7 @@
                 processStore: store.connect(() => false),
                 policy: modelPolicy,
                 workerEntries: [],
+                workerLeaseMs,
                 connectWorker: () => assert.fail("there are no workers"),
                 onUnreadable: key => assert.fail(key),
                 onTermStarted: (term: OwnershipTerm) => formerOwnersEndInMs = term.formerOwnersEndAtMs - timers.nowMs(),
--- a/tests/process/schedulingSimulation.ts
+++ b/tests/process/schedulingSimulation.ts
@@ -123,6 +123,7 @@
             processStore: store.connect(() => hasFaults),
             policy,
             workerEntries: workers.map(entryOf),
+            workerLeaseMs,
             connectWorker: entry => connectWorker(workers.find(worker => worker.id === entry.workerId)!),
             onUnreadable: (key, reason) => violations.push(`${key}: ${reason}`),
             onTermStarted: () => termsCount += 1,
--- a/tests/process/simulatedProcess.ts
+++ b/tests/process/simulatedProcess.ts
@@ -11,7 +11,7 @@
 import { createJobDirectory } from "../../src/scheduling/jobDirectory.js";
 import type { SchedulingPolicy } from "../../src/scheduling/jobTypes.js";
 import type { WorkerEntry } from "../../src/scheduling/workerRecord.js";
-import { taskStopMs, workerLeaseMs } from "../scheduling/schedulerHarness.js";
+import { taskStopMs } from "../scheduling/schedulerHarness.js";
 import type { SimulatedStore } from "./simulatedStore.js";
 
 export interface SimulatedProcess {
@@ -34,6 +34,7 @@
     policy: SchedulingPolicy;
     workerEntries: readonly WorkerEntry[];
     connectWorker: ConnectWorker;
+    workerLeaseMs: number;
     onUnreadable(key: string, reason: string): void;
     onTermStarted(term: OwnershipTerm): void;
 }
@@ -63,7 +64,7 @@
         signal,
         areWorkersCurrent: () => true,
         connectWorker: options.connectWorker,
-        workerLeaseMs,
+        workerLeaseMs: options.workerLeaseMs,
         taskStopMs,
         jobRetentionMs: 600_000,
         demand: createDemandTracker(timers.nowMs),
