--- a/tests/process/longRunningRecovery.spec.ts
+++ b/tests/process/longRunningRecovery.spec.ts
@@ -39,6 +39,9 @@
 
     it("should run again soon when an owner ends that has not noticed the loss, and its successor can know that it has ended", () =>
         checkHistories(chooseUnnoticedLoss));
+
+    it("should run again soon when the owner is lost or cut off, and its successor cannot know whether it has ended", () =>
+        checkHistories(chooseAnyFaults));
 });
 
 describe("long-running tasks", () => {
