Release a worker that the VM list did not show when its VM was released

Callers: a worker got no runs for the rest of a term although nothing was planned for its VM any more; where it was the only one of its pool, tasks waited with room for them.

Cause: a VM that is to be moved or restarted is cordoned through the worker that the VM list names for it. If the list named none when the VM was released, for example while the worker's entry had lapsed, the worker kept the mark. Class: a mark on one object that is removed by way of another.

Change: each list that shows a worker removes the marks that its VM no longer has.

--- a/src/process/vmInventory.ts
+++ b/src/process/vmInventory.ts
@@ -35,6 +35,7 @@
 export function createVmInventory(options: VmInventoryOptions): VmInventory {
     const { scheduler, timers } = options;
     const cordons = new Map<string, number>();
+    const pendingRestarts = new Set<string>();
     let vms = new Map<string, VmRecord>();
     let listedAtMs = Number.NEGATIVE_INFINITY;
     let isAvailable = true;
@@ -49,6 +50,14 @@
             worker.isCordoned = cordons.has(vmId);
         }
     };
+    /** The list may not have shown the worker of a VM when its cordon or its restart ended. */
+    const applyEnded = (vmId: string): void => {
+        const worker = workerOn(vmId);
+        if (worker) {
+            worker.isCordoned &&= cordons.has(vmId);
+            worker.isVmStopping &&= pendingRestarts.has(vmId);
+        }
+    };
 
     return {
         scheduler,
@@ -77,6 +86,7 @@
             }
             vms = new Map(listed.val.map(vm => [vm.vmId, vm]));
             listedAtMs = requestedAtMs;
+            vms.forEach((_, vmId) => applyEnded(vmId));
             return true;
         },
         cordon: vmId => {
@@ -91,6 +101,7 @@
         },
         cordonedSinceMs: vmId => cordons.get(vmId),
         setRestartPending: (vmId, isPending) => {
+            pendingRestarts[isPending ? "add" : "delete"](vmId);
             const worker = workerOn(vmId);
             if (worker) {
                 worker.isVmStopping = isPending;
