--- a/src/scheduling/unresponsiveWorkers.ts
+++ b/src/scheduling/unresponsiveWorkers.ts
@@ -29,7 +29,11 @@
 }
 
 export function decodeSnapshot(text: string): WorkerSnapshot {
-    return JSON.parse(text) as WorkerSnapshot;
+    const value = JSON.parse(text) as WorkerSnapshot;
+    if (!Number.isFinite(value.leaseLeftMs)) {
+        throw new Error(`stored snapshot does not tell how long leases last: ${text.slice(0, 80)}`);
+    }
+    return value;
 }
 
 function createSnapshot(worker: WorkerRecord, nowMs: number): WorkerSnapshot {
--- a/tests/scheduling/takeoverWaits.spec.ts
+++ b/tests/scheduling/takeoverWaits.spec.ts
@@ -3,7 +3,7 @@
 import { describe, it } from "node:test";
 import { commandOutcomes } from "../../src/scheduling/commandOutcomes.js";
 import { commandKinds } from "../../src/scheduling/schedulerState.js";
-import { snapshotStates } from "../../src/scheduling/unresponsiveWorkers.js";
+import { decodeSnapshot, encodeSnapshot, snapshotStates } from "../../src/scheduling/unresponsiveWorkers.js";
 import { endIncarnation } from "../../src/scheduling/workerLifecycle.js";
 import { createSchedulerHarness } from "./schedulerHarness.js";
 
@@ -65,6 +65,12 @@
         assert.deepEqual(harness.startedTasks(), ["job.0.0.0"]);
     });
 
+    it("should not read a snapshot that does not tell how long the leases last, so that the worker stays unknown", () => {
+        const { entry } = createSchedulerHarness({ workers: 1 }).scheduler.state.workers.get("w1")!;
+        assert.throws(() => decodeSnapshot(JSON.stringify({ entry, runs: [["job.0.0.0", 7]] })), /how long leases last/);
+        assert.equal(decodeSnapshot(encodeSnapshot({ entry, runs: [], leaseLeftMs: 0 })).leaseLeftMs, 0);
+    });
+
     it("should not extend the leases of a worker before its snapshot is removed", () => {
         const harness = createSchedulerHarness({ workers: 1 });
         const { scheduler } = harness;
