--- a/src/process/schedulingOwnership.ts
+++ b/src/process/schedulingOwnership.ts
@@ -4,11 +4,13 @@
  * owner's writes, and tells an owner that recovers from an outage whether another process has owned the scheduling meanwhile.
  */
 import { describeError } from "../common/describeError.js";
+import type { Result } from "../common/results.js";
 import { delay, type TimerService } from "../common/timerService.js";
-import type { PlatformStore } from "../connection/platformStore.js";
+import type { PlatformStore, StoreError, SwapOutcome } from "../connection/platformStore.js";
 import { jobKeys } from "../scheduling/jobDocuments.js";
 import { logEvents } from "./logEvents.js";
 import type { Logger } from "./logger.js";
+import { createOwnerDocuments, type Handover, type OwnerDocument } from "./ownerDocuments.js";
 import type { StoreMirror } from "./storeMirror.js";
 import { createUnreadableDocumentLog } from "./unreadableDocuments.js";
 
@@ -18,6 +20,8 @@
     token: number;
     /** Whether this process was also the previous owner, so that its in-memory state is still complete. */
     isContinued: boolean;
+    /** From then on, no earlier owner sends commands to workers. */
+    formerOwnersEndAtMs: number;
 }
 
 export interface SchedulingOwnership {
@@ -65,6 +69,9 @@
     /** When the last successful renewal was sent, by the monotonic clock and by the wall clock. */
     renewedAtMs: number;
     renewedWallMs: number;
+    formerOwnersEndAtMs: number;
+    /** Whether the store tells the next owner that this one is the only one that may have sent commands since. */
+    isSoleOwnerRecorded: boolean;
 }
 
 const checkIntervalMs = 60;
@@ -72,17 +79,22 @@
 const renewAfterFraction = 0.3;
 /** Processes other than the last owner wait a random time up to this before they try, so that they do not all write at once. */
 const maxStaggerMs = 80;
+const handoverRetryDelayMs = 1_000;
 
 export function createSchedulingOwnership(options: SchedulingOwnershipOptions): SchedulingOwnership {
     const { store, timers, logger, signal } = options;
+    const startedAtMs = timers.nowMs();
+    const own: OwnerDocument = { memberId: options.memberId, nodeName: options.nodeName };
+    const documents = createOwnerDocuments(own, options.mirror, createUnreadableDocumentLog(logger, timers.nowMs));
     let held: HeldLease | undefined;
     /** Revision of this process's last write of the term key. */
     let ownTermRevision = 0;
+    /** Revision of the term key that the last attempt to acquire the ownership replaces. */
+    let replacedTermRevision = 0;
     let isReleased = false;
     let vacantSinceMs: number | undefined;
     const chooseStaggerMs = (): number => options.acquireDelayMs + options.random() * maxStaggerMs;
     let staggerMs = chooseStaggerMs();
-    const reportUnreadable = createUnreadableDocumentLog(logger, timers.nowMs);
 
     /** Time since the last renewal by whichever clock shows more: on a suspended VM the monotonic clock stops, the wall clock does not. */
     const timeSinceRenewalMs = (lease: HeldLease): number =>
@@ -97,21 +109,39 @@
         }
     };
 
-    /** Revision of the owner key if a previous process of this node wrote it, which has certainly ended; otherwise 0. */
-    const staleOwnerRevision = (): number => {
-        const owner = options.mirror().valueOf(jobKeys.owner);
-        if (owner === undefined) {
-            return 0;
+    /** The mirror may show an attempt of this process to continue its term before the response to it arrives, or without one. */
+    const recognizeOwnTerm = (): void => {
+        if (replacedTermRevision === ownTermRevision && documents.isOwn(jobKeys.term)) {
+            ownTermRevision = Math.max(ownTermRevision, options.mirror().revisionOf(jobKeys.term));
         }
-        try {
-            const { memberId, nodeName } = JSON.parse(owner) as { memberId: string; nodeName: string };
-            return nodeName === options.nodeName && memberId !== options.memberId ?
-                options.mirror().revisionOf(jobKeys.owner) :
-                0;
+    };
+    /** Revision of the owner key if a previous process of this node wrote it; otherwise 0. */
+    const staleOwnerRevision = (): number => documents.isByPreviousProcess(jobKeys.owner) ? options.mirror().revisionOf(jobKeys.owner) : 0;
+
+    /** A time at which the owners up to the term of this revision had all ended; `undefined` if one may still send commands. */
+    const findFormerOwnersEndMs = (termRevision: number): number | undefined => {
+        const { token, hasEnded } = documents.readHandover();
+        if (termRevision === 0 || (token === termRevision && hasEnded === true)) {
+            return timers.nowMs();
         }
-        catch (error) {
-            reportUnreadable(jobKeys.owner, String(error));
-            return 0;
+        return token === termRevision && documents.isByPreviousProcess(jobKeys.term) ? startedAtMs : undefined;
+    };
+    const writeHandover = async (lease: HeldLease, hasEnded: boolean): Promise<Result<SwapOutcome, StoreError>> => {
+        const handover: Handover = { token: lease.token, hasEnded };
+        return store.swap([{ key: jobKeys.term, expectedRevision: lease.token }], [
+            { key: jobKeys.handover, value: JSON.stringify(handover) },
+            ...(hasEnded ? [{ key: jobKeys.owner, value: undefined }] : []),
+        ]);
+    };
+    const recordSoleOwner = async (lease: HeldLease): Promise<void> => {
+        await delay(timers, Math.max(0, lease.formerOwnersEndAtMs - timers.nowMs()), signal);
+        while (held === lease && !signal.aborted) {
+            const written = await writeHandover(lease, false);
+            if (written.ok) {
+                lease.isSoleOwnerRecorded = written.val.isSwapped;
+                return;
+            }
+            await delay(timers, handoverRetryDelayMs, signal);
         }
     };
 
@@ -119,13 +149,16 @@
         const mirror = options.mirror();
         const expectedOwnerRevision = held ? 0 : staleOwnerRevision();
         const termRevision = mirror.revisionOf(jobKeys.term);
+        const isContinued = ownTermRevision !== 0 && ownTermRevision === termRevision;
+        replacedTermRevision = termRevision;
+        const formerOwnersEndedAtMs = findFormerOwnersEndMs(termRevision);
         const sentAtMs = timers.nowMs();
         const sentWallMs = timers.wallClockMs();
         const lease = await store.grantLease(options.leaseMs / 1000);
         if (lease.err) {
             return;
         }
-        const value = JSON.stringify({ memberId: options.memberId, nodeName: options.nodeName });
+        const value = JSON.stringify(own);
         const swapped = await store.swap([
             { key: jobKeys.owner, expectedRevision: expectedOwnerRevision },
             { key: jobKeys.term, expectedRevision: termRevision },
@@ -136,12 +169,22 @@
             await store.revokeLease(lease.val);
             return;
         }
-        const isContinued = ownTermRevision !== 0 && ownTermRevision === termRevision;
         ownTermRevision = swapped.val.revision;
-        held = { token: swapped.val.revision, leaseId: lease.val, renewedAtMs: sentAtMs, renewedWallMs: sentWallMs };
-        logger.log(logEvents.schedulingOwnershipAcquired, { token: held.token, isContinued });
+        const formerOwnersEndAtMs = (isContinued ? held?.formerOwnersEndAtMs : undefined) ?? formerOwnersEndedAtMs ??
+            timers.nowMs() + options.gracePeriodMs;
+        held = {
+            token: swapped.val.revision,
+            leaseId: lease.val,
+            renewedAtMs: sentAtMs,
+            renewedWallMs: sentWallMs,
+            formerOwnersEndAtMs,
+            isSoleOwnerRecorded: false,
+        };
+        const formerOwnersEndInMs = Math.round(formerOwnersEndAtMs - timers.nowMs());
+        logger.log(logEvents.schedulingOwnershipAcquired, { token: held.token, isContinued, formerOwnersEndInMs });
+        void recordSoleOwner(held);
         try {
-            options.onAcquired({ token: held.token, isContinued });
+            options.onAcquired({ token: held.token, isContinued, formerOwnersEndAtMs });
         }
         catch (error) {
             await abandon(`the term could not be started: ${describeError(error)}`);
@@ -151,6 +194,9 @@
     const abandon = async (reason: string): Promise<void> => {
         const term = held;
         loseOwnership(reason);
+        if (term?.isSoleOwnerRecorded) {
+            await writeHandover(term, true);
+        }
         if (term) {
             await store.revokeLease(term.leaseId);
         }
@@ -195,6 +241,7 @@
     };
 
     const onStoreChanged = (): void => {
+        recognizeOwnTerm();
         const termRevision = options.mirror().revisionOf(jobKeys.term);
         if (held && termRevision > ownTermRevision) {
             loseOwnership("another process has acquired the ownership");
--- a/src/process/schedulingService.ts
+++ b/src/process/schedulingService.ts
@@ -9,6 +9,7 @@
 import { createScheduler, type Scheduler } from "../scheduling/scheduler.js";
 import { commandKinds } from "../scheduling/schedulerState.js";
 import type { WorkerSnapshot } from "../scheduling/unresponsiveWorkers.js";
+import { formerLeasesEndMs, requestedLeaseMs } from "../scheduling/workerLifecycle.js";
 import type { WorkerEntry } from "../scheduling/workerRecord.js";
 import { addStoredJob } from "./addStoredJob.js";
 import type { DemandTracker } from "./demandTracker.js";
@@ -54,10 +55,9 @@
     /** Whether the workers' entries that were passed in are recent. */
     areWorkersCurrent(): boolean;
     connectWorker: ConnectWorker;
+    /** Longest lease that a worker grants. */
     workerLeaseMs: number;
     taskStopMs: number;
-    /** Longest time for which an owner may keep sending commands after its lease has run out. */
-    ownershipGracePeriodMs: number;
     jobRetentionMs: number;
     demand: DemandTracker;
     /** Called when the scheduler of a term has been created; `signal` aborts when the term ends. */
@@ -76,12 +76,13 @@
 /** Progress is collected for this long before each write; short compared with the duration of a step. */
 const saveIntervalMs = 20;
 const cleanupIntervalMs = 5_000;
-/** Upper bound of the clock difference and delivery delay by which a worker's lease may outlast its nominal duration. */
-const leaseSlackMs = 400;
+/** A worker whose entry was deleted longer ago is not asked by a new owner what it runs. */
+const maxUnregisteredMs = 10_400;
 
 export function createSchedulingService(options: SchedulingServiceOptions): SchedulingService {
     const { store, directory, timers, logger } = options;
     const knownWorkers = createKnownWorkers(timers.nowMs);
+    const workerLeaseMs = requestedLeaseMs(options.workerLeaseMs);
     let policy: SchedulingPolicy | undefined;
     let activeTerm: ActiveTerm | undefined;
     let pendingTerm: OwnershipTerm | undefined;
@@ -163,7 +164,7 @@
     const sessions = createWorkerSessions({
         connectWorker: options.connectWorker,
         timers,
-        leaseMs: options.workerLeaseMs,
+        leaseMs: workerLeaseMs,
         maySendOrders,
         isLeaseValid: () => options.ownership().isLeaseValid(),
         onFenced: () => options.ownership().onFenced(),
@@ -210,20 +211,18 @@
         if (!pendingTerm || !policy || !options.areWorkersCurrent() || options.mirror().revision() < pendingTerm.token) {
             return;
         }
-        const { token } = pendingTerm;
+        const { token, formerOwnersEndAtMs } = pendingTerm;
         pendingTerm = undefined;
         const now = moment();
-        const unknownLeaseMs = options.ownershipGracePeriodMs + options.workerLeaseMs + leaseSlackMs;
         const hasPriorProgress = [...directory.entries.values()].some(entry => entry.progress !== undefined);
-        // Workers without an entry may still hold leases from an earlier owner.
-        const unknownForMs = hasPriorProgress ? unknownLeaseMs : 0;
+        // A worker that has not responded yet may still hold leases from an earlier owner.
+        const unknownWorkersUntilMs = hasPriorProgress ? formerLeasesEndMs(formerOwnersEndAtMs, workerLeaseMs) : now.nowMs;
         const lifetime = new AbortController();
         const scheduler = createScheduler({
             policy,
-            term: { token, startedWallMs: now.wallMs, unknownWorkersUntilMs: now.nowMs + unknownForMs },
-            workerLeaseMs: options.workerLeaseMs,
+            term: { token, startedWallMs: now.wallMs, unknownWorkersUntilMs },
+            workerLeaseMs,
             taskStopMs: options.taskStopMs,
-            unknownLeaseMs,
             onDecision: decision => {
                 // A late response may still change the state of an ended term, but what follows from that is not carried out.
                 if (!lifetime.signal.aborted) {
@@ -238,7 +237,7 @@
         // Most jobs in the store have ended; decoding them all would delay the first starts of the term.
         directory.unfinishedEntries().forEach(entry => addStoredJob(scheduler, entry, now.wallMs, logUnreadable));
         knownWorkers.registered().forEach(entry => scheduler.registerWorker(entry, now));
-        for (const entry of knownWorkers.unregistered(unknownLeaseMs)) {
+        for (const entry of knownWorkers.unregistered(maxUnregisteredMs)) {
             scheduler.registerWorker(entry, now);
             scheduler.unregisterWorker(entry.workerId);
         }
--- a/src/process/storeMirror.ts
+++ b/src/process/storeMirror.ts
@@ -1,7 +1,12 @@
 /** In-memory copy of the keys below a prefix of the store, kept up to date by one change feed. */
 import { describeError } from "../common/describeError.js";
 import type { TimerService } from "../common/timerService.js";
-import type { ChangeFeedStore, FollowOptions, StoreChange } from "../connection/platformStore.js";
+import type { ChangeFeedStore, FollowOptions, StoreChange, StoredValue } from "../connection/platformStore.js";
+
+export interface MirroredValue extends StoredValue {
+    /** When this process received the value, which is after it was written. */
+    receivedAtMs: number;
+}
 
 export interface StoreMirror {
     /** Revision up to which the mirror is complete. */
@@ -9,7 +14,7 @@
     /** Time since the mirror was last confirmed to be complete; `undefined` before the first confirmation. */
     ageMs(): number | undefined;
     /** The entries whose keys start with the prefix. */
-    values(prefix: string): { key: string; value: string; revision: number }[];
+    values(prefix: string): MirroredValue[];
     valueOf(key: string): string | undefined;
     /** 0 if the key does not exist. */
     revisionOf(key: string): number;
@@ -34,7 +39,7 @@
 
 export function createStoreMirror(options: StoreMirrorOptions): StoreMirror {
     const { store, timers } = options;
-    const entries = new Map<string, { value: string; revision: number }>();
+    const entries = new Map<string, Omit<MirroredValue, "key">>();
     let revision = 0;
     let confirmedAtMs: number | undefined;
 
@@ -50,7 +55,7 @@
             entries.delete(change.key);
         }
         else {
-            entries.set(change.key, { value: change.value, revision: change.revision });
+            entries.set(change.key, { value: change.value, revision: change.revision, receivedAtMs: timers.nowMs() });
         }
         try {
             options.onChange(change);
--- a/src/process/workerSnapshotWriter.ts
+++ b/src/process/workerSnapshotWriter.ts
@@ -77,10 +77,11 @@
     }),
     // JSON has `null` for an age that is unknown.
     runs: z.array(z.tuple([z.string(), z.number(), z.number().nullish().transform(ageMs => ageMs ?? undefined)])),
+    leaseLeftMs: z.number(),
 });
 
 /** Throws if the text is no snapshot of the worker. A part of a snapshot must not be used: a run that it lacks would count as ended. */
-function decodeSnapshot(workerId: string, text: string): WorkerSnapshot {
+export function decodeSnapshot(workerId: string, text: string): WorkerSnapshot {
     const snapshot = snapshotSchema.parse(JSON.parse(text));
     if (snapshot.entry.workerId !== workerId) {
         throw new Error(`the snapshot is of another worker: ${snapshot.entry.workerId}`);
@@ -96,13 +97,13 @@
     moment: Moment,
     onUnreadable: (key: string, reason: string) => void,
 ): void {
-    for (const { key, value } of mirror.values(jobKeys.workerSnapshotPrefix)) {
+    for (const { key, value, receivedAtMs } of mirror.values(jobKeys.workerSnapshotPrefix)) {
         if (value === emptySnapshotValue) {
             continue;
         }
         try {
             const workerId = key.slice(jobKeys.workerSnapshotPrefix.length);
-            scheduler.restoreSnapshot(decodeSnapshot(workerId, value), isRegistered(workerId), moment);
+            scheduler.restoreSnapshot(decodeSnapshot(workerId, value), isRegistered(workerId), receivedAtMs, moment);
         }
         catch (error) {
             onUnreadable(key, String(error));
--- a/src/scheduling/dispatchWaitingTasks.ts
+++ b/src/scheduling/dispatchWaitingTasks.ts
@@ -1,7 +1,8 @@
 /** Assigns waiting tasks to workers, in one pass over all pools. */
 import { orderSteps, type StepOrderInput } from "../decisions/orderSteps.js";
 import { placeTask } from "../decisions/placeTask.js";
-import { countWorkerCrashes, isFinalState, isStepReady, type JobRecord, type OccurrenceRecord, type StepRecord } from "./jobRecord.js";
+import { mayHoldGang } from "./gangRoom.js";
+import { isFinalState, isStepReady, type JobRecord, type OccurrenceRecord, type StepRecord } from "./jobRecord.js";
 import { isServing, type QueuePolicy, reservedResources, type Resources } from "./jobTypes.js";
 import { cancelStaleStarts, isFencedByNewerOwner, isHeldBack, sendPersistedStarts } from "./plannedStarts.js";
 import { type Candidate, createPoolCandidates, hasRoom, type PoolCandidates } from "./poolCandidates.js";
@@ -16,6 +17,8 @@
 interface WaitingStep extends StepOrderInput {
     job: JobRecord;
     step: StepRecord;
+    /** Whether only tasks that have been adopted may start. */
+    isHeldBack: boolean;
 }
 
 /** A pool during a pass: its workers, and the waiting steps that may fit on them. */
@@ -43,10 +46,17 @@
         worker.avoidedUntilMs <= nowMs && worker.lastResponseAtMs !== undefined && nowMs - worker.lastResponseAtMs < responseTimeoutMs;
 }
 
-function createWaitingStep(job: JobRecord, occurrence: OccurrenceRecord, step: StepRecord, queue: QueuePolicy): WaitingStep {
+function createWaitingStep(
+    job: JobRecord,
+    occurrence: OccurrenceRecord,
+    step: StepRecord,
+    queue: QueuePolicy,
+    isJobHeldBack: boolean,
+): WaitingStep {
     return {
         job,
         step,
+        isHeldBack: isJobHeldBack,
         isLongRunning: isServing(step.spec),
         workMillicoreS: job.workMillicoreS,
         isWithinShare: job.isWithinShare,
@@ -57,21 +67,27 @@
     };
 }
 
+/** Whether a task of the step waits and may start. */
+function hasStartableTask(step: StepRecord, isJobHeldBack: boolean): boolean {
+    return isJobHeldBack ? !step.spec.isGang && [...step.adopted].some(task => step.waiting.has(task)) : step.waiting.size > 0;
+}
+
 /** Adds the job's steps that wait and may fit on a worker of the pool. */
 function collectJob(state: SchedulerState, job: JobRecord, { queue, pool }: QueuePass, moment: Moment): void {
     const { candidates } = pool;
-    if (isFinalState(job.state) || isHeldBack(state, job, moment.nowMs) || (pool.hasWaiting && !candidates.mayFit(job.smallestNeed))) {
+    if (isFinalState(job.state) || (pool.hasWaiting && !candidates.mayFit(job.smallestNeed))) {
         return;
     }
+    const isJobHeldBack = isHeldBack(state, job, moment.nowMs);
     for (const occurrence of job.occurrences.values()) {
         if (occurrence.dueWallMs > moment.wallMs) {
             continue;
         }
         for (const step of occurrence.steps) {
-            if (step.waiting.size > 0 && isStepReady(occurrence, step)) {
+            if (hasStartableTask(step, isJobHeldBack) && isStepReady(occurrence, step)) {
                 pool.hasWaiting = true;
                 if (candidates.mayFit(reservedResources(step.spec))) {
-                    pool.waiting.push(createWaitingStep(job, occurrence, step, queue));
+                    pool.waiting.push(createWaitingStep(job, occurrence, step, queue, isJobHeldBack));
                 }
             }
         }
@@ -182,37 +198,6 @@
     return run;
 }
 
-/** For how many tasks of the step the candidate has room, if any of them may start there. */
-function countRoom(candidate: Candidate, { spec }: StepRecord, needed: Resources, crashesCount: number): number {
-    if (
-        !hasRoom(candidate, needed) || !mayStartBeside(candidate.suspects, crashesCount, undefined) ||
-        (spec.requiredLabel !== undefined && !candidate.worker.entry.labels.includes(spec.requiredLabel))
-    ) {
-        return 0;
-    }
-    const count = (free: number, each: number): number => each > 0 ? Math.floor(free / each) : Number.POSITIVE_INFINITY;
-    return Math.min(
-        count(candidate.freeCpuMillicores, needed.cpuMillicores),
-        count(candidate.freeMemoryMb, needed.memoryMb),
-        count(candidate.freeAccelerators, needed.accelerators),
-        spec.maxTasksPerWorker ?? Number.POSITIVE_INFINITY,
-    );
-}
-
-/** Whether the candidates have room for the whole gang, so that it is not planned in part and cancelled in each pass. */
-function mayHoldGang(candidates: readonly Candidate[], step: StepRecord): boolean {
-    const needed = reservedResources(step.spec);
-    const crashesCount = countWorkerCrashes(step, 0);
-    let missing = step.waiting.size;
-    for (const candidate of candidates) {
-        missing -= countRoom(candidate, step, needed, crashesCount);
-        if (missing <= 0) {
-            return true;
-        }
-    }
-    return false;
-}
-
 /** Plans starts for all tasks of a gang, or for none. */
 function planGang(state: SchedulerState, waiting: WaitingStep, pool: PoolCandidates, nowMs: number): boolean {
     const { step } = waiting;
@@ -247,6 +232,9 @@
     const { step } = waiting;
     let hasPlanned = false;
     for (const taskIndex of step.waiting) {
+        if (waiting.isHeldBack && !step.adopted.has(taskIndex)) {
+            continue;
+        }
         if (!planTask(state, waiting, taskIndex, pool, pool.all(), nowMs)) {
             const needed = reservedResources(step.spec);
             if (!pool.all().some(candidate => hasRoom(candidate, needed))) {
--- a/src/scheduling/plannedStarts.ts
+++ b/src/scheduling/plannedStarts.ts
@@ -11,21 +11,30 @@
 /** Whether the current owner knows which runs the worker has. */
 function isWorkerStateKnown(state: SchedulerState, workerId: string, nowMs: number): boolean {
     const worker = state.workers.get(workerId);
-    return worker ? worker.isRunStateKnown : nowMs >= state.term.unknownWorkersUntilMs;
+    return worker?.isRunStateKnown ?? (state.departedWorkerIds.has(workerId) || nowMs >= state.term.unknownWorkersUntilMs);
 }
 
-/** Whether an earlier owner may have started tasks of the job on a worker whose runs are not known yet. */
+/**
+ * Whether an earlier owner may have started tasks of the job on a worker whose runs are not known yet. Only tasks with a run that has
+ * been adopted in this term may then start.
+ */
 export function isHeldBack(state: SchedulerState, job: JobRecord, nowMs: number): boolean {
-    if (job.formerWorkerIds.size === 0) {
-        return false;
-    }
     for (const workerId of job.formerWorkerIds) {
-        if (!isWorkerStateKnown(state, workerId, nowMs)) {
-            return true;
+        if (isWorkerStateKnown(state, workerId, nowMs)) {
+            job.formerWorkerIds.delete(workerId);
+        }
+    }
+    return job.formerWorkerIds.size > 0;
+}
+
+/** Lets the progress of the jobs that list a worker be written without it, since it has left: a next owner could not reach it. */
+export function forgetWorker(state: SchedulerState, workerId: string): void {
+    for (const job of state.jobs.values()) {
+        if (job.persistedWorkerIds.has(workerId)) {
+            job.formerWorkerIds.delete(workerId);
+            markChanged(state, job);
         }
     }
-    job.formerWorkerIds.clear();
-    return false;
 }
 
 /** The worker ids to store with the next write of the job's progress. */
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -12,6 +12,7 @@
 import { possibleWorkerIds, sendPersistedStarts, settleWorkerIdsWrite } from "./plannedStarts.js";
 import { forgetSavedEnds, type Listing, type Moment, reconcileListing } from "./reconcileListing.js";
 import {
+    commandKinds,
     type Decision,
     endJob,
     releaseHeldBack,
@@ -39,8 +40,6 @@
     workerLeaseMs: number;
     /** Maximum time that a worker takes to stop a task. */
     taskStopMs: number;
-    /** How long a worker that this process has not reached yet may hold runs of an earlier owner. */
-    unknownLeaseMs: number;
     onDecision(decision: Decision): void;
 }
 
@@ -65,6 +64,7 @@
         term: options.term,
         jobs: new Map(),
         workers: new Map(),
+        departedWorkerIds: new Set(),
         teamUsed: new Map(),
         teamShareBuckets: new Map(),
         startLeaseMs: maxLeaseMs(startValidityMs),
@@ -135,7 +135,7 @@
         registerWorker: (entry: WorkerEntry, moment: Moment): void => {
             const worker = state.workers.get(entry.workerId);
             if (!worker) {
-                addWorker(state, entry, options.unknownLeaseMs, moment);
+                addWorker(state, entry, moment.wallMs);
                 return;
             }
             if (entry.bornWallMs > worker.entry.bornWallMs) {
@@ -157,11 +157,10 @@
             }
         },
         /**
-         * Whether a listing request may extend the leases of a worker. Without proof of ownership, those of a worker with a
-         * snapshot must not be extended: the next owner relies on the leases as they were when it took over.
+         * Whether a listing request may extend the leases of a worker. Those of a worker with a snapshot must not be extended: the next
+         * owner relies on the leases as they were when the snapshot was taken.
          */
-        mayExtendLeases: (workerId: string): boolean =>
-            state.isOwnershipProven || state.workers.get(workerId)?.snapshotState === snapshotStates.none,
+        mayExtendLeases: (workerId: string): boolean => state.workers.get(workerId)?.snapshotState === snapshotStates.none,
         /** A listing request that extends the leases of the worker was sent. */
         leaseExtensionSent: (workerId: string, durationMs: number, nowMs: number): void => {
             const worker = state.workers.get(workerId);
@@ -187,14 +186,16 @@
                 markUnresponsive(worker, nowMs);
             }
         },
-        /** Restores the snapshot that an earlier owner wrote of an unresponsive worker. Call it when the term begins. */
-        restoreSnapshot: (snapshot: WorkerSnapshot, isRegistered: boolean, moment: Moment): void => {
+        /**
+         * Restores the snapshot that an earlier owner wrote of an unresponsive worker, and that this process knows since `receivedAtMs`.
+         * Call it when the term begins.
+         */
+        restoreSnapshot: (snapshot: WorkerSnapshot, isRegistered: boolean, receivedAtMs: number, moment: Moment): void => {
             const { workerId, bornWallMs } = snapshot.entry;
-            const worker = state.workers.get(workerId) ?? addWorker(state, snapshot.entry, options.unknownLeaseMs, moment);
+            const worker = state.workers.get(workerId) ?? addWorker(state, snapshot.entry, moment.wallMs);
             worker.isRegistered = isRegistered;
             if (worker.entry.bornWallMs === bornWallMs) {
-                worker.leaseEndsAtMs = moment.nowMs + maxLeaseMs(options.workerLeaseMs);
-                adoptSnapshot(state, worker, snapshot, moment.nowMs);
+                adoptSnapshot(state, worker, snapshot, receivedAtMs, moment.nowMs);
             }
             else {
                 recordSnapshotCrash(state, snapshot, moment);
@@ -208,6 +209,10 @@
             const worker = state.workers.get(workerId);
             if (worker) {
                 worker.snapshotState = snapshotState;
+                if (snapshotState === snapshotStates.none) {
+                    // The leases may be extended again.
+                    state.commands.push({ kind: commandKinds.list, workerId });
+                }
             }
         },
         /** The worker's address belongs to another incarnation, so all its runs are lost. */
@@ -276,7 +281,7 @@
                 expireLeases(state, moment);
             }
             evacuateDrainingWorkers(state);
-            updateSnapshots(state);
+            updateSnapshots(state, moment.nowMs);
             dispatchWaitingTasks(state, moment);
         },
         takeCommands: (): SchedulerCommand[] => state.commands.splice(0),
--- a/src/scheduling/schedulerState.ts
+++ b/src/scheduling/schedulerState.ts
@@ -54,7 +54,7 @@
     token: number;
     startedWallMs: number;
     /**
-     * Until then, workers without an entry in the store may still run tasks of an earlier owner, so jobs that may run on such a
+     * Until then, workers that have not responded in this term may still run tasks of an earlier owner, so jobs that may run on such a
      * worker start nothing.
      */
     unknownWorkersUntilMs: number;
@@ -78,6 +78,8 @@
     term: Term;
     jobs: Map<string, JobRecord>;
     workers: Map<string, WorkerRecord>;
+    /** Workers whose records were removed: nothing that an earlier owner started runs there any more. */
+    departedWorkerIds: Set<string>;
     teamUsed: Map<string, Resources>;
     /** Token bucket of each team, by which its submissions are within its share or not. */
     teamShareBuckets: Map<string, ShareTokenBucket>;
--- a/src/scheduling/unresponsiveWorkers.ts
+++ b/src/scheduling/unresponsiveWorkers.ts
@@ -1,7 +1,7 @@
 /**
  * Stored snapshots of unresponsive workers, with the runs that may exist on them. The owner starts nothing on such a worker
- * until its snapshot is removed. The next owner therefore knows from the snapshot which tasks to wait for, and does not have to
- * hold back all others.
+ * and extends no lease on it until its snapshot is removed. The next owner therefore knows from the snapshot which tasks to wait for,
+ * and until when, and does not have to hold back all others.
  */
 import { isFinalState, type StepRecord } from "./jobRecord.js";
 import type { Moment } from "./reconcileListing.js";
@@ -15,6 +15,8 @@
     entry: WorkerEntry;
     /** Task names, run ids, and the runs' ages in milliseconds when the worker was last in touch; missing ages are unknown. */
     runs: (readonly [string, number, number?])[];
+    /** How long after the snapshot was taken the leases of the runs may last; no lease is extended until the snapshot is removed. */
+    leaseLeftMs: number;
 }
 
 export const snapshotStates = {
@@ -29,22 +31,30 @@
     return JSON.stringify(snapshot);
 }
 
-function createSnapshot(worker: WorkerRecord): WorkerSnapshot {
+function createSnapshot(worker: WorkerRecord, nowMs: number): WorkerSnapshot {
     const sent = [...worker.runs.values()].filter(run => run.phase !== runPhases.planned);
     // An end of the worker that was ordered must not count as a crash under the next owner either.
     const ageMs = (run: Run): number | undefined =>
         worker.isVmStopping ? undefined : Math.max(0, Math.round(ageAtLastContactMs(worker, run)));
-    return { entry: worker.entry, runs: sent.map(run => [run.taskName, run.runId, ageMs(run)] as const) };
+    return {
+        entry: worker.entry,
+        runs: sent.map(run => [run.taskName, run.runId, ageMs(run)] as const),
+        leaseLeftMs: Math.max(0, Math.ceil(worker.leaseEndsAtMs - nowMs)),
+    };
 }
 
 /** Requests snapshots of workers that became unresponsive, and the removal of those of workers that respond again. */
-export function updateSnapshots(state: SchedulerState): void {
+export function updateSnapshots(state: SchedulerState, nowMs: number): void {
     for (const worker of state.workers.values()) {
         const isUnresponsive = worker.unresponsiveSinceMs !== undefined;
         const needsSnapshot = isUnresponsive && worker.snapshotState === snapshotStates.none && worker.isRunStateKnown;
         if (needsSnapshot && ![...worker.runs.values()].some(run => run.phase === runPhases.starting)) {
             worker.snapshotState = snapshotStates.changing;
-            state.commands.push({ kind: commandKinds.writeSnapshot, workerId: worker.entry.workerId, snapshot: createSnapshot(worker) });
+            state.commands.push({
+                kind: commandKinds.writeSnapshot,
+                workerId: worker.entry.workerId,
+                snapshot: createSnapshot(worker, nowMs),
+            });
         }
         else if (!isUnresponsive && worker.snapshotState === snapshotStates.written) {
             worker.snapshotState = snapshotStates.changing;
@@ -78,8 +88,15 @@
     });
 }
 
-/** Treats the runs in a worker's snapshot as running until the worker responds or its lease has ended. */
-export function adoptSnapshot(state: SchedulerState, worker: WorkerRecord, snapshot: WorkerSnapshot, nowMs: number): void {
+/** Treats the runs in a worker's snapshot as running until the worker responds or their leases have ended. */
+export function adoptSnapshot(
+    state: SchedulerState,
+    worker: WorkerRecord,
+    snapshot: WorkerSnapshot,
+    receivedAtMs: number,
+    nowMs: number,
+): void {
+    worker.leaseEndsAtMs = receivedAtMs + snapshot.leaseLeftMs;
     worker.snapshotState = snapshotStates.written;
     worker.unresponsiveSinceMs = nowMs;
     worker.lastContactAtMs = nowMs;
--- a/tests/process/oddDocuments.spec.ts
+++ b/tests/process/oddDocuments.spec.ts
@@ -100,7 +100,6 @@
                     term: { token: 1, startedWallMs: nowWallMs, unknownWorkersUntilMs: 0 },
                     workerLeaseMs: 1,
                     taskStopMs: 1,
-                    unknownLeaseMs: 1,
                     onDecision: () => undefined,
                 });
                 const apply = createWorkerEntries({
--- a/tests/scheduling/countedCrashes.spec.ts
+++ b/tests/scheduling/countedCrashes.spec.ts
@@ -69,7 +69,7 @@
         const restarted = createSchedulerHarness({ workers: workersCount, token: 20 });
         restarted.submit("job", { taskCount: 1, progress });
         restarted.restartWorker(workerId);
-        restarted.scheduler.restoreSnapshot(stored, true, { nowMs: 0, wallMs: 0 });
+        restarted.scheduler.restoreSnapshot(stored, true, 0, { nowMs: 0, wallMs: 0 });
         assert.equal(countedCrashes(restarted), 1);
     });
 
--- a/tests/scheduling/schedulerHarness.ts
+++ b/tests/scheduling/schedulerHarness.ts
@@ -6,6 +6,7 @@
 import { createScheduler, type Scheduler } from "../../src/scheduling/scheduler.js";
 import { commandKinds, type Decision, type RunEnd, type SchedulerCommand } from "../../src/scheduling/schedulerState.js";
 import type { WorkerSnapshot } from "../../src/scheduling/unresponsiveWorkers.js";
+import { maxLeaseMs } from "../../src/scheduling/workerLifecycle.js";
 import type { Run, WorkerEntry } from "../../src/scheduling/workerRecord.js";
 import { defaultStep } from "./defaultStep.js";
 import { modelPolicy } from "./modelJob.js";
@@ -56,7 +57,7 @@
     /** Updates what the worker says of itself. */
     updateEntry(workerId: string, change: Partial<WorkerEntry>): void;
     /** Passes in the snapshot that an earlier owner wrote of an unresponsive worker. */
-    restoreSnapshot(workerId: string, runs: WorkerSnapshot["runs"]): void;
+    restoreSnapshot(workerId: string, runs: WorkerSnapshot["runs"], leaseLeftMs?: number): void;
     /** Names of the started tasks, in order. */
     startedTasks(): string[];
     commands(kind: "start" | "stop" | "pace"): Run[];
@@ -78,7 +79,6 @@
         term: { token, startedWallMs: 0, unknownWorkersUntilMs: 10_000 },
         workerLeaseMs,
         taskStopMs,
-        unknownLeaseMs: 10_000,
         onDecision: options.onDecision ?? (() => undefined),
     });
     const sentCommands: SchedulerCommand[] = [];
@@ -192,8 +192,13 @@
             saveAll();
             runStep();
         },
-        restoreSnapshot: (workerId, runs) =>
-            scheduler.restoreSnapshot({ entry: scheduler.state.workers.get(workerId)!.entry, runs: [...runs] }, true, now()),
+        restoreSnapshot: (workerId, runs, leaseLeftMs = maxLeaseMs(workerLeaseMs)) =>
+            scheduler.restoreSnapshot(
+                { entry: scheduler.state.workers.get(workerId)!.entry, runs: [...runs], leaseLeftMs },
+                true,
+                nowMs,
+                now(),
+            ),
         startedTasks: () => sentCommands.flatMap(command => command.kind === commandKinds.start ? [command.run.taskName] : []),
         commands: kind => sentCommands.flatMap(command => command.kind === kind && "run" in command ? [command.run] : []),
     };
--- a/tests/scheduling/schedulingModel.ts
+++ b/tests/scheduling/schedulingModel.ts
@@ -58,10 +58,11 @@
     deadlyTask?: string,
 ): SchedulingModel {
     const left = { ...limits };
+    const unknownForMs = faults.takesOverWithoutWaiting ? -1 : unknownLeaseMs;
     let nowMs = 0;
     const guarantees = createModelGuarantees(deadlyTask);
     const { doneTasks, acknowledgedDone, failedRuns, endFirstRun } = guarantees;
-    const snapshots = new Map<string, WorkerSnapshot>();
+    const snapshots = new Map<string, { snapshot: WorkerSnapshot; writtenAtMs: number }>();
     let pendingCommands: PendingCommand[] = [];
     const workers: ModelWorker[] = ["w1", "w2"].map(id =>
         createModelWorker(id, taskName => guarantees.checkStart(taskName, workers), taskName => doneTasks.add(taskName))
@@ -78,7 +79,7 @@
     /** Snapshots of unresponsive workers are written at once, and only by the current owner. */
     const changeSnapshot = (owner: ModelOwner, command: SchedulerCommand): void => {
         if (owner.token === store.highestTerm && command.kind === commandKinds.writeSnapshot) {
-            snapshots.set(command.workerId, command.snapshot);
+            snapshots.set(command.workerId, { snapshot: command.snapshot, writtenAtMs: nowMs });
             owner.scheduler.snapshotStateChanged(command.workerId, snapshotStates.written);
         }
         else if (owner.token === store.highestTerm && command.kind === commandKinds.removeSnapshot) {
@@ -113,24 +114,24 @@
         store.highestTerm = token;
         const scheduler = createScheduler({
             policy: modelPolicy,
-            term: { token, startedWallMs: nowMs, unknownWorkersUntilMs: nowMs + unknownLeaseMs },
+            term: { token, startedWallMs: nowMs, unknownWorkersUntilMs: nowMs + unknownForMs },
             workerLeaseMs,
             taskStopMs: tickMs,
-            unknownLeaseMs: faults.takesOverWithoutWaiting ? -1 : unknownLeaseMs,
             onDecision: () => undefined,
         });
         const stored = injectIntoProgress(faults, store.progress());
         scheduler.addJob(encodeSubmission(modelSubmission), stored && encodeProgress(stored), false, nowMs);
         registerWorkers(scheduler, workers.filter(({ leftAtMs }) => nowMs - (leftAtMs ?? nowMs) < unknownLeaseMs), moment());
-        snapshots.forEach(each => scheduler.restoreSnapshot(each, workerOf(each.entry.workerId).leftAtMs === undefined, moment()));
+        snapshots.forEach(({ snapshot, writtenAtMs }, workerId) =>
+            scheduler.restoreSnapshot(snapshot, workerOf(workerId).leftAtMs === undefined, writtenAtMs, moment())
+        );
         scheduler.restoreSuspectStarts(moment());
         owners.push({ token, scheduler, isProven: true, startedAtMs: nowMs, lostAtMs: undefined, partitionedFrom: new Set() });
     };
 
     const execute = (pending: PendingCommand): boolean => {
         const worker = workerOf(pending.command.run.workerId);
-        const { taskName, runId } = pending.command.run;
-        const { token } = pending;
+        const { token, command: { run: { taskName, runId } } } = pending;
         if (pending.command.kind === commandKinds.stop) {
             return worker.stop({ taskName, runId, token });
         }
