--- a/src/scheduling/dispatchWaitingTasks.ts
+++ b/src/scheduling/dispatchWaitingTasks.ts
@@ -2,7 +2,7 @@
 import { orderSteps, type StepOrderInput } from "../decisions/orderSteps.js";
 import { placeTask } from "../decisions/placeTask.js";
 import { mayHoldGang } from "./gangRoom.js";
-import { isFinalState, isStepReady, type JobRecord, type OccurrenceRecord, type StepRecord } from "./jobRecord.js";
+import { countWorkerCrashes, isFinalState, isStepReady, type JobRecord, type OccurrenceRecord, type StepRecord } from "./jobRecord.js";
 import { isServing, type QueuePolicy, reservedResources, type Resources } from "./jobTypes.js";
 import { cancelStaleStarts, isFencedByNewerOwner, isHeldBack, sendPersistedStarts } from "./plannedStarts.js";
 import { type Candidate, createPoolCandidates, hasRoom, type PoolCandidates } from "./poolCandidates.js";
--- a/tests/platform/slowLinks.spec.ts
+++ b/tests/platform/slowLinks.spec.ts
@@ -15,6 +15,19 @@
     });
     after(() => fixture.close());
 
+    // Guards against a write whose outcome is unknown because its rejection, with the newer configuration, outlasts the timeout.
+    it("should receive a large value that rejects a write", async context => {
+        const { store, put, standIn: { faults } } = fixture;
+        context.after(() => {
+            faults.bytesPerS = Number.POSITIVE_INFINITY;
+        });
+        await put("g/large", "x".repeat(2 * largeValueBytes));
+        faults.bytesPerS = 1.5 * largeValueBytes;
+        const swapped = await store.swap([{ key: "g/large", expectedRevision: 1 }], [{ key: "g/guarded", value: "" }]);
+        assert.equal(swapped.ok && swapped.val.isSwapped, false);
+        assert.equal(swapped.unwrap().current[0]?.value.length, 2 * largeValueBytes);
+    });
+
     // Guards against a watch whose response takes longer than its timeout, and which is therefore repeated without end.
     it("should catch up over a slow link with a large value that keeps changing", async context => {
         const { store, put, openMirror, standIn: { faults } } = fixture;
--- a/tests/platform/storeRelay.spec.ts
+++ b/tests/platform/storeRelay.spec.ts
@@ -207,7 +207,15 @@
         }
         others = [{ ...served, name: "behind a slow link", address: slowLink.address }];
         await refuse();
-        assert.deepEqual((await store.readPrefix("slow/")).unwrap().map(({ value }) => value), values);
+        const [read, beside, written] = await Promise.all([
+            store.readPrefix("slow/"),
+            store.read("slow/0"),
+            store.swap([], [{ key: "relayed/beside-slow", value: "x" }]),
+        ]);
+        assert.deepEqual(read.unwrap().map(({ value }) => value), values);
+        // These wait behind the transfer.
+        assert.equal(beside.unwrap()?.value, values[0]);
+        assert.ok(written.unwrap().isSwapped);
     });
 
     it("should go on with other calls when a response is too large to be passed on", async () => {
