Keep the timeout of a transfer in one place, and read what has arrived before a link is closed

The check whether a response keeps arriving was written twice. The one of the links lacked what the one of the HTTP client has: a late process runs its timers before it reads its sockets, so that it closed a link, and failed all calls on it, although the answers had arrived (found by the review).

The tests of responses received in part move to those of slow responses, with the same assertion. Comments that a newcomer stumbled over.

--- a/src/connection/callRelay.ts
+++ b/src/connection/callRelay.ts
@@ -1,6 +1,7 @@
 /** Makes calls for other processes, which the service refuses, and asks other processes to make calls for this one. */
 import { WebSocket, WebSocketServer } from "ws";
 import type { TimerService } from "../common/timerService.js";
+import { startTransferTimeout } from "../common/transferTimeout.js";
 import { decodeRelayRequest, decodeRelayResponse, encodeRelayMessage, maximumRelayFrameBytes } from "./callRelayMessages.js";
 import { type CallService, type JsonRequest, type JsonRequestResult, neverSent, responseLost } from "./serviceCalls.js";
 
@@ -102,8 +103,6 @@
 const connectTimeoutMs = 400;
 /** Time beyond the call's own timeout after which the other process is taken not to answer any more. */
 const answerMarginMs = 100;
-/** While a response arrives beyond its timeout, its progress is checked at this interval. */
-const transferCheckMs = 500;
 
 interface PendingCall {
     isSent: boolean;
@@ -147,24 +146,6 @@
         call?.settle(decoded.val.result);
     });
 
-    /** Closes the link after `timeoutMs`, or up to `transferTimeoutMs` later if something keeps arriving. Returns a function that cancels this. */
-    const closeUnlessArriving = (timeoutMs: number, transferTimeoutMs: number): () => void => {
-        let checkedBytes = receivedBytes();
-        let remainingTransferMs = transferTimeoutMs;
-        const check = (): void => {
-            if (receivedBytes() <= checkedBytes || remainingTransferMs <= 0) {
-                close(`${address} did not answer a call`);
-                return;
-            }
-            checkedBytes = receivedBytes();
-            const untilCheckMs = Math.min(transferCheckMs, remainingTransferMs);
-            remainingTransferMs -= untilCheckMs;
-            cancelCheck = timers.after(untilCheckMs, check);
-        };
-        let cancelCheck = timers.after(timeoutMs, check);
-        return () => cancelCheck();
-    };
-
     return {
         call: ({ method, path, body, timeoutMs, transferTimeoutMs, mayStillSend }) =>
             new Promise(resolve => {
@@ -173,7 +154,13 @@
                     return;
                 }
                 const callId = nextCallId++;
-                const cancelTimeout = closeUnlessArriving(timeoutMs + answerMarginMs, transferTimeoutMs ?? 0);
+                const cancelTimeout = startTransferTimeout({
+                    timeoutMs: timeoutMs + answerMarginMs,
+                    transferTimeoutMs: transferTimeoutMs ?? 0,
+                    receivedBytes: () => receivedBytes(),
+                    after: timers.after,
+                    onTimeout: () => close(`${address} did not answer a call`),
+                });
                 const call: PendingCall = {
                     isSent: false,
                     settle: result => {
--- a/src/scheduling/plannedStarts.ts
+++ b/src/scheduling/plannedStarts.ts
@@ -138,8 +138,8 @@
 }
 
 /**
- * Cancels the planned starts on workers that can no longer run them or have no room left, and those of gangs that have lost a task; all of them while
- * the store takes no writes.
+ * Cancels the planned starts on workers that can no longer run them or have no room left, and those of gangs that have lost a
+ * task; all of them while the store takes no writes.
  */
 export function cancelStaleStarts(state: SchedulerState, isSchedulable: (worker: WorkerRecord) => boolean): void {
     for (const run of [...state.plannedRuns]) {
--- a/src/scheduling/reconcileListing.ts
+++ b/src/scheduling/reconcileListing.ts
@@ -118,7 +118,7 @@
     }
 }
 
-/** Needs of a run whose job is over. */
+/** Needs of a run whose job is over. Nothing tells its size, so the worker has no room until it has ended. */
 const unknownNeeds: RunNeeds = {
     isServing: false,
     isFiller: false,
--- a/tests/platform/slowResponses.spec.ts
+++ b/tests/platform/slowResponses.spec.ts
@@ -4,7 +4,7 @@
 import { createJsonHttpClient } from "../../platform/jsonHttpClient.js";
 import { createTimerService } from "../../src/common/timerService.js";
 import type { JsonRequestResult } from "../../src/connection/serviceCalls.js";
-import { type RawServer, startRawServer } from "./rawServer.js";
+import { jsonResponse, type RawServer, startRawServer } from "./rawServer.js";
 
 const timers = createTimerService();
 const timeoutMs = 100;
@@ -62,6 +62,17 @@
         assertTimedOut((await call(2 * timeoutMs)).result);
     });
 
+    for (const [name, partTimeoutMs, isCut] of [["the timeout", timeoutMs, false], ["the connection is cut", 5_000, true]] as const) {
+        it(`should be reported with the size of the part that arrived before ${name}`, async () => {
+            const partial = jsonResponse('{"key":"value"}').slice(0, -4);
+            server.respond = socket => isCut ? socket.end(partial) : socket.write(partial);
+            const client = createJsonHttpClient(server.address, 1);
+            const result = await client.call({ method: "GET", path: "/", timeoutMs: partTimeoutMs });
+            client.close();
+            assert.equal(!result.hasResponse && result.failure.receivedBytes, 11);
+        });
+    }
+
     it("should time out at once when nothing arrives", async () => {
         server.respond = () => undefined;
         const { result, tookMs } = await call(ampleTransferMs);
