Write log batches that a pipe takes as a whole

What operators saw: at the owner of the scheduling, lines of decisions, of orders for VMs and of its load were missing from the output in the seconds under load, and some ended in the middle of another line. Cause: a batch held up to 64 KB. What reads the pipe takes about 8 KB of one write; the rest of the batch was lost. Change: a batch ends before PIPE_BUF bytes.

--- a/src/process/logger.ts
+++ b/src/process/logger.ts
@@ -24,12 +24,14 @@
 }
 
 const flushIntervalMs = 50;
-const maximumBatchChars = 64 * 1024;
+/** A pipe takes a write of up to PIPE_BUF bytes as a whole; a longer one may be interleaved or cut by what reads the pipe. */
+const maximumBatchBytes = 4_096;
 const tslogLevelIds: Record<LogLevel, number> = { debug: 2, info: 3, warn: 4, error: 5 };
 
 /** Creates the logger of a process; it flushes when the signal aborts. */
 export function createLogger(options: LoggerOptions): Logger {
     let batch = "";
+    let batchBytes = 0;
     let cancelFlush: (() => void) | undefined;
     const flush = (): void => {
         cancelFlush?.();
@@ -37,14 +39,18 @@
         if (batch !== "") {
             options.write(batch);
             batch = "";
+            batchBytes = 0;
         }
     };
     const append = (line: unknown): void => {
-        batch += `${JSON.stringify(line)}\n`;
-        cancelFlush ??= options.timers.after(flushIntervalMs, flush);
-        if (batch.length > maximumBatchChars) {
+        const text = `${JSON.stringify(line)}\n`;
+        const textBytes = Buffer.byteLength(text);
+        if (batchBytes + textBytes > maximumBatchBytes) {
             flush();
         }
+        batch += text;
+        batchBytes += textBytes;
+        cancelFlush ??= options.timers.after(flushIntervalMs, flush);
     };
     // The library's cloning, masking and call-site lookup cost more than serving a request. They are bypassed because
     // the fields are flat and contain no secrets.
