Log the demand of each pool, and the VMs that are not counted

The reason of a move names only how many VMs a pool lacks. When a pool lacks VMs for seconds, the lines did not tell whether others were thought to need theirs, had no empty ones, or did not respond. Event 6108, once a second, shows what moves are planned from.

--- a/src/decisions/planMoves.ts
+++ b/src/decisions/planMoves.ts
@@ -89,15 +89,24 @@
     return Math.ceil((shortTaskCpu + pool.servingCpuMillicores) / (pool.vmCpuMillicores * usableFraction));
 }
 
+function isActive(pool: PoolDemand): boolean {
+    return !pool.isStandby && pool.vmCpuMillicores > 0;
+}
+
+/** Returns the number of VMs that each pool needs now, without standby pools. */
+export function requiredVmCounts(pools: readonly PoolDemand[]): Map<string, number> {
+    const active = pools.filter(isActive);
+    const otherPeakCpu = (pool: PoolDemand): number =>
+        Math.max(0, ...active.filter(each => each !== pool).map(each => each.peakCpuMillicores));
+    return new Map(active.map(pool => [pool.poolName, requiredVmCount(pool, otherPeakCpu(pool))]));
+}
+
 /** Plans the moves of empty VMs; each VM moves at most once. */
 export function planMoves(input: MovePlanInput): VmMove[] {
     const standby = input.pools.find(pool => pool.isStandby);
-    const active = input.pools.filter(pool => !pool.isStandby && pool.vmCpuMillicores > 0);
-    const otherPeakCpu = (pool: PoolDemand): number =>
-        Math.max(0, ...active.filter(each => each !== pool).map(each => each.peakCpuMillicores));
-    const surplus = new Map(
-        active.map(pool => [pool.poolName, pool.vmCount + pool.incomingCount - requiredVmCount(pool, otherPeakCpu(pool))]),
-    );
+    const active = input.pools.filter(isActive);
+    const required = requiredVmCounts(active);
+    const surplus = new Map(active.map(pool => [pool.poolName, pool.vmCount + pool.incomingCount - required.get(pool.poolName)!]));
     const moves: VmMove[] = [];
     const moved = new Set<string>();
 
--- a/src/process/logEvents.ts
+++ b/src/process/logEvents.ts
@@ -82,6 +82,11 @@
         logLevels.info,
         "Load of the process that owns the scheduling since the previous summary, and what waits and runs in each pool.",
     ),
+    poolDemandSummarized: defineEvent(
+        6108,
+        logLevels.info,
+        "How many VMs each pool needs and has, from what demand, and which VMs cannot be moved now, as the owner of the scheduling sees it.",
+    ),
     jobAccepted: defineEvent(
         2101,
         logLevels.info,
--- a/src/process/poolRebalancer.ts
+++ b/src/process/poolRebalancer.ts
@@ -8,6 +8,7 @@
 import type { DemandTracker } from "./demandTracker.js";
 import { logEvents } from "./logEvents.js";
 import type { Logger } from "./logger.js";
+import { createPoolDemandLog, type VmExclusion, vmExclusions } from "./poolDemandLog.js";
 import type { VmInventory } from "./vmInventory.js";
 import { createWaitingTrend } from "./waitingTrend.js";
 
@@ -56,6 +57,7 @@
     const refusedUntilMs = new Map<string, number>();
     const emptySinceMs = new Map<string, number>();
     const trend = createWaitingTrend();
+    const demandLog = createPoolDemandLog(options.logger);
 
     const waitingCpuByPool = (): Map<string, number> => {
         const waiting = new Map<string, number>();
@@ -107,7 +109,7 @@
         return new Set(workers.map(worker => worker.entry.zone).filter(zone => !responsiveZones.has(zone)));
     };
 
-    const describePools = (): { pools: PoolDemand[]; emptyVms: EmptyVm[] } => {
+    const describePools = (): { pools: PoolDemand[]; emptyVms: EmptyVm[]; excludedCounts: Map<VmExclusion, number> } => {
         const waiting = waitingCpuByPool();
         const nowMs = timers.nowMs();
         const unresponsiveZones = findUnresponsiveZones();
@@ -115,6 +117,8 @@
         /** VMs available in each pool, counted by the part of their capacity that their workers offer. */
         const usableVms = new Map<string, number>();
         const emptyVms: EmptyVm[] = [];
+        const excludedCounts = new Map<VmExclusion, number>();
+        const exclude = (reason: VmExclusion): void => void excludedCounts.set(reason, (excludedCounts.get(reason) ?? 0) + 1);
         for (const policy of state.policy.pools.values()) {
             pools.set(policy.name, {
                 poolName: policy.name,
@@ -132,11 +136,24 @@
         const describeVm = (vm: VmRecord): void => {
             const pool = pools.get(vm.poolName);
             const worker = inventory.workerOn(vm.vmId);
-            if (!pool || pendingMoves.has(vm.vmId) || vm.state !== vmStates.up || (!pool.isStandby && !worker)) {
+            if (!pool) {
+                return;
+            }
+            if (pendingMoves.has(vm.vmId)) {
+                exclude(vmExclusions.moving);
+                return;
+            }
+            if (vm.state !== vmStates.up) {
+                exclude(vmExclusions.notUp);
+                return;
+            }
+            if (!pool.isStandby && !worker) {
+                exclude(vmExclusions.withoutWorker);
                 return;
             }
             pool.vmCpuMillicores = Math.max(pool.vmCpuMillicores, vm.capacity.cpuMillicores);
             if (worker?.unresponsiveSinceMs !== undefined || unresponsiveZones.has(vm.zone)) {
+                exclude(vmExclusions.unresponsive);
                 return;
             }
             for (const run of worker?.runs.values() ?? []) {
@@ -144,6 +161,7 @@
             }
             // A wave drains or restarts a cordoned VM.
             if (inventory.cordonedSinceMs(vm.vmId) !== undefined || worker?.isCordoned || worker?.entry.isDraining) {
+                exclude(vmExclusions.draining);
                 return;
             }
             usableVms.set(pool.poolName, (usableVms.get(pool.poolName) ?? 0) + usablePart(vm, worker));
@@ -163,7 +181,7 @@
         pools.forEach(pool => pool.vmCount = Math.floor(usableVms.get(pool.poolName) ?? 0));
         const largestVmCpuMillicores = Math.max(0, ...[...pools.values()].map(pool => pool.vmCpuMillicores));
         pools.forEach(pool => pool.vmCpuMillicores ||= largestVmCpuMillicores);
-        return { pools: [...pools.values()], emptyVms };
+        return { pools: [...pools.values()], emptyVms, excludedCounts };
     };
 
     const handleMoveOutcome = (move: VmMove, pending: PendingMove, outcome: VmOrderOutcome, token: number): void => {
@@ -205,12 +223,14 @@
     return {
         advance: async () => {
             updatePendingMoves();
-            const { pools, emptyVms } = describePools();
+            const { pools, emptyVms, excludedCounts } = describePools();
+            const input = { nowMs: timers.nowMs(), pools, emptyVms };
+            demandLog.record(input, excludedCounts);
             const token = options.orderToken();
             if (token === undefined) {
                 return false;
             }
-            const moves = planMoves({ nowMs: timers.nowMs(), pools, emptyVms });
+            const moves = planMoves(input);
             await Promise.all(moves.map(move => executeMove(move, token)));
             return moves.length > 0;
         },
--- a/tests/process/poolRebalancer.spec.ts
+++ b/tests/process/poolRebalancer.spec.ts
@@ -5,14 +5,19 @@
 import type { TimerService } from "../../src/common/timerService.js";
 import { vmOrderOutcomes, type VmRecord, type VmService } from "../../src/connection/vmService.js";
 import { createDemandTracker } from "../../src/process/demandTracker.js";
-import { createSilentLogger } from "../../src/process/logger.js";
+import { logEvents } from "../../src/process/logEvents.js";
+import { createSilentLogger, type LogFields, type Logger } from "../../src/process/logger.js";
 import { createPoolRebalancer } from "../../src/process/poolRebalancer.js";
 import { createVmInventory } from "../../src/process/vmInventory.js";
 import { createSchedulerHarness, type SchedulerHarness } from "../scheduling/schedulerHarness.js";
 import { describeVm } from "./describeVm.js";
 
 /** The moves that are requested for a pool of 16 cores a VM, beside a standby pool. */
-async function requestedMoves(harness: SchedulerHarness, vms: readonly VmRecord[]): Promise<string[]> {
+async function requestedMoves(
+    harness: SchedulerHarness,
+    vms: readonly VmRecord[],
+    logger: Logger = createSilentLogger(),
+): Promise<string[]> {
     const { state } = harness.scheduler;
     state.policy = { ...state.policy, pools: new Map([...state.policy.pools, ["idle", { name: "idle", isStandby: true }]]) };
     const orders: string[] = [];
@@ -22,7 +27,6 @@
         restart: () => Promise.reject(new Error("unexpected restart")),
     };
     const timers = { nowMs: harness.nowMs, wallClockMs: harness.nowMs } as TimerService;
-    const logger = createSilentLogger();
     const inventory = createVmInventory({ scheduler: harness.scheduler, vmService, timers, logger });
     await inventory.refresh();
     const rebalancer = createPoolRebalancer({
@@ -59,6 +63,29 @@
         assert.deepEqual(orders, ["idle2 to pool"]);
     });
 
+    it("should log how many VMs a pool needs and has, and why others are not counted", async () => {
+        const harness = createSchedulerHarness({ workers: 2 });
+        harness.list("w2", { sentAtMs: 0 });
+        harness.scheduler.workerUnresponsive("w1", 0);
+        harness.submit("job", { taskCount: 24 });
+        const logged: LogFields[] = [];
+        const log: Logger["log"] = (event, fields) => void (event === logEvents.poolDemandSummarized && logged.push(fields!));
+        const vms = [
+            describeVm({ vmId: "vm1", workerId: "w1" }),
+            describeVm({ vmId: "vm2", workerId: "w2" }),
+            describeVm({ vmId: "vm3" }),
+            describeVm({ vmId: "idle1", poolName: "idle" }),
+        ];
+        await requestedMoves(harness, vms, { ...createSilentLogger(), log });
+        assert.deepEqual(logged, [{
+            pools: [
+                "pool: needs 2 VMs, has 1 (0 empty) and 0 coming; cores: 16 busy, 0 serving, 8 waiting, 0/s growth, 0 arriving, 0 peak",
+                "idle: standby, 1 available",
+            ],
+            excludedVms: ["unresponsive: 1", "withoutWorker: 1"],
+        }]);
+    });
+
     it("should count VMs by the capacity that their workers offer, which may have shrunk", async () => {
         const harness = createSchedulerHarness({ workers: 2 });
         ["w1", "w2"].forEach(workerId => harness.list(workerId, { sentAtMs: 0 }));
