--- a/bench/schedulingPass.ts
+++ b/bench/schedulingPass.ts
@@ -5,6 +5,7 @@
  * Usage: `node dist/bench/schedulingPass.js [seconds] [scale]`.
  */
 import { createHash } from "node:crypto";
+import { createSchedulingLoad, createSimulatedWorker, createVirtualTime, type SimulatedWorker } from "../harness/schedulingLoad.js";
 import { createManualTimerService } from "../src/common/timerService.js";
 import { logEvents } from "../src/process/logEvents.js";
 import { createLogger } from "../src/process/logger.js";
@@ -16,7 +17,6 @@
 import { createScheduler } from "../src/scheduling/scheduler.js";
 import { commandKinds, type SchedulerCommand } from "../src/scheduling/schedulerState.js";
 import type { Run } from "../src/scheduling/workerRecord.js";
-import { createSchedulingLoad, createSimulatedWorker, createVirtualTime, type SimulatedWorker } from "./schedulingLoad.js";
 
 const seed = 20261204;
 const runS = Number(process.argv[2] ?? 36);
--- a/bench/schedulingLoad.ts
+++ b/harness/schedulingLoad.ts
@@ -2,11 +2,11 @@
  * A seeded load for the scheduler: queues that surge one after the other to five times their mean, more than their pools hold,
  * beside long-running tasks, on simulated workers that answer in virtual time.
  */
-import { createSeededRandom, type SeededRandom } from "../harness/random.js";
 import type { JobSubmission, QueuePolicy, SchedulingPolicy, StepSpec, TeamPolicy } from "../src/scheduling/jobTypes.js";
 import type { ListedEnd, ListedRun, Listing } from "../src/scheduling/reconcileListing.js";
 import { type RunEnd, runEnds } from "../src/scheduling/schedulerState.js";
 import type { WorkerEntry } from "../src/scheduling/workerRecord.js";
+import { createSeededRandom, type SeededRandom } from "./random.js";
 
 /** Runs callbacks in virtual time, in steps of whole milliseconds. */
 export interface VirtualTime {
@@ -119,8 +119,42 @@
     );
 }
 
+/** A time in which one team submits many times its usual load, on top of the surges. */
+export interface HotTeam {
+    fromMs: number;
+    untilMs: number;
+    /** Jobs of the team, as a multiple of all that arrives otherwise. */
+    loadFactor: number;
+}
+
+const hotTeamName = "team-0";
+
+/** Load of a queue as a multiple of its mean; `queueIndex` is its place in the order in which the queues surge. */
+export type LoadShape = (queueIndex: number, nowMs: number) => number;
+
+/** Each surge begins and ends at once, when that of another queue ends and begins. */
+export const abruptSurges: LoadShape = (queueIndex, nowMs) =>
+    Math.floor(nowMs / 1000 / surgeS) % queueLoads.length === queueIndex ? surgeFactor : lullFactor;
+
+/** Each surge rises and falls over twice the time, so that those of two queues overlap. */
+export const smoothSurges: LoadShape = (queueIndex, nowMs) => {
+    const cycleS = queueLoads.length * surgeS;
+    const sincePeakS = (nowMs / 1000 - (queueIndex + 0.5) * surgeS + 1.5 * cycleS) % cycleS - cycleS / 2;
+    return Math.abs(sincePeakS) >= surgeS ?
+        lullFactor :
+        lullFactor + (surgeFactor - lullFactor) * Math.cos(Math.PI * sincePeakS / surgeS / 2) ** 2;
+};
+
+export interface SchedulingLoadOptions {
+    shape?: LoadShape;
+    hotTeams?: readonly HotTeam[];
+    /** Tasks of each long-running job, each on a worker of its own. */
+    longRunningTasksCount?: number;
+}
+
 /** Creates the load; `scale` multiplies the workers and the arrival rates. */
-export function createSchedulingLoad(seed: number, scale: number): SchedulingLoad {
+export function createSchedulingLoad(seed: number, scale: number, options: SchedulingLoadOptions = {}): SchedulingLoad {
+    const { shape = abruptSurges, hotTeams = [], longRunningTasksCount = tasksPerLongRunningStep } = options;
     const random = createSeededRandom(seed);
     // A stream of its own, so that the same jobs arrive whatever is decided.
     const workRandom = createSeededRandom(seed + 1);
@@ -171,7 +205,7 @@
         submission(
             load.name,
             [step({
-                taskCount: tasksPerLongRunningStep,
+                taskCount: longRunningTasksCount,
                 request: { cpuMillicores: around(2_000), memoryMb: around(8_000), accelerators: 0 },
                 isLongRunning: true,
                 maxTasksPerWorker: 1,
@@ -180,7 +214,6 @@
             })],
             0,
         );
-    const surging = (nowMs: number): QueueLoad => queueLoads[Math.floor(nowMs / 1000 / surgeS) % queueLoads.length]!;
 
     return {
         policy: createPolicy(scale),
@@ -188,11 +221,16 @@
         longRunningJobs: queueLoads.flatMap(load =>
             Array.from({ length: Math.round(load.longRunningJobsCount * scale) }, () => longRunningJob(load))
         ),
-        arrivals: nowMs =>
-            queueLoads.flatMap(load => {
-                const perMs = load.jobsPerS * scale * (load === surging(nowMs) ? surgeFactor : lullFactor) / 1000;
-                return random.unit() < perMs ? [shortJob(load, nowMs)] : [];
-            }),
+        arrivals: nowMs => {
+            const hot = hotTeams.find(each => nowMs >= each.fromMs && nowMs < each.untilMs);
+            return queueLoads.flatMap((load, index) => {
+                const perMs = load.jobsPerS * scale * shape(index, nowMs) / 1000;
+                const jobs = random.unit() < perMs ? [shortJob(load, nowMs)] : [];
+                return hot && random.unit() < perMs * hot.loadFactor ?
+                    [...jobs, { ...shortJob(load, nowMs), teamName: hotTeamName }] :
+                    jobs;
+            });
+        },
         drawTaskMs: ({ queueName }, stepIndex) =>
             around(queueLoads.find(load => load.name === queueName)!.taskMs, workRandom) * (stepIndex === 0 ? 1 : 1.1),
         workRandom,
