Give VMs to work that can be in time before work that is overdue

Cause: a pool counted all that waited and ran as its need, also what was too late to be of use. After an overload it 'needed' more VMs than there are, kept all that it had and took those of standby, while the next queue's surge had the few VMs of a lull. When that backlog was done, the next queue's jobs were too late as well, and so on from surge to surge. Class: a backlog that outlives the overload and holds what would end it. Change: needs are counted apart for work in time and for all work. VMs, also of standby, go to work in time first; pools whose surplus VMs still run overdue tasks have as many of them drained as are lacking elsewhere, and each moves as soon as it is empty. What is left over serves overdue work as before.

--- a/src/decisions/planMoves.ts
+++ b/src/decisions/planMoves.ts
@@ -19,10 +19,12 @@
     incomingCount: number;
     /** CPU capacity of one VM. */
     vmCpuMillicores: number;
-    /** CPU reserved by running short tasks. */
+    /** CPU reserved by running short tasks of jobs that can be in time. */
     busyCpuMillicores: number;
-    /** CPU requested by waiting tasks. */
+    /** CPU requested by waiting tasks of jobs that can be in time. */
     waitingCpuMillicores: number;
+    /** CPU reserved or requested by short tasks of jobs that cannot be in time any more. */
+    overdueCpuMillicores: number;
     /** Growth of that over the last second, in millicores per second; 0 if it falls. */
     waitingGrowthMillicoresPerS: number;
     /** Work that arrived recently, in millicore-seconds per second. */
@@ -40,12 +42,30 @@
     emptySinceMs: number;
     /** CPU capacity of the VM; VMs of the same kind are interchangeable. */
     vmCpuMillicores: number;
+    /** Whether it was drained to be moved, and gets no new tasks. */
+    isDraining: boolean;
+}
+
+/** A VM with running short tasks only, which is empty once these have ended if it gets no others. */
+export interface DrainableVm {
+    vmId: string;
+    poolName: string;
+    busyCpuMillicores: number;
+    /** Whether it is drained already, so that it can be moved. */
+    isDraining: boolean;
 }
 
 export interface MovePlanInput {
     nowMs: number;
     pools: readonly PoolDemand[];
     emptyVms: readonly EmptyVm[];
+    drainableVms: readonly DrainableVm[];
+}
+
+export interface MovePlan {
+    moves: VmMove[];
+    /** VMs that get no new tasks, so that they can be moved soon; all others do. */
+    drainedVmIds: string[];
 }
 
 export interface VmMove {
@@ -79,7 +99,10 @@
     return isFirstSurge ? otherPeakCpuMillicores : pool.peakCpuMillicores;
 }
 
-/** Returns the number of VMs that the pool needs now; `otherPeakCpuMillicores` is the highest peak of the other pools. */
+/**
+ * Returns the number of VMs that the pool needs now for work that can be in time; `otherPeakCpuMillicores` is the highest peak of the
+ * other pools.
+ */
 export function requiredVmCount(pool: PoolDemand, otherPeakCpuMillicores = 0): number {
     const peakCpu = expectedPeakCpu(pool, otherPeakCpuMillicores);
     const isSurging = pool.arrivingCpuMillicores > surgeThresholdFraction * peakCpu;
@@ -89,63 +112,128 @@
     return Math.ceil((shortTaskCpu + pool.servingCpuMillicores) / (pool.vmCpuMillicores * usableFraction));
 }
 
+/** VMs that a pool needs. */
+export interface RequiredVms {
+    /** For work that can be in time. */
+    inTimeCount: number;
+    /** For all work. */
+    totalCount: number;
+}
+
 function isActive(pool: PoolDemand): boolean {
     return !pool.isStandby && pool.vmCpuMillicores > 0;
 }
 
 /** Returns the number of VMs that each pool needs now, without standby pools. */
-export function requiredVmCounts(pools: readonly PoolDemand[]): Map<string, number> {
+export function requiredVmCounts(pools: readonly PoolDemand[]): Map<string, RequiredVms> {
     const active = pools.filter(isActive);
     const otherPeakCpu = (pool: PoolDemand): number =>
         Math.max(0, ...active.filter(each => each !== pool).map(each => each.peakCpuMillicores));
-    return new Map(active.map(pool => [pool.poolName, requiredVmCount(pool, otherPeakCpu(pool))]));
+    return new Map(active.map(pool => {
+        const inTimeCount = requiredVmCount(pool, otherPeakCpu(pool));
+        const overdueCount = Math.ceil(pool.overdueCpuMillicores / (pool.vmCpuMillicores * usableFraction));
+        return [pool.poolName, { inTimeCount, totalCount: inTimeCount + overdueCount }];
+    }));
+}
+
+/** Sums of VMs by pool. */
+type VmCounts = Map<string, number>;
+
+function addTo(counts: VmCounts, poolName: string, count: number): void {
+    counts.set(poolName, (counts.get(poolName) ?? 0) + count);
 }
 
-/** Plans the moves of empty VMs; each VM moves at most once. */
-export function planMoves(input: MovePlanInput): VmMove[] {
+/** Plans the moves of empty VMs, and which other VMs are drained to be moved; each VM moves at most once. */
+export function planMoves(input: MovePlanInput): MovePlan {
     const standby = input.pools.find(pool => pool.isStandby);
     const active = input.pools.filter(isActive);
     const required = requiredVmCounts(active);
-    const surplus = new Map(active.map(pool => [pool.poolName, pool.vmCount + pool.incomingCount - required.get(pool.poolName)!]));
+    const surplusOver = (requiredCount: (vms: RequiredVms) => number): VmCounts =>
+        new Map(active.map(pool => [
+            pool.poolName,
+            pool.vmCount + pool.incomingCount - requiredCount(required.get(pool.poolName)!),
+        ]));
+    /** VMs beyond those for work that can be in time, and beyond those for all work. */
+    const inTimeSurplus = surplusOver(vms => vms.inTimeCount);
+    const totalSurplus = surplusOver(vms => vms.totalCount);
     const moves: VmMove[] = [];
     const moved = new Set<string>();
 
     const mostRecentFirst = [...input.emptyVms].sort((a, b) => b.emptySinceMs - a.emptySinceMs);
     const findEmptyVm = (isAllowed: (vm: EmptyVm) => boolean): EmptyVm | undefined =>
         mostRecentFirst.find(vm => !moved.has(vm.vmId) && isAllowed(vm));
+    const findSurplusVm = (surplus: VmCounts, toPool: string): EmptyVm | undefined =>
+        findEmptyVm(vm =>
+            (surplus.get(vm.poolName) ?? 0) > 0 && vm.poolName !== toPool &&
+            (vm.isDraining || input.nowMs - vm.emptySinceMs >= movableAfterMs)
+        );
     const addMove = (vm: EmptyVm, toPool: string, reason: string): void => {
         moved.add(vm.vmId);
         moves.push({ vmId: vm.vmId, fromPool: vm.poolName, toPool, reason });
+        for (const surplus of [inTimeSurplus, totalSurplus]) {
+            addTo(surplus, vm.poolName, -1);
+            addTo(surplus, toPool, 1);
+        }
     };
-
-    const poolsWithDeficit = active.filter(pool => surplus.get(pool.poolName)! < 0).sort((a, b) =>
-        surplus.get(a.poolName)! - surplus.get(b.poolName)!
-    );
-    for (const pool of poolsWithDeficit) {
-        for (let missing = -surplus.get(pool.poolName)!; missing > 0; missing--) {
-            const surplusVm = findEmptyVm(vm =>
-                (surplus.get(vm.poolName) ?? 0) > 0 && input.nowMs - vm.emptySinceMs >= movableAfterMs && vm.poolName !== pool.poolName
-            );
-            const vm = surplusVm ?? findEmptyVm(each => each.poolName === standby?.poolName);
-            if (!vm) {
-                break;
+    /** Fills pools from the given sources, the neediest first; returns how many VMs are still missing. */
+    const fill = (surplus: VmCounts, findVm: (toPool: string) => EmptyVm | undefined): number => {
+        let missingCount = 0;
+        const needy = active.map(pool => pool.poolName).filter(poolName => surplus.get(poolName)! < 0)
+            .sort((a, b) => surplus.get(a)! - surplus.get(b)!);
+        for (const poolName of needy) {
+            while (surplus.get(poolName)! < 0) {
+                const vm = findVm(poolName);
+                if (!vm) {
+                    missingCount -= surplus.get(poolName)!;
+                    break;
+                }
+                addMove(vm, poolName, `the pool needs ${-surplus.get(poolName)!} more VMs`);
             }
-            if (surplusVm) {
-                surplus.set(surplusVm.poolName, surplus.get(surplusVm.poolName)! - 1);
-            }
-            addMove(vm, pool.poolName, `the pool needs ${missing} more VMs`);
         }
+        return missingCount;
+    };
+    const findSpareVm = (toPool: string): EmptyVm | undefined =>
+        findSurplusVm(totalSurplus, toPool) ?? findEmptyVm(vm => vm.poolName === standby?.poolName);
+
+    const missingCount = fill(inTimeSurplus, toPool => findSpareVm(toPool) ?? findSurplusVm(inTimeSurplus, toPool));
+    const drainedVmIds = chooseDrainedVms(input.drainableVms, inTimeSurplus, missingCount);
+    if (missingCount === 0) {
+        fill(totalSurplus, findSpareVm);
     }
     if (!standby) {
-        return moves;
+        return { moves, drainedVmIds };
     }
     for (const vm of [...input.emptyVms].sort((a, b) => a.emptySinceMs - b.emptySinceMs)) {
-        const remainingSurplus = surplus.get(vm.poolName) ?? 0;
         const pool = active.find(each => each.poolName === vm.poolName);
-        if (!moved.has(vm.vmId) && pool && remainingSurplus > 0 && pool.vmCount > 1 && input.nowMs - vm.emptySinceMs >= standbyAfterMs) {
-            surplus.set(vm.poolName, remainingSurplus - 1);
+        if (
+            !moved.has(vm.vmId) && pool && totalSurplus.get(vm.poolName)! > 0 && pool.vmCount > 1 &&
+            input.nowMs - vm.emptySinceMs >= standbyAfterMs
+        ) {
             addMove(vm, standby.poolName, "surplus VM has been empty for long");
         }
     }
-    return moves;
+    return { moves, drainedVmIds };
+}
+
+/** Chooses VMs of pools that have more than they need for work in time: those that are drained already, then the least busy. */
+function chooseDrainedVms(
+    drainableVms: readonly DrainableVm[],
+    inTimeSurplus: ReadonlyMap<string, number>,
+    missingCount: number,
+): string[] {
+    const left = new Map(inTimeSurplus);
+    const chosen: string[] = [];
+    const ranked = [...drainableVms].sort((a, b) =>
+        Number(b.isDraining) - Number(a.isDraining) || a.busyCpuMillicores - b.busyCpuMillicores
+    );
+    for (const vm of ranked) {
+        if (chosen.length >= missingCount) {
+            break;
+        }
+        if ((left.get(vm.poolName) ?? 0) > 0) {
+            addTo(left, vm.poolName, -1);
+            chosen.push(vm.vmId);
+        }
+    }
+    return chosen;
 }
--- a/src/process/poolDemandLog.ts
+++ b/src/process/poolDemandLog.ts
@@ -1,5 +1,5 @@
 /** Logs once a second how many VMs each pool needs and has, which demand that rests on, and which VMs are left out. */
-import { type MovePlanInput, type PoolDemand, requiredVmCounts } from "../decisions/planMoves.js";
+import { type MovePlanInput, type PoolDemand, requiredVmCounts, type RequiredVms } from "../decisions/planMoves.js";
 import { logEvents } from "./logEvents.js";
 import type { Logger } from "./logger.js";
 
@@ -29,10 +29,11 @@
     return String(Math.round(cpuMillicores / 1000));
 }
 
-function formatPool(pool: PoolDemand, requiredCount: number, emptyCount: number): string {
-    return `${pool.poolName}: needs ${requiredCount} VMs, has ${pool.vmCount} (${emptyCount} empty) and ${pool.incomingCount} coming; ` +
+function formatPool(pool: PoolDemand, required: RequiredVms, emptyCount: number): string {
+    return `${pool.poolName}: needs ${required.inTimeCount} VMs (${required.totalCount} with overdue work), has ${pool.vmCount} (${emptyCount} empty) and ${pool.incomingCount} coming; ` +
         `cores: ${formatCores(pool.busyCpuMillicores)} busy, ${formatCores(pool.servingCpuMillicores)} serving, ` +
         `${formatCores(pool.waitingCpuMillicores)} waiting, ${formatCores(pool.waitingGrowthMillicoresPerS)}/s growth, ` +
+        `${formatCores(pool.overdueCpuMillicores)} overdue, ` +
         `${formatCores(pool.arrivingCpuMillicores)} arriving, ${formatCores(pool.peakCpuMillicores)} peak`;
 }
 
--- a/src/process/poolRebalancer.ts
+++ b/src/process/poolRebalancer.ts
@@ -1,10 +1,12 @@
 /** Moves VMs between pools according to demand, in the process that owns the scheduling. */
 import type { TimerService } from "../common/timerService.js";
 import { type VmOrderOutcome, vmOrderOutcomes, type VmRecord, type VmService, vmStates } from "../connection/vmService.js";
-import { type EmptyVm, planMoves, type PoolDemand, type VmMove } from "../decisions/planMoves.js";
+import { type DrainableVm, type EmptyVm, type MovePlanInput, planMoves, type PoolDemand, type VmMove } from "../decisions/planMoves.js";
+import { jobLateness } from "../scheduling/jobLateness.js";
 import { isFinalState, isStepReady } from "../scheduling/jobRecord.js";
+import { findStep } from "../scheduling/schedulerState.js";
 import { endIncarnation, type WorkerIncarnation } from "../scheduling/workerLifecycle.js";
-import type { WorkerRecord } from "../scheduling/workerRecord.js";
+import type { Run, WorkerRecord } from "../scheduling/workerRecord.js";
 import type { DemandTracker } from "./demandTracker.js";
 import { logEvents } from "./logEvents.js";
 import type { Logger } from "./logger.js";
@@ -32,6 +34,16 @@
     mustStay(vmId: string): boolean;
 }
 
+/** What the pools need, and which of their VMs could be moved. */
+interface FleetDescription extends MovePlanInput {
+    excludedCounts: ReadonlyMap<VmExclusion, number>;
+}
+
+interface WaitingCpu {
+    inTimeMillicores: number;
+    overdueMillicores: number;
+}
+
 interface PendingMove {
     toPool: string;
     /** The worker that the move ends; `undefined` if none is known on the VM. */
@@ -59,18 +71,22 @@
     const trend = createWaitingTrend();
     const demandLog = createPoolDemandLog(options.logger);
 
-    const waitingCpuByPool = (): Map<string, number> => {
-        const waiting = new Map<string, number>();
+    /** CPU that ready waiting tasks request in each pool, by whether their jobs can be in time. */
+    const waitingCpuByPool = (): Map<string, WaitingCpu> => {
+        const waiting = new Map<string, WaitingCpu>();
+        const wallMs = timers.wallClockMs();
         for (const job of state.jobs.values()) {
-            const poolName = state.policy.queues.get(job.submission.queueName)?.poolName;
-            if (poolName === undefined || isFinalState(job.state)) {
+            const queue = state.policy.queues.get(job.submission.queueName);
+            if (queue === undefined || isFinalState(job.state)) {
                 continue;
             }
             for (const occurrence of job.occurrences.values()) {
                 for (const step of occurrence.steps) {
                     if (step.waiting.size > 0 && isStepReady(occurrence, step)) {
-                        const cpu = step.waiting.size * step.spec.request.cpuMillicores;
-                        waiting.set(poolName, (waiting.get(poolName) ?? 0) + cpu);
+                        const pool = waiting.get(queue.poolName) ?? { inTimeMillicores: 0, overdueMillicores: 0 };
+                        waiting.set(queue.poolName, pool);
+                        const isOverdue = !step.spec.isLongRunning && jobLateness(job, occurrence, queue, step.criticalPathMs, wallMs) > 0;
+                        pool[isOverdue ? "overdueMillicores" : "inTimeMillicores"] += step.waiting.size * step.spec.request.cpuMillicores;
                     }
                 }
             }
@@ -78,6 +94,19 @@
         return waiting;
     };
 
+    /** Whether the job of a short task that runs can no longer be in time. */
+    const isOverdue = (run: Run): boolean => {
+        const job = state.jobs.get(run.jobId);
+        const queue = job && state.policy.queues.get(job.submission.queueName);
+        const occurrence = job?.occurrences.get(run.occurrence);
+        const step = findStep(state, run);
+        if (!job || !queue || !occurrence || !step || isFinalState(job.state)) {
+            return true;
+        }
+        const remainingMs = Math.max(0, step.criticalPathMs - (timers.nowMs() - run.startedAtMs));
+        return jobLateness(job, occurrence, queue, remainingMs, timers.wallClockMs()) > 0;
+    };
+
     const endMove = (vmId: string): void => {
         pendingMoves.delete(vmId);
         inventory.uncordon(vmId);
@@ -109,7 +138,7 @@
         return new Set(workers.map(worker => worker.entry.zone).filter(zone => !responsiveZones.has(zone)));
     };
 
-    const describePools = (): { pools: PoolDemand[]; emptyVms: EmptyVm[]; excludedCounts: Map<VmExclusion, number> } => {
+    const describeFleet = (): FleetDescription => {
         const waiting = waitingCpuByPool();
         const nowMs = timers.nowMs();
         const unresponsiveZones = findUnresponsiveZones();
@@ -117,9 +146,11 @@
         /** VMs available in each pool, counted by the part of their capacity that their workers offer. */
         const usableVms = new Map<string, number>();
         const emptyVms: EmptyVm[] = [];
+        const drainableVms: DrainableVm[] = [];
         const excludedCounts = new Map<VmExclusion, number>();
         const exclude = (reason: VmExclusion): void => void excludedCounts.set(reason, (excludedCounts.get(reason) ?? 0) + 1);
         for (const policy of state.policy.pools.values()) {
+            const { inTimeMillicores, overdueMillicores } = waiting.get(policy.name) ?? { inTimeMillicores: 0, overdueMillicores: 0 };
             pools.set(policy.name, {
                 poolName: policy.name,
                 isStandby: policy.isStandby,
@@ -127,8 +158,9 @@
                 incomingCount: [...pendingMoves.values()].filter(pending => pending.toPool === policy.name).length,
                 vmCpuMillicores: 0,
                 busyCpuMillicores: 0,
-                waitingCpuMillicores: waiting.get(policy.name) ?? 0,
-                waitingGrowthMillicoresPerS: trend.record(policy.name, nowMs, waiting.get(policy.name) ?? 0),
+                waitingCpuMillicores: inTimeMillicores,
+                waitingGrowthMillicoresPerS: trend.record(policy.name, nowMs, inTimeMillicores),
+                overdueCpuMillicores: overdueMillicores,
                 ...options.demand.read(policy.name),
                 servingCpuMillicores: 0,
             });
@@ -156,23 +188,38 @@
                 exclude(vmExclusions.unresponsive);
                 return;
             }
+            let busyCpuMillicores = 0;
             for (const run of worker?.runs.values() ?? []) {
-                pool[run.isServing ? "servingCpuMillicores" : "busyCpuMillicores"] += run.reserved.cpuMillicores;
+                const { cpuMillicores } = run.reserved;
+                if (run.isServing) {
+                    pool.servingCpuMillicores += cpuMillicores;
+                    continue;
+                }
+                busyCpuMillicores += cpuMillicores;
+                pool[isOverdue(run) ? "overdueCpuMillicores" : "busyCpuMillicores"] += cpuMillicores;
             }
+            const isDraining = inventory.isDrainedForMove(vm.vmId);
             // A wave drains or restarts a cordoned VM.
-            if (inventory.cordonedSinceMs(vm.vmId) !== undefined || worker?.isCordoned || worker?.entry.isDraining) {
+            if (
+                inventory.cordonedSinceMs(vm.vmId) !== undefined || (worker?.isCordoned && !isDraining) || worker?.entry.isDraining
+            ) {
                 exclude(vmExclusions.draining);
                 return;
             }
             usableVms.set(pool.poolName, (usableVms.get(pool.poolName) ?? 0) + usablePart(vm, worker));
+            const mayMove = !options.mustStay(vm.vmId) && (refusedUntilMs.get(vm.vmId) ?? 0) <= nowMs;
             if ((worker && worker.runs.size > 0) || inventory.mayRunUnknownTasks(vm)) {
                 emptySinceMs.delete(vm.vmId);
+                if (mayMove && worker?.isRunStateKnown && worker.longRunningCount === 0 && worker.unknownSizeCount === 0) {
+                    drainableVms.push({ vmId: vm.vmId, poolName: vm.poolName, busyCpuMillicores, isDraining });
+                }
                 return;
             }
             const sinceMs = emptySinceMs.get(vm.vmId) ?? nowMs;
             emptySinceMs.set(vm.vmId, sinceMs);
-            if (!options.mustStay(vm.vmId) && (refusedUntilMs.get(vm.vmId) ?? 0) <= nowMs) {
-                emptyVms.push({ vmId: vm.vmId, poolName: vm.poolName, emptySinceMs: sinceMs, vmCpuMillicores: vm.capacity.cpuMillicores });
+            if (mayMove) {
+                const { vmId, poolName, capacity } = vm;
+                emptyVms.push({ vmId, poolName, emptySinceMs: sinceMs, vmCpuMillicores: capacity.cpuMillicores, isDraining });
             }
         };
         for (const vm of inventory.vms()) {
@@ -181,7 +228,7 @@
         pools.forEach(pool => pool.vmCount = Math.floor(usableVms.get(pool.poolName) ?? 0));
         const largestVmCpuMillicores = Math.max(0, ...[...pools.values()].map(pool => pool.vmCpuMillicores));
         pools.forEach(pool => pool.vmCpuMillicores ||= largestVmCpuMillicores);
-        return { pools: [...pools.values()], emptyVms, excludedCounts };
+        return { nowMs, pools: [...pools.values()], emptyVms, drainableVms, excludedCounts };
     };
 
     const handleMoveOutcome = (move: VmMove, pending: PendingMove, outcome: VmOrderOutcome, token: number): void => {
@@ -223,14 +270,15 @@
     return {
         advance: async () => {
             updatePendingMoves();
-            const { pools, emptyVms, excludedCounts } = describePools();
-            const input = { nowMs: timers.nowMs(), pools, emptyVms };
-            demandLog.record(input, excludedCounts);
+            const fleet = describeFleet();
+            demandLog.record(fleet, fleet.excludedCounts);
             const token = options.orderToken();
             if (token === undefined) {
+                inventory.setDrainedForMove([]);
                 return false;
             }
-            const moves = planMoves(input);
+            const { moves, drainedVmIds } = planMoves(fleet);
+            inventory.setDrainedForMove(drainedVmIds);
             await Promise.all(moves.map(move => executeMove(move, token)));
             return moves.length > 0;
         },
--- a/src/process/schedulingSummary.ts
+++ b/src/process/schedulingSummary.ts
@@ -1,6 +1,6 @@
 /** Collects the load of the process that owns the scheduling, and what waits and runs in each pool, for the log. */
 import type { TimerService } from "../common/timerService.js";
-import { latenessClass } from "../decisions/orderSteps.js";
+import { jobLateness } from "../scheduling/jobLateness.js";
 import { isFinalState, isStepReady } from "../scheduling/jobRecord.js";
 import type { SchedulerState } from "../scheduling/schedulerState.js";
 import { freeResources } from "../scheduling/workerRecord.js";
@@ -48,14 +48,12 @@
         }
         const pool = poolOf(queue.poolName);
         for (const occurrence of job.occurrences.values()) {
-            const { dueWallMs } = occurrence;
-            const deadlineWallMs = dueWallMs + queue.criticalPathFactor * job.criticalPathMs + queue.latencyObjectiveMs;
             for (
-                const step of occurrence.steps.filter(each => dueWallMs <= wallMs && each.waiting.size > 0 && isStepReady(occurrence, each))
+                const step of occurrence.steps.filter(each =>
+                    occurrence.dueWallMs <= wallMs && each.waiting.size > 0 && isStepReady(occurrence, each)
+                )
             ) {
-                const { criticalPathMs } = step;
-                pool.waitingCounts[latenessClass({ criticalPathMs, deadlineWallMs, submittedWallMs: dueWallMs }, wallMs)] +=
-                    step.waiting.size;
+                pool.waitingCounts[jobLateness(job, occurrence, queue, step.criticalPathMs, wallMs)] += step.waiting.size;
             }
         }
     }
--- a/src/process/vmInventory.ts
+++ b/src/process/vmInventory.ts
@@ -20,6 +20,9 @@
     cordon(vmId: string): void;
     uncordon(vmId: string): void;
     cordonedSinceMs(vmId: string): number | undefined;
+    /** Sets which VMs are drained to be moved to another pool. They get no new work, like cordoned ones, but count as available. */
+    setDrainedForMove(vmIds: readonly string[]): void;
+    isDrainedForMove(vmId: string): boolean;
     /** Records whether a restart of the VM, which ends everything on it, was requested and has not completed or failed. */
     setRestartPending(vmId: string, isPending: boolean): void;
 }
@@ -35,6 +38,7 @@
 export function createVmInventory(options: VmInventoryOptions): VmInventory {
     const { scheduler, timers } = options;
     const cordons = new Map<string, number>();
+    let drainedForMove = new Set<string>();
     const pendingRestarts = new Set<string>();
     let vms = new Map<string, VmRecord>();
     let listedAtMs = Number.NEGATIVE_INFINITY;
@@ -44,17 +48,18 @@
         const workerId = vms.get(vmId)?.workerId;
         return workerId === undefined ? undefined : scheduler.state.workers.get(workerId);
     };
+    const getsNoWork = (vmId: string): boolean => cordons.has(vmId) || drainedForMove.has(vmId);
     const applyCordon = (vmId: string): void => {
         const worker = workerOn(vmId);
         if (worker) {
-            worker.isCordoned = cordons.has(vmId);
+            worker.isCordoned = getsNoWork(vmId);
         }
     };
     /** The list may not have shown the worker of a VM when its cordon or its restart ended. */
     const applyEnded = (vmId: string): void => {
         const worker = workerOn(vmId);
         if (worker) {
-            worker.isCordoned &&= cordons.has(vmId);
+            worker.isCordoned &&= getsNoWork(vmId);
             worker.isVmStopping &&= pendingRestarts.has(vmId);
         }
     };
@@ -100,6 +105,12 @@
             applyCordon(vmId);
         },
         cordonedSinceMs: vmId => cordons.get(vmId),
+        setDrainedForMove: vmIds => {
+            const former = drainedForMove;
+            drainedForMove = new Set(vmIds);
+            [...former, ...drainedForMove].forEach(applyCordon);
+        },
+        isDrainedForMove: vmId => drainedForMove.has(vmId),
         setRestartPending: (vmId, isPending) => {
             pendingRestarts[isPending ? "add" : "delete"](vmId);
             const worker = workerOn(vmId);
--- a/src/scheduling/dispatchWaitingTasks.ts
+++ b/src/scheduling/dispatchWaitingTasks.ts
@@ -2,6 +2,7 @@
 import { orderSteps, type StepOrderInput } from "../decisions/orderSteps.js";
 import { placeTask } from "../decisions/placeTask.js";
 import { mayHoldGang } from "./gangRoom.js";
+import { deadlineWallMs } from "./jobLateness.js";
 import { countWorkerCrashes, isFinalState, isStepReady, type JobRecord, type OccurrenceRecord, type StepRecord } from "./jobRecord.js";
 import { isServing, type QueuePolicy, reservedResources, type Resources } from "./jobTypes.js";
 import { cancelStaleStarts, isFencedByNewerOwner, isHeldBack, sendPersistedStarts } from "./plannedStarts.js";
@@ -61,7 +62,7 @@
         workMillicoreS: job.workMillicoreS,
         isWithinShare: job.isWithinShare,
         submittedWallMs: occurrence.dueWallMs,
-        deadlineWallMs: occurrence.dueWallMs + queue.criticalPathFactor * job.criticalPathMs + queue.latencyObjectiveMs,
+        deadlineWallMs: deadlineWallMs(job, occurrence, queue),
         criticalPathMs: step.criticalPathMs,
         hasStarted: job.hasStarted,
     };
--- a/tests/decisions/schedulingPolicy.spec.ts
+++ b/tests/decisions/schedulingPolicy.spec.ts
@@ -4,7 +4,6 @@
 import { latenessClass, orderSteps, type StepOrderInput } from "../../src/decisions/orderSteps.js";
 import { paceFillers } from "../../src/decisions/paceFillers.js";
 import { type PlacementCandidate, placeTask } from "../../src/decisions/placeTask.js";
-import { planMoves, type PoolDemand, requiredVmCount } from "../../src/decisions/planMoves.js";
 import { planWave, type WavePlanInput, type WaveVm } from "../../src/decisions/planWave.js";
 import { type ShareTokenBucket, takeShareToken } from "../../src/decisions/teamShare.js";
 
@@ -132,90 +131,6 @@
     });
 });
 
-const pool = (poolName: string, changes: Partial<PoolDemand>): PoolDemand => ({
-    poolName,
-    isStandby: false,
-    vmCount: 4,
-    incomingCount: 0,
-    vmCpuMillicores: 16_000,
-    busyCpuMillicores: 0,
-    waitingCpuMillicores: 0,
-    arrivingCpuMillicores: 0,
-    peakCpuMillicores: 0,
-    waitingGrowthMillicoresPerS: 0,
-    servingCpuMillicores: 0,
-    ...changes,
-});
-const emptyVms = (poolName: string, count: number, emptySinceMs: number) =>
-    Array.from({ length: count }, (_, index) => ({ vmId: `${poolName}-${index}`, poolName, emptySinceMs, vmCpuMillicores: 16_000 }));
-
-describe("moves of VMs between pools", () => {
-    it("should move the empty VMs of a quiet pool to a surging one, and then those of standby", () => {
-        const moves = planMoves({
-            nowMs: 1_000,
-            pools: [
-                pool("surging", { busyCpuMillicores: 60_000, waitingCpuMillicores: 40_000 }),
-                pool("quiet", { vmCount: 3, servingCpuMillicores: 3_000 }),
-                pool("spare", { isStandby: true }),
-            ],
-            emptyVms: [...emptyVms("quiet", 2, 0), ...emptyVms("spare", 4, 0)],
-        });
-        assert.deepEqual(moves.map(move => [move.fromPool, move.toPool]), [
-            ["quiet", "surging"],
-            ["quiet", "surging"],
-            ["spare", "surging"],
-            ["spare", "surging"],
-        ]);
-    });
-
-    it("should not move further VMs while enough are already moving", () => {
-        const pools = [
-            pool("surging", { busyCpuMillicores: 60_000, waitingCpuMillicores: 20_000, incomingCount: 2 }),
-            pool("spare", { isStandby: true }),
-        ];
-        assert.deepEqual(planMoves({ nowMs: 1_000, pools, emptyVms: emptyVms("spare", 4, 0) }), []);
-    });
-
-    it("should immediately provide the VMs that earlier surges needed when a surge begins", () => {
-        const pools = [
-            pool("surging", { vmCount: 2, arrivingCpuMillicores: 60_000, peakCpuMillicores: 120_000 }),
-            pool("quiet", { vmCount: 12, arrivingCpuMillicores: 2_000, peakCpuMillicores: 90_000 }),
-        ];
-        assert.equal(planMoves({ nowMs: 1_000, pools, emptyVms: emptyVms("quiet", 11, 0) }).length, 7);
-        assert.equal(requiredVmCount(pool("quiet", { arrivingCpuMillicores: 20_000, peakCpuMillicores: 90_000 })), 2);
-    });
-
-    it("should not move VMs that were busy a moment ago", () => {
-        const pools = [pool("surging", { waitingCpuMillicores: 99_000 }), pool("quiet", {})];
-        assert.deepEqual(planMoves({ nowMs: 1_000, pools, emptyVms: emptyVms("quiet", 2, 900) }), []);
-    });
-
-    it("should move VMs to standby only after a long empty time, and keep one", () => {
-        const pools = [pool("quiet", { vmCount: 2 }), pool("spare", { isStandby: true, vmCount: 0 })];
-        assert.deepEqual(planMoves({ nowMs: 1_000, pools, emptyVms: emptyVms("quiet", 2, 0) }), []);
-        assert.equal(planMoves({ nowMs: 9_000, pools, emptyVms: emptyVms("quiet", 1, 0) }).length, 1);
-    });
-
-    it("should follow a surge that moves from queue to queue", () => {
-        // Four queues in turn ask for 1.5 times the capacity of their pool; the idle VMs of the other pools cover it after one move.
-        const names = ["a", "b", "c", "d"];
-        const counts = new Map(names.map(name => [name, 4]));
-        for (const surging of names) {
-            const pools = names.map(name =>
-                pool(name, { vmCount: counts.get(name)!, busyCpuMillicores: name === surging ? 96_000 : 3_000 })
-            );
-            const idle = names.flatMap(name => name === surging ? [] : emptyVms(name, counts.get(name)! - 1, 0));
-            for (const move of planMoves({ nowMs: 1_000, pools, emptyVms: idle })) {
-                counts.set(move.fromPool, counts.get(move.fromPool)! - 1);
-                counts.set(move.toPool, counts.get(move.toPool)! + 1);
-            }
-            const needed = requiredVmCount(pools.find(each => each.poolName === surging)!);
-            assert.equal(counts.get(surging), needed, `pool ${surging} has ${counts.get(surging)} of ${needed} VMs`);
-        }
-        assert.equal([...counts.values()].reduce((sum, count) => sum + count, 0), 16);
-    });
-});
-
 const waveVm = (vmId: string, changes: Partial<WaveVm>): WaveVm => ({
     vmId,
     canRestart: true,
--- a/tests/decisions/surgeReplay.ts
+++ b/tests/decisions/surgeReplay.ts
@@ -110,13 +110,20 @@
                 vmCpuMillicores: options.vmCpuMillicores,
                 busyCpuMillicores: own.reduce((sum, vm) => sum + vm.tasksEndAtMs.length, 0) * options.taskCpuMillicores,
                 waitingCpuMillicores,
+                overdueCpuMillicores: 0,
                 waitingGrowthMillicoresPerS: trend.record(poolName, nowMs, waitingCpuMillicores),
                 ...demand.read(poolName),
                 servingCpuMillicores: 0,
             };
         });
         const emptyVms = vms.filter(vm => vm.availableAtMs <= nowMs && vm.tasksEndAtMs.length === 0)
-            .map(({ vmId, poolName, emptySinceMs }) => ({ vmId, poolName, emptySinceMs, vmCpuMillicores: options.vmCpuMillicores }));
+            .map(({ vmId, poolName, emptySinceMs }) => ({
+                vmId,
+                poolName,
+                emptySinceMs,
+                vmCpuMillicores: options.vmCpuMillicores,
+                isDraining: false,
+            }));
         return { pools, emptyVms };
     };
     const move = ({ vmId, toPool }: VmMove): void => {
@@ -150,7 +157,7 @@
         arrive();
         run();
         if (nowMs % planEveryMs === 0) {
-            planMoves({ nowMs, ...describePools() }).forEach(move);
+            planMoves({ nowMs, ...describePools(), drainableVms: [] }).moves.forEach(move);
         }
         recordStarvation();
         vmSecondsInPools += vms.filter(vm => vm.poolName !== standbyPool).length * stepMs / 1000;
--- a/tests/decisions/surges.spec.ts
+++ b/tests/decisions/surges.spec.ts
@@ -73,6 +73,7 @@
         vmCpuMillicores: 10_000,
         busyCpuMillicores: 0,
         waitingCpuMillicores: 0,
+        overdueCpuMillicores: 0,
         waitingGrowthMillicoresPerS: 0,
         arrivingCpuMillicores: 2_000,
         peakCpuMillicores: 4_000,
--- a/tests/process/poolRebalancer.spec.ts
+++ b/tests/process/poolRebalancer.spec.ts
@@ -1,44 +1,17 @@
 /** Checks which VMs count as usable when demand for a pool surges, and how arriving work is measured. */
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { Ok } from "../../src/common/results.js";
-import type { TimerService } from "../../src/common/timerService.js";
-import { vmOrderOutcomes, type VmRecord, type VmService } from "../../src/connection/vmService.js";
+import type { VmRecord } from "../../src/connection/vmService.js";
 import { createDemandTracker } from "../../src/process/demandTracker.js";
 import { logEvents } from "../../src/process/logEvents.js";
 import { createSilentLogger, type LogFields, type Logger } from "../../src/process/logger.js";
-import { createPoolRebalancer } from "../../src/process/poolRebalancer.js";
-import { createVmInventory } from "../../src/process/vmInventory.js";
 import { createSchedulerHarness, type SchedulerHarness } from "../scheduling/schedulerHarness.js";
 import { describeVm } from "./describeVm.js";
+import { startRebalancer } from "./rebalancerFixture.js";
 
 /** The moves that are requested for a pool of 16 cores a VM, beside a standby pool. */
-async function requestedMoves(
-    harness: SchedulerHarness,
-    vms: readonly VmRecord[],
-    logger: Logger = createSilentLogger(),
-): Promise<string[]> {
-    const { state } = harness.scheduler;
-    state.policy = { ...state.policy, pools: new Map([...state.policy.pools, ["idle", { name: "idle", isStandby: true }]]) };
-    const orders: string[] = [];
-    const vmService: VmService = {
-        list: () => Promise.resolve(Ok([...vms])),
-        move: (vmId, toPool) => Promise.resolve((orders.push(`${vmId} to ${toPool}`), vmOrderOutcomes.accepted)),
-        restart: () => Promise.reject(new Error("unexpected restart")),
-    };
-    const timers = { nowMs: harness.nowMs, wallClockMs: harness.nowMs } as TimerService;
-    const inventory = createVmInventory({ scheduler: harness.scheduler, vmService, timers, logger });
-    await inventory.refresh();
-    const rebalancer = createPoolRebalancer({
-        inventory,
-        vmService,
-        nodeName: "node",
-        orderToken: () => 10,
-        timers,
-        logger,
-        demand: createDemandTracker(harness.nowMs),
-        mustStay: () => false,
-    });
+async function requestedMoves(harness: SchedulerHarness, vms: readonly VmRecord[], logger?: Logger): Promise<string[]> {
+    const { rebalancer, orders } = await startRebalancer(harness, vms, logger);
     await rebalancer.advance();
     return orders;
 }
@@ -79,7 +52,7 @@
         await requestedMoves(harness, vms, { ...createSilentLogger(), log });
         assert.deepEqual(logged, [{
             pools: [
-                "pool: needs 2 VMs, has 1 (0 empty) and 0 coming; cores: 16 busy, 0 serving, 8 waiting, 0/s growth, 0 arriving, 0 peak",
+                "pool: needs 2 VMs (2 with overdue work), has 1 (0 empty) and 0 coming; cores: 16 busy, 0 serving, 8 waiting, 0/s growth, 0 overdue, 0 arriving, 0 peak",
                 "idle: standby, 1 available",
             ],
             excludedVms: ["unresponsive: 1", "withoutWorker: 1"],
--- a/tests/scheduling/schedulerHarness.ts
+++ b/tests/scheduling/schedulerHarness.ts
@@ -35,6 +35,7 @@
     /** Progress that an earlier owner stored. */
     progress?: JobProgress;
     teamName?: string;
+    queueName?: string;
     repeat?: RepeatSpec;
     /** Steps after the first; each depends on the previous one. */
     laterSteps?: readonly Partial<StepSpec>[];
@@ -141,12 +142,12 @@
             nowMs += durationMs;
             runStep();
         },
-        submit: (jobId, { formerWorkerIds, progress, teamName, repeat, laterSteps, ...step }) => {
+        submit: (jobId, { formerWorkerIds, progress, teamName, queueName = "queue", repeat, laterSteps, ...step }) => {
             const steps = [
                 { ...defaultStep, ...step },
                 ...(laterSteps ?? []).map((later, index) => ({ ...defaultStep, dependsOn: [index], ...later })),
             ];
-            const submission = { jobId, queueName: "queue", teamName, payload: "", steps, repeat, submittedWallMs: nowMs };
+            const submission = { jobId, queueName, teamName, payload: "", steps, repeat, submittedWallMs: nowMs };
             const stored = progress ?? (formerWorkerIds && { state: jobStates.queued, workerIds: [...formerWorkerIds] });
             scheduler.addJob(encodeSubmission(submission), stored && encodeProgress(stored), false, nowMs);
             runStep();
