--- a/tests/process/fleetSimulation.ts
+++ b/tests/process/fleetSimulation.ts
@@ -2,7 +2,6 @@
  * A fleet under queues that surge one after the other, in virtual time: the owner's scheduler and its moves of VMs between pools, with
  * simulated VMs, workers and store. The store or the owner may be away for a while. What each queue's jobs earn is measured.
  */
-import { setImmediate } from "node:timers/promises";
 import {
     createSchedulingLoad,
     createSimulatedWorker,
@@ -274,7 +273,7 @@
             }
             if (mayAct()) {
                 await rebalancer.advance();
-                await setImmediate();
+                await new Promise(resolve => setImmediate(resolve));
             }
         }
     }
