Give VMs to work that is there before a surge that is expected

Cause: a pool whose surge had begun counted the peak of earlier surges, or of another pool's, as its need for work in time. After a team had sent many times its usual, that is far more than comes; such a pool took VMs before one whose work in time waited already. Change: needs have three levels, for present work, with the expected surge, and with overdue work, and are served in this order.

The new test of planMoves fails before (the rising pool got seven of nine VMs).

--- a/src/decisions/planMoves.ts
+++ b/src/decisions/planMoves.ts
@@ -99,41 +99,44 @@
     return isFirstSurge ? otherPeakCpuMillicores : pool.peakCpuMillicores;
 }
 
-/**
- * Returns the number of VMs that the pool needs now for work that can be in time; `otherPeakCpuMillicores` is the highest peak of the
- * other pools.
- */
-export function requiredVmCount(pool: PoolDemand, otherPeakCpuMillicores = 0): number {
-    const peakCpu = expectedPeakCpu(pool, otherPeakCpuMillicores);
-    const isSurging = pool.arrivingCpuMillicores > surgeThresholdFraction * peakCpu;
-    const arrivingCpu = isSurging ? Math.max(pool.arrivingCpuMillicores, peakCpu) : pool.arrivingCpuMillicores;
-    const waitingCpu = pool.waitingCpuMillicores + pool.waitingGrowthMillicoresPerS * growthHorizonS;
-    const shortTaskCpu = Math.max(pool.busyCpuMillicores + waitingCpu, arrivingCpu);
-    return Math.ceil((shortTaskCpu + pool.servingCpuMillicores) / (pool.vmCpuMillicores * usableFraction));
+function vmsFor(pool: PoolDemand, shortTaskCpuMillicores: number): number {
+    return Math.ceil((shortTaskCpuMillicores + pool.servingCpuMillicores) / (pool.vmCpuMillicores * usableFraction));
 }
 
-/** VMs that a pool needs. */
+/** VMs that a pool needs; each count contains the previous one. */
 export interface RequiredVms {
-    /** For work that can be in time. */
-    inTimeCount: number;
-    /** For all work. */
+    /** For work that can be in time and is there, or arrives as it does now. */
+    presentCount: number;
+    /** For a surge that has begun, too. */
+    expectedCount: number;
+    /** For overdue work, too. */
     totalCount: number;
 }
 
+/** Returns the VMs that the pool needs now; `otherPeakCpuMillicores` is the highest peak of the other pools. */
+export function requiredVms(pool: PoolDemand, otherPeakCpuMillicores = 0): RequiredVms {
+    const waitingCpu = pool.waitingCpuMillicores + pool.waitingGrowthMillicoresPerS * growthHorizonS;
+    const presentCpu = Math.max(pool.busyCpuMillicores + waitingCpu, pool.arrivingCpuMillicores);
+    const peakCpu = expectedPeakCpu(pool, otherPeakCpuMillicores);
+    const isSurging = pool.arrivingCpuMillicores > surgeThresholdFraction * peakCpu;
+    const expectedCpu = isSurging ? Math.max(presentCpu, peakCpu) : presentCpu;
+    return {
+        presentCount: vmsFor(pool, presentCpu),
+        expectedCount: vmsFor(pool, expectedCpu),
+        totalCount: vmsFor(pool, expectedCpu + pool.overdueCpuMillicores),
+    };
+}
+
 function isActive(pool: PoolDemand): boolean {
     return !pool.isStandby && pool.vmCpuMillicores > 0;
 }
 
-/** Returns the number of VMs that each pool needs now, without standby pools. */
-export function requiredVmCounts(pools: readonly PoolDemand[]): Map<string, RequiredVms> {
+/** Returns the VMs that each pool needs now, without standby pools. */
+export function requiredVmsByPool(pools: readonly PoolDemand[]): Map<string, RequiredVms> {
     const active = pools.filter(isActive);
     const otherPeakCpu = (pool: PoolDemand): number =>
         Math.max(0, ...active.filter(each => each !== pool).map(each => each.peakCpuMillicores));
-    return new Map(active.map(pool => {
-        const inTimeCount = requiredVmCount(pool, otherPeakCpu(pool));
-        const overdueCount = Math.ceil(pool.overdueCpuMillicores / (pool.vmCpuMillicores * usableFraction));
-        return [pool.poolName, { inTimeCount, totalCount: inTimeCount + overdueCount }];
-    }));
+    return new Map(active.map(pool => [pool.poolName, requiredVms(pool, otherPeakCpu(pool))]));
 }
 
 /** Sums of VMs by pool. */
@@ -147,15 +150,19 @@
 export function planMoves(input: MovePlanInput): MovePlan {
     const standby = input.pools.find(pool => pool.isStandby);
     const active = input.pools.filter(isActive);
-    const required = requiredVmCounts(active);
+    const required = requiredVmsByPool(active);
     const surplusOver = (requiredCount: (vms: RequiredVms) => number): VmCounts =>
         new Map(active.map(pool => [
             pool.poolName,
             pool.vmCount + pool.incomingCount - requiredCount(required.get(pool.poolName)!),
         ]));
-    /** VMs beyond those for work that can be in time, and beyond those for all work. */
-    const inTimeSurplus = surplusOver(vms => vms.inTimeCount);
-    const totalSurplus = surplusOver(vms => vms.totalCount);
+    /** VMs beyond each need, the most urgent need first. */
+    const surpluses = [
+        surplusOver(vms => vms.presentCount),
+        surplusOver(vms => vms.expectedCount),
+        surplusOver(vms => vms.totalCount),
+    ];
+    const totalSurplus = surpluses.at(-1)!;
     const moves: VmMove[] = [];
     const moved = new Set<string>();
 
@@ -170,7 +177,7 @@
     const addMove = (vm: EmptyVm, toPool: string, reason: string): void => {
         moved.add(vm.vmId);
         moves.push({ vmId: vm.vmId, fromPool: vm.poolName, toPool, reason });
-        for (const surplus of [inTimeSurplus, totalSurplus]) {
+        for (const surplus of surpluses) {
             addTo(surplus, vm.poolName, -1);
             addTo(surplus, toPool, 1);
         }
@@ -192,13 +199,19 @@
         }
         return missingCount;
     };
-    const findSpareVm = (toPool: string): EmptyVm | undefined =>
-        findSurplusVm(totalSurplus, toPool) ?? findEmptyVm(vm => vm.poolName === standby?.poolName);
-
-    const missingCount = fill(inTimeSurplus, toPool => findSpareVm(toPool) ?? findSurplusVm(inTimeSurplus, toPool));
-    const drainedVmIds = chooseDrainedVms(input.drainableVms, inTimeSurplus, missingCount);
-    if (missingCount === 0) {
-        fill(totalSurplus, findSpareVm);
+    let drainedVmIds: string[] = [];
+    for (const [index, surplus] of surpluses.entries()) {
+        const lessUrgent = surpluses.slice(index, -1).reverse();
+        const findVm = (toPool: string): EmptyVm | undefined =>
+            findSurplusVm(totalSurplus, toPool) ??
+                findEmptyVm(vm => vm.poolName === standby?.poolName) ??
+                lessUrgent.map(each => findSurplusVm(each, toPool)).find(vm => vm !== undefined);
+        const missingCount = fill(surplus, findVm);
+        if (missingCount > 0) {
+            // Nothing is drained for overdue work: it would only take the place of other overdue work.
+            drainedVmIds = surplus === totalSurplus ? [] : chooseDrainedVms(input.drainableVms, surplus, missingCount);
+            break;
+        }
     }
     if (!standby) {
         return { moves, drainedVmIds };
@@ -215,13 +228,13 @@
     return { moves, drainedVmIds };
 }
 
-/** Chooses VMs of pools that have more than they need for work in time: those that are drained already, then the least busy. */
+/** Chooses VMs of pools with a surplus: those that are drained already, then the least busy. */
 function chooseDrainedVms(
     drainableVms: readonly DrainableVm[],
-    inTimeSurplus: ReadonlyMap<string, number>,
+    surplus: ReadonlyMap<string, number>,
     missingCount: number,
 ): string[] {
-    const left = new Map(inTimeSurplus);
+    const left = new Map(surplus);
     const chosen: string[] = [];
     const ranked = [...drainableVms].sort((a, b) =>
         Number(b.isDraining) - Number(a.isDraining) || a.busyCpuMillicores - b.busyCpuMillicores
--- a/src/process/poolDemandLog.ts
+++ b/src/process/poolDemandLog.ts
@@ -1,5 +1,5 @@
 /** Logs once a second how many VMs each pool needs and has, which demand that rests on, and which VMs are left out. */
-import { type MovePlanInput, type PoolDemand, requiredVmCounts, type RequiredVms } from "../decisions/planMoves.js";
+import { type MovePlanInput, type PoolDemand, type RequiredVms, requiredVmsByPool } from "../decisions/planMoves.js";
 import { logEvents } from "./logEvents.js";
 import type { Logger } from "./logger.js";
 
@@ -30,7 +30,7 @@
 }
 
 function formatPool(pool: PoolDemand, required: RequiredVms, emptyCount: number): string {
-    return `${pool.poolName}: needs ${required.inTimeCount} VMs (${required.totalCount} with overdue work), has ${pool.vmCount} (${emptyCount} empty) and ${pool.incomingCount} coming; ` +
+    return `${pool.poolName}: needs ${required.presentCount} VMs (${required.expectedCount} expected, ${required.totalCount} with overdue work), has ${pool.vmCount} (${emptyCount} empty) and ${pool.incomingCount} coming; ` +
         `cores: ${formatCores(pool.busyCpuMillicores)} busy, ${formatCores(pool.servingCpuMillicores)} serving, ` +
         `${formatCores(pool.waitingCpuMillicores)} waiting, ${formatCores(pool.waitingGrowthMillicoresPerS)}/s growth, ` +
         `${formatCores(pool.overdueCpuMillicores)} overdue, ` +
@@ -45,7 +45,7 @@
                 return;
             }
             loggedAtMs = nowMs;
-            const required = requiredVmCounts(pools);
+            const required = requiredVmsByPool(pools);
             logger.log(logEvents.poolDemandSummarized, {
                 pools: pools.map(pool =>
                     pool.isStandby ?
--- a/tests/decisions/planMoves.spec.ts
+++ b/tests/decisions/planMoves.spec.ts
@@ -6,7 +6,7 @@
     type MovePlanInput,
     planMoves,
     type PoolDemand,
-    requiredVmCount,
+    requiredVms,
     type VmMove,
 } from "../../src/decisions/planMoves.js";
 
@@ -65,7 +65,7 @@
             pool("quiet", { vmCount: 12, arrivingCpuMillicores: 2_000, peakCpuMillicores: 90_000 }),
         ];
         assert.equal(moveEmptyVms({ nowMs: 1_000, pools, emptyVms: emptyVms("quiet", 11, 0) }).length, 7);
-        assert.equal(requiredVmCount(pool("quiet", { arrivingCpuMillicores: 20_000, peakCpuMillicores: 90_000 })), 2);
+        assert.equal(requiredVms(pool("quiet", { arrivingCpuMillicores: 20_000, peakCpuMillicores: 90_000 })).expectedCount, 2);
     });
 
     it("should not move VMs that were busy a moment ago", () => {
@@ -92,7 +92,7 @@
                 counts.set(move.fromPool, counts.get(move.fromPool)! - 1);
                 counts.set(move.toPool, counts.get(move.toPool)! + 1);
             }
-            const needed = requiredVmCount(pools.find(each => each.poolName === surging)!);
+            const needed = requiredVms(pools.find(each => each.poolName === surging)!).expectedCount;
             assert.equal(counts.get(surging), needed, `pool ${surging} has ${counts.get(surging)} of ${needed} VMs`);
         }
         assert.equal([...counts.values()].reduce((sum, count) => sum + count, 0), 16);
@@ -124,6 +124,13 @@
         assert.deepEqual(movesFrom(8), { surging: 6, all: 8 }, "six VMs are enough for the surging pool");
     });
 
+    it("should give VMs to work that is there before a surge that is expected to grow", () => {
+        const rising = pool("rising", { vmCount: 2, arrivingCpuMillicores: 60_000, peakCpuMillicores: 120_000 });
+        const pools = [surging, rising, pool("spare", { isStandby: true })];
+        const moves = moveEmptyVms({ nowMs: 1_000, pools, emptyVms: emptyVms("spare", 9, 0) });
+        assert.deepEqual(moves.map(move => move.toPool), [...Array(6).fill("surging"), ...Array(3).fill("rising")]);
+    });
+
     it("should drain as many of the least busy VMs with overdue work as a surging pool lacks", () => {
         const input = { nowMs: 1_000, pools: [overdue, surging], emptyVms: emptyVms("overdue", 2, 0) };
         const { moves, drainedVmIds } = planMoves({ ...input, drainableVms: drainable("overdue", 8) });
--- a/tests/decisions/surges.spec.ts
+++ b/tests/decisions/surges.spec.ts
@@ -1,7 +1,7 @@
 /** Checks on three sizes of fleet that queues which surge one after the other find the VMs that stand empty in other pools. */
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { requiredVmCount } from "../../src/decisions/planMoves.js";
+import { requiredVms } from "../../src/decisions/planMoves.js";
 import { createWaitingTrend } from "../../src/process/waitingTrend.js";
 import { replaySurges } from "./surgeReplay.js";
 
@@ -83,17 +83,17 @@
     it("should give a pool that begins its first surge the VMs of another pool's surge", () => {
         const surged = 170_000;
         const rising = { ...quiet, poolName: "a", arrivingCpuMillicores: 85_000 };
-        assert.equal(requiredVmCount(rising, surged), 20);
-        assert.equal(requiredVmCount(rising, 0), 10);
-        assert.equal(requiredVmCount({ ...quiet, poolName: "a" }, surged), 1, "a quiet pool gets none of them");
+        assert.equal(requiredVms(rising, surged).expectedCount, 20);
+        assert.equal(requiredVms(rising, 0).expectedCount, 10);
+        assert.equal(requiredVms({ ...quiet, poolName: "a" }, surged).expectedCount, 1, "a quiet pool gets none of them");
         const steady = { ...rising, peakCpuMillicores: 85_000 };
-        assert.equal(requiredVmCount(steady, surged), 10, "nor does one with the same load for long");
+        assert.equal(requiredVms(steady, surged).expectedCount, 10, "nor does one with the same load for long");
     });
 
     it("should give a pool whose waiting work grows the VMs for what will wait when they arrive", () => {
         const waiting = { ...quiet, poolName: "a", waitingCpuMillicores: 34_000 };
-        assert.equal(requiredVmCount(waiting), 4);
-        assert.equal(requiredVmCount({ ...waiting, waitingGrowthMillicoresPerS: 34_000 }), 8);
+        assert.equal(requiredVms(waiting).expectedCount, 4);
+        assert.equal(requiredVms({ ...waiting, waitingGrowthMillicoresPerS: 34_000 }).expectedCount, 8);
     });
 });
 
