Count only work that is due when VMs are requested

What callers could see: VMs of standby and of other pools went to the pool of a timed job long before its occurrences were due. Cause: all occurrences of a job exist from the start, and a pool's waiting work contained those that lie in the future. Found by reading the change. Evidence: the new test requests a VM for an occurrence due in a minute before the change, and none after.

--- a/src/process/poolRebalancer.ts
+++ b/src/process/poolRebalancer.ts
@@ -3,7 +3,7 @@
 import { type VmOrderOutcome, vmOrderOutcomes, type VmRecord, type VmService, vmStates } from "../connection/vmService.js";
 import { type DrainableVm, type EmptyVm, type MovePlanInput, planMoves, type PoolDemand, type VmMove } from "../decisions/planMoves.js";
 import { jobLateness } from "../scheduling/jobLateness.js";
-import { isFinalState, isStepReady } from "../scheduling/jobRecord.js";
+import { isFinalState, readyStepsOf } from "../scheduling/jobRecord.js";
 import { findStep } from "../scheduling/schedulerState.js";
 import { endIncarnation, type WorkerIncarnation } from "../scheduling/workerLifecycle.js";
 import type { Run, WorkerRecord } from "../scheduling/workerRecord.js";
@@ -80,15 +80,11 @@
             if (queue === undefined || isFinalState(job.state)) {
                 continue;
             }
-            for (const occurrence of job.occurrences.values()) {
-                for (const step of occurrence.steps) {
-                    if (step.waiting.size > 0 && isStepReady(occurrence, step)) {
-                        const pool = waiting.get(queue.poolName) ?? { inTimeMillicores: 0, overdueMillicores: 0 };
-                        waiting.set(queue.poolName, pool);
-                        const isOverdue = !step.spec.isLongRunning && jobLateness(job, occurrence, queue, step.criticalPathMs, wallMs) > 0;
-                        pool[isOverdue ? "overdueMillicores" : "inTimeMillicores"] += step.waiting.size * step.spec.request.cpuMillicores;
-                    }
-                }
+            for (const { occurrence, step } of readyStepsOf(job, wallMs)) {
+                const pool = waiting.get(queue.poolName) ?? { inTimeMillicores: 0, overdueMillicores: 0 };
+                waiting.set(queue.poolName, pool);
+                const isOverdue = !step.spec.isLongRunning && jobLateness(job, occurrence, queue, step.criticalPathMs, wallMs) > 0;
+                pool[isOverdue ? "overdueMillicores" : "inTimeMillicores"] += step.waiting.size * step.spec.request.cpuMillicores;
             }
         }
         return waiting;
--- a/src/process/schedulingSummary.ts
+++ b/src/process/schedulingSummary.ts
@@ -1,7 +1,7 @@
 /** Collects the load of the process that owns the scheduling, and what waits and runs in each pool, for the log. */
 import type { TimerService } from "../common/timerService.js";
 import { jobLateness } from "../scheduling/jobLateness.js";
-import { isFinalState, isStepReady } from "../scheduling/jobRecord.js";
+import { isFinalState, readyStepsOf } from "../scheduling/jobRecord.js";
 import type { SchedulerState } from "../scheduling/schedulerState.js";
 import { freeResources } from "../scheduling/workerRecord.js";
 import { logEvents } from "./logEvents.js";
@@ -47,14 +47,8 @@
             continue;
         }
         const pool = poolOf(queue.poolName);
-        for (const occurrence of job.occurrences.values()) {
-            for (
-                const step of occurrence.steps.filter(each =>
-                    occurrence.dueWallMs <= wallMs && each.waiting.size > 0 && isStepReady(occurrence, each)
-                )
-            ) {
-                pool.waitingCounts[jobLateness(job, occurrence, queue, step.criticalPathMs, wallMs)] += step.waiting.size;
-            }
+        for (const { occurrence, step } of readyStepsOf(job, wallMs)) {
+            pool.waitingCounts[jobLateness(job, occurrence, queue, step.criticalPathMs, wallMs)] += step.waiting.size;
         }
     }
     return pools;
--- a/src/scheduling/jobRecord.ts
+++ b/src/scheduling/jobRecord.ts
@@ -150,6 +150,19 @@
     return step.spec.dependsOn.every(before => isStepDone(occurrence.steps[before]!));
 }
 
+/** A step with waiting tasks, and its occurrence. */
+export interface ReadyStep {
+    occurrence: OccurrenceRecord;
+    step: StepRecord;
+}
+
+/** The steps of the job that are due, ready and have waiting tasks. */
+export function readyStepsOf(job: JobRecord, wallMs: number): ReadyStep[] {
+    return [...job.occurrences.values()].filter(occurrence => occurrence.dueWallMs <= wallMs).flatMap(occurrence =>
+        occurrence.steps.filter(step => step.waiting.size > 0 && isStepReady(occurrence, step)).map(step => ({ occurrence, step }))
+    );
+}
+
 function stepProgress(step: StepRecord): StepProgress {
     const done = isStepDone(step) ? "all" as const : [...step.done];
     const tasks = [...step.tasks].filter(([task]) => !step.done.has(task));
--- a/tests/process/poolRebalancer.spec.ts
+++ b/tests/process/poolRebalancer.spec.ts
@@ -36,6 +36,14 @@
         assert.deepEqual(orders, ["idle2 to pool"]);
     });
 
+    it("should not request VMs for occurrences of a job that are not due yet", async () => {
+        const harness = createSchedulerHarness({ workers: 1 });
+        harness.list("w1", { sentAtMs: 0 });
+        harness.submit("job", { taskCount: 16, repeat: { count: 10, firstDueWallMs: 60_000, intervalMs: 60_000 } });
+        const vms = [describeVm({ vmId: "vm1", workerId: "w1" }), describeVm({ vmId: "idle1", poolName: "idle" })];
+        assert.deepEqual(await requestedMoves(harness, vms), []);
+    });
+
     it("should log how many VMs a pool needs and has, and why others are not counted", async () => {
         const harness = createSchedulerHarness({ workers: 2 });
         harness.list("w2", { sentAtMs: 0 });
