Recognise a surge while it still rises

Cause: a surge was assumed to have begun above 0.4 of the recent peak. Change: 0.25. Between surges about a hundredth of the peak arrives. Counted as expected work, it takes VMs from no work that is there. The new test fails before (1 move, not 7).

--- a/src/decisions/planMoves.ts
+++ b/src/decisions/planMoves.ts
@@ -86,7 +86,7 @@
 const movableAfterMs = 250;
 
 /** A surge is assumed to have begun above this fraction of the recent peak; between surges, far less work arrives. */
-const surgeThresholdFraction = 0.4;
+const surgeThresholdFraction = 0.25;
 
 /** Waiting work is expected to grow for this long as it did; less than a move takes, since the growth also ends. */
 const growthHorizonS = 1;
--- a/tests/decisions/planMoves.spec.ts
+++ b/tests/decisions/planMoves.spec.ts
@@ -68,6 +68,14 @@
         assert.equal(requiredVms(pool("quiet", { arrivingCpuMillicores: 20_000, peakCpuMillicores: 90_000 })).expectedCount, 2);
     });
 
+    it("should recognise a surge while it still rises", () => {
+        const pools = [
+            pool("rising", { vmCount: 2, arrivingCpuMillicores: 36_000, peakCpuMillicores: 120_000 }),
+            pool("quiet", { vmCount: 12, arrivingCpuMillicores: 2_000, peakCpuMillicores: 90_000 }),
+        ];
+        assert.equal(moveEmptyVms({ nowMs: 1_000, pools, emptyVms: emptyVms("quiet", 11, 0) }).length, 7);
+    });
+
     it("should not move VMs that were busy a moment ago", () => {
         const pools = [pool("surging", { waitingCpuMillicores: 99_000 }), pool("quiet", {})];
         assert.deepEqual(moveEmptyVms({ nowMs: 1_000, pools, emptyVms: emptyVms("quiet", 2, 900) }), []);
