--- a/bench/schedulingPass.ts
+++ b/bench/schedulingPass.ts
@@ -6,30 +6,20 @@
  */
 import { createHash } from "node:crypto";
 import { createSchedulingLoad, createSimulatedWorker, createVirtualTime, type SimulatedWorker } from "../harness/schedulingLoad.js";
+import { createSimulatedOwner, workerLeaseMs } from "../harness/simulatedOwner.js";
 import { createManualTimerService } from "../src/common/timerService.js";
 import { logEvents } from "../src/process/logEvents.js";
 import { createLogger } from "../src/process/logger.js";
-import { passDelayMs } from "../src/process/passTrigger.js";
-import { commandOutcomes } from "../src/scheduling/commandOutcomes.js";
 import { encodeProgress, encodeSubmission } from "../src/scheduling/jobDocuments.js";
 import { jobStates, type JobSubmission } from "../src/scheduling/jobTypes.js";
-import type { Listing, Moment } from "../src/scheduling/reconcileListing.js";
-import { createScheduler } from "../src/scheduling/scheduler.js";
+import type { Moment } from "../src/scheduling/reconcileListing.js";
+import { createScheduler, type Scheduler } from "../src/scheduling/scheduler.js";
 import { commandKinds, type SchedulerCommand } from "../src/scheduling/schedulerState.js";
-import type { Run } from "../src/scheduling/workerRecord.js";
 
 const seed = 20261204;
 const runS = Number(process.argv[2] ?? 36);
 const scale = Number(process.argv[3] ?? 1);
 const warmUpMs = 2_000;
-const linkMs = 2;
-const storeMs = 6;
-const longPollMs = 1_000;
-const leaseMs = 6_000;
-const saveIntervalMs = 20;
-const maxSaveWaitMs = 40;
-const jobsPerWrite = 15;
-const maxWritesInFlight = 3;
 
 interface PartTime {
     callsCount: number;
@@ -92,135 +82,66 @@
 const scheduler = createScheduler({
     policy: load.policy,
     term: { token: 1, startedWallMs: 0, unknownWorkersUntilMs: 0 },
-    workerLeaseMs: leaseMs,
+    workerLeaseMs,
     taskStopMs: 900,
     onDecision: decision => parts.measure("log", () => logger.log(logEvents.schedulingDecided, { ...decision })),
 });
-const sessionsWaitingForSave = new Set<string>();
-let isPassDue = true;
-let lastPassAtMs = 0;
-let writesInFlight = 0;
 let startsCount = 0;
 let endsCount = 0;
+let writesCount = 0;
 let completedJobsCount = 0;
 let completionSumMs = 0;
 let mostWaitingTasksCount = 0;
 let mostJobsCount = 0;
 
-function hasUnsavedEnds(workerId: string): boolean {
-    return scheduler.state.workers.get(workerId)!.unsavedEnds.length > 0;
-}
-
-function handleListing(workerId: string, listing: Listing, sentAtMs: number): void {
-    endsCount += listing.ended.length;
-    parts.measure("listing", () => scheduler.listingReceived(workerId, listing, sentAtMs, moment()));
-    isPassDue = true;
-    if (hasUnsavedEnds(workerId)) {
-        sessionsWaitingForSave.add(workerId);
-        time.after(maxSaveWaitMs, () => pollAfterSave(workerId));
-    }
-    else {
-        poll(workerId, longPollMs);
-    }
-}
-
-function list(workerId: string, waitMs: number, handle: (listing: Listing, sentAtMs: number) => void): void {
-    const sentAtMs = time.nowMs();
-    const acknowledged = parts.measure("acknowledgement", () => scheduler.acknowledgedEndNumber(workerId));
-    scheduler.leaseExtensionSent(workerId, leaseMs, sentAtMs);
-    time.after(
-        linkMs,
-        () => workers.get(workerId)!.list(acknowledged, waitMs, listing => time.after(linkMs, () => handle(listing, sentAtMs))),
-    );
-}
-
-function poll(workerId: string, waitMs: number): void {
-    list(workerId, waitMs, (listing, sentAtMs) => handleListing(workerId, listing, sentAtMs));
-}
-
-function pollAfterSave(workerId: string): void {
-    if (sessionsWaitingForSave.delete(workerId)) {
-        poll(workerId, longPollMs);
-    }
-}
-
-function listOnce(workerId: string): void {
-    list(workerId, 0, (listing, sentAtMs) => {
-        parts.measure("listing", () => scheduler.listingReceived(workerId, listing, sentAtMs, moment()));
-        isPassDue = true;
-    });
-}
-
-function flushProgress(): void {
-    while (writesInFlight < maxWritesInFlight) {
-        const taken = parts.measure("take unsaved", () => scheduler.takeUnsavedJobs(jobsPerWrite));
-        if (taken.length === 0) {
-            return;
-        }
-        parts.measure("encode progress", () => taken.forEach(job => encodeProgress(job.progress)));
-        writesInFlight += 1;
-        time.after(storeMs, () => {
-            writesInFlight -= 1;
-            parts.measure("progress saved", () => taken.forEach(job => scheduler.progressSaved(job.jobId, job.version, time.nowMs())));
-            taken.filter(job => job.progress.state === jobStates.completed).forEach(job => countCompleted(job.jobId));
-            [...sessionsWaitingForSave].filter(workerId => !hasUnsavedEnds(workerId)).forEach(pollAfterSave);
-            isPassDue = true;
-        });
-    }
-}
+/** The scheduler, with the time of each part of its work measured. */
+const measuredScheduler: Scheduler = {
+    ...scheduler,
+    acknowledgedEndNumber: workerId => parts.measure("acknowledgement", () => scheduler.acknowledgedEndNumber(workerId)),
+    listingReceived: (workerId, listing, sentAtMs, now) => {
+        endsCount += listing.ended.length;
+        parts.measure("listing", () => scheduler.listingReceived(workerId, listing, sentAtMs, now));
+    },
+    takeUnsavedJobs: maxJobs => parts.measure("take unsaved", () => scheduler.takeUnsavedJobs(maxJobs)),
+    progressSaved: (jobId, version, nowMs) => parts.measure("progress saved", () => scheduler.progressSaved(jobId, version, nowMs)),
+    startResponseReceived: (run, outcome, reason, now) =>
+        parts.measure("start response", () => scheduler.startResponseReceived(run, outcome, reason, now)),
+    stopResponseReceived: (run, outcome, now) => parts.measure("stop response", () => scheduler.stopResponseReceived(run, outcome, now)),
+    step: now => parts.measure("pass", () => scheduler.step(now)),
+    hasPlannedStarts: () => parts.measure("planned starts", () => scheduler.hasPlannedStarts()),
+};
 
 function countCompleted(jobId: string): void {
     completedJobsCount += 1;
     completionSumMs += time.nowMs() - submissions.get(jobId)!.submittedWallMs;
 }
 
-function answerStart(run: Run): void {
-    parts.measure("start response", () => scheduler.startResponseReceived(run, commandOutcomes.accepted, "", moment()));
-    isPassDue = true;
-}
-
-function answerStop(run: Run): void {
-    parts.measure("stop response", () => scheduler.stopResponseReceived(run, commandOutcomes.accepted, moment()));
-    isPassDue = true;
-}
-
-function execute(command: SchedulerCommand): void {
+function recordCommand(command: SchedulerCommand): void {
     digest.update(`${time.nowMs()} ${command.kind} `);
-    if (command.kind === commandKinds.list) {
-        listOnce(command.workerId);
-    }
-    else if (command.kind === commandKinds.start) {
-        const { run } = command;
-        digest.update(`${run.taskName} ${run.workerId}`);
-        startsCount += 1;
-        const submission = submissions.get(run.jobId)!;
-        const durationMs = run.isServing ? undefined : load.drawTaskMs(submission, run.stepIndex);
-        time.after(linkMs, () => workers.get(run.workerId)!.start(run, durationMs));
-        time.after(2 * linkMs, () => answerStart(run));
-    }
-    else if (command.kind === commandKinds.stop) {
-        const { run } = command;
-        digest.update(`${run.taskName} ${run.workerId}`);
-        time.after(linkMs, () => workers.get(run.workerId)!.stop(run));
-        time.after(2 * linkMs, () => answerStop(run));
+    if (command.kind === commandKinds.start || command.kind === commandKinds.stop) {
+        digest.update(`${command.run.taskName} ${command.run.workerId}`);
+        startsCount += command.kind === commandKinds.start ? 1 : 0;
     }
 }
 
-function runPass(): void {
-    isPassDue = false;
-    lastPassAtMs = time.nowMs();
-    parts.measure("pass", () => scheduler.step(moment()));
-    if (parts.measure("planned starts", () => scheduler.hasPlannedStarts())) {
-        flushProgress();
-    }
-    scheduler.takeCommands().forEach(execute);
-}
+const owner = createSimulatedOwner({
+    time,
+    scheduler: measuredScheduler,
+    findWorker: workerId => workers.get(workerId),
+    runDurationMs: run => run.isServing ? undefined : load.drawTaskMs(submissions.get(run.jobId)!, run.stepIndex),
+    onCommand: recordCommand,
+    onWriteStarted: jobs => {
+        writesCount += 1;
+        parts.measure("encode progress", () => jobs.forEach(job => encodeProgress(job.progress)));
+    },
+    onSaved: jobs => jobs.filter(job => job.progress.state === jobStates.completed).forEach(job => countCompleted(job.jobId)),
+});
 
 function submit(submission: JobSubmission): void {
     submissions.set(submission.jobId, submission);
     const text = encodeSubmission(submission);
     parts.measure("job added", () => scheduler.addJob(text, undefined, false, time.nowMs()));
-    isPassDue = true;
+    owner.requestPass();
 }
 
 function countWaitingTasks(): number {
@@ -232,13 +153,7 @@
     time.advance();
     const nowMs = time.nowMs();
     load.arrivals(nowMs).forEach(submit);
-    if (nowMs % saveIntervalMs === 0) {
-        flushProgress();
-    }
-    isPassDue ||= nowMs % 100 === 0;
-    if (isPassDue && passDelayMs(lastPassAtMs, nowMs) === 0) {
-        runPass();
-    }
+    owner.advance();
     if (nowMs % 100 === 0) {
         mostWaitingTasksCount = Math.max(mostWaitingTasksCount, countWaitingTasks());
         mostJobsCount = Math.max(mostJobsCount, scheduler.state.jobs.size);
@@ -248,7 +163,7 @@
 for (const entry of load.workers) {
     scheduler.registerWorker(entry, moment());
     workers.set(entry.workerId, createSimulatedWorker(time, load.workRandom));
-    poll(entry.workerId, 0);
+    owner.follow(entry.workerId);
 }
 load.longRunningJobs.forEach(submit);
 while (time.nowMs() < warmUpMs) {
@@ -261,7 +176,7 @@
 }
 const cpu = process.cpuUsage(cpuBefore);
 console.log(
-    `${load.workers.length} workers, ${submissions.size} jobs, ${completedJobsCount} completed, ${startsCount} starts, ${endsCount} listed ends; ` +
+    `${load.workers.length} workers, ${submissions.size} jobs, ${completedJobsCount} completed, ${startsCount} starts, ${endsCount} listed ends, ${writesCount} writes of progress; ` +
         `at most ${mostJobsCount} jobs and ${mostWaitingTasksCount} waiting tasks at a time`,
 );
 parts.report(runS);
--- /dev/null
+++ b/harness/simulatedOwner.ts
@@ -0,0 +1,173 @@
+/**
+ * Drives a scheduler in virtual time as its owner does: listings of simulated workers, commands to them, writes of progress, and passes
+ * that follow events.
+ */
+import { passDelayMs } from "../src/process/passTrigger.js";
+import { commandOutcomes } from "../src/scheduling/commandOutcomes.js";
+import type { Listing, Moment } from "../src/scheduling/reconcileListing.js";
+import type { Scheduler, UnsavedJob } from "../src/scheduling/scheduler.js";
+import { commandKinds, type SchedulerCommand } from "../src/scheduling/schedulerState.js";
+import type { Run } from "../src/scheduling/workerRecord.js";
+import type { SimulatedWorker, VirtualTime } from "./schedulingLoad.js";
+
+export interface SimulatedOwnerOptions {
+    time: VirtualTime;
+    scheduler: Scheduler;
+    /** The worker with this id; `undefined` once it is gone. */
+    findWorker(workerId: string): SimulatedWorker | undefined;
+    /** How long the run takes; `undefined` if it runs until it is stopped. */
+    runDurationMs(run: Run): number | undefined;
+    /** Called before a command is executed. */
+    onCommand?(command: SchedulerCommand): void;
+    /** Called with the progress that is about to be written. */
+    onWriteStarted?(jobs: readonly UnsavedJob[]): void;
+    onSaved?(jobs: readonly UnsavedJob[]): void;
+    /** Whether no process owns the scheduling now; the next owner gets the workers' responses. */
+    isAway?(): boolean;
+    /** Whether the store takes no writes now. */
+    isStoreAway?(): boolean;
+}
+
+export interface SimulatedOwner {
+    /** Lists the worker again and again, from now on. */
+    follow(workerId: string): void;
+    /** Must be called after each event that may let tasks start. */
+    requestPass(): void;
+    /** Does what is due in the current millisecond. */
+    advance(): void;
+}
+
+const linkMs = 2;
+/** Time until a write is stored. */
+export const storeMs = 6;
+export const workerLeaseMs = 6_000;
+const longPollMs = 1_000;
+const saveIntervalMs = 20;
+const maxSaveWaitMs = 40;
+const jobsPerWrite = 15;
+const maxWritesInFlight = 3;
+const passIntervalMs = 100;
+/** How soon the next owner repeats a request of the former one. */
+const takeoverRetryMs = 50;
+
+export function createSimulatedOwner(options: SimulatedOwnerOptions): SimulatedOwner {
+    const { time, scheduler, findWorker } = options;
+    const isAway = options.isAway ?? ((): boolean => false);
+    const isStoreAway = options.isStoreAway ?? ((): boolean => false);
+    const waitingForSave = new Set<string>();
+    let isPassDue = true;
+    let lastPassAtMs = 0;
+    let writesInFlight = 0;
+
+    const moment = (): Moment => ({ nowMs: time.nowMs(), wallMs: time.nowMs() });
+    const hasUnsavedEnds = (workerId: string): boolean => (scheduler.state.workers.get(workerId)?.unsavedEnds.length ?? 0) > 0;
+
+    const list = (workerId: string, waitMs: number, onListed: () => void): void => {
+        if (!findWorker(workerId)) {
+            return;
+        }
+        const sentAtMs = time.nowMs();
+        const acknowledged = scheduler.acknowledgedEndNumber(workerId);
+        scheduler.leaseExtensionSent(workerId, workerLeaseMs, sentAtMs);
+        const receive = (listing: Listing): void => {
+            if (isAway()) {
+                time.after(takeoverRetryMs, () => receive(listing));
+            }
+            else if (findWorker(workerId)) {
+                scheduler.listingReceived(workerId, listing, sentAtMs, moment());
+                isPassDue = true;
+                onListed();
+            }
+        };
+        time.after(
+            linkMs,
+            () => findWorker(workerId)?.list(acknowledged, waitMs, listing => time.after(linkMs, () => receive(listing))),
+        );
+    };
+    const poll = (workerId: string, waitMs: number): void =>
+        list(workerId, waitMs, () => {
+            if (hasUnsavedEnds(workerId)) {
+                waitingForSave.add(workerId);
+                time.after(maxSaveWaitMs, () => pollAfterSave(workerId));
+            }
+            else {
+                poll(workerId, longPollMs);
+            }
+        });
+    const pollAfterSave = (workerId: string): void => {
+        if (waitingForSave.delete(workerId)) {
+            poll(workerId, longPollMs);
+        }
+    };
+
+    const flushProgress = (): void => {
+        while (writesInFlight < maxWritesInFlight && !isStoreAway()) {
+            const taken = scheduler.takeUnsavedJobs(jobsPerWrite);
+            if (taken.length === 0) {
+                return;
+            }
+            options.onWriteStarted?.(taken);
+            writesInFlight += 1;
+            time.after(storeMs, () => {
+                writesInFlight -= 1;
+                taken.forEach(job => scheduler.progressSaved(job.jobId, job.version, time.nowMs()));
+                options.onSaved?.(taken);
+                [...waitingForSave].filter(workerId => !hasUnsavedEnds(workerId)).forEach(pollAfterSave);
+                isPassDue = true;
+            });
+        }
+    };
+
+    const execute = (command: SchedulerCommand): void => {
+        options.onCommand?.(command);
+        if (command.kind === commandKinds.list) {
+            list(command.workerId, 0, () => undefined);
+        }
+        else if (command.kind === commandKinds.start) {
+            const { run } = command;
+            const durationMs = options.runDurationMs(run);
+            time.after(linkMs, () => findWorker(run.workerId)?.start(run, durationMs));
+            time.after(2 * linkMs, () => {
+                scheduler.startResponseReceived(run, commandOutcomes.accepted, "", moment());
+                isPassDue = true;
+            });
+        }
+        else if (command.kind === commandKinds.stop) {
+            const { run } = command;
+            time.after(linkMs, () => findWorker(run.workerId)?.stop(run));
+            time.after(2 * linkMs, () => {
+                scheduler.stopResponseReceived(run, commandOutcomes.accepted, moment());
+                isPassDue = true;
+            });
+        }
+    };
+
+    const runPass = (): void => {
+        isPassDue = false;
+        lastPassAtMs = time.nowMs();
+        scheduler.setStoreWritable(!isStoreAway());
+        scheduler.step(moment());
+        if (scheduler.hasPlannedStarts()) {
+            flushProgress();
+        }
+        scheduler.takeCommands().forEach(execute);
+    };
+
+    return {
+        follow: workerId => poll(workerId, 0),
+        requestPass: () => isPassDue = true,
+        advance: () => {
+            if (isAway()) {
+                return;
+            }
+            const nowMs = time.nowMs();
+            if (nowMs % saveIntervalMs === 0) {
+                flushProgress();
+            }
+            isPassDue ||= nowMs % passIntervalMs === 0;
+            if (isPassDue && passDelayMs(lastPassAtMs, nowMs) === 0) {
+                runPass();
+            }
+        },
+    };
+}
--- a/tests/process/fleetSimulation.ts
+++ b/tests/process/fleetSimulation.ts
@@ -10,18 +10,16 @@
     type SimulatedWorker,
     smoothSurges,
 } from "../../harness/schedulingLoad.js";
+import { createSimulatedOwner, storeMs, workerLeaseMs } from "../../harness/simulatedOwner.js";
 import type { TimerService } from "../../src/common/timerService.js";
 import { createDemandTracker } from "../../src/process/demandTracker.js";
 import { createSilentLogger, type Logger } from "../../src/process/logger.js";
-import { passDelayMs } from "../../src/process/passTrigger.js";
 import { createPoolRebalancer } from "../../src/process/poolRebalancer.js";
 import { createVmInventory } from "../../src/process/vmInventory.js";
-import { commandOutcomes } from "../../src/scheduling/commandOutcomes.js";
 import { encodeSubmission } from "../../src/scheduling/jobDocuments.js";
 import { estimateWork, type JobSubmission } from "../../src/scheduling/jobTypes.js";
-import type { Listing, Moment } from "../../src/scheduling/reconcileListing.js";
+import type { Moment } from "../../src/scheduling/reconcileListing.js";
 import { createScheduler } from "../../src/scheduling/scheduler.js";
-import { commandKinds, type SchedulerCommand } from "../../src/scheduling/schedulerState.js";
 import type { WorkerEntry } from "../../src/scheduling/workerRecord.js";
 import { type EarnedWorth, measureEarnedWorth, type TrackedJob, trackJob } from "./earnedWorth.js";
 import { createSimulatedVms } from "./simulatedVms.js";
@@ -52,14 +50,6 @@
 
 /** Few enough that most VMs can be moved. */
 const longRunningTasksCount = 6;
-const linkMs = 2;
-const storeMs = 6;
-const longPollMs = 1_000;
-const leaseMs = 6_000;
-const saveIntervalMs = 20;
-const maxSaveWaitMs = 40;
-const jobsPerWrite = 15;
-const maxWritesInFlight = 3;
 const advanceIntervalMs = 150;
 const listIntervalMs = 400;
 /** After the last arrival; then each job is done, or has no value left. */
@@ -80,7 +70,7 @@
     const scheduler = createScheduler({
         policy: load.policy,
         term: { token: 1, startedWallMs: 0, unknownWorkersUntilMs: 0 },
-        workerLeaseMs: leaseMs,
+        workerLeaseMs,
         taskStopMs: 900,
         onDecision: decision => {
             if (decision.what === "job completed") {
@@ -92,37 +82,18 @@
     const demand = createDemandTracker(time.nowMs);
     const jobs = new Map<string, TrackedJob>();
     const workers = new Map<string, SimulatedWorker>();
-    const waitingForSave = new Set<string>();
     const arrivedWhileAway: JobSubmission[] = [];
-    let isPassDue = true;
-    let lastPassAtMs = 0;
-    let writesInFlight = 0;
     let vmSecondsInPools = 0;
 
-    const isAnswering = (workerId: string): boolean => workers.has(workerId);
+    const owner = createSimulatedOwner({
+        time,
+        scheduler,
+        findWorker: workerId => workers.get(workerId),
+        runDurationMs: run => run.isServing ? undefined : jobs.get(run.jobId)!.taskDurationsMs[run.stepIndex]![run.taskIndex]!,
+        isAway: () => isWithin(options.ownerAway),
+        isStoreAway: () => isWithin(options.storeAway),
+    });
 
-    const list = (workerId: string, waitMs: number, handle: (listing: Listing, sentAtMs: number) => void): void => {
-        if (!isAnswering(workerId)) {
-            return;
-        }
-        const sentAtMs = time.nowMs();
-        const acknowledged = scheduler.acknowledgedEndNumber(workerId);
-        scheduler.leaseExtensionSent(workerId, leaseMs, sentAtMs);
-        time.after(
-            linkMs,
-            () => workers.get(workerId)?.list(acknowledged, waitMs, listing => time.after(linkMs, () => deliver(listing))),
-        );
-        const deliver = (listing: Listing): void => {
-            if (isWithin(options.ownerAway)) {
-                // The next owner lists the worker again.
-                time.after(50, () => deliver(listing));
-            }
-            else if (isAnswering(workerId)) {
-                handle(listing, sentAtMs);
-                isPassDue = true;
-            }
-        };
-    };
     const simulateWorker = ({ bornWallMs }: WorkerEntry): SimulatedWorker => {
         const worker = createSimulatedWorker(time, load.workRandom);
         return {
@@ -130,24 +101,6 @@
             list: (acknowledged, waitMs, respond) => worker.list(acknowledged, waitMs, listing => respond({ ...listing, bornWallMs })),
         };
     };
-    const poll = (workerId: string, waitMs: number): void =>
-        list(workerId, waitMs, (listing, sentAtMs) => {
-            scheduler.listingReceived(workerId, listing, sentAtMs, moment());
-            if (hasUnsavedEnds(workerId)) {
-                waitingForSave.add(workerId);
-                time.after(maxSaveWaitMs, () => pollAfterSave(workerId));
-            }
-            else {
-                poll(workerId, longPollMs);
-            }
-        });
-    const hasUnsavedEnds = (workerId: string): boolean => (scheduler.state.workers.get(workerId)?.unsavedEnds.length ?? 0) > 0;
-    const pollAfterSave = (workerId: string): void => {
-        if (waitingForSave.delete(workerId)) {
-            poll(workerId, longPollMs);
-        }
-    };
-
     const fleet = createSimulatedVms({
         time,
         load,
@@ -155,7 +108,7 @@
         onWorkerStarted: entry => {
             scheduler.registerWorker(entry, moment());
             workers.set(entry.workerId, simulateWorker(entry));
-            poll(entry.workerId, 0);
+            owner.follow(entry.workerId);
         },
         onWorkerEnded: workerId => {
             workers.delete(workerId);
@@ -176,51 +129,6 @@
         mustStay: () => false,
     });
 
-    const flushProgress = (): void => {
-        while (writesInFlight < maxWritesInFlight && !isWithin(options.storeAway)) {
-            const taken = scheduler.takeUnsavedJobs(jobsPerWrite);
-            if (taken.length === 0) {
-                return;
-            }
-            writesInFlight += 1;
-            time.after(storeMs, () => {
-                writesInFlight -= 1;
-                taken.forEach(job => scheduler.progressSaved(job.jobId, job.version, time.nowMs()));
-                [...waitingForSave].filter(workerId => !hasUnsavedEnds(workerId)).forEach(pollAfterSave);
-                isPassDue = true;
-            });
-        }
-    };
-    const execute = (command: SchedulerCommand): void => {
-        if (command.kind === commandKinds.list) {
-            list(command.workerId, 0, (listing, sentAtMs) => scheduler.listingReceived(command.workerId, listing, sentAtMs, moment()));
-        }
-        else if (command.kind === commandKinds.start) {
-            const { run } = command;
-            const durationMs = run.isServing ? undefined : jobs.get(run.jobId)!.taskDurationsMs[run.stepIndex]![run.taskIndex]!;
-            time.after(linkMs, () => workers.get(run.workerId)?.start(run, durationMs));
-            time.after(2 * linkMs, () => {
-                scheduler.startResponseReceived(run, commandOutcomes.accepted, "", moment());
-                isPassDue = true;
-            });
-        }
-        else if (command.kind === commandKinds.stop) {
-            const { run } = command;
-            time.after(linkMs, () => workers.get(run.workerId)?.stop(run));
-            time.after(2 * linkMs, () => scheduler.stopResponseReceived(run, commandOutcomes.accepted, moment()));
-        }
-    };
-    const runPass = (): void => {
-        isPassDue = false;
-        lastPassAtMs = time.nowMs();
-        scheduler.setStoreWritable(!isWithin(options.storeAway));
-        scheduler.step(moment());
-        if (scheduler.hasPlannedStarts()) {
-            flushProgress();
-        }
-        scheduler.takeCommands().forEach(execute);
-    };
-
     const addJob = (submission: JobSubmission): void => {
         scheduler.addJob(encodeSubmission(submission), undefined, false, time.nowMs());
         const job = jobs.get(submission.jobId)!;
@@ -230,7 +138,7 @@
             estimateWork(submission.steps),
             time.nowMs() - submission.submittedWallMs,
         );
-        isPassDue = true;
+        owner.requestPass();
     };
     const arrive = (): void => {
         const arrivals = time.nowMs() < options.durationMs ? load.arrivals(time.nowMs()) : [];
@@ -259,13 +167,7 @@
         if (isWithin(options.ownerAway)) {
             continue;
         }
-        if (nowMs % saveIntervalMs === 0) {
-            flushProgress();
-        }
-        isPassDue ||= nowMs % 100 === 0;
-        if (isPassDue && passDelayMs(lastPassAtMs, nowMs) === 0) {
-            runPass();
-        }
+        owner.advance();
         if (nowMs % advanceIntervalMs === 0) {
             vmSecondsInPools += fleet.vmsInPoolsCount() * advanceIntervalMs / 1000;
             if (nowMs - inventory.listedAtMs() >= listIntervalMs) {
