--- a/tests/scheduling/defaultStep.ts
+++ b/harness/defaultStep.ts
@@ -1,5 +1,5 @@
 /** A step of one small task without special requirements. */
-import type { StepSpec } from "../../src/scheduling/jobTypes.js";
+import type { StepSpec } from "../src/scheduling/jobTypes.js";
 
 export const defaultStep: StepSpec = {
     taskCount: 1,
--- a/harness/schedulingLoad.ts
+++ b/harness/schedulingLoad.ts
@@ -6,6 +6,7 @@
 import type { ListedEnd, ListedRun, Listing } from "../src/scheduling/reconcileListing.js";
 import { type RunEnd, runEnds } from "../src/scheduling/schedulerState.js";
 import type { WorkerEntry } from "../src/scheduling/workerRecord.js";
+import { defaultStep } from "./defaultStep.js";
 import { createSeededRandom, type SeededRandom } from "./random.js";
 
 /** Runs callbacks in virtual time, in steps of whole milliseconds. */
@@ -160,25 +161,7 @@
     const workRandom = createSeededRandom(seed + 1);
     let nextJob = 0;
     const around = (mean: number, source = random): number => Math.round(mean * (0.5 + source.unit()));
-    const step = (changes: Partial<StepSpec>): StepSpec => ({
-        taskCount: tasksPerStep,
-        request: { cpuMillicores: 1_000, memoryMb: 1_000, accelerators: 0 },
-        estimatedDurationMs: 1_000,
-        dependsOn: [],
-        isGang: false,
-        isRackBound: false,
-        requiredLabel: undefined,
-        preferredRack: undefined,
-        maxTasksPerWorker: undefined,
-        isSpeculative: false,
-        isLongRunning: false,
-        savesProgress: false,
-        image: undefined,
-        latencyTargetMs: undefined,
-        isFiller: false,
-        maxUnavailable: undefined,
-        ...changes,
-    });
+    const step = (changes: Partial<StepSpec>): StepSpec => ({ ...defaultStep, ...changes });
     const submission = (queueName: string, steps: readonly StepSpec[], submittedWallMs: number): JobSubmission => ({
         jobId: (nextJob++).toString(16).padStart(16, "0"),
         queueName,
--- a/tests/process/outageSimulation.ts
+++ b/tests/process/outageSimulation.ts
@@ -2,6 +2,7 @@
  * Long-running tasks on four workers while workers, owners and the paths between them fail, on a simulated clock. Records how long
  * each task has no run.
  */
+import { defaultStep } from "../../harness/defaultStep.js";
 import type { SeededRandom } from "../../harness/random.js";
 import { Err } from "../../src/common/results.js";
 import { createManualTimerService } from "../../src/common/timerService.js";
@@ -11,7 +12,6 @@
 import { encodeSubmission, jobKeys } from "../../src/scheduling/jobDocuments.js";
 import { runEnds } from "../../src/scheduling/schedulerState.js";
 import { formatTaskName } from "../../src/scheduling/workerRecord.js";
-import { defaultStep } from "../scheduling/defaultStep.js";
 import { entryOf, modelPolicy } from "../scheduling/modelJob.js";
 import { createModelWorker, type ModelWorker } from "../scheduling/modelWorker.js";
 import { type SimulatedProcess, startSimulatedProcess } from "./simulatedProcess.js";
--- a/tests/process/schedulingSimulation.ts
+++ b/tests/process/schedulingSimulation.ts
@@ -1,10 +1,10 @@
 /** Several processes that compete for the scheduling, with one store and two workers, on a simulated clock. */
+import { defaultStep } from "../../harness/defaultStep.js";
 import type { SeededRandom } from "../../harness/random.js";
 import { createManualTimerService } from "../../src/common/timerService.js";
 import { decodeProgress, encodeSubmission, jobKeys } from "../../src/scheduling/jobDocuments.js";
 import { jobStates, type SchedulingPolicy } from "../../src/scheduling/jobTypes.js";
 import { runEnds } from "../../src/scheduling/schedulerState.js";
-import { defaultStep } from "../scheduling/defaultStep.js";
 import { entryOf, modelPolicy } from "../scheduling/modelJob.js";
 import { createModelWorker, type ModelWorker } from "../scheduling/modelWorker.js";
 import { workerLeaseMs } from "../scheduling/schedulerHarness.js";
--- a/tests/process/schedulingTermFixture.ts
+++ b/tests/process/schedulingTermFixture.ts
@@ -1,5 +1,6 @@
 /** A scheduling service with one worker, of which the test gives the answers of the store and the listings of the worker. */
 import assert from "node:assert/strict";
+import { defaultStep } from "../../harness/defaultStep.js";
 import { Ok, type Result } from "../../src/common/results.js";
 import { createManualTimerService } from "../../src/common/timerService.js";
 import type { ChangeFeedStore, StoreError, StoreGuard, StoreWrite, SwapOutcome } from "../../src/connection/platformStore.js";
@@ -15,7 +16,6 @@
 import { encodeProgress, encodeSubmission, jobKeys, type JobProgress } from "../../src/scheduling/jobDocuments.js";
 import type { Listing } from "../../src/scheduling/reconcileListing.js";
 import type { WorkerEntry } from "../../src/scheduling/workerRecord.js";
-import { defaultStep } from "../scheduling/defaultStep.js";
 import { modelPolicy } from "../scheduling/modelJob.js";
 import { taskStopMs, workerLeaseMs } from "../scheduling/schedulerHarness.js";
 
--- a/tests/process/schedulingTerms.spec.ts
+++ b/tests/process/schedulingTerms.spec.ts
@@ -4,8 +4,8 @@
  */
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { defaultStep } from "../../harness/defaultStep.js";
 import { encodeSubmission, jobKeys } from "../../src/scheduling/jobDocuments.js";
-import { defaultStep } from "../scheduling/defaultStep.js";
 import { createTermFixture, saved, workerEntry } from "./schedulingTermFixture.js";
 
 describe("a later term of the same process", () => {
--- a/tests/process/unreadableWorkers.spec.ts
+++ b/tests/process/unreadableWorkers.spec.ts
@@ -4,8 +4,8 @@
  */
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { defaultStep } from "../../harness/defaultStep.js";
 import { encodeSubmission, jobKeys, type JobProgress } from "../../src/scheduling/jobDocuments.js";
-import { defaultStep } from "../scheduling/defaultStep.js";
 import { modelSubmission } from "../scheduling/modelJob.js";
 import { createTermFixture, saved, workerEntry } from "./schedulingTermFixture.js";
 
--- a/tests/scheduling/modelJob.ts
+++ b/tests/scheduling/modelJob.ts
@@ -1,7 +1,7 @@
 /** The model's only job: two steps of one task each, where the second depends on the first. */
+import { defaultStep } from "../../harness/defaultStep.js";
 import type { JobSubmission, SchedulingPolicy, StepSpec } from "../../src/scheduling/jobTypes.js";
 import type { WorkerEntry } from "../../src/scheduling/workerRecord.js";
-import { defaultStep } from "./defaultStep.js";
 import type { ModelWorker } from "./modelWorker.js";
 
 const step = (dependsOn: number[]): StepSpec => ({ ...defaultStep, estimatedDurationMs: 500, dependsOn });
--- a/tests/scheduling/schedulerHarness.ts
+++ b/tests/scheduling/schedulerHarness.ts
@@ -1,4 +1,5 @@
 /** A scheduler whose workers, clock and store are controlled by the test. */
+import { defaultStep } from "../../harness/defaultStep.js";
 import type { CommandOutcome } from "../../src/scheduling/commandOutcomes.js";
 import { encodeProgress, encodeSubmission, type JobProgress } from "../../src/scheduling/jobDocuments.js";
 import { jobStates, type RepeatSpec, type SchedulingPolicy, type StepSpec, type TeamPolicy } from "../../src/scheduling/jobTypes.js";
@@ -8,7 +9,6 @@
 import type { WorkerSnapshot } from "../../src/scheduling/unresponsiveWorkers.js";
 import { maxLeaseMs } from "../../src/scheduling/workerLifecycle.js";
 import type { Run, WorkerEntry } from "../../src/scheduling/workerRecord.js";
-import { defaultStep } from "./defaultStep.js";
 import { modelPolicy } from "./modelJob.js";
 
 export interface SchedulerHarnessOptions {
