Send each byte of a response once when the stand-in's rate is lifted

What the users' checks saw: an unhandled rejection in the spec of slow links, 'Unexpected non-whitespace character after JSON at position 15'. Cause: the store's stand-in looked at its rate for each piece and again for the end; when the rate was lifted in between, the whole response followed its pieces. And a write of a timer was not awaited, so that its failure fell outside the test. The new test fails before (JSON error at position 20002) and passes after; the timer's last write is awaited.

--- a/tests/platform/slowLinks.spec.ts
+++ b/tests/platform/slowLinks.spec.ts
@@ -28,6 +28,19 @@
         assert.equal(swapped.unwrap().current[0]?.value.length, 2 * largeValueBytes);
     });
 
+    it("should receive a whole response when its link becomes fast meanwhile", async context => {
+        const { store, put, standIn: { faults } } = fixture;
+        context.after(() => {
+            faults.bytesPerS = Number.POSITIVE_INFINITY;
+        });
+        await put("w/large", "x".repeat(largeValueBytes));
+        faults.bytesPerS = 4 * largeValueBytes;
+        const reading = store.read("w/large");
+        await delay(timers, 100);
+        faults.bytesPerS = Number.POSITIVE_INFINITY;
+        assert.equal((await reading).unwrap()?.value.length, largeValueBytes);
+    });
+
     // Guards against a watch whose response takes longer than its timeout, and which is therefore repeated without end.
     it("should catch up over a slow link with a large value that keeps changing", async context => {
         const { store, put, openMirror, standIn: { faults } } = fixture;
@@ -49,9 +62,12 @@
         for (let count = 0; count < 12; count++) {
             await writeNext();
         }
-        timers.every(1_000, following.signal, () => void writeNext());
+        let lastWrite = Promise.resolve();
+        timers.every(1_000, following.signal, () => lastWrite = writeNext());
         await waitUntil("a version of the last two seconds is visible", () => Number(mirror.valueOf("v/large")!.split(" ")[0]) > 11);
         await waitUntil("the mirror counts as current", () => mirror.ageMs()! < 2_000);
+        following.abort();
+        await lastWrite;
     });
 
     it("should read values anew instead of all their versions after a gap", async context => {
--- a/tests/platform/storeStandIn.ts
+++ b/tests/platform/storeStandIn.ts
@@ -153,12 +153,15 @@
 
     const send = async (response: http.ServerResponse, status: number, text: string): Promise<void> => {
         response.writeHead(status, { "content-type": "application/json" });
-        for (let offset = 0; offset < text.length && Number.isFinite(faults.bytesPerS) && !response.destroyed; offset += pieceBytes) {
+        let sentBytes = 0;
+        // The rate may be lifted while a response is sent.
+        while (sentBytes < text.length && Number.isFinite(faults.bytesPerS) && !response.destroyed) {
             linkFreeAtMs = Math.max(linkFreeAtMs, performance.now()) + 1_000 * pieceBytes / faults.bytesPerS;
             await new Promise(resolve => setTimeout(resolve, linkFreeAtMs - performance.now()));
-            response.write(text.slice(offset, offset + pieceBytes));
+            response.write(text.slice(sentBytes, sentBytes + pieceBytes));
+            sentBytes += pieceBytes;
         }
-        response.end(Number.isFinite(faults.bytesPerS) ? undefined : text);
+        response.end(text.slice(sentBytes));
     };
 
     const server = http.createServer((request, response) => {
