--- a/src/process/logEvents.ts
+++ b/src/process/logEvents.ts
@@ -85,7 +85,7 @@
     poolDemandSummarized: defineEvent(
         6108,
         logLevels.info,
-        "How many VMs each pool needs and has, from what demand, and which VMs cannot be moved now, as the owner of the scheduling sees it.",
+        "How many VMs each pool needs and has, from what demand, and how many VMs are not counted, as the owner of the scheduling sees it.",
     ),
     jobAccepted: defineEvent(
         2101,
