Tell why a lowered limit was not accepted in time

Its message did not tell whether the change was refused or its acceptance did not come; it does now. Three runs of the spec alone, beside four busy processes, pass.

--- a/tests/proofs/limits.spec.ts
+++ b/tests/proofs/limits.spec.ts
@@ -140,10 +140,12 @@
     it("should accept a lowered limit only once concurrency can no longer exceed it", async () => {
         const lowered = await fleet.callAdmin("PUT", "/admin/v1/configuration", documentWith(loweredLimit), { "if-match": "*" });
         const version = lowered.body.version as number;
+        assert.equal(typeof version, "number", `the change was answered ${lowered.statusCode}: ${JSON.stringify(lowered.body)}`);
+        let status = lowered.body;
         await waitUntil("the lowered limit is accepted", async () => {
-            const status = await fleet.callAdmin("GET", "/admin/v1/configuration");
-            return status.body.version === version && status.body.isAccepted === true;
-        });
+            status = (await fleet.callAdmin("GET", "/admin/v1/configuration")).body;
+            return status.version === version && status.isAccepted === true;
+        }).catch((error: unknown) => assert.fail(`${String(error)}; version ${version}, last status ${JSON.stringify(status)}`));
         const acceptedAtMs = monotonicNowMs();
         await load.waitForMoreResults(resultsBetweenSteps);
         const journal = await fleet.journal();
