--- a/review/common/deployment.mjs
+++ b/review/common/deployment.mjs
@@ -118,5 +118,6 @@
         await store.stop();
         record("case ends", { exitCode });
     }
-    process.exitCode = exitCode;
+    // A stand-in may still have something due, such as an order that it holds up.
+    process.exit(exitCode);
 }
--- a/review/common/worker.mjs
+++ b/review/common/worker.mjs
@@ -16,7 +16,8 @@
  * Starts the worker and registers it in the store. `onEvent(what, fields)` is told each start and each end. `delayMs` is added to
  * each answer, for the way between zones.
  */
-export async function startWorker({ id, service, zone, labels, capacity, store, onEvent, delayMs = 0 }) {
+export async function startWorker({ id: firstId, service, zone, labels, capacity, store, onEvent, delayMs = 0 }) {
+    let id = firstId;
     const state = { server: undefined, port: 0, isUp: false, isDraining: false, seq: 0 };
     let life;
 
@@ -177,7 +178,7 @@
     const heartbeat = setInterval(writeEntry, heartbeatMs);
 
     return {
-        id,
+        id: firstId,
         address: () => state.server.address,
         describe,
         writeEntry,
@@ -185,15 +186,26 @@
         /** Whether the task is at work at full speed on this worker. */
         isAtWork: task =>
             state.isUp && [...life.running.values()].some(run => run.task === task && !run.isStopping && percentOf(run) === 100),
-        /** The process of the worker ends and begins again under the same id and address after `downMs`; it knows nothing of before. */
-        crash: async downMs => {
+        /** The process of the worker ends and begins again at the same address after `downMs`; it knows nothing of before. */
+        crash: async (downMs, nextId = id) => {
             await goDown();
             await sleep(downMs);
+            id = nextId;
             await comeUp();
         },
+        /** The machine of the worker is lost for good: its address answers nothing any more. */
+        lose: async () => {
+            clearInterval(heartbeat);
+            await goDown();
+            state.server = await startJsonServer(() => noAnswer, state.port);
+            state.isSilent = true;
+        },
         stop: async () => {
             clearInterval(heartbeat);
             clearInterval(checkLease);
+            if (state.isSilent) {
+                await state.server.stop();
+            }
             if (state.isUp) {
                 [...life.running.values()].forEach(run => clearTimeout(run.timer));
                 state.isUp = false;
