--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,7 +1,8 @@
-/** The configuration drops the route of a queue while an accepted job of that queue is half done; see claim.txt. */
+/** A version removes the route of a queue with a half-done job, and adds one with the same prefix; see claim.txt. */
 import { configuration, queue, runCase } from "../common/deployment.mjs";
 
 const jobId = "00000000000000b2";
+const laterJobId = "00000000000000b3";
 const service = "huvo11a";
 const workers = [1, 2, 3].map(number => ({ id: `i-000000000${number}`, service, zone: "keflavik", labels: ["a", `r1-${number}`] }));
 const stepMs = 2_000;
@@ -21,21 +22,26 @@
             throw new Error("the job did not start");
         }
         await sleep(500);
-        const queues = [queue("quotes", service), ...(hasTrouble ? [] : [queue("plans", service)])];
+        const queues = [queue("quotes", service), hasTrouble ? queue("plans-2", service, { prefix: "/plans/" }) : queue("plans", service)];
         store.put("op/config", configuration(2, queues));
-        record("configuration 2 is acknowledged", { queues: queues.map(each => each.name) });
+        record("configuration 2 is acknowledged", { routes: queues.map(({ name, prefix }) => `${name} at ${prefix}`) });
         await sleep(finishMs);
-        const doneTasks = () => new Set(events.filter(each => each.what === "end" && each.how === "done").map(each => each.task));
+        const doneTasks = () =>
+            new Set(
+                events.filter(each => each.what === "end" && each.how === "done" && each.task.startsWith(jobId)).map(each => each.task),
+            );
         record("tasks done at the end of finish_s", { done: [...doneTasks()], running: isRunning() });
         let idleSinceMs = performance.now();
         const wasIdle = await waitFor(() => {
             idleSinceMs = isRunning() || doneTasks().size === 4 ? performance.now() : idleSinceMs;
             return performance.now() - idleSinceMs >= idleMs;
         }, idleMs + 2_000);
-        if (!hasTrouble) {
-            await callApi("GET", "plans", jobId);
-        }
-        return wasIdle &&
-            `LOST: ${doneTasks().size} of 4 tasks are done, the second step's turn has come, and nothing ran for ${idleMs} ms`;
+        const answer = await callApi("GET", "plans", jobId);
+        await callApi("POST", "plans", laterJobId, { spec: JSON.stringify({ ms: 100 }), steps: [step] });
+        await sleep(1_000);
+        const later = await callApi("GET", "plans", laterJobId);
+        record("a later job at the same path", { state: later?.body.state });
+        const what = `${doneTasks().size} of 4 tasks are done, the turn of the second step has come, and nothing ran for ${idleMs} ms`;
+        return wasIdle && `LOST: ${what}; GET is answered ${answer?.status}`;
     },
 });
