--- a/review/common/deployment.mjs
+++ b/review/common/deployment.mjs
@@ -7,6 +7,8 @@
 
 export const queueHost = "pule25.example";
 export const teamKey = "sjnbanfqasnmgkcuyj8p";
+/** A script may run for 120 s. */
+const maxCaseMs = 110_000;
 const workerCapacity = { cpu: 16_000, memMb: 65_536, gpu: 0 };
 
 /** A queue of the configuration; its path prefix is its name. */
@@ -62,6 +64,14 @@
     const store = await startStore();
     const started = { workers: [], cloud: undefined, system: undefined };
     let exitCode = 2;
+    // A case that is ended from outside, or takes too long, leaves no process behind.
+    const giveUp = reason => {
+        record(`the case was ended: ${reason}`);
+        started.system?.kill();
+        process.exit(2);
+    };
+    ["SIGTERM", "SIGINT", "SIGHUP"].forEach(name => process.on(name, () => giveUp(name)));
+    setTimeout(() => giveUp(`it took over ${maxCaseMs} ms`), maxCaseMs).unref();
     try {
         store.put("op/config", firstConfiguration);
         for (const each of workers) {
--- a/review/common/system.mjs
+++ b/review/common/system.mjs
@@ -146,6 +146,11 @@
         },
         /** The process that gives the orders to the workers now, by its own log. */
         findOwner: () => nodes.find(node => node.isRunning && isOwner(node)),
+        /** Ends the processes at once. */
+        kill: () => {
+            nodes.filter(node => node.isRunning).forEach(node => node.process.kill("SIGKILL"));
+            rmSync(folder, { recursive: true, force: true });
+        },
         stop: async () => {
             for (const node of nodes) {
                 if (node.isRunning) {
