--- a/src/process/schedulingSummary.ts
+++ b/src/process/schedulingSummary.ts
@@ -54,6 +54,22 @@
     return pools;
 }
 
+/** Describes the queues of unfinished jobs that the policy lacks, with what waits in them. */
+function describeMissingQueues(state: SchedulerState, wallMs: number): string[] {
+    const missing = new Map<string, { jobsCount: number; waitingCount: number }>();
+    for (const job of state.jobs.values()) {
+        const { queueName } = job.submission;
+        if (isFinalState(job.state) || state.policy.queues.has(queueName)) {
+            continue;
+        }
+        const queue = missing.get(queueName) ?? { jobsCount: 0, waitingCount: 0 };
+        missing.set(queueName, queue);
+        queue.jobsCount += 1;
+        queue.waitingCount += readyStepsOf(job, wallMs).reduce((sum, { step }) => sum + step.waiting.size, 0);
+    }
+    return [...missing].map(([name, { jobsCount, waitingCount }]) => `${name}: ${jobsCount} jobs, ${waitingCount} tasks waiting`);
+}
+
 function formatPool(poolName: string, pool: PoolSummary): string {
     const [inTime, late, worthless] = pool.waitingCounts;
     return `${poolName}: ${pool.workersCount} workers, ${pool.runsCount} runs, ` +
@@ -81,6 +97,7 @@
             jobsCount: state.jobs.size,
             unsavedJobsCount: state.unsavedJobs.size,
             pools: [...summarizePools(state, timers.wallClockMs())].map(([name, pool]) => formatPool(name, pool)),
+            missingQueues: describeMissingQueues(state, timers.wallClockMs()),
         });
         passesCount = 0;
         passMs = 0;
