Run accepted jobs on when the configuration removes their queue or team

Callers saw: an accepted job stops for good when a version removes its queue's route; with its team gone, its tasks run without a limit.

Cause: the policy of a job's queue and team was looked up in the newest configuration alone, by name, in each pass. A queue that is not there was skipped.

Change: a submission stores the policy under which it was accepted (the write is guarded by that configuration's revision, so the two belong together), and the scheduler retains the policy of a queue or team that a newer configuration removes while jobs of it are unfinished. Of two, the one of the later configuration holds; one that the configuration has again goes by the configuration. Pools of such queues stay among those that get VMs. This replaces maxAttemptsByQueue, which kept one field of the policy, in the memory of one owner.

Why it works: every decision goes by one completed policy, and a new owner has the policy of each job from the job's own submission.

--- a/harness/schedulingLoad.ts
+++ b/harness/schedulingLoad.ts
@@ -98,6 +98,7 @@
     const teams = Array.from({ length: teamsCount }, (_, index) => team(index));
     const poolNames = [...queueLoads.map(each => each.name), sparePool.name];
     return {
+        version: 1,
         queues: new Map(queueLoads.map(each => [each.name, queue(each.name)])),
         pools: new Map(poolNames.map(name => [name, { name, isStandby: name === sparePool.name }])),
         teams: new Map(teams.map(each => [each.name, each])),
--- a/src/scheduling/jobDocuments.ts
+++ b/src/scheduling/jobDocuments.ts
@@ -2,7 +2,7 @@
  * Documents that the store holds for a job: the submission, written once by the process that accepted it; the progress,
  * written only by the process that owns the scheduling; and the cancellation marker, written by any process.
  */
-import { describeExcessiveSize, type JobState, jobStates, type JobSubmission } from "./jobTypes.js";
+import { type AcceptedPolicy, describeExcessiveSize, type JobState, jobStates, type JobSubmission, noResources } from "./jobTypes.js";
 
 export const jobKeys = {
     submissionPrefix: "nutmegjunction/job/",
@@ -62,8 +62,16 @@
 
 const isAmount = (value: unknown): boolean => Number.isFinite(value) && Number(value) >= 0;
 
+function isReadablePolicy({ configurationVersion, queue, team }: AcceptedPolicy): boolean {
+    const { maxAttempts, criticalPathFactor, latencyObjectiveMs } = queue;
+    const { weight, limit } = team ?? { weight: 0, limit: noResources };
+    return typeof queue.name === "string" && typeof queue.poolName === "string" && (team === undefined || typeof team.name === "string") &&
+        [configurationVersion, maxAttempts, criticalPathFactor, latencyObjectiveMs, weight].every(Number.isFinite) &&
+        [limit.cpuMillicores, limit.memoryMb, limit.accelerators].every(isAmount);
+}
+
 /** Returns the path of a field on which the scheduler relies and that is not as it should be. */
-function findUnreadableField({ queueName, submittedWallMs, repeat, steps }: JobSubmission): string | undefined {
+function findUnreadableField({ queueName, submittedWallMs, repeat, steps, acceptedUnder }: JobSubmission): string | undefined {
     if (typeof queueName !== "string") {
         return "queueName";
     }
@@ -73,6 +81,9 @@
     if (repeat && ![repeat.firstDueWallMs, repeat.intervalMs, repeat.count].every(Number.isFinite)) {
         return "repeat";
     }
+    if (acceptedUnder !== undefined && !isReadablePolicy(acceptedUnder)) {
+        return "acceptedUnder";
+    }
     for (const [index, step] of steps.entries()) {
         const { taskCount, request, estimatedDurationMs, dependsOn } = step;
         const isReadable = Number.isSafeInteger(taskCount) && taskCount > 0 &&
--- a/src/scheduling/jobTypes.ts
+++ b/src/scheduling/jobTypes.ts
@@ -53,6 +53,15 @@
     steps: readonly StepSpec[];
     repeat: RepeatSpec | undefined;
     submittedWallMs: number;
+    /** What the configuration said when the job was accepted; missing in submissions of earlier builds. */
+    acceptedUnder?: AcceptedPolicy;
+}
+
+/** The policy of a job's queue and team in the configuration under which the job was accepted. */
+export interface AcceptedPolicy {
+    configurationVersion: number;
+    queue: QueuePolicy;
+    team: TeamPolicy | undefined;
 }
 
 /** Bounds of a job's size: each process that loads the job keeps a record of every step of every occurrence, and of every task. */
@@ -106,11 +115,20 @@
 }
 
 export interface SchedulingPolicy {
+    /** Version of the configuration that the policy is part of. */
+    version: number;
     queues: ReadonlyMap<string, QueuePolicy>;
     pools: ReadonlyMap<string, PoolPolicy>;
     teams: ReadonlyMap<string, TeamPolicy>;
 }
 
+/** Returns what a job that is accepted into the queue keeps of the policy. */
+export function describeAcceptance(policy: SchedulingPolicy, queueName: string, teamName: string | undefined): AcceptedPolicy | undefined {
+    const queue = policy.queues.get(queueName);
+    const team = teamName === undefined ? undefined : policy.teams.get(teamName);
+    return queue && { configurationVersion: policy.version, queue, team };
+}
+
 export const noResources: Resources = { cpuMillicores: 0, memoryMb: 0, accelerators: 0 };
 
 /** Adds `factor * amount` to `sum` in place. */
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -7,10 +7,12 @@
 import { handleStartResponse, handleStopResponse } from "./commandResponses.js";
 import { dispatchWaitingTasks } from "./dispatchWaitingTasks.js";
 import { decodeProgress, decodeSubmission, type JobProgress } from "./jobDocuments.js";
+import { changePolicy, releaseUnusedPolicies, retainPolicies, retainPolicyOf } from "./jobPolicies.js";
 import { createJobRecord, isFinalState, progressOf } from "./jobRecord.js";
 import { jobStates, type SchedulingPolicy } from "./jobTypes.js";
 import { possibleWorkerIds, sendPersistedStarts, settleWorkerIdsWrite } from "./plannedStarts.js";
 import { forgetSavedEnds, type Listing, type Moment, reconcileListing } from "./reconcileListing.js";
+import { noRetainedPolicies, type RetainedPolicies } from "./retainedPolicies.js";
 import {
     commandKinds,
     type Decision,
@@ -34,7 +36,10 @@
 import { acknowledgedEndNumber, markUnresponsive, type Run, type WorkerEntry } from "./workerRecord.js";
 
 export interface SchedulerOptions {
+    /** The policy of the newest configuration. */
     policy: SchedulingPolicy;
+    /** What that configuration lacks and unfinished jobs may need. */
+    retained?: RetainedPolicies;
     term: Term;
     /** Maximum duration of a lease that a worker grants. */
     workerLeaseMs: number;
@@ -59,8 +64,9 @@
 export const startValidityMs = 2_500;
 export function createScheduler(options: SchedulerOptions) {
     const state: SchedulerState = {
+        configuredPolicy: options.policy,
+        retainedPolicies: noRetainedPolicies,
         policy: options.policy,
-        maxAttemptsByQueue: new Map(),
         term: options.term,
         jobs: new Map(),
         workers: new Map(),
@@ -79,11 +85,7 @@
         nextRunNumber: 1,
         onDecision: options.onDecision,
     };
-    const setPolicy = (policy: SchedulingPolicy): void => {
-        state.policy = policy;
-        policy.queues.forEach(queue => state.maxAttemptsByQueue.set(queue.name, queue.maxAttempts));
-    };
-    setPolicy(options.policy);
+    retainPolicies(state, options.retained ?? noRetainedPolicies);
 
     return {
         state,
@@ -103,7 +105,13 @@
         setStoreWritable: (isWritable: boolean): void => {
             state.isStoreWritable = isWritable;
         },
-        setPolicy,
+        /** Sets the policy of the newest configuration. What it lacks of the former one is retained for unfinished jobs. */
+        setPolicy: (policy: SchedulingPolicy): void => changePolicy(state, policy),
+        /** Returns what unfinished jobs need and the configuration lacks. */
+        takeRetainedPolicies: (): RetainedPolicies => {
+            releaseUnusedPolicies(state);
+            return state.retainedPolicies;
+        },
         /** Adds a job from its stored documents. */
         addJob: (
             submission: string,
@@ -120,6 +128,7 @@
                 return;
             }
             state.jobs.set(job.jobId, job);
+            retainPolicyOf(state, decoded);
             chargeTeamShare(state, job);
             if (isCancelled) {
                 endJob(state, job, jobStates.cancelled, wallMs);
--- a/src/scheduling/schedulerState.ts
+++ b/src/scheduling/schedulerState.ts
@@ -17,6 +17,7 @@
     type Resources,
     type SchedulingPolicy,
 } from "./jobTypes.js";
+import type { RetainedPolicies } from "./retainedPolicies.js";
 import { teamUsage } from "./teamUsage.js";
 import type { WorkerSnapshot } from "./unresponsiveWorkers.js";
 import { addRun, removeRun, type Run, type RunIdentity, runKey, runPhases, type WorkerRecord } from "./workerRecord.js";
@@ -72,9 +73,12 @@
 }
 
 export interface SchedulerState {
+    /** The policy of the newest configuration. */
+    configuredPolicy: SchedulingPolicy;
+    /** What the configuration lacks and unfinished jobs need. */
+    retainedPolicies: RetainedPolicies;
+    /** The configured policy, completed by the retained ones; all decisions go by it. */
     policy: SchedulingPolicy;
-    /** From the newest policy that has the queue: a job that was accepted keeps its attempts when its queue is removed. */
-    maxAttemptsByQueue: Map<string, number>;
     term: Term;
     jobs: Map<string, JobRecord>;
     workers: Map<string, WorkerRecord>;
@@ -283,7 +287,7 @@
         }
         progress.failedRunIds.push(ended.runId);
         markChanged(state, job);
-        const maxAttempts = state.maxAttemptsByQueue.get(job.submission.queueName) ?? Number.POSITIVE_INFINITY;
+        const maxAttempts = state.policy.queues.get(job.submission.queueName)?.maxAttempts ?? Number.POSITIVE_INFINITY;
         if (progress.failedRunIds.length >= maxAttempts) {
             endJob(state, job, jobStates.failed, wallMs);
         }
--- a/tests/scheduling/modelJob.ts
+++ b/tests/scheduling/modelJob.ts
@@ -15,6 +15,7 @@
     submittedWallMs: 0,
 };
 export const modelPolicy: SchedulingPolicy = {
+    version: 1,
     queues: new Map([["queue", {
         name: "queue",
         poolName: "pool",
--- a/tests/scheduling/schedulerHarness.ts
+++ b/tests/scheduling/schedulerHarness.ts
@@ -2,7 +2,14 @@
 import { defaultStep } from "../../harness/defaultStep.js";
 import type { CommandOutcome } from "../../src/scheduling/commandOutcomes.js";
 import { encodeProgress, encodeSubmission, type JobProgress } from "../../src/scheduling/jobDocuments.js";
-import { jobStates, type RepeatSpec, type SchedulingPolicy, type StepSpec, type TeamPolicy } from "../../src/scheduling/jobTypes.js";
+import {
+    type AcceptedPolicy,
+    jobStates,
+    type RepeatSpec,
+    type SchedulingPolicy,
+    type StepSpec,
+    type TeamPolicy,
+} from "../../src/scheduling/jobTypes.js";
 import type { Moment } from "../../src/scheduling/reconcileListing.js";
 import { createScheduler, type Scheduler } from "../../src/scheduling/scheduler.js";
 import { commandKinds, type Decision, type RunEnd, type SchedulerCommand } from "../../src/scheduling/schedulerState.js";
@@ -39,6 +46,7 @@
     repeat?: RepeatSpec;
     /** Steps after the first; each depends on the previous one. */
     laterSteps?: readonly Partial<StepSpec>[];
+    acceptedUnder?: AcceptedPolicy;
 }
 
 export interface SchedulerHarness {
@@ -142,12 +150,12 @@
             nowMs += durationMs;
             runStep();
         },
-        submit: (jobId, { formerWorkerIds, progress, teamName, queueName = "queue", repeat, laterSteps, ...step }) => {
+        submit: (jobId, { formerWorkerIds, progress, teamName, queueName = "queue", repeat, laterSteps, acceptedUnder, ...step }) => {
             const steps = [
                 { ...defaultStep, ...step },
                 ...(laterSteps ?? []).map((later, index) => ({ ...defaultStep, dependsOn: [index], ...later })),
             ];
-            const submission = { jobId, queueName, teamName, payload: "", steps, repeat, submittedWallMs: nowMs };
+            const submission = { jobId, queueName, teamName, payload: "", steps, repeat, submittedWallMs: nowMs, acceptedUnder };
             const stored = progress ?? (formerWorkerIds && { state: jobStates.queued, workerIds: [...formerWorkerIds] });
             scheduler.addJob(encodeSubmission(submission), stored && encodeProgress(stored), false, nowMs);
             runStep();
