Answer the state of a job whose queue has another name or path now

Callers saw: GET of an accepted job is answered 503 for good after its queue's route was removed, and 410 after the route has got another path while a further queue took over the former one.

Cause: a job counted as found only if the queue that the path names now is the queue under which the job was stored.

Change: a team is told the state of its job through any of its queues; a job without a team whose queue was removed is told to everybody. Another team still gets what an unknown id gets. The submission's configuration version tells a queue that was removed from one that the process does not know yet, which stays 503. cancel needs no read of the store for a job that the process has.

The fixture of process/jobService passes a policy in place of isQueueConfigured; its assertions are unchanged.

--- a/src/process/jobService.ts
+++ b/src/process/jobService.ts
@@ -8,8 +8,9 @@
 import { createJobDirectory, type DirectoryEntry, type JobDirectory } from "../scheduling/jobDirectory.js";
 import { encodeSubmission, jobKeys } from "../scheduling/jobDocuments.js";
 import { isFinalState } from "../scheduling/jobRecord.js";
-import { type JobState, jobStates, type JobSubmission } from "../scheduling/jobTypes.js";
+import { type JobState, jobStates, type JobSubmission, type SchedulingPolicy } from "../scheduling/jobTypes.js";
 import { commitOutcomes, createGroupCommit } from "./groupCommit.js";
+import { isQueueKnown, isVisible, type JobCaller } from "./jobVisibility.js";
 import { logEvents } from "./logEvents.js";
 import type { LogFields, Logger } from "./logger.js";
 import { createUnreadableDocumentLog } from "./unreadableDocuments.js";
@@ -59,7 +60,7 @@
 
 export interface JobService {
     submit(submission: JobSubmission): Promise<JobResult>;
-    state(queueName: string, jobId: string): Promise<JobResult>;
+    state(caller: JobCaller, jobId: string): Promise<JobResult>;
     cancel(queueName: string, jobId: string): Promise<JobResult>;
     /** Counts the queue's jobs that have not started; `undefined` if the mirror is too old to tell. */
     countQueued(queueName: string): number | undefined;
@@ -85,8 +86,8 @@
     logger: Logger;
     /** Store condition that holds while the configuration that requests are validated against is current. */
     configurationGuard(): StoreGuard | undefined;
-    /** Whether the configuration in force has the queue. */
-    isQueueConfigured(queueName: string): boolean;
+    /** The policy of the configuration in force. */
+    policy(): SchedulingPolicy | undefined;
     /** Called with the stored configuration when a write shows that it is newer than the one that requests are validated against. */
     onConfigurationChanged(current: StoredValue): void;
     /** Called with the progress of a job that was read from the store, which may be newer than the directory's. */
@@ -142,9 +143,9 @@
     const logAcceptance = ({ jobId, queueName, teamName }: JobSubmission, stored: LogFields | undefined): void =>
         logger.log(logEvents.jobAccepted, { jobId, queue: queueName, team: teamName, ...stored });
 
-    const findSubmittedJob = (queueName: string, jobId: string, jobs = directory): DirectoryEntry | undefined => {
+    const findVisibleJob = (caller: JobCaller, jobId: string, jobs = directory): DirectoryEntry | undefined => {
         const entry = jobs.find(jobId);
-        return entry?.submission !== undefined && entry.queueName === queueName ? entry : undefined;
+        return entry?.submission !== undefined && isVisible(entry, caller, options.policy()) ? entry : undefined;
     };
 
     const describeState = ({ state, isCancelled }: DirectoryEntry): JobResult => ({
@@ -179,8 +180,8 @@
         return read.map(submission => ({ key, queueName, submission, answer }));
     };
 
-    const readState = async (queueName: string, jobId: string): Promise<JobResult> => {
-        const lookup = await lookUp(queueName, jobId);
+    const readState = async (caller: JobCaller, jobId: string): Promise<JobResult> => {
+        const lookup = await lookUp(caller.queueName, jobId);
         if (lookup.err) {
             return refuse("the store does not respond");
         }
@@ -199,17 +200,17 @@
                 read.apply(prefix + jobId, stored.val.value);
             }
         }
-        const entry = findSubmittedJob(queueName, jobId, read);
-        if (entry) {
-            return describeState(entry);
+        const visible = findVisibleJob(caller, jobId, read);
+        if (visible) {
+            return describeState(visible);
         }
         if (!isReadable) {
             return refuse("the stored submission cannot be read");
         }
-        const otherQueueName = read.find(jobId)!.queueName;
-        return options.isQueueConfigured(otherQueueName) ?
-            describeNotFound(notFoundCauses.otherQueue, `the job is in queue ${otherQueueName}`, lookup.val) :
-            refuse(`the job is in queue ${otherQueueName}, which the configuration lacks`);
+        const other = read.find(jobId)!;
+        return isQueueKnown(other, options.policy()) ?
+            describeNotFound(notFoundCauses.otherQueue, `the job is in queue ${other.queueName}`, lookup.val) :
+            refuse(`the job is in queue ${other.queueName}, which the configuration lacks`);
     };
 
     const readsInProgress = new Map<string, Promise<void>>();
@@ -229,7 +230,7 @@
     return {
         submit: async submission => {
             const key = jobKeys.submissionPrefix + submission.jobId;
-            if (findSubmittedJob(submission.queueName, submission.jobId)) {
+            if (findVisibleJob(submission, submission.jobId)) {
                 logAcceptance(submission, { revision: options.mirroredRevision(key), origin: acceptanceOrigins.mirrored });
                 return { kind: jobResultKinds.ok };
             }
@@ -242,16 +243,16 @@
             }
             return answer;
         },
-        state: async (queueName, jobId) => {
-            const known = findSubmittedJob(queueName, jobId);
+        state: async (caller, jobId) => {
+            const known = findVisibleJob(caller, jobId);
             if (known && !isFinalState(known.state) && !known.isCancelled && isStoreReachable()) {
                 await refreshProgress(jobId);
             }
-            const entry = findSubmittedJob(queueName, jobId) ?? known;
+            const entry = findVisibleJob(caller, jobId) ?? known;
             if (entry) {
                 return describeState(entry);
             }
-            return isStoreReachable() ? readState(queueName, jobId) : refuse("the store is not reachable");
+            return isStoreReachable() ? readState(caller, jobId) : refuse("the store is not reachable");
         },
         cancel: async (queueName, jobId) => {
             if (directory.find(jobId)?.isCancelled) {
@@ -260,7 +261,7 @@
             if (!isStoreReachable()) {
                 return storeUnreachable;
             }
-            if (!findSubmittedJob(queueName, jobId)) {
+            if (directory.find(jobId)?.submission === undefined) {
                 const lookup = await lookUp(queueName, jobId);
                 if (lookup.err) {
                     return refuse("the store does not respond");
--- a/src/scheduling/jobDirectory.ts
+++ b/src/scheduling/jobDirectory.ts
@@ -8,6 +8,8 @@
     queueName: string;
     teamName: string | undefined;
     submission: string | undefined;
+    /** Version of the configuration under which the job was accepted; `undefined` if the submission does not tell. */
+    acceptedVersion: number | undefined;
     submittedWallMs: number;
     /** Estimated work of the job's short tasks. */
     workMillicoreS: number;
@@ -49,6 +51,7 @@
             queueName: "",
             teamName: undefined,
             submission: undefined,
+            acceptedVersion: undefined,
             submittedWallMs: 0,
             workMillicoreS: 0,
             progress: undefined,
@@ -75,6 +78,7 @@
         const submission = decodeSubmission(value);
         entry.queueName = submission.queueName;
         entry.teamName = submission.teamName;
+        entry.acceptedVersion = submission.acceptedUnder?.configurationVersion;
         entry.submittedWallMs = submission.submittedWallMs;
         entry.workMillicoreS = estimateWork(submission.steps);
         return { kind: "accepted", entry };
--- a/tests/process/jobService.spec.ts
+++ b/tests/process/jobService.spec.ts
@@ -9,8 +9,8 @@
 import { createSilentLogger, type LogFields } from "../../src/process/logger.js";
 import { createJobDirectory } from "../../src/scheduling/jobDirectory.js";
 import { encodeProgress, encodeSubmission, jobKeys } from "../../src/scheduling/jobDocuments.js";
-import { jobStates } from "../../src/scheduling/jobTypes.js";
-import { modelSubmission } from "../scheduling/modelJob.js";
+import { describeAcceptance, jobStates, type JobSubmission, type SchedulingPolicy } from "../../src/scheduling/jobTypes.js";
+import { modelPolicy, modelSubmission } from "../scheduling/modelJob.js";
 
 interface Fixture {
     jobs: JobService;
@@ -23,8 +23,17 @@
     setUnresponsiveForMs(durationMs: number): void;
 }
 
+const policyOf = (version: number, queueNames: readonly string[]): SchedulingPolicy => ({
+    ...modelPolicy,
+    version,
+    queues: new Map(queueNames.map(name => [name, { ...modelPolicy.queues.get("queue")!, name }])),
+});
+const configuredPolicy = policyOf(1, ["queue", "other"]);
+
 /** A store that contains `stored`, all at revision 1, or does not answer reads; a write of one of its keys finds it present. */
-function createFixture(options: { isWriteAnswered: boolean; stored?: Record<string, string> }): Fixture {
+function createFixture(
+    options: { isWriteAnswered: boolean; stored?: Record<string, string>; policy?: SchedulingPolicy; submission?: JobSubmission },
+): Fixture {
     const calls: string[] = [];
     const acceptances: LogFields[] = [];
     let unresponsiveForMs = 100;
@@ -53,7 +62,7 @@
         unresponsiveForMs: () => unresponsiveForMs,
     } as unknown as ChangeFeedStore;
     const directory = createJobDirectory({ onUnreadable: () => undefined });
-    const submission = { ...modelSubmission, jobId: "queued" };
+    const submission = options.submission ?? { ...modelSubmission, jobId: "queued" };
     directory.apply(jobKeys.submissionPrefix + submission.jobId, encodeSubmission(submission));
     const jobs = createJobService({
         store,
@@ -70,7 +79,7 @@
             },
         },
         configurationGuard: () => undefined,
-        isQueueConfigured: name => name !== "of a newer configuration",
+        policy: () => options.policy ?? configuredPolicy,
         onConfigurationChanged: () => undefined,
         onProgressRead: ({ key, value }) => void directory.apply(key, value),
     });
@@ -116,12 +125,13 @@
 });
 
 describe("job service whose mirror lacks a job", () => {
-    const { jobId, queueName } = modelSubmission;
+    const { jobId, queueName, teamName } = modelSubmission;
+    const caller = { queueName, teamName };
     const submission = { [jobKeys.submissionPrefix + jobId]: encodeSubmission(modelSubmission) };
 
     it("should answer with the stored state of a job that another process has just accepted", async () => {
         const { jobs } = createFixture({ isWriteAnswered: true, stored: submission });
-        assert.deepEqual(await jobs.state(queueName, jobId), { kind: jobResultKinds.ok, state: jobStates.queued });
+        assert.deepEqual(await jobs.state(caller, jobId), { kind: jobResultKinds.ok, state: jobStates.queued });
     });
 
     it("should include the stored progress and cancellation", async () => {
@@ -129,13 +139,13 @@
         const cancelled = { ...submission, [jobKeys.cancellationPrefix + jobId]: "{}" };
         for (const [stored, state] of [[completed, jobStates.completed], [cancelled, jobStates.cancelled]] as const) {
             const { jobs } = createFixture({ isWriteAnswered: true, stored });
-            assert.equal((await jobs.state(queueName, jobId)).state, state);
+            assert.equal((await jobs.state(caller, jobId)).state, state);
         }
     });
 
     it("should answer that a job is unknown only if the store does not contain it", async () => {
         const { jobs, calls } = createFixture({ isWriteAnswered: true, stored: {} });
-        assert.equal((await jobs.state(queueName, jobId)).kind, jobResultKinds.notFound);
+        assert.equal((await jobs.state(caller, jobId)).kind, jobResultKinds.notFound);
         assert.deepEqual(calls, ["read"]);
     });
 
@@ -154,7 +164,7 @@
         for (const { stored, cause, reason, submissionRevision } of cases) {
             const { jobs } = createFixture({ isWriteAnswered: true, stored });
             const logFields = { ...read, submissionRevision };
-            assert.deepEqual(await jobs.state(queueName, jobId), { kind: jobResultKinds.notFound, cause, reason, logFields });
+            assert.deepEqual(await jobs.state(caller, jobId), { kind: jobResultKinds.notFound, cause, reason, logFields });
         }
         const { jobs } = createFixture({ isWriteAnswered: true, stored: {} });
         assert.equal((await jobs.cancel(queueName, jobId)).cause, notFoundCauses.noSubmission);
@@ -166,7 +176,7 @@
         const inNewQueue = encodeSubmission({ ...modelSubmission, queueName: "of a newer configuration" });
         for (const stored of ["{", inNewQueue]) {
             const { jobs } = createFixture({ isWriteAnswered: true, stored: { [key]: stored } });
-            const { kind, retryAfterMs } = await jobs.state(queueName, jobId);
+            const { kind, retryAfterMs } = await jobs.state(caller, jobId);
             assert.deepEqual(
                 { kind, hasRetryAfter: retryAfterMs !== undefined },
                 { kind: jobResultKinds.refused, hasRetryAfter: true },
@@ -197,29 +207,30 @@
 
     it("should refuse to answer while the store does not respond", async () => {
         const { jobs, calls, setUnresponsiveForMs } = createFixture({ isWriteAnswered: true });
-        assert.equal((await jobs.state(queueName, jobId)).kind, jobResultKinds.refused);
+        assert.equal((await jobs.state(caller, jobId)).kind, jobResultKinds.refused);
         setUnresponsiveForMs(3_000);
-        assert.equal((await jobs.state(queueName, jobId)).kind, jobResultKinds.refused);
+        assert.equal((await jobs.state(caller, jobId)).kind, jobResultKinds.refused);
         assert.deepEqual(calls, ["read"]);
     });
 });
 
 describe("the state of a job that goes on", () => {
+    const queryOfQueue = { queueName: "queue", teamName: undefined };
     const running = { [`${jobKeys.progressPrefix}queued`]: encodeProgress({ state: jobStates.running }) };
 
     it("should be read from the store, once for queries at the same time", async () => {
         const { jobs, calls } = createFixture({ isWriteAnswered: true, stored: running });
-        const answers = await Promise.all([jobs.state("queue", "queued"), jobs.state("queue", "queued")]);
+        const answers = await Promise.all([jobs.state(queryOfQueue, "queued"), jobs.state(queryOfQueue, "queued")]);
         assert.deepEqual(answers.map(({ state }) => state), [jobStates.running, jobStates.running]);
         assert.deepEqual(calls, ["read"]);
     });
 
     it("should be the known one if the store does not respond", async () => {
         const { jobs, setUnresponsiveForMs, calls } = createFixture({ isWriteAnswered: true });
-        assert.equal((await jobs.state("queue", "queued")).state, jobStates.queued);
+        assert.equal((await jobs.state(queryOfQueue, "queued")).state, jobStates.queued);
         assert.deepEqual(calls, ["read"]);
         setUnresponsiveForMs(3_000);
-        assert.equal((await jobs.state("queue", "queued")).state, jobStates.queued);
+        assert.equal((await jobs.state(queryOfQueue, "queued")).state, jobStates.queued);
         assert.deepEqual(calls, ["read"], "a store that is known not to respond is not asked");
     });
 
@@ -227,8 +238,55 @@
         const completed = { [`${jobKeys.progressPrefix}queued`]: encodeProgress({ state: jobStates.completed }) };
         const { jobs, calls } = createFixture({ isWriteAnswered: true, stored: completed });
         for (let query = 0; query < 3; query++) {
-            assert.equal((await jobs.state("queue", "queued")).state, jobStates.completed);
+            assert.equal((await jobs.state(queryOfQueue, "queued")).state, jobStates.completed);
         }
         assert.deepEqual(calls, ["read"]);
     });
 });
+
+// Guards against accepted jobs whose state no call is answered with, after a newer configuration has changed the path of their queue.
+describe("the state of a job whose queue was removed or has got another path", () => {
+    const { jobId } = modelSubmission;
+    const accepted = (teamName: string | undefined): JobSubmission => ({
+        ...modelSubmission,
+        teamName,
+        acceptedUnder: describeAcceptance(configuredPolicy, "queue", teamName),
+    });
+    /** The answers of a process whose copy lacks the job, and of one whose copy contains it. */
+    const statesFor = async (submission: JobSubmission, policy: SchedulingPolicy, teamName?: string): Promise<unknown[]> => {
+        const caller = { queueName: "renamed", teamName };
+        const stored = { [jobKeys.submissionPrefix + jobId]: encodeSubmission(submission) };
+        const fromStore = createFixture({ isWriteAnswered: true, stored, policy });
+        const fromCopy = createFixture({ isWriteAnswered: true, stored, policy, submission });
+        const answers = [await fromStore.jobs.state(caller, jobId), await fromCopy.jobs.state(caller, jobId)];
+        return answers.map(({ kind, state }) => state ?? kind);
+    };
+    const renamed = policyOf(2, ["renamed"]);
+    const swapped = policyOf(2, ["renamed", "queue"]);
+    const outdated = policyOf(0, ["renamed"]);
+    const queued = [jobStates.queued, jobStates.queued];
+    const hidden = [jobResultKinds.notFound, jobResultKinds.notFound];
+
+    it("should be told to the job's team", async () => {
+        for (const policy of [renamed, swapped, outdated]) {
+            assert.deepEqual(await statesFor(accepted("team"), policy, "team"), queued, `version ${policy.version}`);
+        }
+    });
+
+    it("should not be told to another team", async () => {
+        for (const policy of [renamed, swapped]) {
+            assert.deepEqual(await statesFor(accepted("team"), policy, "other team"), hidden);
+        }
+    });
+
+    it("should be told to all callers if the job has no team and its queue was removed", async () => {
+        assert.deepEqual(await statesFor(accepted(undefined), renamed), queued);
+        assert.deepEqual(await statesFor(accepted(undefined), swapped), hidden);
+    });
+
+    it("should not be denied by a configuration older than the one under which the job was accepted", async () => {
+        const refused = [jobResultKinds.refused, jobResultKinds.refused];
+        assert.deepEqual(await statesFor(accepted(undefined), outdated), refused);
+        assert.deepEqual(await statesFor(accepted("team"), outdated, "other team"), refused);
+    });
+});
