Store the policies of removed queues for owners that start later

Cause: what was known of a removed queue ended with the owner's memory.

A write that fails is logged (6109) and repeated. The hand-over of known workers to a new term moves to knownWorkers, unchanged.

Why it works: the same policy is now reached from the store, from a process that has followed, or from the job itself, and of these the one of the latest configuration holds.

--- a/src/process/knownWorkers.ts
+++ b/src/process/knownWorkers.ts
@@ -1,4 +1,6 @@
 /** What a process knows of the workers from their entries in the store, whether or not it owns the scheduling. */
+import type { Moment } from "../scheduling/reconcileListing.js";
+import type { Scheduler } from "../scheduling/scheduler.js";
 import type { WorkerEntry } from "../scheduling/workerRecord.js";
 
 export interface KnownWorkers {
@@ -12,9 +14,11 @@
      */
     markUnreadable(workerId: string): boolean;
     isRegistered(workerId: string): boolean;
-    registered(): WorkerEntry[];
-    /** Workers that get no new runs but may have some: their entries are unreadable, or were deleted at most `maxAgeMs` ago. */
-    unregistered(maxAgeMs: number): WorkerEntry[];
+    /**
+     * Passes the workers to the scheduler of a new term, also those that get no new runs but may have some: their entries are unreadable,
+     * or were deleted a short time ago.
+     */
+    passTo(scheduler: Pick<Scheduler, "registerWorker" | "unregisterWorker">, moment: Moment): void;
 }
 
 interface KnownWorker {
@@ -25,6 +29,9 @@
     removedAtMs: number | undefined;
 }
 
+/** A worker whose entry was deleted longer ago is not asked by a new owner what it runs. */
+const maxUnregisteredMs = 10_400;
+
 export function createKnownWorkers(nowMs: () => number): KnownWorkers {
     const workers = new Map<string, KnownWorker>();
 
@@ -34,6 +41,9 @@
     };
     const isRegistered = (worker: KnownWorker | undefined): boolean => worker?.isReadable === true && worker.removedAtMs === undefined;
 
+    const isUnregistered = (worker: KnownWorker): boolean =>
+        !isRegistered(worker) && nowMs() - (worker.removedAtMs ?? nowMs()) < maxUnregisteredMs;
+
     return {
         register: entry => void workers.set(entry.workerId, { entry, isReadable: true, removedAtMs: undefined }),
         remove: workerId => {
@@ -51,10 +61,12 @@
             return worker !== undefined;
         },
         isRegistered: workerId => isRegistered(workers.get(workerId)),
-        registered: () => [...workers.values()].filter(isRegistered).map(({ entry }) => entry),
-        unregistered: maxAgeMs =>
-            [...workers.values()]
-                .filter(worker => !isRegistered(worker) && nowMs() - (worker.removedAtMs ?? nowMs()) < maxAgeMs)
-                .map(({ entry }) => entry),
+        passTo: (scheduler, moment) => {
+            [...workers.values()].filter(isRegistered).forEach(({ entry }) => scheduler.registerWorker(entry, moment));
+            for (const { entry } of [...workers.values()].filter(isUnregistered)) {
+                scheduler.registerWorker(entry, moment);
+                scheduler.unregisterWorker(entry.workerId);
+            }
+        },
     };
 }
--- a/src/process/logEvents.ts
+++ b/src/process/logEvents.ts
@@ -87,6 +87,11 @@
         logLevels.info,
         "How many VMs each pool needs and has, from what demand, and how many VMs are not counted, as the owner of the scheduling sees it.",
     ),
+    retainedPoliciesWriteFailed: defineEvent(
+        6109,
+        logLevels.warn,
+        "The policies of removed queues and teams that have unfinished jobs could not be written; the write is repeated.",
+    ),
     jobAccepted: defineEvent(
         2101,
         logLevels.info,
--- a/src/process/schedulingService.ts
+++ b/src/process/schedulingService.ts
@@ -18,6 +18,7 @@
 import { logEvents } from "./logEvents.js";
 import type { Logger } from "./logger.js";
 import { createPassTrigger } from "./passTrigger.js";
+import { createPolicyKeeper } from "./policyKeeper.js";
 import { createProgressWriter, type ProgressWriter } from "./progressWriter.js";
 import { removeOldJobs } from "./removeOldJobs.js";
 import type { OwnershipTerm, SchedulingOwnership } from "./schedulingOwnership.js";
@@ -76,14 +77,11 @@
 /** Progress is collected for this long before each write; short compared with the duration of a step. */
 const saveIntervalMs = 20;
 const cleanupIntervalMs = 5_000;
-/** A worker whose entry was deleted longer ago is not asked by a new owner what it runs. */
-const maxUnregisteredMs = 10_400;
 
 export function createSchedulingService(options: SchedulingServiceOptions): SchedulingService {
     const { store, directory, timers, logger } = options;
     const knownWorkers = createKnownWorkers(timers.nowMs);
     const workerLeaseMs = requestedLeaseMs(options.workerLeaseMs);
-    let policy: SchedulingPolicy | undefined;
     let activeTerm: ActiveTerm | undefined;
     let pendingTerm: OwnershipTerm | undefined;
 
@@ -92,6 +90,8 @@
     const lateness = createLatenessMeter(timers);
     const summary = createSchedulingSummary(timers, logger, lateness.latenessMs);
     const logUnreadable = createUnreadableDocumentLog(logger, timers.nowMs);
+    const termRevision = (): number | undefined => options.ownership().token();
+    const policies = createPolicyKeeper({ ...options, termRevision, onUnreadable: logUnreadable });
 
     const createTermProgressWriter = (scheduler: Scheduler): ProgressWriter => {
         const isActive = (): boolean => activeTerm?.scheduler === scheduler;
@@ -118,12 +118,12 @@
         store,
         timers,
         signal: options.signal,
-        termRevision: () => options.ownership().token(),
+        termRevision,
         revisionOf: key => options.mirror().revisionOf(key),
     });
 
     const recordArrival = ({ queueName, submittedWallMs, workMillicoreS }: DirectoryEntry): void => {
-        const poolName = policy?.queues.get(queueName)?.poolName;
+        const poolName = (activeTerm?.scheduler.state.policy ?? policies.configured())?.queues.get(queueName)?.poolName;
         if (poolName !== undefined) {
             options.demand.recordArrival(poolName, workMillicoreS, timers.wallClockMs() - submittedWallMs);
         }
@@ -180,9 +180,9 @@
         summary.start(signal, () => activeTerm?.scheduler.state);
         timers.every(saveIntervalMs, signal, () => progressWriter.flush());
         timers.every(cleanupIntervalMs, signal, () => {
-            const termRevision = options.ownership().token();
-            if (termRevision !== undefined && options.ownership().isLeaseValid()) {
-                void removeOldJobs(store, directory, termRevision, timers.wallClockMs() - options.jobRetentionMs);
+            const token = termRevision();
+            if (token !== undefined && options.ownership().isLeaseValid()) {
+                void removeOldJobs(store, directory, token, timers.wallClockMs() - options.jobRetentionMs);
             }
         });
     };
@@ -208,6 +208,7 @@
 
     /** Starts the term once the policy and the workers are known and the mirror contains everything that was written before the term. */
     const startPendingTerm = (): void => {
+        const policy = policies.configured();
         if (!pendingTerm || !policy || !options.areWorkersCurrent() || options.mirror().revision() < pendingTerm.token) {
             return;
         }
@@ -220,6 +221,7 @@
         const lifetime = new AbortController();
         const scheduler = createScheduler({
             policy,
+            retained: policies.retained(),
             term: { token, startedWallMs: now.wallMs, unknownWorkersUntilMs },
             workerLeaseMs,
             taskStopMs: options.taskStopMs,
@@ -234,13 +236,10 @@
         activeTerm = { scheduler, progressWriter, lifetime };
         const signal = AbortSignal.any([lifetime.signal, options.signal]);
         startTimers(progressWriter, signal);
+        policies.startSaving(scheduler.takeRetainedPolicies, signal);
         // Most jobs in the store have ended; decoding them all would delay the first starts of the term.
         directory.unfinishedEntries().forEach(entry => addStoredJob(scheduler, entry, now.wallMs, logUnreadable));
-        knownWorkers.registered().forEach(entry => scheduler.registerWorker(entry, now));
-        for (const entry of knownWorkers.unregistered(maxUnregisteredMs)) {
-            scheduler.registerWorker(entry, now);
-            scheduler.unregisterWorker(entry.workerId);
-        }
+        knownWorkers.passTo(scheduler, now);
         restoreEarlierRuns(scheduler, options.mirror(), knownWorkers.isRegistered, now, logUnreadable);
         options.onTermStarted(scheduler, signal);
         scheduleStep();
@@ -259,7 +258,7 @@
         },
         onOwnershipLost: stopScheduler,
         onPolicyChanged: next => {
-            policy = next;
+            policies.configure(next);
             startTermIfReady();
             activeTerm?.scheduler.setPolicy(next);
             scheduleStep();
--- a/src/scheduling/jobDocuments.ts
+++ b/src/scheduling/jobDocuments.ts
@@ -16,6 +16,8 @@
     handover: "nutmegjunction/handover",
     /** Snapshots of unresponsive workers, with the runs that may exist on them. */
     workerSnapshotPrefix: "nutmegjunction/silent/",
+    /** Policies of removed queues and teams that have unfinished jobs. */
+    retainedPolicies: "nutmegjunction/retained",
     prefix: "nutmegjunction/",
 } as const;
 
--- a/tests/process/schedulingTermFixture.ts
+++ b/tests/process/schedulingTermFixture.ts
@@ -130,7 +130,13 @@
         store: {
             swap: (guards: StoreGuard[], writes: StoreWrite[]) => new Promise<Swapped>(answer => swaps.push({ guards, writes, answer })),
         } as unknown as ChangeFeedStore,
-        mirror: () => ({ revision: () => token ?? 0, revisionOf: () => 0, values: () => snapshots }) as unknown as StoreMirror,
+        mirror: () =>
+            ({
+                revision: () => token ?? 0,
+                revisionOf: () => 0,
+                valueOf: () => undefined,
+                values: () => snapshots,
+            }) as unknown as StoreMirror,
         directory,
         ownership: () =>
             ({
