Name what the scheduler retains for what it returns

Reading of the change: takeRetainedPolicies took nothing away. The comment of the save interval says what it is short against.

--- a/src/process/policyKeeper.ts
+++ b/src/process/policyKeeper.ts
@@ -29,8 +29,8 @@
     configure(next: SchedulingPolicy): void;
     /** What this process and earlier owners know of former configurations, for a new term. */
     retained(): RetainedPolicies;
-    /** Keeps what the owner retains in the store until `signal` aborts. */
-    startSaving(takeRetained: () => RetainedPolicies, signal: AbortSignal): void;
+    /** Stores what the scheduler of a term retains whenever that has changed, until `signal` aborts. */
+    startSaving(currentRetained: () => RetainedPolicies, signal: AbortSignal): void;
 }
 
 export interface PolicyKeeperOptions {
@@ -44,7 +44,7 @@
     onUnreadable: ReportUnreadable;
 }
 
-/** A removed queue may lie unsaved for this long; until then, other running processes know it from the configuration. */
+/** Short against the time in which all processes could end; those that run know a removed queue from the configuration. */
 const saveIntervalMs = 500;
 
 const resourcesSchema = z.object({ cpuMillicores: z.number(), memoryMb: z.number(), accelerators: z.number() });
@@ -120,11 +120,11 @@
             configured = next;
         },
         retained: () => configured ? mergeRetained(retained, readStored(), configured) : retained,
-        startSaving: (takeRetained, signal) => {
+        startSaving: (currentRetained, signal) => {
             let savedText = options.mirror().valueOf(key);
             let isSaving = false;
             timers.every(saveIntervalMs, signal, () => {
-                retained = takeRetained();
+                retained = currentRetained();
                 const text = encodeRetained(retained);
                 const termRevision = options.termRevision();
                 const isSaved = text === savedText || (savedText === undefined && isNothingRetained(retained));
--- a/src/process/schedulingService.ts
+++ b/src/process/schedulingService.ts
@@ -236,7 +236,7 @@
         activeTerm = { scheduler, progressWriter, lifetime };
         const signal = AbortSignal.any([lifetime.signal, options.signal]);
         startTimers(progressWriter, signal);
-        policies.startSaving(scheduler.takeRetainedPolicies, signal);
+        policies.startSaving(scheduler.retainedPolicies, signal);
         // Most jobs in the store have ended; decoding them all would delay the first starts of the term.
         directory.unfinishedEntries().forEach(entry => addStoredJob(scheduler, entry, now.wallMs, logUnreadable));
         knownWorkers.passTo(scheduler, now);
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -108,7 +108,7 @@
         /** Sets the policy of the newest configuration. What it lacks of the former one is retained for unfinished jobs. */
         setPolicy: (policy: SchedulingPolicy): void => changePolicy(state, policy),
         /** Returns what unfinished jobs need and the configuration lacks. */
-        takeRetainedPolicies: (): RetainedPolicies => {
+        retainedPolicies: (): RetainedPolicies => {
             releaseUnusedPolicies(state);
             return state.retainedPolicies;
         },
--- a/tests/scheduling/removedQueues.spec.ts
+++ b/tests/scheduling/removedQueues.spec.ts
@@ -96,7 +96,7 @@
         harness.scheduler.setPolicy(withoutQueue(2));
         assert.deepEqual([...harness.scheduler.state.policy.pools.keys()], ["pool"]);
         finishTasks(harness, ["job.0.0.0"]);
-        harness.scheduler.takeRetainedPolicies();
+        harness.scheduler.retainedPolicies();
         assert.deepEqual([...harness.scheduler.state.policy.pools.keys()], []);
     });
 });
