Check a gang once, however many members it has

Callers saw: one accepted job with a gang of 2,000 small tasks stops the owner, and each next one, for as long as the job is stored: calls get 503 or no answer.

Cause: before a start is sent, and in each pass, the room, the completeness and the stored workers of the whole gang were checked again for each of its members, so that the work grew with the square of its size.

Change: the planned starts of a step are checked and sent, or cancelled, in groups: a gang is one, every other start its own.

The count of reads moves from placementWork to a file of its own, unchanged.

--- a/src/scheduling/plannedStarts.ts
+++ b/src/scheduling/plannedStarts.ts
@@ -81,24 +81,29 @@
     state.onDecision({ what: "start", jobId: run.jobId, taskName: run.taskName, runId: run.runId, workerId: run.workerId });
 }
 
-function isGangComplete(step: StepRecord): boolean {
-    return [...step.runs.values()].flat().length === step.spec.taskCount;
+/** Whether the worker of the run still has the room that was reserved for the run. */
+function hasRoomForStart(state: SchedulerState, { workerId }: Run): boolean {
+    const worker = state.workers.get(workerId);
+    return worker !== undefined && !isOvercommitted(worker);
+}
+
+/** Whether the store holds what it must before the start is sent. */
+function isStartPersisted(job: JobRecord, run: Run): boolean {
+    return isWorkerPersisted(job, run.workerId) && isSuspectStartPersisted(job, run);
 }
 
-/** Whether the store holds what it must before the start is sent, of the run and of all other runs of its gang. */
-function isStartPersisted(job: JobRecord, step: StepRecord, run: Run): boolean {
-    return step.spec.isGang ?
-        [...step.runs.values()].flat().every(each => isWorkerPersisted(job, each.workerId) && isSuspectStartPersisted(job, each)) :
-        isWorkerPersisted(job, run.workerId) && isSuspectStartPersisted(job, run);
+/**
+ * Returns the planned starts of the step in groups that are sent or cancelled together: one for a gang, else one each. The checks of a
+ * group cost as much as it has members, so a gang is checked once and not once for each member.
+ */
+function plannedGroups(step: StepRecord): Run[][] {
+    const planned = [...step.runs.values()].flat().filter(isPlanned);
+    return step.spec.isGang ? [planned].filter(({ length }) => length > 0) : planned.map(run => [run]);
 }
 
-/** Whether the worker of the run, and those of all other runs of its gang, still have the room that was reserved for them. */
-function hasRoomForStart(state: SchedulerState, step: StepRecord | undefined, run: Run): boolean {
-    const group = step?.spec.isGang ? [...step.runs.values()].flat().filter(isPlanned) : [run];
-    return group.every(({ workerId }) => {
-        const worker = state.workers.get(workerId);
-        return worker !== undefined && !isOvercommitted(worker);
-    });
+/** Whether all members of a gang have a run; a gang that lacks one cannot start. */
+function isGangBroken(step: StepRecord): boolean {
+    return step.spec.isGang && [...step.runs.values()].flat().length !== step.spec.taskCount;
 }
 
 /**
@@ -108,17 +113,15 @@
 export function sendPersistedStarts(state: SchedulerState, job: JobRecord, nowMs: number): void {
     let hasUnpersisted = false;
     for (const step of stepsOf(job)) {
-        const planned = [...step.runs.values()].flat().filter(isPlanned);
-        planned.forEach(run => recordSuspectStart(state, job, step, run));
-        for (const run of planned) {
-            if (!state.plannedRuns.has(run)) {
-                continue;
-            }
-            if ((step.spec.isGang && !isGangComplete(step)) || !hasRoomForStart(state, step, run)) {
-                cancelPlannedStart(state, run);
+        const groups = plannedGroups(step);
+        groups.flat().forEach(run => recordSuspectStart(state, job, step, run));
+        for (const group of groups) {
+            const members = step.spec.isGang ? [...step.runs.values()].flat() : group;
+            if (isGangBroken(step) || !group.every(run => hasRoomForStart(state, run))) {
+                group.forEach(run => detachRun(state, run));
             }
-            else if (isStartPersisted(job, step, run)) {
-                sendStart(state, job, step, run, nowMs);
+            else if (members.every(run => isStartPersisted(job, run))) {
+                group.forEach(run => sendStart(state, job, step, run, nowMs));
             }
             else {
                 hasUnpersisted = true;
@@ -130,25 +133,27 @@
     }
 }
 
-/** Cancels a start that was not sent, and with it those of its whole gang; the tasks wait again. */
-export function cancelPlannedStart(state: SchedulerState, run: Run): void {
-    const step = findStep(state, run);
-    const group = step?.spec.isGang ? [...step.runs.values()].flat().filter(isPlanned) : [run];
-    group.forEach(each => detachRun(state, each));
-}
-
 /**
  * Cancels the planned starts on workers that can no longer run them or have no room left, and those of gangs that have lost a
  * task; all of them while the store takes no writes.
  */
 export function cancelStaleStarts(state: SchedulerState, isSchedulable: (worker: WorkerRecord) => boolean): void {
-    for (const run of [...state.plannedRuns]) {
+    const mayStart = (run: Run): boolean => {
         const worker = state.workers.get(run.workerId);
+        return state.isStoreWritable && worker !== undefined && isSchedulable(worker) && hasRoomForStart(state, run);
+    };
+    const checkedGangs = new Set<StepRecord>();
+    for (const run of [...state.plannedRuns]) {
         const step = findStep(state, run);
-        const isGangBroken = step !== undefined && step.spec.isGang && !isGangComplete(step);
-        const mayStart = state.isStoreWritable && worker && isSchedulable(worker) && !isGangBroken && hasRoomForStart(state, step, run);
-        if (state.plannedRuns.has(run) && !mayStart) {
-            cancelPlannedStart(state, run);
+        if (!state.plannedRuns.has(run) || (step && checkedGangs.has(step))) {
+            continue;
+        }
+        const group = step?.spec.isGang ? plannedGroups(step).flat() : [run];
+        if (step?.spec.isGang) {
+            checkedGangs.add(step);
+        }
+        if ((step && isGangBroken(step)) || !group.every(mayStart)) {
+            group.forEach(each => detachRun(state, each));
         }
     }
 }
--- a/tests/scheduling/largeJobs.spec.ts
+++ b/tests/scheduling/largeJobs.spec.ts
@@ -4,6 +4,7 @@
 import { commandOutcomes } from "../../src/scheduling/commandOutcomes.js";
 import { maxUnansweredStarts } from "../../src/scheduling/poolCandidates.js";
 import { commandKinds } from "../../src/scheduling/schedulerState.js";
+import { countReads } from "./countReads.js";
 import { createSchedulerHarness, type SchedulerHarness } from "./schedulerHarness.js";
 
 const workersCount = 3;
@@ -51,3 +52,22 @@
         assert.equal(harness.startedTasks().length, gangTasksCount);
     });
 });
+
+// Guards against an owner that is busy for seconds, and loses its lease, because each member of a gang is checked against all others.
+describe("a large gang", () => {
+    const readsPerMember = 20;
+
+    it("should be planned and started with work in proportion to its size", () => {
+        for (const membersCount of [100, 1_000]) {
+            const harness = createHarness();
+            let readsCount = 0;
+            for (const workerId of workerIds) {
+                const { capacity } = harness.scheduler.state.workers.get(workerId)!.entry;
+                harness.updateEntry(workerId, { capacity: countReads(capacity, () => readsCount += 1) });
+            }
+            harness.submit("gang", { taskCount: membersCount, request, isGang: true });
+            assert.equal(harness.startedTasks().length, membersCount);
+            assert.ok(readsCount <= readsPerMember * membersCount, `${readsCount} reads of a capacity for ${membersCount} members`);
+        }
+    });
+});
--- a/tests/scheduling/placementWork.spec.ts
+++ b/tests/scheduling/placementWork.spec.ts
@@ -3,6 +3,7 @@
 import { describe, it } from "node:test";
 import { commandOutcomes } from "../../src/scheduling/commandOutcomes.js";
 import type { Resources } from "../../src/scheduling/jobTypes.js";
+import { countReads } from "./countReads.js";
 import { createSchedulerHarness, type SchedulerHarness } from "./schedulerHarness.js";
 
 const cpuMillicores = 16_000;
@@ -12,17 +13,6 @@
 /** Reads for each worker in a pass: one search for room, for each of the needs below that fits nowhere. */
 const readsPerWorker = 4;
 
-/** Returns the same resources, which count how often the CPU is read. */
-function countReads(resources: Resources, count: () => void): Resources {
-    return Object.defineProperty({ ...resources }, "cpuMillicores", {
-        enumerable: true,
-        get: () => {
-            count();
-            return resources.cpuMillicores;
-        },
-    });
-}
-
 /** A pool whose workers are full of tasks that run on, and a surge of jobs that wait for room. */
 function createFullPool(workersCount: number, jobsCount: number, surge: (index: number) => Partial<Resources>): SchedulerHarness {
     const harness = createSchedulerHarness({ workers: workersCount, cpuMillicores });
