Reject a gang of more than 5,000 tasks

Cause: all starts of a gang are under way at once, so its memory and time at the owner grow with its size, which only the bound of 200,000 tasks a job limited.

Change: 400 with the bound in the answer.

Its case in platform/jobBounds fails on the code before; a gang of 5,000 is accepted.

--- a/src/scheduling/jobTypes.ts
+++ b/src/scheduling/jobTypes.ts
@@ -67,9 +67,18 @@
 /** Bounds of a job's size: each process that loads the job keeps a record of every step of every occurrence, and of every task. */
 export const maxTasksPerJob = 200_000;
 export const maxStepOccurrencesPerJob = 10_000;
+/** All tasks of a gang are started at once, so each has a run and a command under way at the same time. */
+export const maxTasksPerGang = 5_000;
 
 /** Returns what is too large about the job's size, or `undefined` if it is within the bounds. */
-export function describeExcessiveSize(steps: readonly Pick<StepSpec, "taskCount">[], occurrencesCount: number): string | undefined {
+export function describeExcessiveSize(
+    steps: readonly Pick<StepSpec, "taskCount" | "isGang">[],
+    occurrencesCount: number,
+): string | undefined {
+    const largeGang = steps.find(step => step.isGang && !(step.taskCount <= maxTasksPerGang));
+    if (largeGang) {
+        return `${largeGang.taskCount} tasks in a gang; at most ${maxTasksPerGang} are accepted`;
+    }
     const stepOccurrencesCount = steps.length * occurrencesCount;
     const tasksCount = steps.reduce((sum, step) => sum + step.taskCount, 0) * occurrencesCount;
     // Written so that a count that is no number is too large as well.
--- a/tests/platform/jobBounds.spec.ts
+++ b/tests/platform/jobBounds.spec.ts
@@ -12,6 +12,7 @@
             text: JSON.stringify({ steps: Array.from({ length: 1_000 }, () => ({ count: 100_000 })) }),
         },
         { title: "too many tasks in all occurrences", text: '{"steps":[{"count":100000}],"repeatCount":1000}' },
+        { title: "too many tasks in a gang", text: '{"steps":[{"count":5001,"gang":true}]}' },
         { title: "an estimate that is too large", text: '{"steps":[{"count":1,"estDurationMs":1e308}]}' },
         { title: "an amount that is too large", text: '{"steps":[{"count":1,"cpu":9007199254740991}]}' },
         { title: "a start that is no time", text: '{"steps":[{"count":1}],"repeatCount":2,"startAtMs":1e308}' },
@@ -33,6 +34,7 @@
 
     const accepted = [
         { title: "the most tasks of a step", body: { steps: [{ count: 100_000 }] } },
+        { title: "the most tasks of a gang", body: { steps: [{ count: 5_000, gang: true }] } },
         { title: "many occurrences", body: { steps: [{ count: 10 }], repeatCount: 5_000, startAtMs: 1.8e12, intervalMs: 60_000 } },
         { title: "many steps", body: { steps: Array.from({ length: 1_000 }, () => ({ count: 100, estDurationMs: 1e9, cpu: 1e6 })) } },
     ];
