Let only a job's own team submit it again and cancel it

Callers saw: DELETE by another team at a queue of its own is answered 200 and cancels the job. POST by another team under the same id is answered 200; that job never runs and is later unknown, so an accepted job is lost.

Cause: submissions and cancellations went by the id alone; neither the team nor the queue of the stored submission was compared.

Change: the team of the stored submission decides who reaches a job, for queries, cancellations and repeats alike. To other teams an id counts as unknown (410), and a submission under it is answered 409 with what to do. A call that a former configuration has authorized is authorized again before it is rejected, since its path may lead elsewhere now. The group commit returns the value that the store has, so that two submissions in one transaction are told apart too.

--- a/src/process/groupCommit.ts
+++ b/src/process/groupCommit.ts
@@ -23,6 +23,8 @@
     revision?: number;
     /** If stored: whether the key existed already, perhaps written by an attempt whose response was lost. */
     wasPresent?: boolean;
+    /** If stored: the value that the key has, which another call may have written. */
+    value?: string;
 }
 
 export interface GroupCommit {
@@ -60,8 +62,8 @@
 const outdated: CommitResult = { outcome: commitOutcomes.outdated };
 const unknown: CommitResult = { outcome: commitOutcomes.unknown };
 
-function stored(revision: number, wasPresent: boolean): CommitResult {
-    return { outcome: commitOutcomes.stored, revision, wasPresent };
+function stored({ revision, value }: Pick<StoredValue, "revision" | "value">, wasPresent: boolean): CommitResult {
+    return { outcome: commitOutcomes.stored, revision, wasPresent, value };
 }
 
 export function createGroupCommit(options: GroupCommitOptions): GroupCommit {
@@ -84,7 +86,7 @@
         }
         await Promise.all(batch.map(async each => {
             const read = await store.read(each.key);
-            each.settle(read.ok && read.val ? stored(read.val.revision, true) : unknown);
+            each.settle(read.ok && read.val ? stored(read.val, true) : unknown);
         }));
     };
 
@@ -101,16 +103,16 @@
         }
         if (swapped.val.isSwapped) {
             const { revision } = swapped.val;
-            batch.forEach(each => each.settle(stored(revision, false)));
+            batch.forEach(each => each.settle(stored({ revision, value: each.value }, false)));
             return;
         }
-        const present = new Map(swapped.val.current.map(each => [each.key, each.revision]));
+        const present = new Map(swapped.val.current.map(each => [each.key, each]));
         const describePresent = ({ key }: WaitingKey): CommitResult | undefined => {
-            const revision = present.get(key) ?? 0;
-            return revision > 0 ? stored(revision, true) : undefined;
+            const current = present.get(key);
+            return current && current.revision > 0 ? stored(current, true) : undefined;
         };
-        if (shared && (present.get(shared.key) ?? 0) !== shared.expectedRevision) {
-            const current = swapped.val.current.find(each => each.key === shared.key);
+        if (shared && (present.get(shared.key)?.revision ?? 0) !== shared.expectedRevision) {
+            const current = present.get(shared.key);
             if (current) {
                 options.onGuardChanged(current);
             }
--- a/src/process/jobService.ts
+++ b/src/process/jobService.ts
@@ -8,35 +8,14 @@
 import { createJobDirectory, type DirectoryEntry, type JobDirectory } from "../scheduling/jobDirectory.js";
 import { encodeSubmission, jobKeys } from "../scheduling/jobDocuments.js";
 import { isFinalState } from "../scheduling/jobRecord.js";
-import { type JobState, jobStates, type JobSubmission, type SchedulingPolicy } from "../scheduling/jobTypes.js";
+import { jobStates, type JobSubmission, type SchedulingPolicy } from "../scheduling/jobTypes.js";
 import { commitOutcomes, createGroupCommit } from "./groupCommit.js";
+import { type JobResult, jobResultKinds, type NotFoundCause, notFoundCauses } from "./jobResults.js";
 import { isQueueKnown, isVisible, type JobCaller } from "./jobVisibility.js";
 import { logEvents } from "./logEvents.js";
 import type { LogFields, Logger } from "./logger.js";
 import { createUnreadableDocumentLog } from "./unreadableDocuments.js";
 
-export const jobResultKinds = {
-    /** Done and stored. */
-    ok: "ok",
-    notFound: "notFound",
-    /** Not executed, and never will be; the caller may retry after `retryAfterMs`. */
-    refused: "refused",
-    /** It is not known whether the call was executed; the same call may be repeated. */
-    unknown: "unknown",
-    /** The configuration has changed meanwhile; the call must be validated again. */
-    outdated: "outdated",
-} as const;
-export type JobResultKind = (typeof jobResultKinds)[keyof typeof jobResultKinds];
-
-/** Why a job counts as not found. */
-export const notFoundCauses = {
-    /** The store contains no submission of the job. */
-    noSubmission: "noSubmission",
-    /** The stored submission names another queue than the call. */
-    otherQueue: "otherQueue",
-} as const;
-export type NotFoundCause = (typeof notFoundCauses)[keyof typeof notFoundCauses];
-
 /** How a submission became known to be stored. */
 const acceptanceOrigins = {
     /** This call's transaction stored it. */
@@ -47,21 +26,10 @@
     mirrored: "mirrored",
 } as const;
 
-export interface JobResult {
-    kind: JobResultKind;
-    state?: JobState;
-    reason?: string;
-    retryAfterMs?: number;
-    /** Set if the job was not found. */
-    cause?: NotFoundCause;
-    /** What the result was decided on, for the log. */
-    logFields?: LogFields;
-}
-
 export interface JobService {
     submit(submission: JobSubmission): Promise<JobResult>;
     state(caller: JobCaller, jobId: string): Promise<JobResult>;
-    cancel(queueName: string, jobId: string): Promise<JobResult>;
+    cancel(caller: JobCaller, jobId: string): Promise<JobResult>;
     /** Counts the queue's jobs that have not started; `undefined` if the mirror is too old to tell. */
     countQueued(queueName: string): number | undefined;
 }
@@ -121,14 +89,15 @@
         reason: "the store is not reachable",
         retryAfterMs: storeRetryAfterMs,
     };
+    const idTaken: JobResult = { kind: jobResultKinds.idTaken, reason: "the id is taken by another job; submit the job under another id" };
     const refuse = (reason: string): JobResult => ({ kind: jobResultKinds.refused, reason, retryAfterMs: storeRetryAfterMs });
 
-    const create = async (key: string, value: string, jobId: string): Promise<JobResult> => {
-        const { outcome, revision, wasPresent } = await commit.create(key, value);
+    const create = async (key: string, value: string, jobId: string): Promise<JobResult & { storedValue?: string }> => {
+        const { outcome, revision, wasPresent, value: storedValue } = await commit.create(key, value);
         switch (outcome) {
             case commitOutcomes.stored: {
                 const origin = wasPresent ? acceptanceOrigins.present : acceptanceOrigins.stored;
-                return { kind: jobResultKinds.ok, logFields: { revision, origin } };
+                return { kind: jobResultKinds.ok, logFields: { revision, origin }, storedValue };
             }
             case commitOutcomes.outdated:
                 return { kind: jobResultKinds.outdated };
@@ -180,6 +149,34 @@
         return read.map(submission => ({ key, queueName, submission, answer }));
     };
 
+    const unreadable = (): JobResult => refuse("the stored submission cannot be read");
+
+    /** Answers a caller who does not reach the job: as an unknown id, or as undecided if the process lacks the job's configuration. */
+    const describeHidden = (entry: DirectoryEntry, lookup: SubmissionLookup): JobResult =>
+        isQueueKnown(entry, options.policy()) ?
+            describeNotFound(notFoundCauses.otherQueue, `the job is in queue ${entry.queueName}`, lookup) :
+            refuse(`the job is in queue ${entry.queueName}, which the configuration lacks`);
+
+    /** Decodes a stored submission; `undefined` if it cannot be read. */
+    const decodeEntry = (jobId: string, submission: string): DirectoryEntry | undefined => {
+        const read = createJobDirectory({ onUnreadable: reportUnreadable });
+        return read.apply(jobKeys.submissionPrefix + jobId, submission) && read.find(jobId);
+    };
+
+    /** Rejects a submission whose id the store has for another job; `undefined` if it has this job. */
+    const rejectIfTaken = (submission: JobSubmission, storedValue: string): JobResult | undefined => {
+        const entry = decodeEntry(submission.jobId, storedValue);
+        if (!entry) {
+            return unreadable();
+        }
+        if (isVisible(entry, submission, options.policy())) {
+            return undefined;
+        }
+        // The queue and the team of this call may be those of a former configuration, in which the path led elsewhere.
+        const isOutdated = submission.acceptedUnder?.configurationVersion !== options.policy()?.version;
+        return isOutdated ? { kind: jobResultKinds.outdated } : idTaken;
+    };
+
     const readState = async (caller: JobCaller, jobId: string): Promise<JobResult> => {
         const lookup = await lookUp(caller.queueName, jobId);
         if (lookup.err) {
@@ -204,13 +201,7 @@
         if (visible) {
             return describeState(visible);
         }
-        if (!isReadable) {
-            return refuse("the stored submission cannot be read");
-        }
-        const other = read.find(jobId)!;
-        return isQueueKnown(other, options.policy()) ?
-            describeNotFound(notFoundCauses.otherQueue, `the job is in queue ${other.queueName}`, lookup.val) :
-            refuse(`the job is in queue ${other.queueName}, which the configuration lacks`);
+        return isReadable ? describeHidden(read.find(jobId)!, lookup.val) : unreadable();
     };
 
     const readsInProgress = new Map<string, Promise<void>>();
@@ -230,17 +221,24 @@
     return {
         submit: async submission => {
             const key = jobKeys.submissionPrefix + submission.jobId;
-            if (findVisibleJob(submission, submission.jobId)) {
+            const { jobId } = submission;
+            if (findVisibleJob(submission, jobId)) {
                 logAcceptance(submission, { revision: options.mirroredRevision(key), origin: acceptanceOrigins.mirrored });
                 return { kind: jobResultKinds.ok };
             }
             if (!isStoreReachable()) {
                 return storeUnreachable;
             }
-            const answer = await create(key, encodeSubmission(submission), submission.jobId);
-            if (answer.kind === jobResultKinds.ok) {
-                logAcceptance(submission, answer.logFields);
+            const value = encodeSubmission(submission);
+            const { storedValue, ...answer } = await create(key, value, jobId);
+            if (answer.kind !== jobResultKinds.ok) {
+                return answer;
+            }
+            const rejection = storedValue === undefined || storedValue === value ? undefined : rejectIfTaken(submission, storedValue);
+            if (rejection) {
+                return rejection;
             }
+            logAcceptance(submission, answer.logFields);
             return answer;
         },
         state: async (caller, jobId) => {
@@ -254,21 +252,28 @@
             }
             return isStoreReachable() ? readState(caller, jobId) : refuse("the store is not reachable");
         },
-        cancel: async (queueName, jobId) => {
-            if (directory.find(jobId)?.isCancelled) {
+        cancel: async (caller, jobId) => {
+            const known = findVisibleJob(caller, jobId);
+            if (known?.isCancelled) {
                 return { kind: jobResultKinds.ok };
             }
             if (!isStoreReachable()) {
                 return storeUnreachable;
             }
-            if (directory.find(jobId)?.submission === undefined) {
-                const lookup = await lookUp(queueName, jobId);
+            if (!known) {
+                const lookup = await lookUp(caller.queueName, jobId);
                 if (lookup.err) {
                     return refuse("the store does not respond");
                 }
-                if (!lookup.val.submission) {
+                const { submission } = lookup.val;
+                if (!submission) {
                     return describeNoSubmission(lookup.val);
                 }
+                const entry = decodeEntry(jobId, submission.value);
+                // A submission that cannot be read is cancelled for whoever asks: it never runs, and its owner is not known.
+                if (entry && !isVisible(entry, caller, options.policy())) {
+                    return describeHidden(entry, lookup.val);
+                }
             }
             const answer = await create(
                 jobKeys.cancellationPrefix + jobId,
@@ -276,7 +281,7 @@
                 jobId,
             );
             if (answer.kind === jobResultKinds.ok) {
-                logger.log(logEvents.jobCancelled, { jobId, queue: queueName, ...answer.logFields });
+                logger.log(logEvents.jobCancelled, { jobId, queue: caller.queueName, ...answer.logFields });
             }
             return answer;
         },
--- a/src/process/jobVisibility.ts
+++ b/src/process/jobVisibility.ts
@@ -1,4 +1,4 @@
-/** Which callers may query a job, also after its queue was removed from the configuration or has got another path. */
+/** Which callers reach a job, also after its queue was removed from the configuration or has got another path. */
 import type { DirectoryEntry } from "../scheduling/jobDirectory.js";
 import type { SchedulingPolicy } from "../scheduling/jobTypes.js";
 
@@ -23,9 +23,12 @@
 }
 
 /**
- * Whether the caller may query the job. A team is told the state of its job through any queue. A job without a team can be queried
- * through its queue, and by any caller once that is removed, since no other caller is left.
+ * Whether the job is the caller's to query, cancel and submit again. A team reaches its jobs through any queue. A job without a team is
+ * reached through its queue, and by any caller once that is removed, since no other caller is left.
  */
 export function isVisible(job: JobOrigin, { queueName, teamName }: JobCaller, policy: SchedulingPolicy | undefined): boolean {
-    return job.queueName === queueName || (job.teamName === undefined ? isQueueRemoved(job, policy) : job.teamName === teamName);
+    if (job.teamName !== undefined && teamName !== undefined) {
+        return job.teamName === teamName;
+    }
+    return job.queueName === queueName || (job.teamName === undefined && isQueueRemoved(job, policy));
 }
--- a/tests/platform/storeClient.spec.ts
+++ b/tests/platform/storeClient.spec.ts
@@ -162,9 +162,10 @@
         const callsBefore = standIn.callCount("/api/kv-txn");
         const outcomes = await Promise.all(["f/1", "f/2", "f/2", "f/3"].map(key => commit.create(key, key)));
         const { revision } = (await store.read("f/1")).unwrap()!;
-        assert.deepEqual(outcomes, Array.from({ length: 4 }, () => ({ outcome: commitOutcomes.stored, revision, wasPresent: false })));
+        const stored = { outcome: commitOutcomes.stored, revision, wasPresent: false };
+        assert.deepEqual(outcomes, ["f/1", "f/2", "f/2", "f/3"].map(value => ({ ...stored, value })));
         assert.equal(standIn.callCount("/api/kv-txn") - callsBefore, 1);
-        assert.deepEqual(await commit.create("f/1", "again"), { outcome: commitOutcomes.stored, revision, wasPresent: true });
+        assert.deepEqual(await commit.create("f/1", "again"), { ...stored, wasPresent: true, value: "f/1" });
         assert.equal((await store.read("f/1")).unwrap()?.value, "f/1");
     });
 
