Check the value that a commit returns

process/groupCommit compares whole results, which have the stored value since; its three tests of a stored key ask for it now, one of them for the value of another call.

--- a/tests/process/groupCommit.spec.ts
+++ b/tests/process/groupCommit.spec.ts
@@ -42,7 +42,13 @@
     };
 
     it("should be repeated once and succeed", async () => {
-        assert.deepEqual(await commit([lost, applied]), { outcome: commitOutcomes.stored, revision: 5, wasPresent: false, writesCount: 2 });
+        assert.deepEqual(await commit([lost, applied]), {
+            outcome: commitOutcomes.stored,
+            revision: 5,
+            wasPresent: false,
+            value: "value",
+            writesCount: 2,
+        });
     });
 
     it("should be stored if the repeated write finds the key", async () => {
@@ -50,6 +56,7 @@
             outcome: commitOutcomes.stored,
             revision: 3,
             wasPresent: true,
+            value: "value",
             writesCount: 2,
         });
     });
@@ -58,9 +65,15 @@
         const changed = Ok({
             isSwapped: false,
             revision: 0,
-            current: [{ key: "configuration", value: "value", revision: 4 }, { key: "job", value: "value", revision: 2 }],
+            current: [{ key: "configuration", value: "value", revision: 4 }, { key: "job", value: "of another call", revision: 2 }],
+        });
+        assert.deepEqual(await commit([lost, changed]), {
+            outcome: commitOutcomes.stored,
+            revision: 2,
+            wasPresent: true,
+            value: "of another call",
+            writesCount: 2,
         });
-        assert.deepEqual(await commit([lost, changed]), { outcome: commitOutcomes.stored, revision: 2, wasPresent: true, writesCount: 2 });
     });
 
     it("should be unknown, not refused, if the repeated write was rejected", async () => {
