Bound the open stops of each worker

Callers saw: cancelling a job with 23,000 running tasks stops the owner for seconds; the next owner meets the same.

Of those beyond what a worker answers within 0.5 s, most timed out unsent and were repeated.

Change: a session with a worker has 64 stops open at most, and sends the others as these are answered. When it is closed, those that wait are passed back as unanswered, so that the next session with the worker repeats them.

--- a/src/process/workerSession.ts
+++ b/src/process/workerSession.ts
@@ -11,6 +11,8 @@
 /** Scheduler commands that are sent to the worker. */
 export type WorkerCommand = Extract<SchedulerCommand, { kind: "start" | "stop" | "pace" | "list" }>;
 
+type StopCommand = Extract<WorkerCommand, { kind: "stop" }>;
+
 export interface WorkerSession {
     execute(command: WorkerCommand): void;
     /** Must be called when progress was saved: the ends that the worker keeps reporting may all be stored now. */
@@ -39,6 +41,8 @@
 }
 
 const retryDelayMs = 100;
+/** Further stops wait: more than the worker answers within a call's timeout would time out unsent and be repeated, and each takes memory. */
+const maxOpenStops = 64;
 /** Longest wait for ended runs to be saved before the next poll, which would otherwise return them again at once. */
 const maxSaveWaitMs = 40;
 
@@ -51,6 +55,8 @@
     let isImmediateListOpen = false;
     let wasLastListAccepted = false;
     let isListFailing = false;
+    let openStopsCount = 0;
+    const waitingStops = new Set<StopCommand>();
 
     const moment = (): Moment => ({ nowMs: timers.nowMs(), wallMs: timers.wallClockMs() });
     const workerClockMs = (): number | undefined => clock && clock.clockMs + (timers.nowMs() - clock.atMs);
@@ -183,8 +189,7 @@
         scheduler.startResponseReceived(targetRun, currentOutcome(answer.outcome), answer.reason, moment());
         options.onSchedulerChanged();
     };
-    const stop = async (command: Extract<SchedulerCommand, { kind: "stop" }>): Promise<void> => {
-        const { run: targetRun } = command;
+    const stop = async ({ run: targetRun }: StopCommand): Promise<void> => {
         const { token } = scheduler.state.term;
         const answer = await client.stop({ taskName: targetRun.taskName, runId: targetRun.runId, token });
         if (answer.isFenced && isCurrentToken(token)) {
@@ -203,6 +208,19 @@
         scheduler.stopResponseReceived(targetRun, outcome, moment());
         options.onSchedulerChanged();
     };
+    const sendWaitingStops = (): void => {
+        for (const command of waitingStops) {
+            if (openStopsCount >= maxOpenStops) {
+                return;
+            }
+            waitingStops.delete(command);
+            openStopsCount += 1;
+            void stop(command).finally(() => {
+                openStopsCount -= 1;
+                sendWaitingStops();
+            });
+        }
+    };
     const listImmediately = async (): Promise<void> => {
         if (!isImmediateListOpen && options.maySendOrders()) {
             isImmediateListOpen = true;
@@ -218,7 +236,8 @@
                     void start(command);
                     return;
                 case commandKinds.stop:
-                    void stop(command);
+                    waitingStops.add(command);
+                    sendWaitingStops();
                     return;
                 case commandKinds.list:
                     void listImmediately();
@@ -242,6 +261,10 @@
         close: () => {
             lifetime.abort();
             client.close();
+            // The next session with the worker sends them.
+            scheduler.setOwnershipProven(options.isLeaseValid());
+            waitingStops.forEach(({ run }) => scheduler.stopResponseReceived(run, commandOutcomes.unknown, moment()));
+            waitingStops.clear();
         },
     };
 }
