Write the checks of policies and the owner's guarded writes once

A copy that is behind costs one repeated write of the same text. - A gang's starts were checked by all its members and sent by those that are planned, which are the same: a gang is planned only while no member has a run.

--- a/src/process/jobService.ts
+++ b/src/process/jobService.ts
@@ -270,7 +270,7 @@
                     return describeNoSubmission(lookup.val);
                 }
                 const entry = decodeEntry(jobId, submission.value);
-                // A submission that cannot be read is cancelled for whoever asks: it never runs, and its owner is not known.
+                // A submission that cannot be read is cancelled for whoever asks: it never runs, and its team is not known.
                 if (entry && !isVisible(entry, caller, options.policy())) {
                     return describeHidden(entry, lookup.val);
                 }
--- a/src/process/policyKeeper.ts
+++ b/src/process/policyKeeper.ts
@@ -2,14 +2,12 @@
  * Knows the policy of the newest configuration, and what unfinished jobs need of former ones. An owner stores the latter, so that a process
  * that starts later has it too.
  */
-import * as z from "zod";
 import type { TimerService } from "../common/timerService.js";
-import type { PlatformStore } from "../connection/platformStore.js";
 import type { JobDirectory } from "../scheduling/jobDirectory.js";
 import { jobKeys } from "../scheduling/jobDocuments.js";
 import type { SchedulingPolicy } from "../scheduling/jobTypes.js";
+import { decodeRetained, encodeRetained } from "../scheduling/policyDocuments.js";
 import {
-    isNothingRetained,
     mergeRetained,
     noRetainedPolicies,
     policyUseOf,
@@ -19,8 +17,8 @@
 import { logEvents } from "./logEvents.js";
 import type { Logger } from "./logger.js";
 import type { StoreMirror } from "./storeMirror.js";
+import { createTermWriter, type TermWriterOptions } from "./termWriter.js";
 import type { ReportUnreadable } from "./unreadableDocuments.js";
-import { createWrittenRevisions } from "./writtenRevisions.js";
 
 export interface PolicyKeeper {
     /** `undefined` before the first configuration. */
@@ -33,13 +31,10 @@
     startSaving(currentRetained: () => RetainedPolicies, signal: AbortSignal): void;
 }
 
-export interface PolicyKeeperOptions {
-    store: PlatformStore;
+export interface PolicyKeeperOptions extends TermWriterOptions {
     mirror(): StoreMirror;
     directory: JobDirectory;
     timers: TimerService;
-    /** Revision of the term key in the owner's term; writes are guarded by it and fail in any other term. */
-    termRevision(): number | undefined;
     logger: Logger;
     onUnreadable: ReportUnreadable;
 }
@@ -47,48 +42,16 @@
 /** Short against the time in which all processes could end; those that run know a removed queue from the configuration. */
 const saveIntervalMs = 500;
 
-const resourcesSchema = z.object({ cpuMillicores: z.number(), memoryMb: z.number(), accelerators: z.number() });
-const retainedSchema = z.object({
-    queues: z.array(z.object({
-        configurationVersion: z.number(),
-        policy: z.object({
-            name: z.string(),
-            poolName: z.string(),
-            priority: z.number(),
-            maxAttempts: z.number(),
-            criticalPathFactor: z.number(),
-            latencyObjectiveMs: z.number(),
-        }),
-    })),
-    teams: z.array(z.object({
-        configurationVersion: z.number(),
-        policy: z.object({ name: z.string(), weight: z.number(), limit: resourcesSchema }),
-    })),
-});
-
-function encodeRetained({ queues, teams }: RetainedPolicies): string {
-    return JSON.stringify({ queues: [...queues.values()], teams: [...teams.values()] });
-}
-
-function decodeRetained(text: string): RetainedPolicies {
-    const { queues, teams } = retainedSchema.parse(JSON.parse(text));
-    return {
-        queues: new Map(queues.map(each => [each.policy.name, each])),
-        teams: new Map(teams.map(each => [each.policy.name, each])),
-    };
-}
-
 export function createPolicyKeeper(options: PolicyKeeperOptions): PolicyKeeper {
-    const { store, timers } = options;
     const key = jobKeys.retainedPolicies;
-    const revisions = createWrittenRevisions(written => options.mirror().revisionOf(written));
+    const writer = createTermWriter(options);
     let configured: SchedulingPolicy | undefined;
     let retained = noRetainedPolicies;
 
+    const storedText = (): string => options.mirror().valueOf(key) ?? encodeRetained(noRetainedPolicies);
     const readStored = (): RetainedPolicies => {
-        const text = options.mirror().valueOf(key);
         try {
-            return text === undefined ? noRetainedPolicies : decodeRetained(text);
+            return decodeRetained(storedText());
         }
         catch (error) {
             options.onUnreadable(key, String(error));
@@ -96,21 +59,6 @@
         }
     };
 
-    /** Returns whether the store has the text now. */
-    const save = async (text: string, termRevision: number): Promise<boolean> => {
-        const swapped = await store.swap(
-            [{ key: jobKeys.term, expectedRevision: termRevision }, { key, expectedRevision: revisions.expected(key) }],
-            [{ key, value: text }],
-        );
-        if (swapped.err) {
-            options.logger.log(logEvents.retainedPoliciesWriteFailed, { reason: swapped.val.reason });
-            return false;
-        }
-        const { isSwapped, revision, current } = swapped.val;
-        revisions.update(key, isSwapped ? revision : current.find(each => each.key === key)?.revision ?? 0);
-        return isSwapped;
-    };
-
     return {
         configured: () => configured,
         configure: next => {
@@ -121,20 +69,21 @@
         },
         retained: () => configured ? mergeRetained(retained, readStored(), configured) : retained,
         startSaving: (currentRetained, signal) => {
-            let savedText = options.mirror().valueOf(key);
             let isSaving = false;
-            timers.every(saveIntervalMs, signal, () => {
+            const save = async (text: string): Promise<void> => {
+                isSaving = true;
+                const failure = await writer.write(key, text);
+                isSaving = false;
+                if (failure !== undefined) {
+                    options.logger.log(logEvents.retainedPoliciesWriteFailed, { reason: failure });
+                }
+            };
+            options.timers.every(saveIntervalMs, signal, () => {
                 retained = currentRetained();
                 const text = encodeRetained(retained);
-                const termRevision = options.termRevision();
-                const isSaved = text === savedText || (savedText === undefined && isNothingRetained(retained));
-                if (isSaved || isSaving || termRevision === undefined) {
-                    return;
+                if (!isSaving && text !== storedText()) {
+                    void save(text);
                 }
-                isSaving = true;
-                void save(text, termRevision)
-                    .then(hasSaved => savedText = hasSaved ? text : savedText)
-                    .finally(() => isSaving = false);
             });
         },
     };
--- a/src/process/schedulingService.ts
+++ b/src/process/schedulingService.ts
@@ -91,7 +91,8 @@
     const summary = createSchedulingSummary(timers, logger, lateness.latenessMs);
     const logUnreadable = createUnreadableDocumentLog(logger, timers.nowMs);
     const termRevision = (): number | undefined => options.ownership().token();
-    const policies = createPolicyKeeper({ ...options, termRevision, onUnreadable: logUnreadable });
+    const revisionOf = (key: string): number => options.mirror().revisionOf(key);
+    const policies = createPolicyKeeper({ ...options, termRevision, revisionOf, onUnreadable: logUnreadable });
 
     const createTermProgressWriter = (scheduler: Scheduler): ProgressWriter => {
         const isActive = (): boolean => activeTerm?.scheduler === scheduler;
@@ -99,7 +100,7 @@
             store,
             nowMs: timers.nowMs,
             termRevision: () => isActive() ? options.ownership().token() : undefined,
-            revisionOf: key => options.mirror().revisionOf(key),
+            revisionOf,
             takeUnsaved: atMost => scheduler.takeUnsavedJobs(atMost),
             onSaved: jobs => {
                 jobs.forEach(job => scheduler.progressSaved(job.jobId, job.version, timers.nowMs()));
@@ -119,7 +120,7 @@
         timers,
         signal: options.signal,
         termRevision,
-        revisionOf: key => options.mirror().revisionOf(key),
+        revisionOf,
     });
 
     const recordArrival = ({ queueName, submittedWallMs, workMillicoreS }: DirectoryEntry): void => {
--- a/src/process/workerSnapshotWriter.ts
+++ b/src/process/workerSnapshotWriter.ts
@@ -1,7 +1,6 @@
 /** Writes the snapshots of unresponsive workers, from which the next owner learns what may run there. */
 import * as z from "zod";
 import { delay, type TimerService } from "../common/timerService.js";
-import type { PlatformStore } from "../connection/platformStore.js";
 import { jobKeys } from "../scheduling/jobDocuments.js";
 import type { Moment } from "../scheduling/reconcileListing.js";
 import type { Scheduler } from "../scheduling/scheduler.js";
@@ -12,20 +11,16 @@
     type WorkerSnapshot,
 } from "../scheduling/unresponsiveWorkers.js";
 import type { StoreMirror } from "./storeMirror.js";
-import { createWrittenRevisions } from "./writtenRevisions.js";
+import { createTermWriter, type TermWriterOptions } from "./termWriter.js";
 
 export interface WorkerSnapshotWriter {
     /** Writes the snapshot of a worker, or clears it if `undefined`; returns whether the store may still contain one. */
     update(workerId: string, snapshot: WorkerSnapshot | undefined): Promise<SnapshotState>;
 }
 
-export interface WorkerSnapshotWriterOptions {
-    store: PlatformStore;
+export interface WorkerSnapshotWriterOptions extends TermWriterOptions {
     timers: TimerService;
     signal: AbortSignal;
-    /** Revision of the term key in the owner's term; writes are guarded by it and fail in any other term. */
-    termRevision(): number | undefined;
-    revisionOf(key: string): number;
 }
 
 /** Stored value of a cleared snapshot, whose worker responds again. */
@@ -35,24 +30,15 @@
 const retryDelayMs = 200;
 
 /**
- * Creates the writer. A snapshot is cleared rather than deleted, and each write is guarded by the previous revision: otherwise
- * an earlier write that arrives late could restore an outdated snapshot.
+ * Creates the writer. A snapshot is cleared rather than deleted, since its key's revision guards against an earlier write that arrives
+ * late and could restore an outdated snapshot.
  */
 export function createWorkerSnapshotWriter(options: WorkerSnapshotWriterOptions): WorkerSnapshotWriter {
-    const revisions = createWrittenRevisions(options.revisionOf);
+    const writer = createTermWriter(options);
     return {
         update: async (workerId, snapshot) => {
             const key = jobKeys.workerSnapshotPrefix + workerId;
-            const token = options.termRevision();
-            const swapped = token === undefined ? undefined : await options.store.swap(
-                [{ key: jobKeys.term, expectedRevision: token }, { key, expectedRevision: revisions.expected(key) }],
-                [{ key, value: snapshot ? encodeSnapshot(snapshot) : emptySnapshotValue }],
-            );
-            const isDone = swapped?.ok === true && swapped.val.isSwapped;
-            if (swapped?.ok) {
-                const current = swapped.val.current.find(each => each.key === key)?.revision ?? 0;
-                revisions.update(key, swapped.val.isSwapped ? swapped.val.revision : current);
-            }
+            const isDone = await writer.write(key, snapshot ? encodeSnapshot(snapshot) : emptySnapshotValue) === undefined;
             if (!isDone) {
                 await delay(options.timers, retryDelayMs, options.signal);
             }
--- a/src/scheduling/jobDocuments.ts
+++ b/src/scheduling/jobDocuments.ts
@@ -2,7 +2,8 @@
  * Documents that the store holds for a job: the submission, written once by the process that accepted it; the progress,
  * written only by the process that owns the scheduling; and the cancellation marker, written by any process.
  */
-import { type AcceptedPolicy, describeExcessiveSize, type JobState, jobStates, type JobSubmission, noResources } from "./jobTypes.js";
+import { type AcceptedPolicy, describeExcessiveSize, type JobState, jobStates, type JobSubmission } from "./jobTypes.js";
+import { areAmounts, isAmount, isReadableQueue, isReadableTeam } from "./policyDocuments.js";
 
 export const jobKeys = {
     submissionPrefix: "nutmegjunction/job/",
@@ -62,14 +63,8 @@
     return JSON.stringify(submission);
 }
 
-const isAmount = (value: unknown): boolean => Number.isFinite(value) && Number(value) >= 0;
-
 function isReadablePolicy({ configurationVersion, queue, team }: AcceptedPolicy): boolean {
-    const { maxAttempts, criticalPathFactor, latencyObjectiveMs } = queue;
-    const { weight, limit } = team ?? { weight: 0, limit: noResources };
-    return typeof queue.name === "string" && typeof queue.poolName === "string" && (team === undefined || typeof team.name === "string") &&
-        [configurationVersion, maxAttempts, criticalPathFactor, latencyObjectiveMs, weight].every(Number.isFinite) &&
-        [limit.cpuMillicores, limit.memoryMb, limit.accelerators].every(isAmount);
+    return Number.isFinite(configurationVersion) && isReadableQueue(queue) && (team === undefined || isReadableTeam(team));
 }
 
 /** Returns the path of a field on which the scheduler relies and that is not as it should be. */
@@ -89,7 +84,7 @@
     for (const [index, step] of steps.entries()) {
         const { taskCount, request, estimatedDurationMs, dependsOn } = step;
         const isReadable = Number.isSafeInteger(taskCount) && taskCount > 0 &&
-            [request.cpuMillicores, request.memoryMb, request.accelerators, estimatedDurationMs].every(isAmount) &&
+            areAmounts(request) && isAmount(estimatedDurationMs) &&
             dependsOn.every(before => Number.isSafeInteger(before) && before >= 0 && before < index);
         if (!isReadable) {
             return `steps.${index}`;
--- a/src/scheduling/plannedStarts.ts
+++ b/src/scheduling/plannedStarts.ts
@@ -116,11 +116,10 @@
         const groups = plannedGroups(step);
         groups.flat().forEach(run => recordSuspectStart(state, job, step, run));
         for (const group of groups) {
-            const members = step.spec.isGang ? [...step.runs.values()].flat() : group;
             if (isGangBroken(step) || !group.every(run => hasRoomForStart(state, run))) {
                 group.forEach(run => detachRun(state, run));
             }
-            else if (members.every(run => isStartPersisted(job, run))) {
+            else if (group.every(run => isStartPersisted(job, run))) {
                 group.forEach(run => sendStart(state, job, step, run, nowMs));
             }
             else {
--- a/src/scheduling/retainedPolicies.ts
+++ b/src/scheduling/retainedPolicies.ts
@@ -25,7 +25,7 @@
 export const noRetainedPolicies: RetainedPolicies = { queues: new Map(), teams: new Map() };
 
 /** Whether the policies keep nothing, so that every unfinished job goes by the configuration. */
-export function isNothingRetained({ queues, teams }: RetainedPolicies): boolean {
+function isNothingRetained({ queues, teams }: RetainedPolicies): boolean {
     return queues.size === 0 && teams.size === 0;
 }
 
