Check that unreadable stored policies stop nothing

process/retainedPolicies has four more tests: a new owner runs a job of a removed queue by the job's own policy when the stored ones cannot be read, and replaces them.

--- a/tests/process/retainedPolicies.spec.ts
+++ b/tests/process/retainedPolicies.spec.ts
@@ -42,6 +42,7 @@
     const running: SimulatedProcess[] = [];
     let membersCount = 0;
     return {
+        putPolicies: (text: string): void => store.put(jobKeys.retainedPolicies, text),
         startedTasks: (): string[] => [...startedAtMs.keys()],
         submit: (acceptedUnder: SchedulingPolicy | undefined): void => {
             const steps = [defaultStep, { ...defaultStep, dependsOn: [0] }];
@@ -147,4 +148,24 @@
         assert.equal(fixture.jobState(), jobStates.completed);
         assert.equal(fixture.storedPolicies(), '{"queues":[],"teams":[]}');
     });
+
+    for (
+        const text of [
+            "{",
+            "{}",
+            '{"queues":[{"configurationVersion":1}],"teams":[]}',
+            '{"queues":[],"teams":[{"configurationVersion":1,"policy":{}}]}',
+        ]
+    ) {
+        it(`should run by its own policy if the stored ones cannot be read: ${text}`, async () => {
+            const fixture = createFixture();
+            fixture.putPolicies(text);
+            fixture.submit(sentTo("pool", 1));
+            fixture.start(withoutQueue(2));
+            await fixture.run(8_000);
+            assert.notEqual(fixture.storedPolicies(), text, "the unreadable ones are replaced");
+            fixture.killAll();
+            assert.equal(fixture.jobState(), jobStates.completed);
+        });
+    }
 });
