Check two teams that submit one id at the same time

process/jobVisibility: of two submissions in one transaction one is accepted and the other is answered that the id is taken. Passes on the code as it is.

--- a/tests/process/jobVisibility.spec.ts
+++ b/tests/process/jobVisibility.spec.ts
@@ -82,6 +82,14 @@
         }
     });
 
+    it("should be accepted for one of two teams that submit it at the same time", async () => {
+        const { jobs, acceptances, calls } = createJobServiceFixture({ isWriteAnswered: true });
+        const answers = await Promise.all(["team", "other team"].map(teamName => jobs.submit(acceptedFor(teamName))));
+        assert.deepEqual(answers.map(({ kind }) => kind), [jobResultKinds.ok, jobResultKinds.idTaken]);
+        assert.deepEqual(acceptances.map(({ team }) => team), ["team"]);
+        assert.deepEqual(calls, ["swap"], "both are in one transaction");
+    });
+
     it("should stay one job when its own team submits it again, also through another queue", async () => {
         for (const queueName of ["queue", "other"]) {
             for (const { jobs } of fixtures(acceptedFor("team"))) {
