Log why a crash is counted against a run

Change: it names why the crash is counted, and the run's phase, its age at the last contact, when that was, and when its lease ends.

--- a/src/process/workerSession.ts
+++ b/src/process/workerSession.ts
@@ -88,7 +88,7 @@
             scheduler.listingReceived(workerId, answer.listing, sentAtMs, now);
         }
         else {
-            scheduler.workerUnresponsive(workerId, now.nowMs);
+            scheduler.workerUnresponsive(workerId, now.nowMs, answer.reason);
         }
         options.onSchedulerChanged();
     };
@@ -102,7 +102,7 @@
         if (signal.aborted) {
             return;
         }
-        scheduler.workerUnresponsive(workerId, timers.nowMs());
+        scheduler.workerUnresponsive(workerId, timers.nowMs(), reason);
         options.onSchedulerChanged();
     };
 
--- a/src/scheduling/reconcileListing.ts
+++ b/src/scheduling/reconcileListing.ts
@@ -1,5 +1,6 @@
 /** Reconciles a worker's listing of its runs with the scheduler's state. */
 import { paceFillers } from "../decisions/paceFillers.js";
+import { createSuspect } from "./crashSuspect.js";
 import { isFinalState, type JobRecord } from "./jobRecord.js";
 import { noResources } from "./jobTypes.js";
 import { runNeeds } from "./runNeeds.js";
@@ -188,7 +189,7 @@
             });
             detachRun(state, run);
             if (run.hasWorkerRestarted) {
-                recordCrash(state, [run], moment.wallMs);
+                recordCrash(state, [createSuspect(worker, run)], "the worker had restarted and does not list the run", moment);
             }
         }
     }
@@ -259,6 +260,12 @@
         worker.isRunStateKnown = true;
     }
     adjustPace(state, worker, moment.nowMs);
+    if (worker.unresponsiveSinceMs !== undefined) {
+        const detail = `after ${
+            Math.round(moment.nowMs - worker.unresponsiveSinceMs)
+        } ms, ${worker.unexplainedRuns.length} runs were given up`;
+        state.onDecision({ what: "worker responds again", workerId: worker.entry.workerId, detail });
+    }
     worker.unresponsiveSinceMs = undefined;
     worker.lastResponseAtMs = moment.nowMs;
     worker.lastContactAtMs = moment.nowMs;
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -26,6 +26,7 @@
 import {
     adoptSnapshot,
     recordSnapshotCrash,
+    reportUnresponsive,
     type SnapshotState,
     snapshotStates,
     updateSnapshots,
@@ -33,7 +34,7 @@
 } from "./unresponsiveWorkers.js";
 import { beginIncarnation, endWorker } from "./workerEnds.js";
 import { addWorker, evacuateDrainingWorkers, expireLeases, maxLeaseMs } from "./workerLifecycle.js";
-import { acknowledgedEndNumber, markUnresponsive, type Run, type WorkerEntry } from "./workerRecord.js";
+import { acknowledgedEndNumber, type Run, type WorkerEntry } from "./workerRecord.js";
 
 export interface SchedulerOptions {
     /** The policy of the newest configuration. */
@@ -144,7 +145,7 @@
         registerWorker: (entry: WorkerEntry, moment: Moment): void => {
             const worker = state.workers.get(entry.workerId);
             if (!worker) {
-                addWorker(state, entry, moment.wallMs);
+                addWorker(state, entry, moment);
                 return;
             }
             if (entry.bornWallMs > worker.entry.bornWallMs) {
@@ -189,10 +190,10 @@
             }
         },
         /** The worker did not respond; it gets no new runs until it does. */
-        workerUnresponsive: (workerId: string, nowMs: number): void => {
+        workerUnresponsive: (workerId: string, nowMs: number, reason = ""): void => {
             const worker = state.workers.get(workerId);
             if (worker) {
-                markUnresponsive(worker, nowMs);
+                reportUnresponsive(state, worker, nowMs, reason);
             }
         },
         /**
@@ -201,7 +202,7 @@
          */
         restoreSnapshot: (snapshot: WorkerSnapshot, isRegistered: boolean, receivedAtMs: number, moment: Moment): void => {
             const { workerId, bornWallMs } = snapshot.entry;
-            const worker = state.workers.get(workerId) ?? addWorker(state, snapshot.entry, moment.wallMs);
+            const worker = state.workers.get(workerId) ?? addWorker(state, snapshot.entry, moment);
             worker.isRegistered = isRegistered;
             if (worker.entry.bornWallMs === bornWallMs) {
                 adoptSnapshot(state, worker, snapshot, receivedAtMs, moment.nowMs);
--- a/src/scheduling/suspectStarts.ts
+++ b/src/scheduling/suspectStarts.ts
@@ -3,6 +3,7 @@
  * crashes, the next owner has seen neither the run nor the crash, and could not count it otherwise. It may count a start that was never
  * sent, so this does not apply to earlier crashes: those that were counted must be enough to give up the task.
  */
+import { createSuspect } from "./crashSuspect.js";
 import { isFinalState, type JobRecord, type StepRecord, stepsOf, taskProgress } from "./jobRecord.js";
 import type { Moment } from "./reconcileListing.js";
 import { runNeeds } from "./runNeeds.js";
@@ -34,7 +35,7 @@
     }
     const run = createPresumedRun(job, step, taskIndex, start.runId, worker, moment.nowMs);
     if (worker.entry.bornWallMs > start.bornWallMs) {
-        recordCrash(state, [run], moment.wallMs);
+        recordCrash(state, [createSuspect(worker, run)], "the worker has restarted since an earlier owner stored the start", moment);
     }
     else {
         attachRun(state, worker, step, run);
--- a/src/scheduling/unresponsiveWorkers.ts
+++ b/src/scheduling/unresponsiveWorkers.ts
@@ -3,12 +3,22 @@
  * and extends no lease on it until its snapshot is removed. The next owner therefore knows from the snapshot which tasks to wait for,
  * and until when, and does not have to hold back all others.
  */
+import { ageAtLastContactMs } from "./crashSuspect.js";
 import { isFinalState, type StepRecord } from "./jobRecord.js";
 import type { Moment } from "./reconcileListing.js";
 import { runNeeds } from "./runNeeds.js";
 import { attachRun, commandKinds, findStep, type SchedulerState } from "./schedulerState.js";
-import { ageAtLastContactMs, crashSuspects, recordCrash } from "./workerCrashes.js";
-import { createRun, createWorkerRecord, parseTaskName, type Run, runPhases, type WorkerEntry, type WorkerRecord } from "./workerRecord.js";
+import { crashSuspects, recordCrash } from "./workerCrashes.js";
+import {
+    createRun,
+    createWorkerRecord,
+    markUnresponsive,
+    parseTaskName,
+    type Run,
+    runPhases,
+    type WorkerEntry,
+    type WorkerRecord,
+} from "./workerRecord.js";
 
 /** What the store holds of an unresponsive worker. */
 export interface WorkerSnapshot {
@@ -43,6 +53,15 @@
     };
 }
 
+/** A call to the worker got no response. */
+export function reportUnresponsive(state: SchedulerState, worker: WorkerRecord, nowMs: number, reason: string): void {
+    if (worker.unresponsiveSinceMs === undefined && !worker.hasEnded) {
+        const detail = `${worker.runs.size} runs`;
+        state.onDecision({ what: "worker unresponsive", workerId: worker.entry.workerId, reason, detail });
+    }
+    markUnresponsive(worker, nowMs);
+}
+
 /** Requests snapshots of workers that became unresponsive, and the removal of those of workers that respond again. */
 export function updateSnapshots(state: SchedulerState, nowMs: number): void {
     for (const worker of state.workers.values()) {
@@ -105,7 +124,9 @@
 }
 
 /** Counts the crash of a worker that an earlier owner took for unresponsive and that has restarted since. */
-export function recordSnapshotCrash(state: SchedulerState, snapshot: WorkerSnapshot, { nowMs, wallMs }: Moment): void {
+export function recordSnapshotCrash(state: SchedulerState, snapshot: WorkerSnapshot, moment: Moment): void {
+    const { nowMs } = moment;
     const ended = { ...createWorkerRecord(snapshot.entry, nowMs), lastContactAtMs: nowMs };
-    recordCrash(state, crashSuspects(ended, snapshotRuns(state, snapshot, nowMs).map(({ run }) => run)), wallMs);
+    const suspects = crashSuspects(ended, snapshotRuns(state, snapshot, nowMs).map(({ run }) => run));
+    recordCrash(state, suspects, "the worker has restarted since an earlier owner stored its snapshot", moment);
 }
--- a/src/scheduling/workerCrashes.ts
+++ b/src/scheduling/workerCrashes.ts
@@ -2,8 +2,10 @@
  * Workers that crash under the runs of a task. A task that crashes each worker that starts it would go through the whole pool,
  * so its job is given up after some crashes. Which of the runs on a worker made it crash is unknown: all young ones are suspected.
  */
+import { ageAtLastContactMs, type CrashSuspect, createSuspect, describeSuspect } from "./crashSuspect.js";
 import { attemptsProgress, isFinalState } from "./jobRecord.js";
 import { jobStates } from "./jobTypes.js";
+import type { Moment } from "./reconcileListing.js";
 import { endJob, findStep, markChanged, type SchedulerState } from "./schedulerState.js";
 import { type Run, runPhases, type WorkerRecord } from "./workerRecord.js";
 
@@ -12,26 +14,23 @@
 /** A task is given up when this many workers have crashed under it. */
 const maxWorkerCrashes = 3;
 
-/** The age of a run when its worker was last in touch; negative if the start was sent later. */
-export function ageAtLastContactMs(worker: WorkerRecord, run: Run): number {
-    return (worker.lastContactAtMs ?? Number.NEGATIVE_INFINITY) - run.startedAtMs;
-}
-
 /** Whether the worker's end, if it has ended, is a crash. */
 function endsUnexpectedly({ entry, isVmStopping, hasEnded }: WorkerRecord): boolean {
     return !entry.isDraining && !isVmStopping && !hasEnded;
 }
 
 /** The runs that may have crashed the worker, if it has ended without an order; call it before they are detached. */
-export function crashSuspects(worker: WorkerRecord, runs: Iterable<Run>): Run[] {
+export function crashSuspects(worker: WorkerRecord, runs: Iterable<Run>): CrashSuspect[] {
     return endsUnexpectedly(worker) ?
-        [...runs].filter(run => run.phase !== runPhases.planned && ageAtLastContactMs(worker, run) < maxSuspectAgeMs) :
+        [...runs].filter(run => run.phase !== runPhases.planned && ageAtLastContactMs(worker, run) < maxSuspectAgeMs)
+            .map(run => createSuspect(worker, run)) :
         [];
 }
 
 /** Counts the crash of a worker for the tasks of these runs, and gives up those under which too many workers have crashed. */
-export function recordCrash(state: SchedulerState, suspects: readonly Run[], wallMs: number): void {
-    for (const { jobId, taskName, taskIndex, runId, workerId, ...place } of suspects) {
+export function recordCrash(state: SchedulerState, suspects: readonly CrashSuspect[], reason: string, moment: Moment): void {
+    for (const suspect of suspects) {
+        const { jobId, taskName, taskIndex, runId, workerId, ...place } = suspect.run;
         const job = state.jobs.get(jobId);
         const step = findStep(state, { jobId, ...place });
         if (!job || !step || isFinalState(job.state) || step.done.has(taskIndex)) {
@@ -44,12 +43,13 @@
         }
         crashedRunIds.push(runId);
         markChanged(state, job);
-        const detail = `runs ${crashedRunIds.join(", ")}`;
+        const runs = `runs ${crashedRunIds.join(", ")}`;
         const crashesCount = crashedRunIds.length;
-        state.onDecision({ what: "worker crashed under run", jobId, taskName, runId, workerId, detail });
+        const detail = `${describeSuspect(suspect, moment.nowMs)}; ${runs}`;
+        state.onDecision({ what: "worker crashed under run", jobId, taskName, runId, workerId, reason, detail });
         if (crashesCount >= maxWorkerCrashes) {
-            state.onDecision({ what: "give up task", jobId, taskName, reason: `${crashesCount} workers crashed under it`, detail });
-            endJob(state, job, jobStates.failed, wallMs);
+            state.onDecision({ what: "give up task", jobId, taskName, reason: `${crashesCount} workers crashed under it`, detail: runs });
+            endJob(state, job, jobStates.failed, moment.wallMs);
         }
     }
 }
--- a/src/scheduling/workerLifecycle.ts
+++ b/src/scheduling/workerLifecycle.ts
@@ -35,14 +35,15 @@
 }
 
 /** Adds a worker that may hold runs of an earlier owner until it has responded or their leases have ended. */
-export function addWorker(state: SchedulerState, entry: WorkerEntry, wallMs: number): WorkerRecord {
+export function addWorker(state: SchedulerState, entry: WorkerEntry, moment: Moment): WorkerRecord {
     const worker = createWorkerRecord(entry, state.term.unknownWorkersUntilMs);
     // An incarnation that began during this term cannot hold runs of an earlier owner.
     worker.isRunStateKnown = entry.bornWallMs > state.term.startedWallMs + clockEstimateSlackMs;
     state.workers.set(entry.workerId, worker);
     state.onDecision({ what: "worker joined", workerId: entry.workerId, detail: `${entry.poolName} ${entry.rack} ${entry.address}` });
     // The earlier worker at the address has ended.
-    recordCrash(state, state.unexplainedRunsByAddress.get(entry.address) ?? [], wallMs);
+    const suspects = state.unexplainedRunsByAddress.get(entry.address) ?? [];
+    recordCrash(state, suspects, "another worker registered at its address after its leases had ended", moment);
     state.unexplainedRunsByAddress.delete(entry.address);
     return worker;
 }
@@ -67,7 +68,7 @@
 /** Keeps the runs under which a worker that is gone may have crashed, until another worker at its address shows that it has ended. */
 function keepUnexplainedRuns(state: SchedulerState, worker: WorkerRecord): void {
     for (const [address, runs] of state.unexplainedRunsByAddress) {
-        if (!runs.some(run => state.jobs.has(run.jobId))) {
+        if (!runs.some(({ run }) => state.jobs.has(run.jobId))) {
             state.unexplainedRunsByAddress.delete(address);
         }
     }
--- a/src/scheduling/workerRecord.ts
+++ b/src/scheduling/workerRecord.ts
@@ -1,4 +1,5 @@
 /** The scheduler's state of one worker: its resources, its runs, and which of its reported ends are stored. */
+import type { CrashSuspect } from "./crashSuspect.js";
 import { addResources, fitsInto, noResources, type Resources } from "./jobTypes.js";
 
 /** A worker's entry in the store. */
@@ -107,7 +108,7 @@
     /** When this incarnation last listed its runs or accepted a command. */
     lastContactAtMs: number | undefined;
     /** Runs that were lost with their leases while the worker did not respond; it may have crashed under them. */
-    unexplainedRuns: Run[];
+    unexplainedRuns: CrashSuspect[];
     /** Time of the first response in this term: since then, the worker refuses commands of earlier owners. */
     fencedSinceMs: number | undefined;
     /**
--- a/tests/scheduling/describeScheduler.ts
+++ b/tests/scheduling/describeScheduler.ts
@@ -13,7 +13,7 @@
         worker.entry.bornWallMs,
         worker.entry.capacity.cpuMillicores,
         worker.lastContactAtMs,
-        worker.unexplainedRuns.map(run => run.runId),
+        worker.unexplainedRuns.map(({ run }) => run.runId),
         worker.leaseEndsAtMs,
         worker.lastEndNumber,
         worker.unsavedEnds,
