Give up no task on crashes that nothing proves

Callers saw a long-running job as failed although no run of it had failed: its tasks at work were stopped, and nothing started again.

Cause: a crash was counted against each young run of a worker that later turned out to have ended, whatever had become of the run. A run on a worker that is cut off ends with its lease, and the worker may end long after that. Silence was taken for a crash; three such losses gave up the task.

Change: the owner keeps until when the worker has confirmed to hold the leases of its runs. A crash is proven only if the worker is seen to have ended within that time, and the worker had accepted the run or listed it; a start without a response counts within its own validity only. Other losses count as possible crashes. A task is given up after three crashes of which two are proven, as the users' rule allows after two, or after six losses without that proof: a task that crashes workers may be started three times more after the third one. What an earlier owner stored proves nothing.

Why it holds: a lease that the worker has confirmed cannot have ended before, so a run that is counted as proven was at work, unless it ended by itself.

Tests: four ways of workerCrashes.spec asserted that a task is given up after three losses of which none is proven, in two of them 20 s after the last contact. That is the fault. They now assert the bound that the rule sets for a task that crashes its workers, six starts, and no more. The pool of these tests confirms leases as polled workers do.

--- a/src/process/workerSession.ts
+++ b/src/process/workerSession.ts
@@ -3,8 +3,9 @@
 import type { ListResponse, WorkerClient } from "../connection/workerClient.js";
 import { listingPauseMs, listingWaitMs } from "../decisions/paceListings.js";
 import { type CommandOutcome, commandOutcomes } from "../scheduling/commandOutcomes.js";
+import { startValidityMs } from "../scheduling/leases.js";
 import type { Moment } from "../scheduling/reconcileListing.js";
-import { type Scheduler, startValidityMs } from "../scheduling/scheduler.js";
+import type { Scheduler } from "../scheduling/scheduler.js";
 import { commandKinds, type SchedulerCommand } from "../scheduling/schedulerState.js";
 import type { WorkerRecord } from "../scheduling/workerRecord.js";
 
@@ -68,7 +69,7 @@
     const currentOutcome = (outcome: CommandOutcome): CommandOutcome =>
         signal.aborted && outcome !== commandOutcomes.refused ? commandOutcomes.unknown : outcome;
 
-    const handleListResponse = (answer: ListResponse, token: number, sentAtMs: number): void => {
+    const handleListResponse = (answer: ListResponse, token: number, sentAtMs: number, extendedByMs: number | undefined): void => {
         if (signal.aborted) {
             return;
         }
@@ -85,7 +86,7 @@
         }
         else if (answer.listing && answer.clockMs !== undefined) {
             clock = { clockMs: answer.clockMs, atMs: now.nowMs };
-            scheduler.listingReceived(workerId, answer.listing, sentAtMs, now);
+            scheduler.listingReceived(workerId, answer.listing, sentAtMs, now, extendedByMs);
         }
         else {
             scheduler.workerUnresponsive(workerId, now.nowMs, answer.reason);
@@ -122,7 +123,7 @@
                 waitMs,
             });
             wasLastListAccepted = answer.outcome === commandOutcomes.accepted;
-            handleListResponse(answer, token, sentAtMs);
+            handleListResponse(answer, token, sentAtMs, clockMs === undefined ? undefined : options.leaseMs);
             isListFailing = false;
             return answer.outcome;
         }
--- /dev/null
+++ b/src/scheduling/crashCounts.ts
@@ -0,0 +1,41 @@
+/**
+ * How many crashes of workers are counted for a task, and when it is given up. A task that crashes each worker that starts it must be
+ * given up soon, and one whose workers end for other reasons must not be.
+ */
+
+export interface CrashCounts {
+    /** Runs that were certainly at work when their worker ended. */
+    provenCount: number;
+    /** Runs whose worker has ended, but which may have ended before it. */
+    possibleCount: number;
+}
+
+export const noCrashes: CrashCounts = { provenCount: 0, possibleCount: 0 };
+
+/** A task is given up after this many crashes, if enough of them are proven. */
+const maxCrashes = 3;
+/** Two workers do not end under the same young task by chance; a third crash need not be proven. */
+const minProvenCrashes = 2;
+/** A task that crashes workers may be started three times more after it has crashed three; without proof, all of that is used. */
+const maxPossibleCrashes = 6;
+
+export function isGivenUp({ provenCount, possibleCount }: CrashCounts): boolean {
+    const total = provenCount + possibleCount;
+    return total >= maxPossibleCrashes || (total >= maxCrashes && provenCount >= minProvenCrashes);
+}
+
+export const suspicions = {
+    none: "none",
+    /** Workers have ended under the task. */
+    suspected: "suspected",
+    /** The next crash gives up the task. */
+    nextCrashIsLast: "nextCrashIsLast",
+} as const;
+export type Suspicion = (typeof suspicions)[keyof typeof suspicions];
+
+export function suspicionOf({ provenCount, possibleCount }: CrashCounts): Suspicion {
+    if (provenCount + possibleCount === 0) {
+        return suspicions.none;
+    }
+    return isGivenUp({ provenCount: provenCount + 1, possibleCount }) ? suspicions.nextCrashIsLast : suspicions.suspected;
+}
--- a/src/scheduling/crashSuspect.ts
+++ b/src/scheduling/crashSuspect.ts
@@ -1,4 +1,5 @@
 /** Runs under which their worker may have crashed, and what shows whether they were at work when it ended. */
+import { minLeaseMs, startValidityMs } from "./leases.js";
 import type { Run, WorkerRecord } from "./workerRecord.js";
 
 /** A run of a worker that has ended or lost its leases, and what was known of the worker then. */
@@ -7,7 +8,9 @@
     /** Age of the run when its worker was last in touch. */
     ageMs: number;
     lastContactAtMs: number | undefined;
-    leaseEndsAtMs: number;
+    leaseHeldUntilMs: number;
+    /** Whether the run was certainly at work when the worker ended. */
+    isProven: boolean;
 }
 
 /** The age of a run when its worker was last in touch; negative if the start was sent later. */
@@ -15,13 +18,25 @@
     return (worker.lastContactAtMs ?? Number.NEGATIVE_INFINITY) - run.startedAtMs;
 }
 
-export function createSuspect(worker: WorkerRecord, run: Run): CrashSuspect {
-    return { run, ageMs: ageAtLastContactMs(worker, run), lastContactAtMs: worker.lastContactAtMs, leaseEndsAtMs: worker.leaseEndsAtMs };
+/**
+ * Call it when the worker is seen to have ended. Silence shows neither that it ended then nor that the run was at work until then: a run
+ * ends with its lease on a worker that is cut off. Only an end within the lease shows that.
+ */
+export function createSuspect(worker: WorkerRecord, run: Run, nowMs: number): CrashSuspect {
+    // A start without a response may not have reached the worker, so that no other lease than its own counts.
+    const leaseHeldUntilMs = run.isStartAccepted ? worker.leaseHeldUntilMs : run.startedAtMs + minLeaseMs(startValidityMs);
+    return {
+        run,
+        ageMs: ageAtLastContactMs(worker, run),
+        lastContactAtMs: worker.lastContactAtMs,
+        leaseHeldUntilMs,
+        isProven: !run.isPresumed && nowMs <= leaseHeldUntilMs,
+    };
 }
 
 /** Describes the suspect for the log. */
-export function describeSuspect({ run, ageMs, lastContactAtMs, leaseEndsAtMs }: CrashSuspect, nowMs: number): string {
+export function describeSuspect({ run, ageMs, lastContactAtMs, leaseHeldUntilMs }: CrashSuspect, nowMs: number): string {
     const contact = lastContactAtMs === undefined ? "none" : `${Math.round(nowMs - lastContactAtMs)} ms ago`;
     return `phase ${run.phase}, age at last contact ${Math.round(ageMs)} ms, last contact ${contact}, ` +
-        `lease ends in ${Math.round(leaseEndsAtMs - nowMs)} ms`;
+        `lease certainly held for another ${Math.round(leaseHeldUntilMs - nowMs)} ms`;
 }
--- a/src/scheduling/dispatchWaitingTasks.ts
+++ b/src/scheduling/dispatchWaitingTasks.ts
@@ -1,9 +1,10 @@
 /** Assigns waiting tasks to workers, in one pass over all pools. */
 import { orderSteps, type StepOrderInput } from "../decisions/orderSteps.js";
 import { placeTask } from "../decisions/placeTask.js";
+import { type Suspicion, suspicionOf, suspicions } from "./crashCounts.js";
 import { mayHoldGang } from "./gangRoom.js";
 import { deadlineWallMs } from "./jobLateness.js";
-import { countWorkerCrashes, isFinalState, isStepReady, type JobRecord, type OccurrenceRecord, type StepRecord } from "./jobRecord.js";
+import { countCrashes, isFinalState, isStepReady, type JobRecord, type OccurrenceRecord, type StepRecord } from "./jobRecord.js";
 import { isServing, type QueuePolicy, reservedResources, type Resources } from "./jobTypes.js";
 import { cancelStaleStarts, isFencedByNewerOwner, isHeldBack, sendPersistedStarts } from "./plannedStarts.js";
 import { type Candidate, createPoolCandidates, hasRoom, maxUnansweredStarts, type PoolCandidates } from "./poolCandidates.js";
@@ -12,7 +13,7 @@
 import { attachRun, detachRun, nextRunId, type SchedulerState } from "./schedulerState.js";
 import { isWithinTeamLimit } from "./teamUsage.js";
 import { snapshotStates } from "./unresponsiveWorkers.js";
-import { isNextCrashLast, mayStartBeside } from "./workerCrashes.js";
+import { mayStartBeside } from "./workerCrashes.js";
 import { createRun, formatTaskName, type Run, type WorkerRecord } from "./workerRecord.js";
 
 interface WaitingStep extends StepOrderInput {
@@ -145,16 +146,16 @@
     return ordered;
 }
 
-/** The crashes under earlier runs of a task, and the run id if other tasks of its gang have one already. */
+/** What the crashes under earlier runs of a task say about it, and the run id if other tasks of its gang have one already. */
 interface RunHistory {
-    crashesCount: number;
+    suspicion: Suspicion;
     gangRunId?: number;
 }
 
 function canRun(state: SchedulerState, candidate: Candidate, { spec }: StepRecord, needed: Resources, history: RunHistory): boolean {
     return hasRoom(candidate, needed) && (spec.isGang || candidate.unansweredStartsCount < maxUnansweredStarts) &&
-        mayStartBeside(candidate.suspects, history.crashesCount, history.gangRunId) &&
-        (state.isStoreWritable || (candidate.isStartRecorded && !isNextCrashLast(history.crashesCount))) &&
+        mayStartBeside(candidate.suspects, history.suspicion, history.gangRunId) &&
+        (state.isStoreWritable || (candidate.isStartRecorded && history.suspicion !== suspicions.nextCrashIsLast)) &&
         (spec.requiredLabel === undefined || candidate.worker.entry.labels.includes(spec.requiredLabel)) &&
         (spec.maxTasksPerWorker === undefined || candidate.sameStepCount < spec.maxTasksPerWorker);
 }
@@ -175,9 +176,9 @@
     }
     const needed = reservedResources(spec);
     const needs = runNeeds(job, step, taskIndex);
-    const history = { crashesCount: needs.crashesCount, gangRunId };
+    const history = { suspicion: needs.suspicion, gangRunId };
     const { isLongRunning, isFiller, preferredRack } = spec;
-    const requirements = { isLongRunning, isFiller, preferredRack, isSuspect: needs.crashesCount > 0 };
+    const requirements = { isLongRunning, isFiller, preferredRack, isSuspect: needs.suspicion !== suspicions.none };
     const best = placeTask(requirements, candidates, candidate => canRun(state, candidate, step, needed, history));
     if (!best) {
         return undefined;
@@ -243,7 +244,7 @@
                 pool.recordMisfit(needed);
                 break;
             }
-            if (countWorkerCrashes(step, taskIndex) === 0) {
+            if (suspicionOf(countCrashes(step, taskIndex)) === suspicions.none) {
                 break;
             }
             // The step's other tasks need not run apart from suspects.
--- a/src/scheduling/jobDocuments.ts
+++ b/src/scheduling/jobDocuments.ts
@@ -33,8 +33,10 @@
 export interface TaskProgress {
     /** Ids of the failed runs, so that an end that is listed again, to another owner, counts once. */
     failedRunIds: number[];
-    /** Ids of the runs under which their worker crashed; missing if there are none. */
+    /** Ids of the runs that were at work when their worker crashed; missing if there are none. */
     crashedRunIds?: number[];
+    /** Ids of the runs whose worker has ended, before or after them; missing if there are none. */
+    possiblyCrashedRunIds?: number[];
     /** The start of a task that the next crash gives up, until its run has ended. */
     suspectStart?: SuspectStart;
     /** Checkpoint from which the next run resumes; empty if there is none. */
--- a/src/scheduling/jobRecord.ts
+++ b/src/scheduling/jobRecord.ts
@@ -1,4 +1,5 @@
 /** The scheduler's state of one job: which tasks wait, run and are done, per occurrence and step. */
+import { type CrashCounts, noCrashes } from "./crashCounts.js";
 import type { JobProgress, StepProgress, TaskProgress } from "./jobDocuments.js";
 import {
     estimateCriticalPathMs,
@@ -190,9 +191,14 @@
     return step.spec.isGang ? 0 : task;
 }
 
-/** How many workers have crashed under the runs of the task. */
-export function countWorkerCrashes(step: StepRecord, task: number): number {
-    return step.tasks.get(countingTask(step, task))?.crashedRunIds?.length ?? 0;
+/** The crashes of workers under the runs of the task. */
+export function countCrashes(step: StepRecord, task: number): CrashCounts {
+    const progress = step.tasks.get(countingTask(step, task));
+    return progress ? crashCountsOf(progress) : noCrashes;
+}
+
+export function crashCountsOf({ crashedRunIds, possiblyCrashedRunIds }: TaskProgress): CrashCounts {
+    return { provenCount: crashedRunIds?.length ?? 0, possibleCount: possiblyCrashedRunIds?.length ?? 0 };
 }
 
 /** Removes the stored start of the run; `false` if there is none. */
--- /dev/null
+++ b/src/scheduling/leases.ts
@@ -0,0 +1,39 @@
+/** Bounds on how long leases last, on this process's clock. */
+
+/** Fraction by which a worker's clock may run slower than this process's clock; its leases then end later. */
+const maxClockDriftRatio = 0.02;
+/** Upper bound on the time between estimating a worker's clock and sending the command that uses the estimate. */
+export const clockEstimateSlackMs = 200;
+/** Upper bound of the clock difference and delivery delay by which a lease of an earlier owner may outlast its nominal duration. */
+const formerLeaseSlackMs = 400;
+/**
+ * The tasks of a lost worker wait until their leases have ended, so leases are not extended for as long as some workers would grant.
+ * They still outlast an outage of the store of usual length.
+ */
+const maxRequestedLeaseMs = 6_000;
+
+/**
+ * A start expires after this time on the worker's clock. It is longer than any response takes, and short enough that a lost
+ * start does not hold up its task for long.
+ */
+export const startValidityMs = 2_500;
+
+/** The lease to request from workers that grant at most `maxGrantedMs`. */
+export function requestedLeaseMs(maxGrantedMs: number): number {
+    return Math.min(maxGrantedMs, maxRequestedLeaseMs);
+}
+
+/** When the leases of `leaseMs` that earlier owners have granted end, if these owners send no commands after `ownersEndAtMs`. */
+export function formerLeasesEndMs(ownersEndAtMs: number, leaseMs: number): number {
+    return ownersEndAtMs + leaseMs + formerLeaseSlackMs;
+}
+
+/** How long a lease of `durationMs` that is granted now may last at most. */
+export function maxLeaseMs(durationMs: number): number {
+    return durationMs * (1 + maxClockDriftRatio) + clockEstimateSlackMs;
+}
+
+/** How long a lease of `durationMs` that is granted now lasts at least. */
+export function minLeaseMs(durationMs: number): number {
+    return durationMs - clockEstimateSlackMs;
+}
--- a/src/scheduling/reconcileListing.ts
+++ b/src/scheduling/reconcileListing.ts
@@ -1,6 +1,6 @@
 /** Reconciles a worker's listing of its runs with the scheduler's state. */
 import { paceFillers } from "../decisions/paceFillers.js";
-import { createSuspect } from "./crashSuspect.js";
+import { suspicions } from "./crashCounts.js";
 import { isFinalState, type JobRecord } from "./jobRecord.js";
 import { noResources } from "./jobTypes.js";
 import { runNeeds } from "./runNeeds.js";
@@ -127,7 +127,7 @@
     requested: noResources,
     reserved: noResources,
     isSizeUnknown: true,
-    crashesCount: 0,
+    suspicion: suspicions.none,
 };
 
 /** Adopts a run that an earlier owner started, or stops it if no job needs it. */
@@ -148,6 +148,7 @@
         ...createRun({ ...task, taskName, runId, workerId: worker.entry.workerId }, needs, moment.nowMs),
         phase: runPhases.running,
         isStartConfirmed: true,
+        isStartAccepted: true,
         isAdopted: true,
         respondedAtMs: moment.nowMs,
         percent,
@@ -188,8 +189,8 @@
                 reason: run.phase,
             });
             detachRun(state, run);
-            if (run.hasWorkerRestarted) {
-                recordCrash(state, [createSuspect(worker, run)], "the worker had restarted and does not list the run", moment);
+            if (run.suspectOfRestart) {
+                recordCrash(state, [run.suspectOfRestart], "the worker had restarted and does not list the run", moment);
             }
         }
     }
@@ -245,7 +246,8 @@
             continue;
         }
         run.isStartConfirmed = true;
-        run.hasWorkerRestarted = false;
+        run.isStartAccepted = true;
+        run.suspectOfRestart = undefined;
         run.isPresumed = false;
         run.percent = listed.percent;
         run.measured = listed.measured;
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -10,6 +10,7 @@
 import { changePolicy, releaseUnusedPolicies, retainPolicies, retainPolicyOf } from "./jobPolicies.js";
 import { createJobRecord, isFinalState, progressOf } from "./jobRecord.js";
 import { jobStates, type SchedulingPolicy } from "./jobTypes.js";
+import { maxLeaseMs, minLeaseMs, startValidityMs } from "./leases.js";
 import { possibleWorkerIds, sendPersistedStarts, settleWorkerIdsWrite } from "./plannedStarts.js";
 import { forgetSavedEnds, type Listing, type Moment, reconcileListing } from "./reconcileListing.js";
 import { noRetainedPolicies, type RetainedPolicies } from "./retainedPolicies.js";
@@ -33,8 +34,8 @@
     type WorkerSnapshot,
 } from "./unresponsiveWorkers.js";
 import { beginIncarnation, endWorker } from "./workerEnds.js";
-import { addWorker, evacuateDrainingWorkers, expireLeases, maxLeaseMs } from "./workerLifecycle.js";
-import { acknowledgedEndNumber, type Run, type WorkerEntry } from "./workerRecord.js";
+import { addWorker, evacuateDrainingWorkers, expireLeases } from "./workerLifecycle.js";
+import { acknowledgedEndNumber, holdLease, type Run, type WorkerEntry } from "./workerRecord.js";
 
 export interface SchedulerOptions {
     /** The policy of the newest configuration. */
@@ -58,11 +59,6 @@
 
 export type Scheduler = ReturnType<typeof createScheduler>;
 
-/**
- * A start expires after this time on the worker's clock. It is longer than any response takes, and short enough that a lost
- * start does not hold up its task for long.
- */
-export const startValidityMs = 2_500;
 export function createScheduler(options: SchedulerOptions) {
     const state: SchedulerState = {
         configuredPolicy: options.policy,
@@ -178,11 +174,16 @@
                 worker.leaseEndsAtMs = Math.max(worker.leaseEndsAtMs, nowMs + maxLeaseMs(durationMs));
             }
         },
-        listingReceived: (workerId: string, listing: Listing, sentAtMs: number, moment: Moment): void => {
+        /** `extendedByMs` is the lease that the request asked for, if any. */
+        listingReceived: (workerId: string, listing: Listing, sentAtMs: number, moment: Moment, extendedByMs?: number): void => {
             const worker = state.workers.get(workerId);
             if (worker) {
                 const wasRunStateKnown = worker.isRunStateKnown;
+                const { bornWallMs } = worker.entry;
                 reconcileListing(state, worker, listing, sentAtMs, moment);
+                if (extendedByMs !== undefined && listing.bornWallMs === bornWallMs) {
+                    holdLease(worker, sentAtMs + minLeaseMs(extendedByMs));
+                }
                 if (!wasRunStateKnown && worker.isRunStateKnown) {
                     // From now on, only requests of this term extend the leases.
                     worker.leaseEndsAtMs = moment.nowMs + maxLeaseMs(options.workerLeaseMs);
--- a/src/scheduling/suspectStarts.ts
+++ b/src/scheduling/suspectStarts.ts
@@ -3,18 +3,19 @@
  * crashes, the next owner has seen neither the run nor the crash, and could not count it otherwise. It may count a start that was never
  * sent, so this does not apply to earlier crashes: those that were counted must be enough to give up the task.
  */
+import { suspicions } from "./crashCounts.js";
 import { createSuspect } from "./crashSuspect.js";
 import { isFinalState, type JobRecord, type StepRecord, stepsOf, taskProgress } from "./jobRecord.js";
 import type { Moment } from "./reconcileListing.js";
 import { runNeeds } from "./runNeeds.js";
 import { attachRun, markChanged, type SchedulerState } from "./schedulerState.js";
-import { isNextCrashLast, recordCrash } from "./workerCrashes.js";
+import { recordCrash } from "./workerCrashes.js";
 import { createRun, formatTaskName, type Run, runPhases, type WorkerRecord } from "./workerRecord.js";
 
 /** Adds a planned start to the job's progress, if the next crash gives up its task. */
 export function recordSuspectStart(state: SchedulerState, job: JobRecord, step: StepRecord, run: Run): void {
     const worker = state.workers.get(run.workerId);
-    if (worker && isNextCrashLast(run.crashesCount) && run.recordedVersion === undefined) {
+    if (worker && run.suspicion === suspicions.nextCrashIsLast && run.recordedVersion === undefined) {
         const { workerId, bornWallMs } = worker.entry;
         taskProgress(step, run.taskIndex).suspectStart = { runId: run.runId, workerId, bornWallMs };
         markChanged(state, job);
@@ -24,7 +25,8 @@
 
 /** Whether the store holds the start, or need not. */
 export function isSuspectStartPersisted(job: JobRecord, run: Run): boolean {
-    return !isNextCrashLast(run.crashesCount) || (run.recordedVersion !== undefined && run.recordedVersion <= job.persistedVersion);
+    return run.suspicion !== suspicions.nextCrashIsLast ||
+        (run.recordedVersion !== undefined && run.recordedVersion <= job.persistedVersion);
 }
 
 function restoreStart(state: SchedulerState, job: JobRecord, step: StepRecord, taskIndex: number, moment: Moment): void {
@@ -35,7 +37,12 @@
     }
     const run = createPresumedRun(job, step, taskIndex, start.runId, worker, moment.nowMs);
     if (worker.entry.bornWallMs > start.bornWallMs) {
-        recordCrash(state, [createSuspect(worker, run)], "the worker has restarted since an earlier owner stored the start", moment);
+        recordCrash(
+            state,
+            [createSuspect(worker, run, moment.nowMs)],
+            "the worker has restarted since an earlier owner stored the start",
+            moment,
+        );
     }
     else {
         attachRun(state, worker, step, run);
@@ -50,6 +57,7 @@
         phase: runPhases.running,
         isPresumed: true,
         isStartConfirmed: true,
+        isStartAccepted: true,
         isAdopted: true,
         respondedAtMs: nowMs,
     };
--- a/src/scheduling/unresponsiveWorkers.ts
+++ b/src/scheduling/unresponsiveWorkers.ts
@@ -101,6 +101,7 @@
             phase: runPhases.running,
             isPresumed: true,
             isStartConfirmed: true,
+            isStartAccepted: true,
             respondedAtMs: lastContactAtMs,
         };
         return [{ run, step }];
@@ -127,6 +128,6 @@
 export function recordSnapshotCrash(state: SchedulerState, snapshot: WorkerSnapshot, moment: Moment): void {
     const { nowMs } = moment;
     const ended = { ...createWorkerRecord(snapshot.entry, nowMs), lastContactAtMs: nowMs };
-    const suspects = crashSuspects(ended, snapshotRuns(state, snapshot, nowMs).map(({ run }) => run));
+    const suspects = crashSuspects(ended, snapshotRuns(state, snapshot, nowMs).map(({ run }) => run), nowMs);
     recordCrash(state, suspects, "the worker has restarted since an earlier owner stored its snapshot", moment);
 }
--- a/src/scheduling/workerCrashes.ts
+++ b/src/scheduling/workerCrashes.ts
@@ -2,8 +2,10 @@
  * Workers that crash under the runs of a task. A task that crashes each worker that starts it would go through the whole pool,
  * so its job is given up after some crashes. Which of the runs on a worker made it crash is unknown: all young ones are suspected.
  */
+import { isGivenUp, type Suspicion, suspicions } from "./crashCounts.js";
 import { ageAtLastContactMs, type CrashSuspect, createSuspect, describeSuspect } from "./crashSuspect.js";
-import { attemptsProgress, isFinalState } from "./jobRecord.js";
+import type { TaskProgress } from "./jobDocuments.js";
+import { attemptsProgress, crashCountsOf, isFinalState } from "./jobRecord.js";
 import { jobStates } from "./jobTypes.js";
 import type { Moment } from "./reconcileListing.js";
 import { endJob, findStep, markChanged, type SchedulerState } from "./schedulerState.js";
@@ -11,8 +13,6 @@
 
 /** A run that its worker was seen to survive for this long is not suspected of the worker's crash. */
 const maxSuspectAgeMs = 2_000;
-/** A task is given up when this many workers have crashed under it. */
-const maxWorkerCrashes = 3;
 
 /** Whether the worker's end, if it has ended, is a crash. */
 function endsUnexpectedly({ entry, isVmStopping, hasEnded }: WorkerRecord): boolean {
@@ -20,13 +20,33 @@
 }
 
 /** The runs that may have crashed the worker, if it has ended without an order; call it before they are detached. */
-export function crashSuspects(worker: WorkerRecord, runs: Iterable<Run>): CrashSuspect[] {
+export function crashSuspects(worker: WorkerRecord, runs: Iterable<Run>, nowMs: number): CrashSuspect[] {
     return endsUnexpectedly(worker) ?
         [...runs].filter(run => run.phase !== runPhases.planned && ageAtLastContactMs(worker, run) < maxSuspectAgeMs)
-            .map(run => createSuspect(worker, run)) :
+            .map(run => createSuspect(worker, run, nowMs)) :
         [];
 }
 
+/** Adds the run to those under which a worker crashed; returns whether that is news. */
+function addCrash(progress: TaskProgress, runId: number, isProven: boolean): boolean {
+    const proven = progress.crashedRunIds ??= [];
+    const possible = progress.possiblyCrashedRunIds ??= [];
+    if (proven.includes(runId) || (possible.includes(runId) && !isProven)) {
+        return false;
+    }
+    // The members of a gang share their run id, and the worker of one of them may show more than that of another.
+    progress.possiblyCrashedRunIds = possible.filter(each => each !== runId);
+    (isProven ? proven : progress.possiblyCrashedRunIds).push(runId);
+    return true;
+}
+
+function describeRuns({ crashedRunIds = [], possiblyCrashedRunIds = [] }: TaskProgress): string {
+    return [
+        ...(crashedRunIds.length > 0 ? [`runs ${crashedRunIds.join(", ")}`] : []),
+        ...(possiblyCrashedRunIds.length > 0 ? [`not proven for runs ${possiblyCrashedRunIds.join(", ")}`] : []),
+    ].join("; ");
+}
+
 /** Counts the crash of a worker for the tasks of these runs, and gives up those under which too many workers have crashed. */
 export function recordCrash(state: SchedulerState, suspects: readonly CrashSuspect[], reason: string, moment: Moment): void {
     for (const suspect of suspects) {
@@ -37,18 +57,18 @@
             continue;
         }
         const progress = attemptsProgress(step, taskIndex);
-        const crashedRunIds = progress.crashedRunIds ??= [];
-        if (crashedRunIds.includes(runId)) {
+        if (!addCrash(progress, runId, suspect.isProven)) {
             continue;
         }
-        crashedRunIds.push(runId);
         markChanged(state, job);
-        const runs = `runs ${crashedRunIds.join(", ")}`;
-        const crashesCount = crashedRunIds.length;
-        const detail = `${describeSuspect(suspect, moment.nowMs)}; ${runs}`;
-        state.onDecision({ what: "worker crashed under run", jobId, taskName, runId, workerId, reason, detail });
-        if (crashesCount >= maxWorkerCrashes) {
-            state.onDecision({ what: "give up task", jobId, taskName, reason: `${crashesCount} workers crashed under it`, detail: runs });
+        const what = suspect.isProven ? "worker crashed under run" : "worker may have crashed under run";
+        const detail = `${describeSuspect(suspect, moment.nowMs)}; ${describeRuns(progress)}`;
+        state.onDecision({ what, jobId, taskName, runId, workerId, reason, detail });
+        const counts = crashCountsOf(progress);
+        if (isGivenUp(counts)) {
+            const { provenCount, possibleCount } = counts;
+            const crashes = `${provenCount} workers crashed under it${possibleCount > 0 ? `, and ${possibleCount} may have` : ""}`;
+            state.onDecision({ what: "give up task", jobId, taskName, reason: crashes, detail: describeRuns(progress) });
             endJob(state, job, jobStates.failed, moment.wallMs);
         }
     }
@@ -63,15 +83,11 @@
     return worker.suspectRuns.size === 0 ? [] : [...worker.suspectRuns].filter(run => isSuspect(worker, run));
 }
 
-/** Whether the next crash gives up a task under which this many workers have crashed. */
-export function isNextCrashLast(crashesCount: number): boolean {
-    return crashesCount >= maxWorkerCrashes - 1;
-}
-
 /**
  * Whether a task may start beside these suspects. A task that the next crash would give up runs apart from the others, so that a
  * crash shows whether it is the cause; the members of a gang are not apart from each other.
  */
-export function mayStartBeside(suspects: readonly Run[], crashesCount: number, gangRunId: number | undefined): boolean {
-    return suspects.every(run => run.runId === gangRunId || !isNextCrashLast(Math.max(run.crashesCount, crashesCount)));
+export function mayStartBeside(suspects: readonly Run[], suspicion: Suspicion, gangRunId: number | undefined): boolean {
+    const { nextCrashIsLast } = suspicions;
+    return suspects.every(run => run.runId === gangRunId || (run.suspicion !== nextCrashIsLast && suspicion !== nextCrashIsLast));
 }
--- a/src/scheduling/workerEnds.ts
+++ b/src/scheduling/workerEnds.ts
@@ -1,5 +1,4 @@
 /** What follows when a worker has ended or restarted, or its leases have ended: its runs are lost. */
-import { createSuspect } from "./crashSuspect.js";
 import type { Moment } from "./reconcileListing.js";
 import { applyEnd, commandKinds, detachRun, runEnds, type SchedulerState } from "./schedulerState.js";
 import { crashSuspects, recordCrash } from "./workerCrashes.js";
@@ -7,36 +6,35 @@
 
 /** Marks all runs of a worker as lost, because its incarnation or its leases have ended. */
 export function markRunsLost(state: SchedulerState, worker: WorkerRecord, reason: string, moment: Moment): void {
-    markLost(state, worker, [...worker.runs.values()], reason, moment);
+    markLost(state, [...worker.runs.values()], reason, moment);
 }
 
 /** Marks all runs of a worker as lost, because it has certainly ended, and counts the crash if nobody ordered that. */
 export function endWorker(state: SchedulerState, worker: WorkerRecord, reason: string, moment: Moment): void {
-    const suspects = [...crashSuspects(worker, worker.runs.values()), ...worker.unexplainedRuns];
+    const suspects = [...crashSuspects(worker, worker.runs.values(), moment.nowMs), ...worker.unexplainedRuns];
     worker.unexplainedRuns = [];
     markRunsLost(state, worker, reason, moment);
     recordCrash(state, suspects, reason, moment);
 }
 
-function markLost(state: SchedulerState, worker: WorkerRecord, runs: readonly Run[], reason: string, moment: Moment): void {
+function markLost(state: SchedulerState, runs: readonly Run[], reason: string, moment: Moment): void {
     for (const run of runs) {
         state.onDecision({ what: "run lost", jobId: run.jobId, taskName: run.taskName, runId: run.runId, workerId: run.workerId, reason });
         applyEnd(state, { ...run, end: runEnds.lost }, moment.nowMs, moment.wallMs);
         detachRun(state, run);
     }
-    const restarted = runs.filter(run => run.hasWorkerRestarted).map(run => createSuspect(worker, run));
-    recordCrash(state, restarted, `the worker had restarted; ${reason}`, moment);
+    recordCrash(state, runs.flatMap(run => run.suspectOfRestart ?? []), `the worker had restarted; ${reason}`, moment);
 }
 
 /** Resets the record of a worker that has restarted. */
 export function beginIncarnation(state: SchedulerState, worker: WorkerRecord, bornWallMs: number, moment: Moment): void {
     const runs = [...worker.runs.values()];
-    const suspects = crashSuspects(worker, runs);
+    const suspects = crashSuspects(worker, runs, moment.nowMs);
     const lost = runs.filter(run => run.isStartConfirmed);
-    const counted = [...suspects.filter(({ run }) => run.isStartConfirmed || run.hasWorkerRestarted), ...worker.unexplainedRuns];
-    markLost(state, worker, lost, "the worker restarted", moment);
+    const counted = [...suspects.filter(({ run }) => run.isStartConfirmed || run.suspectOfRestart), ...worker.unexplainedRuns];
+    markLost(state, lost, "the worker restarted", moment);
     recordCrash(state, counted, "the worker restarted", moment);
-    suspects.forEach(({ run }) => run.hasWorkerRestarted = true);
+    suspects.forEach(suspect => suspect.run.suspectOfRestart = suspect);
     for (const run of runs.filter(each => !each.isStartConfirmed && each.phase === runPhases.stopping)) {
         // The new incarnation does not know of the stop, and the start may still reach it.
         run.respondedAtMs = undefined;
@@ -46,6 +44,7 @@
     state.onDecision({ what: "worker restarted", workerId: worker.entry.workerId, detail });
     worker.entry = { ...worker.entry, bornWallMs };
     worker.lastContactAtMs = undefined;
+    worker.leaseHeldUntilMs = Number.NEGATIVE_INFINITY;
     worker.unexplainedRuns = [];
     worker.hasRespondedToProvenOwner = false;
     worker.hasEnded = false;
--- a/src/scheduling/workerLifecycle.ts
+++ b/src/scheduling/workerLifecycle.ts
@@ -1,4 +1,5 @@
 /** Adds, drains and removes workers, and bounds how long their runs may keep their leases. */
+import { clockEstimateSlackMs } from "./leases.js";
 import { forgetWorker } from "./plannedStarts.js";
 import type { Moment } from "./reconcileListing.js";
 import { commandKinds, type SchedulerState, stopRun } from "./schedulerState.js";
@@ -7,33 +8,6 @@
 import { markRunsLost } from "./workerEnds.js";
 import { createWorkerRecord, runPhases, type WorkerEntry, type WorkerRecord } from "./workerRecord.js";
 
-/** Fraction by which a worker's clock may run slower than this process's clock; its leases then end later. */
-const maxClockDriftRatio = 0.02;
-/** Upper bound on the time between estimating a worker's clock and sending the command that uses the estimate. */
-const clockEstimateSlackMs = 200;
-/** Upper bound of the clock difference and delivery delay by which a lease of an earlier owner may outlast its nominal duration. */
-const formerLeaseSlackMs = 400;
-/**
- * The tasks of a lost worker wait until their leases have ended, so leases are not extended for as long as some workers would grant.
- * They still outlast an outage of the store of usual length.
- */
-const maxRequestedLeaseMs = 6_000;
-
-/** The lease to request from workers that grant at most `maxGrantedMs`. */
-export function requestedLeaseMs(maxGrantedMs: number): number {
-    return Math.min(maxGrantedMs, maxRequestedLeaseMs);
-}
-
-/** When the leases of `leaseMs` that earlier owners have granted end, if these owners send no commands after `ownersEndAtMs`. */
-export function formerLeasesEndMs(ownersEndAtMs: number, leaseMs: number): number {
-    return ownersEndAtMs + leaseMs + formerLeaseSlackMs;
-}
-
-/** How long, on this process's clock, a lease of `durationMs` that is granted now may last at most. */
-export function maxLeaseMs(durationMs: number): number {
-    return durationMs * (1 + maxClockDriftRatio) + clockEstimateSlackMs;
-}
-
 /** Adds a worker that may hold runs of an earlier owner until it has responded or their leases have ended. */
 export function addWorker(state: SchedulerState, entry: WorkerEntry, moment: Moment): WorkerRecord {
     const worker = createWorkerRecord(entry, state.term.unknownWorkersUntilMs);
@@ -84,7 +58,7 @@
             continue;
         }
         if (worker.runs.size > 0) {
-            worker.unexplainedRuns.push(...crashSuspects(worker, worker.runs.values()));
+            worker.unexplainedRuns.push(...crashSuspects(worker, worker.runs.values(), moment.nowMs));
             markRunsLost(state, worker, "its lease has ended", moment);
         }
         worker.isRunStateKnown = true;
--- a/src/scheduling/workerRecord.ts
+++ b/src/scheduling/workerRecord.ts
@@ -1,4 +1,5 @@
 /** The scheduler's state of one worker: its resources, its runs, and which of its reported ends are stored. */
+import { type Suspicion, suspicions } from "./crashCounts.js";
 import type { CrashSuspect } from "./crashSuspect.js";
 import { addResources, fitsInto, noResources, type Resources } from "./jobTypes.js";
 
@@ -52,12 +53,12 @@
     isSizeUnknown: boolean;
     /** When the start was sent, or the run of an earlier owner was first seen. */
     startedAtMs: number;
-    /** How many workers have crashed under earlier runs of the task. */
-    crashesCount: number;
+    /** What the crashes under earlier runs of the task say about it. */
+    suspicion: Suspicion;
     /** Version of the job's progress that holds the start; only for tasks that the next crash gives up. */
     recordedVersion: number | undefined;
-    /** Whether the worker has restarted since the start was sent, and has not listed the run since. */
-    hasWorkerRestarted: boolean;
+    /** The run as it was when the worker restarted, if that was after the start and the worker has not listed the run since. */
+    suspectOfRestart: CrashSuspect | undefined;
     /** Known only from a snapshot by an earlier owner; the worker has not responded since. */
     isPresumed: boolean;
     /**
@@ -65,6 +66,8 @@
      * may have accepted it: the response to a start does not tell which one did.
      */
     isStartConfirmed: boolean;
+    /** Whether the worker has accepted the start or listed the run. */
+    isStartAccepted: boolean;
     /** Started by an earlier owner, which may also have sent a stop. */
     isAdopted: boolean;
     /** When the worker responded to the start or the stop: a listing requested later must show the run or its end. */
@@ -118,6 +121,8 @@
     hasRespondedToProvenOwner: boolean;
     /** After this time, all runs on the worker have lost their leases, unless it responds in the meantime. */
     leaseEndsAtMs: number;
+    /** Until this time, no run on this incarnation can have lost its lease: the worker has confirmed it. */
+    leaseHeldUntilMs: number;
     /** Jobs with a failed run on this worker since a run last succeeded here. */
     failedJobIds: Set<string>;
     /** The worker gets no new runs until then. */
@@ -155,6 +160,7 @@
         fencedSinceMs: undefined,
         hasRespondedToProvenOwner: false,
         leaseEndsAtMs,
+        leaseHeldUntilMs: Number.NEGATIVE_INFINITY,
         failedJobIds: new Set(),
         avoidedUntilMs: 0,
         unresponsiveSinceMs: undefined,
@@ -170,7 +176,7 @@
 export type RunIdentity = Pick<Run, "taskName" | "jobId" | "occurrence" | "stepIndex" | "taskIndex" | "runId" | "workerId">;
 
 /** What follows for a run from its step and its task. */
-export type RunNeeds = Pick<Run, "isServing" | "isFiller" | "teamName" | "requested" | "reserved" | "isSizeUnknown" | "crashesCount">;
+export type RunNeeds = Pick<Run, "isServing" | "isFiller" | "teamName" | "requested" | "reserved" | "isSizeUnknown" | "suspicion">;
 
 /** Creates the record of a run that is known only from its start, a listing or a snapshot. */
 export function createRun(
@@ -194,11 +200,12 @@
         isSizeUnknown: needs.isSizeUnknown,
         phase: runPhases.planned,
         startedAtMs: nowMs,
-        crashesCount: needs.crashesCount,
+        suspicion: needs.suspicion,
         recordedVersion: undefined,
-        hasWorkerRestarted: false,
+        suspectOfRestart: undefined,
         isPresumed: false,
         isStartConfirmed: false,
+        isStartAccepted: false,
         isAdopted: false,
         respondedAtMs: undefined,
         percent: 0,
@@ -223,7 +230,7 @@
 
 export function addRun(worker: WorkerRecord, run: Run): void {
     worker.runs.set(runKey(run.taskName, run.runId), run);
-    if (run.crashesCount > 0) {
+    if (run.suspicion !== suspicions.none) {
         worker.suspectRuns.add(run);
     }
     reserve(worker, run, 1);
@@ -278,6 +285,11 @@
         undefined;
 }
 
+/** The worker has confirmed that its runs hold their leases until then. */
+export function holdLease(worker: WorkerRecord, untilMs: number): void {
+    worker.leaseHeldUntilMs = Math.max(worker.leaseHeldUntilMs, untilMs);
+}
+
 /** The worker did not respond; nothing is expected of one that has ended. */
 export function markUnresponsive(worker: WorkerRecord, nowMs: number): void {
     if (!worker.hasEnded) {
--- a/tests/scheduling/crashPool.ts
+++ b/tests/scheduling/crashPool.ts
@@ -1,9 +1,14 @@
 /** A pool of workers that crash, and the job whose tasks run on them. */
+import { countCrashes } from "../../src/scheduling/jobRecord.js";
+import { minLeaseMs } from "../../src/scheduling/leases.js";
 import { commandKinds } from "../../src/scheduling/schedulerState.js";
-import { createSchedulerHarness, type SchedulerHarness, type SchedulerHarnessOptions } from "./schedulerHarness.js";
+import { holdLease } from "../../src/scheduling/workerRecord.js";
+import { createSchedulerHarness, type SchedulerHarness, type SchedulerHarnessOptions, workerLeaseMs } from "./schedulerHarness.js";
 
 export const workersCount = 8;
 export const crashesBeforeGivingUp = 3;
+/** The users' bound: a task that has crashed three workers is started at most three times more. */
+export const unprovenCrashesBeforeGivingUp = crashesBeforeGivingUp + 3;
 /** Bounds a test in which nothing is given up. */
 const maxCrashes = 3 * workersCount;
 
@@ -14,11 +19,11 @@
     return harness;
 }
 
-/** All workers that respond list that they run nothing. */
+/** All workers that respond list that they run nothing, and hold their leases from now on. */
 export function listAll(harness: SchedulerHarness): void {
     for (const worker of harness.scheduler.state.workers.values()) {
         if (worker.runs.size === 0 && worker.isRegistered) {
-            harness.list(worker.entry.workerId, { sentAtMs: harness.nowMs() });
+            harness.list(worker.entry.workerId, { sentAtMs: harness.nowMs(), isExtension: true });
         }
     }
 }
@@ -27,11 +32,20 @@
     return harness.commands(commandKinds.start).at(-1)!.workerId;
 }
 
+/** All workers confirm that their leases are extended, as they do to an owner that polls them. */
+function extendLeases({ scheduler, nowMs }: SchedulerHarness): void {
+    for (const [workerId, worker] of scheduler.state.workers) {
+        scheduler.leaseExtensionSent(workerId, workerLeaseMs, nowMs());
+        holdLease(worker, nowMs() + minLeaseMs(workerLeaseMs));
+    }
+}
+
 /** Lets the worker of the latest start crash until no more starts follow, and returns how many workers have crashed. */
 export function crashWorkers(harness: SchedulerHarness, crash: (workerId: string) => void): number {
     let crashesCount = 0;
     while (harness.startedTasks().length > crashesCount && crashesCount < maxCrashes) {
         crashesCount = harness.startedTasks().length;
+        extendLeases(harness);
         crash(lastWorkerId(harness));
         harness.advance(100);
         listAll(harness);
@@ -43,8 +57,8 @@
     return harness.scheduler.state.jobs.get("job")?.state;
 }
 
-/** Counted crashes of the job's first task. */
+/** Crashes that are counted for the job's first task, proven or not. */
 export function countedCrashes(harness: SchedulerHarness): number {
-    const job = harness.scheduler.state.jobs.get("job")!;
-    return job.occurrences.get(0)!.steps[0]!.tasks.get(0)?.crashedRunIds?.length ?? 0;
+    const { provenCount, possibleCount } = countCrashes(harness.scheduler.state.jobs.get("job")!.occurrences.get(0)!.steps[0]!, 0);
+    return provenCount + possibleCount;
 }
--- a/tests/scheduling/describeScheduler.ts
+++ b/tests/scheduling/describeScheduler.ts
@@ -22,7 +22,15 @@
         worker.unresponsiveSinceMs,
         worker.snapshotState,
         [...worker.runs.values()].map(
-            run => [run.taskName, run.runId, run.phase, run.respondedAtMs, run.isStartConfirmed, run.hasWorkerRestarted],
+            run => [
+                run.taskName,
+                run.runId,
+                run.phase,
+                run.respondedAtMs,
+                run.isStartConfirmed,
+                run.suspectOfRestart?.isProven,
+                run.isStartAccepted,
+            ],
         ),
     ];
 }
--- a/tests/scheduling/schedulerHarness.ts
+++ b/tests/scheduling/schedulerHarness.ts
@@ -10,11 +10,11 @@
     type StepSpec,
     type TeamPolicy,
 } from "../../src/scheduling/jobTypes.js";
+import { maxLeaseMs } from "../../src/scheduling/leases.js";
 import type { Moment } from "../../src/scheduling/reconcileListing.js";
 import { createScheduler, type Scheduler } from "../../src/scheduling/scheduler.js";
 import { commandKinds, type Decision, type RunEnd, type SchedulerCommand } from "../../src/scheduling/schedulerState.js";
 import type { WorkerSnapshot } from "../../src/scheduling/unresponsiveWorkers.js";
-import { maxLeaseMs } from "../../src/scheduling/workerLifecycle.js";
 import type { Run, WorkerEntry } from "../../src/scheduling/workerRecord.js";
 import { modelPolicy } from "./modelJob.js";
 
@@ -34,6 +34,8 @@
     running?: readonly (string | { taskName: string; runId: number })[];
     ended?: readonly { taskName: string; runId?: number; end: RunEnd; checkpoint?: string }[];
     hasMoreEnds?: boolean;
+    /** The request extends the worker's leases. */
+    isExtension?: boolean;
 }
 
 export interface JobInput extends Partial<StepSpec> {
@@ -161,7 +163,7 @@
             runStep();
         },
         extendLease: workerId => scheduler.leaseExtensionSent(workerId, workerLeaseMs, nowMs),
-        list: (workerId, { sentAtMs, running, ended, hasMoreEnds }) => {
+        list: (workerId, { sentAtMs, running, ended, hasMoreEnds, isExtension = false }) => {
             const ends = (ended ?? []).map(each => {
                 const endNumber = nextEndNumbers.get(workerId) ?? 1;
                 nextEndNumbers.set(workerId, endNumber + 1);
@@ -177,11 +179,15 @@
                 const { taskName, runId } = typeof each === "string" ? { taskName: each, runId: lastRunId(each) } : each;
                 return { taskName, runId, checkpoint: "", percent: 100, measured: 0 };
             });
+            if (isExtension) {
+                scheduler.leaseExtensionSent(workerId, workerLeaseMs, nowMs);
+            }
             scheduler.listingReceived(
                 workerId,
                 { bornWallMs: bornWallMs(workerId), running: runs, ended: ends, hasMoreEnds },
                 sentAtMs ?? nowMs,
                 now(),
+                isExtension ? workerLeaseMs : undefined,
             );
             runStep();
         },
--- a/tests/scheduling/workerCrashes.spec.ts
+++ b/tests/scheduling/workerCrashes.spec.ts
@@ -4,7 +4,7 @@
 import { commandOutcomes } from "../../src/scheduling/commandOutcomes.js";
 import { commandKinds } from "../../src/scheduling/schedulerState.js";
 import { snapshotStates } from "../../src/scheduling/unresponsiveWorkers.js";
-import { crashesBeforeGivingUp, crashWorkers, createPool, jobState, listAll } from "./crashPool.js";
+import { crashesBeforeGivingUp, crashWorkers, createPool, jobState, listAll, unprovenCrashesBeforeGivingUp } from "./crashPool.js";
 import type { JobInput, SchedulerHarness } from "./schedulerHarness.js";
 
 describe("a task that crashes each worker that starts it", () => {
@@ -22,6 +22,14 @@
             harness.restartWorker(workerId);
             harness.list(workerId, {});
         },
+        "and another worker responds at its address": (harness, workerId) => {
+            harness.answerStarts(commandOutcomes.accepted);
+            harness.advance(3_000);
+            harness.replaceWorker(workerId);
+        },
+    };
+    /** In these ways, nothing shows that the task was at work when its worker ended. */
+    const unprovenWays: typeof ways = {
         "before it responds to the start": (harness, workerId) => {
             harness.answerStarts(commandOutcomes.unknown);
             harness.advance(3_000);
@@ -30,11 +38,6 @@
             harness.advance(10);
             harness.list(workerId, {});
         },
-        "and another worker responds at its address": (harness, workerId) => {
-            harness.answerStarts(commandOutcomes.accepted);
-            harness.advance(3_000);
-            harness.replaceWorker(workerId);
-        },
         "before it responds to the start, and another worker responds at its address": (harness, workerId) => {
             harness.answerStarts(commandOutcomes.unknown);
             harness.advance(3_000);
@@ -63,12 +66,20 @@
             listAll(harness);
         },
     };
-    for (const [way, crash] of Object.entries(ways)) {
-        it(`should be given up instead of crashing the whole pool: ${way}`, () => {
-            const harness = createPool();
-            harness.submit("job", { taskCount: 1 });
-            assert.equal(crashWorkers(harness, workerId => crash(harness, workerId)), crashesBeforeGivingUp);
-            assert.equal(harness.scheduler.takeUnsavedJobs(10)[0]?.progress.state ?? jobState(harness), "failed");
+    const crash = (harness: SchedulerHarness, way: (harness: SchedulerHarness, workerId: string) => void): number => {
+        harness.submit("job", { taskCount: 1 });
+        const crashesCount = crashWorkers(harness, workerId => way(harness, workerId));
+        assert.equal(harness.scheduler.takeUnsavedJobs(10)[0]?.progress.state ?? jobState(harness), "failed");
+        return crashesCount;
+    };
+    for (const [name, way] of Object.entries(ways)) {
+        it(`should be given up instead of crashing the whole pool: ${name}`, () => {
+            assert.equal(crash(createPool(), way), crashesBeforeGivingUp);
+        });
+    }
+    for (const [name, way] of Object.entries(unprovenWays)) {
+        it(`should be given up as soon as the rule demands it: ${name}`, () => {
+            assert.equal(crash(createPool(), way), unprovenCrashesBeforeGivingUp);
         });
     }
 
