Date the end of a worker by its broken connections

Cause: a lease counts as held only once its extension is confirmed, which a poll that waits does when it ends. A worker that has just started, or was idle, and crashes under its first run is seen to have ended after that: the next worker at its address comes 3.0 to 3.5 s after the crash, and the confirmed lease ended 0.8 to 1.3 s before. So the crash was not proven.

Change: a worker whose address ends its connections and refuses new ones has ended by then, if its successor is there before its leases can have ended. Silence dates nothing. A cut that refuses connections leaves the runs alone until their leases end, so it is not mistaken for a crash unless the worker restarts within the few seconds in which the leases may or may not have ended.

--- a/src/connection/serviceCalls.ts
+++ b/src/connection/serviceCalls.ts
@@ -5,6 +5,8 @@
     reason: string;
     /** Whether the request certainly did not reach the service. */
     wasNeverSent: boolean;
+    /** Whether the service refused the connection or ended it before it responded, rather than being silent. */
+    isDisconnected?: boolean;
     /** Size of the part of the response body that was received. */
     receivedBytes?: number;
 }
--- a/src/connection/workerClient.ts
+++ b/src/connection/workerClient.ts
@@ -44,6 +44,8 @@
     isFenced: boolean;
     clockMs: number | undefined;
     listing: Listing | undefined;
+    /** Whether the worker's address refused the connection or ended it before it responded, rather than being silent. */
+    isDisconnected?: boolean;
 }
 
 export interface WorkerClient {
--- a/src/process/workerSession.ts
+++ b/src/process/workerSession.ts
@@ -89,7 +89,7 @@
             scheduler.listingReceived(workerId, answer.listing, sentAtMs, now, extendedByMs);
         }
         else {
-            scheduler.workerUnresponsive(workerId, now.nowMs, answer.reason);
+            scheduler.workerUnresponsive(workerId, now.nowMs, answer.reason, answer.isDisconnected);
         }
         options.onSchedulerChanged();
     };
--- a/src/scheduling/commandResponses.ts
+++ b/src/scheduling/commandResponses.ts
@@ -2,10 +2,10 @@
 import { type CommandOutcome, commandOutcomes } from "./commandOutcomes.js";
 import { isFinalState } from "./jobRecord.js";
 import { jobStates } from "./jobTypes.js";
-import { minLeaseMs, startValidityMs } from "./leases.js";
+import { holdLease, minLeaseMs, startValidityMs } from "./leases.js";
 import type { Moment } from "./reconcileListing.js";
 import { applyEnd, commandKinds, detachRun, markChanged, runEnds, type SchedulerState, stopRun } from "./schedulerState.js";
-import { holdLease, markUnresponsive, type Run, runKey, runPhases, type WorkerRecord } from "./workerRecord.js";
+import { markUnresponsive, type Run, runKey, runPhases, type WorkerRecord } from "./workerRecord.js";
 
 /** How long a worker that refused a start gets no new runs; its next listing may show why it refused. */
 const refusalBackoffMs = 300;
--- a/src/scheduling/crashSuspect.ts
+++ b/src/scheduling/crashSuspect.ts
@@ -18,6 +18,14 @@
     return (worker.lastContactAtMs ?? Number.NEGATIVE_INFINITY) - run.startedAtMs;
 }
 
+/**
+ * By when the worker has ended, if it is seen to have ended now. A worker whose connections were ended and refused, and which has a
+ * successor before its leases may have ended, had ended when they were; a cut alone would have let it go on.
+ */
+function endedByMs({ disconnectedAtMs, leaseEndsAtMs }: WorkerRecord, nowMs: number): number {
+    return nowMs <= leaseEndsAtMs ? disconnectedAtMs ?? nowMs : nowMs;
+}
+
 /**
  * Call it when the worker is seen to have ended. Silence shows neither that it ended then nor that the run was at work until then: a run
  * ends with its lease on a worker that is cut off. Only an end within the lease shows that.
@@ -30,7 +38,7 @@
         ageMs: ageAtLastContactMs(worker, run),
         lastContactAtMs: worker.lastContactAtMs,
         leaseHeldUntilMs,
-        isProven: !run.isPresumed && nowMs <= leaseHeldUntilMs,
+        isProven: !run.isPresumed && endedByMs(worker, nowMs) <= leaseHeldUntilMs,
     };
 }
 
--- a/src/scheduling/leases.ts
+++ b/src/scheduling/leases.ts
@@ -37,3 +37,8 @@
 export function minLeaseMs(durationMs: number): number {
     return durationMs - clockEstimateSlackMs;
 }
+
+/** The worker has confirmed that its runs hold their leases until then. */
+export function holdLease(worker: { leaseHeldUntilMs: number }, untilMs: number): void {
+    worker.leaseHeldUntilMs = Math.max(worker.leaseHeldUntilMs, untilMs);
+}
--- a/src/scheduling/reconcileListing.ts
+++ b/src/scheduling/reconcileListing.ts
@@ -269,6 +269,7 @@
         state.onDecision({ what: "worker responds again", workerId: worker.entry.workerId, detail });
     }
     worker.unresponsiveSinceMs = undefined;
+    worker.disconnectedAtMs = undefined;
     worker.lastResponseAtMs = moment.nowMs;
     worker.lastContactAtMs = moment.nowMs;
     worker.unexplainedRuns = [];
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -10,7 +10,7 @@
 import { changePolicy, releaseUnusedPolicies, retainPolicies, retainPolicyOf } from "./jobPolicies.js";
 import { createJobRecord, isFinalState, progressOf } from "./jobRecord.js";
 import { jobStates, type SchedulingPolicy } from "./jobTypes.js";
-import { maxLeaseMs, minLeaseMs, startValidityMs } from "./leases.js";
+import { holdLease, maxLeaseMs, minLeaseMs, startValidityMs } from "./leases.js";
 import { possibleWorkerIds, sendPersistedStarts, settleWorkerIdsWrite } from "./plannedStarts.js";
 import { forgetSavedEnds, type Listing, type Moment, reconcileListing } from "./reconcileListing.js";
 import { noRetainedPolicies, type RetainedPolicies } from "./retainedPolicies.js";
@@ -35,7 +35,7 @@
 } from "./unresponsiveWorkers.js";
 import { beginIncarnation, endWorker } from "./workerEnds.js";
 import { addWorker, evacuateDrainingWorkers, expireLeases } from "./workerLifecycle.js";
-import { acknowledgedEndNumber, holdLease, type Run, type WorkerEntry } from "./workerRecord.js";
+import { acknowledgedEndNumber, type Run, type WorkerEntry } from "./workerRecord.js";
 
 export interface SchedulerOptions {
     /** The policy of the newest configuration. */
@@ -190,11 +190,11 @@
                 }
             }
         },
-        /** The worker did not respond; it gets no new runs until it does. */
-        workerUnresponsive: (workerId: string, nowMs: number, reason = ""): void => {
+        /** The worker did not respond; it gets no new runs until it does. `isDisconnected`: its address refused or ended the connection. */
+        workerUnresponsive: (workerId: string, nowMs: number, reason = "", isDisconnected = false): void => {
             const worker = state.workers.get(workerId);
             if (worker) {
-                reportUnresponsive(state, worker, nowMs, reason);
+                reportUnresponsive(state, worker, nowMs, reason, isDisconnected);
             }
         },
         /**
--- a/src/scheduling/unresponsiveWorkers.ts
+++ b/src/scheduling/unresponsiveWorkers.ts
@@ -54,11 +54,20 @@
 }
 
 /** A call to the worker got no response. */
-export function reportUnresponsive(state: SchedulerState, worker: WorkerRecord, nowMs: number, reason: string): void {
+export function reportUnresponsive(
+    state: SchedulerState,
+    worker: WorkerRecord,
+    nowMs: number,
+    reason: string,
+    isDisconnected: boolean,
+): void {
     if (worker.unresponsiveSinceMs === undefined && !worker.hasEnded) {
         const detail = `${worker.runs.size} runs`;
         state.onDecision({ what: "worker unresponsive", workerId: worker.entry.workerId, reason, detail });
     }
+    if (isDisconnected) {
+        worker.disconnectedAtMs ??= nowMs;
+    }
     markUnresponsive(worker, nowMs);
 }
 
--- a/src/scheduling/workerEnds.ts
+++ b/src/scheduling/workerEnds.ts
@@ -44,6 +44,7 @@
     state.onDecision({ what: "worker restarted", workerId: worker.entry.workerId, detail });
     worker.entry = { ...worker.entry, bornWallMs };
     worker.lastContactAtMs = undefined;
+    worker.disconnectedAtMs = undefined;
     worker.leaseHeldUntilMs = Number.NEGATIVE_INFINITY;
     worker.unexplainedRuns = [];
     worker.hasRespondedToProvenOwner = false;
--- a/src/scheduling/workerRecord.ts
+++ b/src/scheduling/workerRecord.ts
@@ -108,6 +108,8 @@
     lastEndNumber: number;
     unsavedEnds: UnsavedEnd[];
     lastResponseAtMs: number | undefined;
+    /** When the address of the worker first refused or ended a connection since it last responded. */
+    disconnectedAtMs: number | undefined;
     /** When this incarnation last listed its runs or accepted a command. */
     lastContactAtMs: number | undefined;
     /** Runs that were lost with their leases while the worker did not respond; it may have crashed under them. */
@@ -155,6 +157,7 @@
         lastEndNumber: 0,
         unsavedEnds: [],
         lastResponseAtMs: undefined,
+        disconnectedAtMs: undefined,
         lastContactAtMs: undefined,
         unexplainedRuns: [],
         fencedSinceMs: undefined,
@@ -285,11 +288,6 @@
         undefined;
 }
 
-/** The worker has confirmed that its runs hold their leases until then. */
-export function holdLease(worker: WorkerRecord, untilMs: number): void {
-    worker.leaseHeldUntilMs = Math.max(worker.leaseHeldUntilMs, untilMs);
-}
-
 /** The worker did not respond; nothing is expected of one that has ended. */
 export function markUnresponsive(worker: WorkerRecord, nowMs: number): void {
     if (!worker.hasEnded) {
--- a/tests/scheduling/countedCrashes.spec.ts
+++ b/tests/scheduling/countedCrashes.spec.ts
@@ -3,7 +3,7 @@
 import { describe, it } from "node:test";
 import { commandOutcomes } from "../../src/scheduling/commandOutcomes.js";
 import type { JobProgress } from "../../src/scheduling/jobDocuments.js";
-import { progressOf } from "../../src/scheduling/jobRecord.js";
+import { countCrashes, progressOf } from "../../src/scheduling/jobRecord.js";
 import { commandKinds } from "../../src/scheduling/schedulerState.js";
 import type { WorkerSnapshot } from "../../src/scheduling/unresponsiveWorkers.js";
 import { endIncarnation } from "../../src/scheduling/workerLifecycle.js";
@@ -148,6 +148,29 @@
         assert.equal(countedCrashes(next), 0);
     });
 
+    const lateSuccessions: Record<string, { isDisconnected: boolean; afterMs: number; provenCount: number }> = {
+        "whose connections ended at once": { isDisconnected: true, afterMs: 4_800, provenCount: 1 },
+        "that fell silent": { isDisconnected: false, afterMs: 4_800, provenCount: 0 },
+        "whose connections ended, if its leases have ended since": { isDisconnected: true, afterMs: 20_000, provenCount: 0 },
+    };
+    for (const [kind, { isDisconnected, afterMs, provenCount }] of Object.entries(lateSuccessions)) {
+        it(`should be ${provenCount === 1 ? "" : "no "}proof for a worker ${kind}, and whose successor comes after the confirmed lease`, () => {
+            const harness = createPool();
+            harness.submit("job", { taskCount: 1 });
+            harness.answerStarts(commandOutcomes.accepted);
+            const workerId = lastWorkerId(harness);
+            harness.advance(1_500);
+            // Sent, but not confirmed.
+            harness.extendLease(workerId);
+            harness.scheduler.workerUnresponsive(workerId, harness.nowMs(), "", isDisconnected);
+            harness.advance(afterMs);
+            harness.restartWorker(workerId);
+            harness.list(workerId, {});
+            const step = harness.scheduler.state.jobs.get("job")!.occurrences.get(0)!.steps[0]!;
+            assert.deepEqual(countCrashes(step, 0), { provenCount, possibleCount: 1 - provenCount });
+        });
+    }
+
     it("should not include a start that was planned but not sent", () => {
         const harness = createPool({ isSavedManually: true });
         harness.submit("job", { taskCount: 1 });
