Check every way in which runs are lost without proof of a crash

Change: tests only. Each way of losing runs without proof occurs four times in a row, under one owner or with a takeover each time; the job must not fail, and the task must be started again each time.

--- /dev/null
+++ b/tests/scheduling/unprovenLosses.ts
@@ -0,0 +1,63 @@
+/** Ways in which the runs of a task are lost although it is not known whether they were at work when their worker ended. */
+import assert from "node:assert/strict";
+import { commandOutcomes } from "../../src/scheduling/commandOutcomes.js";
+import { snapshotStates } from "../../src/scheduling/unresponsiveWorkers.js";
+import { formerLeasesEndMs } from "../../src/scheduling/workerLifecycle.js";
+import type { WorkerEntry } from "../../src/scheduling/workerRecord.js";
+import { jobState, lastWorkerId, listAll } from "./crashPool.js";
+import { type SchedulerHarness, workerLeaseMs } from "./schedulerHarness.js";
+
+export const lossesCount = 4;
+/** All leases and the validity of a start have ended after this time. */
+export const leasesEndMs = formerLeasesEndMs(0, 2 * workerLeaseMs);
+/** The lease of a start that no listing has extended may have ended after this time, and so has the validity of the start. */
+export const startLeaseEndsMs = 3_000;
+export const hourMs = 3_600_000;
+
+export type Loss = (harness: SchedulerHarness, workerId: string) => void;
+
+/** The task has been started again after each of the losses. */
+export function assertAtWork(harness: SchedulerHarness, lostCount: number): void {
+    assert.ok(["queued", "running"].includes(String(jobState(harness))), `the job is ${jobState(harness)} after ${lostCount} losses`);
+    const runs = harness.scheduler.state.jobs.get("job")!.occurrences.get(0)!.steps[0]!.runs.get(0) ?? [];
+    assert.deepEqual(runs.map(run => run.phase === "starting" || run.phase === "running"), [true], `not started after ${lostCount} losses`);
+}
+
+export function loseRuns(harness: SchedulerHarness, lose: Loss, count = lossesCount): void {
+    for (let lostCount = 1; lostCount <= count; lostCount++) {
+        lose(harness, lastWorkerId(harness));
+        harness.advance(100);
+        listAll(harness);
+        assertAtWork(harness, lostCount);
+    }
+}
+
+export function entryOf(harness: SchedulerHarness, workerId: string): WorkerEntry {
+    return harness.scheduler.state.workers.get(workerId)!.entry;
+}
+
+/** The worker does not respond while its runs lose their leases. */
+export function letLeasesEnd(harness: SchedulerHarness, workerId: string): void {
+    harness.answerStarts(commandOutcomes.accepted);
+    harness.scheduler.workerUnresponsive(workerId, harness.nowMs());
+    harness.advance(leasesEndMs);
+}
+
+/** The worker's entry and its record are removed once its leases have ended. */
+export function letWorkerLeave(harness: SchedulerHarness, workerId: string): WorkerEntry {
+    const entry = entryOf(harness, workerId);
+    harness.answerStarts(commandOutcomes.accepted);
+    harness.scheduler.workerUnresponsive(workerId, harness.nowMs());
+    harness.advance(10);
+    harness.scheduler.snapshotStateChanged(workerId, snapshotStates.written);
+    harness.advance(leasesEndMs);
+    harness.scheduler.unregisterWorker(workerId);
+    harness.advance(10);
+    assert.equal(harness.scheduler.state.workers.has(workerId), false);
+    return entry;
+}
+
+export function registerAt(harness: SchedulerHarness, entry: WorkerEntry): void {
+    const now = { nowMs: harness.nowMs(), wallMs: harness.nowMs() };
+    harness.scheduler.registerWorker({ ...entry, workerId: `${entry.workerId}b`, bornWallMs: harness.nowMs() }, now);
+}
