Bound the losses that only later owners see, and use times that hold for extended leases

Cause: the limit for losses without proof must not exceed the users' bound: a task that has crashed three workers and is started three times more breaks it, so it has five starts at most. The times of two tests were within a lease that a listing had extended.

Change: tests only.

--- a/tests/scheduling/unprovenCrashes.spec.ts
+++ b/tests/scheduling/unprovenCrashes.spec.ts
@@ -10,6 +10,7 @@
     assertAtWork,
     entryOf,
     hourMs,
+    leaseMayEndMs,
     leasesEndMs,
     letLeasesEnd,
     letWorkerLeave,
@@ -17,7 +18,7 @@
     type Loss,
     lossesCount,
     registerAt,
-    startLeaseEndsMs,
+    startValidityEndsMs,
 } from "./unprovenLosses.js";
 
 describe("a task whose runs are lost without proof of a crash", () => {
@@ -44,14 +45,16 @@
         // Guards against taking the latest possible end of a lease for the time until which it was held.
         "its lease may have ended when the worker restarts": (harness, workerId) => {
             harness.answerStarts(commandOutcomes.accepted);
-            harness.advance(startLeaseEndsMs);
+            harness.extendLease(workerId);
+            harness.advance(leaseMayEndMs);
             harness.restartWorker(workerId);
             harness.list(workerId, {});
         },
         // Guards against taking the latest possible end of a lease for the time until which it was held.
         "its lease may have ended when another worker responds at the address": (harness, workerId) => {
             harness.answerStarts(commandOutcomes.accepted);
-            harness.advance(startLeaseEndsMs);
+            harness.extendLease(workerId);
+            harness.advance(leaseMayEndMs);
             harness.replaceWorker(workerId);
         },
         // Guards against counting the runs of a worker that is gone when its address is used again, even an hour later.
@@ -63,7 +66,7 @@
         // Guards against counting a start that may never have arrived.
         "its start gets no response and the worker restarts after the start has expired": (harness, workerId) => {
             harness.answerStarts(commandOutcomes.unknown);
-            harness.advance(startLeaseEndsMs);
+            harness.advance(startValidityEndsMs);
             harness.restartWorker(workerId);
             harness.answerStops(commandOutcomes.accepted);
             harness.advance(10);
@@ -72,7 +75,7 @@
         // Guards against counting a start that may never have arrived.
         "its start gets no response and another worker responds after the start has expired": (harness, workerId) => {
             harness.answerStarts(commandOutcomes.unknown);
-            harness.advance(startLeaseEndsMs);
+            harness.advance(startValidityEndsMs);
             harness.replaceWorker(workerId);
         },
         // Guards against counting a start that the new incarnation may have got, which then loses its lease.
--- a/tests/scheduling/unprovenCrashesAcrossOwners.spec.ts
+++ b/tests/scheduling/unprovenCrashesAcrossOwners.spec.ts
@@ -6,28 +6,36 @@
 import { commandKinds } from "../../src/scheduling/schedulerState.js";
 import type { WorkerSnapshot } from "../../src/scheduling/unresponsiveWorkers.js";
 import type { Run } from "../../src/scheduling/workerRecord.js";
-import { countedCrashes, createPool, listAll, workersCount } from "./crashPool.js";
+import { countedCrashes, createPool, jobState, listAll, workersCount } from "./crashPool.js";
 import { createSchedulerHarness, type SchedulerHarness, workerLeaseMs } from "./schedulerHarness.js";
 import { assertAtWork, entryOf, leasesEndMs, letLeasesEnd, loseRuns, lossesCount, registerAt } from "./unprovenLosses.js";
 
+/** A task that has crashed three workers must not be started three times more. */
+const maxStarts = 5;
+
 describe("a task whose earlier owner is lost with its runs", () => {
     type Takeover = (next: SchedulerHarness, run: Run) => void;
 
-    /** Another owner takes over each time, with the progress that the earlier one stored. */
-    function loseAcrossOwners(first: SchedulerHarness, takeOver: Takeover, count = lossesCount): SchedulerHarness {
+    /** Another owner takes over, with the progress that the earlier one stored. */
+    function takeOverAfterStart(owner: SchedulerHarness, takeOver: Takeover): SchedulerHarness {
+        owner.answerStarts(commandOutcomes.accepted);
+        const run = owner.commands(commandKinds.start).at(-1)!;
+        const progress = progressOf(owner.scheduler.state.jobs.get("job")!);
+        const token = owner.scheduler.state.term.token + 10;
+        const next = createSchedulerHarness({ workers: workersCount, cpuMillicores: 1_000, token });
+        next.submit("job", { taskCount: 1, progress: { ...progress, workerIds: [run.workerId] } });
+        takeOver(next, run);
+        next.advance(100);
+        listAll(next);
+        return next;
+    }
+
+    function loseAcrossOwners(first: SchedulerHarness, takeOver: Takeover, count = lossesCount): void {
         let owner = first;
-        for (let lost = 1; lost <= count; lost++) {
-            owner.answerStarts(commandOutcomes.accepted);
-            const run = owner.commands(commandKinds.start).at(-1)!;
-            const progress = progressOf(owner.scheduler.state.jobs.get("job")!);
-            owner = createSchedulerHarness({ workers: workersCount, cpuMillicores: 1_000, token: 10 * (lost + 1) });
-            owner.submit("job", { taskCount: 1, progress: { ...progress, workerIds: [run.workerId] } });
-            takeOver(owner, run);
-            owner.advance(100);
-            listAll(owner);
-            assertAtWork(owner, lost);
+        for (let lostCount = 1; lostCount <= count; lostCount++) {
+            owner = takeOverAfterStart(owner, takeOver);
+            assertAtWork(owner, lostCount);
         }
-        return owner;
     }
 
     function createOwner(): SchedulerHarness {
@@ -135,6 +143,18 @@
         });
     }
 
+    // Guards against a task that crashes each worker and goes on because only later owners see the crashes.
+    it("should be given up before its third start after three losses if only later owners see them in snapshots", () => {
+        let owner = createOwner();
+        let startsCount = 1;
+        while (jobState(owner) !== "failed" && startsCount <= maxStarts) {
+            owner = takeOverAfterStart(owner, takeovers["its worker is in a snapshot and restarts"]!);
+            startsCount += owner.startedTasks().length;
+        }
+        assert.equal(jobState(owner), "failed");
+        assert.ok(startsCount <= maxStarts, `${startsCount} starts`);
+    });
+
     // Guards against taking the time since the takeover for the age of a run.
     it("should not be suspected of the crash of a worker that has just listed its run of an hour", () => {
         const next = createSchedulerHarness({ workers: workersCount, token: 20 });
--- a/tests/scheduling/unprovenLosses.ts
+++ b/tests/scheduling/unprovenLosses.ts
@@ -2,16 +2,17 @@
 import assert from "node:assert/strict";
 import { commandOutcomes } from "../../src/scheduling/commandOutcomes.js";
 import { snapshotStates } from "../../src/scheduling/unresponsiveWorkers.js";
-import { formerLeasesEndMs } from "../../src/scheduling/workerLifecycle.js";
 import type { WorkerEntry } from "../../src/scheduling/workerRecord.js";
 import { jobState, lastWorkerId, listAll } from "./crashPool.js";
 import { type SchedulerHarness, workerLeaseMs } from "./schedulerHarness.js";
 
 export const lossesCount = 4;
 /** All leases and the validity of a start have ended after this time. */
-export const leasesEndMs = formerLeasesEndMs(0, 2 * workerLeaseMs);
-/** The lease of a start that no listing has extended may have ended after this time, and so has the validity of the start. */
-export const startLeaseEndsMs = 3_000;
+export const leasesEndMs = 20_000;
+/** The validity of a start has ended after this time. */
+export const startValidityEndsMs = 3_000;
+/** A lease may have ended after this time; by the slack for the clocks it may also last longer. */
+export const leaseMayEndMs = workerLeaseMs + 100;
 export const hourMs = 3_600_000;
 
 export type Loss = (harness: SchedulerHarness, workerId: string) => void;
