Do not suspect an adopted run of the crash of its worker

Cause: a run that a new owner adopts counted its age from the takeover, so that a run of an hour was young, and suspected, for two seconds after each one. A new owner does not know either whether an earlier one has ordered the VM of the run to restart. Change: the age of an adopted run is unknown, so it counts as old. A task that crashes its worker does so within milliseconds and is not adopted.

--- a/src/scheduling/reconcileListing.ts
+++ b/src/scheduling/reconcileListing.ts
@@ -146,6 +146,8 @@
     const { taskName, runId, percent, measured, checkpoint } = listed;
     const run: Run = {
         ...createRun({ ...task, taskName, runId, workerId: worker.entry.workerId }, needs, moment.nowMs),
+        // Its age is unknown, so it is not suspected if its worker ends.
+        startedAtMs: Number.NEGATIVE_INFINITY,
         phase: runPhases.running,
         isStartConfirmed: true,
         isStartAccepted: true,
--- a/src/scheduling/workerRecord.ts
+++ b/src/scheduling/workerRecord.ts
@@ -51,7 +51,7 @@
     reserved: Resources;
     /** Whether the run may take anything up to the whole worker, because its job is not known. */
     isSizeUnknown: boolean;
-    /** When the start was sent, or the run of an earlier owner was first seen. */
+    /** When the start was sent; long ago for a run whose age is unknown, because an earlier owner started it. */
     startedAtMs: number;
     /** What the crashes under earlier runs of the task say about it. */
     suspicion: Suspicion;
--- a/tests/scheduling/countedCrashes.spec.ts
+++ b/tests/scheduling/countedCrashes.spec.ts
@@ -148,6 +148,30 @@
         assert.equal(countedCrashes(next), 0);
     });
 
+    it("should not include a run that was adopted from an earlier owner, however soon its worker ends after that", () => {
+        const next = createSchedulerHarness({ workers: workersCount, token: 20 });
+        next.submit("job", { taskCount: 1, isLongRunning: true, formerWorkerIds: ["w1"] });
+        next.list("w1", { running: [{ taskName: "job.0.0.0", runId: 7 }], isExtension: true });
+        next.advance(100);
+        next.replaceWorker("w1");
+        assert.equal(countedCrashes(next), 0);
+    });
+
+    it("should not include an ordered end of a worker whose leases had ended before", () => {
+        const harness = createPool();
+        harness.submit("job", { taskCount: 1 });
+        harness.answerStarts(commandOutcomes.accepted);
+        const workerId = lastWorkerId(harness);
+        harness.scheduler.workerUnresponsive(workerId, harness.nowMs());
+        harness.advance(20_000);
+        const { state } = harness.scheduler;
+        const moment = { nowMs: harness.nowMs(), wallMs: harness.nowMs() };
+        endIncarnation(state, state.workers.get(workerId)!.entry, "its VM has restarted", moment);
+        harness.restartWorker(workerId);
+        harness.list(workerId, {});
+        assert.equal(countedCrashes(harness), 0);
+    });
+
     const lateSuccessions: Record<string, { isDisconnected: boolean; afterMs: number; provenCount: number }> = {
         "whose connections ended at once": { isDisconnected: true, afterMs: 4_800, provenCount: 1 },
         "that fell silent": { isDisconnected: false, afterMs: 4_800, provenCount: 0 },
