Do not count an ordered end of a VM as a crash of the runs it lost before

Callers: one loss more of a task whose worker was silent until its leases had ended, and whose VM the owner restarted then. Cause: the runs that were given up with their leases were kept, as the worker may have crashed under them, also when the owner ended the worker itself. Evidence: countedCrashes 'should not include an ordered end of a worker whose leases had ended before' failed before (1 counted, 0 expected). Change: an ordered end explains them, and they are dropped.

--- a/src/scheduling/workerLifecycle.ts
+++ b/src/scheduling/workerLifecycle.ts
@@ -36,6 +36,7 @@
     }
     markRunsLost(state, worker, reason, moment);
     worker.hasEnded = true;
+    worker.unexplainedRuns = [];
     worker.unresponsiveSinceMs = undefined;
 }
 
