Prove no crash by a run that may have ended, or moved on, before it

Cause: a crash counted as proven (1) when the start may have reached only the next incarnation of the worker, and its lease there ended; (2) when the worker had accepted a stop of the run; (3) when the worker's entry was gone, as that of a worker that leaves in order is. Evidence: four tests of unprovenCrashes failed before: after four such losses the job was failed, expected running.

--- a/src/scheduling/crashSuspect.ts
+++ b/src/scheduling/crashSuspect.ts
@@ -1,6 +1,6 @@
 /** Runs under which their worker may have crashed, and what shows whether they were at work when it ended. */
 import { minLeaseMs, startValidityMs } from "./leases.js";
-import type { Run, WorkerRecord } from "./workerRecord.js";
+import { type Run, runPhases, type WorkerRecord } from "./workerRecord.js";
 
 /** A run of a worker that has ended or lost its leases, and what was known of the worker then. */
 export interface CrashSuspect {
@@ -26,6 +26,13 @@
     return nowMs <= leaseEndsAtMs ? disconnectedAtMs ?? nowMs : nowMs;
 }
 
+/** Whether the worker holds the run until its lease ends, unless the run ends by itself. */
+function isAtWork(worker: WorkerRecord, run: Run): boolean {
+    const isStopAccepted = run.phase === runPhases.stopping && run.respondedAtMs !== undefined;
+    // A worker without an entry may have left in order.
+    return !run.isPresumed && !isStopAccepted && worker.isRegistered;
+}
+
 /**
  * Call it when the worker is seen to have ended. Silence shows neither that it ended then nor that the run was at work until then: a run
  * ends with its lease on a worker that is cut off. Only an end within the lease shows that.
@@ -38,7 +45,7 @@
         ageMs: ageAtLastContactMs(worker, run),
         lastContactAtMs: worker.lastContactAtMs,
         leaseHeldUntilMs,
-        isProven: !run.isPresumed && endedByMs(worker, nowMs) <= leaseHeldUntilMs,
+        isProven: isAtWork(worker, run) && endedByMs(worker, nowMs) <= leaseHeldUntilMs,
     };
 }
 
--- a/src/scheduling/workerEnds.ts
+++ b/src/scheduling/workerEnds.ts
@@ -23,7 +23,9 @@
         applyEnd(state, { ...run, end: runEnds.lost }, moment.nowMs, moment.wallMs);
         detachRun(state, run);
     }
-    recordCrash(state, runs.flatMap(run => run.suspectOfRestart ?? []), `the worker had restarted; ${reason}`, moment);
+    // The start may have reached the next incarnation only, which says nothing about the former one.
+    const suspects = runs.flatMap(run => run.suspectOfRestart ? [{ ...run.suspectOfRestart, isProven: false }] : []);
+    recordCrash(state, suspects, `the worker had restarted; ${reason}`, moment);
 }
 
 /** Resets the record of a worker that has restarted. */
