Store the starts of all tasks that may be given up soon

Callers: a task that crashes its workers may be started seven or eight times if the owner ends at the moments of its crashes (BUDGET allows five starts). Change: starts are stored, and run apart, after two losses of either kind. Crashes hidden at the first or second loss can still add two starts if none of them is proven. Evidence: suspectStarts 'should be stored before it is sent, whether …' failed before; 172 tests of the scheduler and its models pass.

--- a/src/scheduling/crashCounts.ts
+++ b/src/scheduling/crashCounts.ts
@@ -28,14 +28,15 @@
     none: "none",
     /** Workers have ended under the task. */
     suspected: "suspected",
-    /** The next crash gives up the task. */
-    nextCrashIsLast: "nextCrashIsLast",
+    /** The next crash gives up the task, if it and an earlier one are proven. */
+    nextCrashMayBeLast: "nextCrashMayBeLast",
 } as const;
 export type Suspicion = (typeof suspicions)[keyof typeof suspicions];
 
 export function suspicionOf({ provenCount, possibleCount }: CrashCounts): Suspicion {
-    if (provenCount + possibleCount === 0) {
+    const total = provenCount + possibleCount;
+    if (total === 0) {
         return suspicions.none;
     }
-    return isGivenUp({ provenCount: provenCount + 1, possibleCount }) ? suspicions.nextCrashIsLast : suspicions.suspected;
+    return total + 1 >= maxCrashes ? suspicions.nextCrashMayBeLast : suspicions.suspected;
 }
--- a/src/scheduling/dispatchWaitingTasks.ts
+++ b/src/scheduling/dispatchWaitingTasks.ts
@@ -155,7 +155,7 @@
 function canRun(state: SchedulerState, candidate: Candidate, { spec }: StepRecord, needed: Resources, history: RunHistory): boolean {
     return hasRoom(candidate, needed) && (spec.isGang || candidate.unansweredStartsCount < maxUnansweredStarts) &&
         mayStartBeside(candidate.suspects, history.suspicion, history.gangRunId) &&
-        (state.isStoreWritable || (candidate.isStartRecorded && history.suspicion !== suspicions.nextCrashIsLast)) &&
+        (state.isStoreWritable || (candidate.isStartRecorded && history.suspicion !== suspicions.nextCrashMayBeLast)) &&
         (spec.requiredLabel === undefined || candidate.worker.entry.labels.includes(spec.requiredLabel)) &&
         (spec.maxTasksPerWorker === undefined || candidate.sameStepCount < spec.maxTasksPerWorker);
 }
--- a/src/scheduling/suspectStarts.ts
+++ b/src/scheduling/suspectStarts.ts
@@ -1,7 +1,7 @@
 /**
- * Starts of tasks that the next crash gives up. The store holds such a start before it is sent: if the owner ends when the worker
- * crashes, the next owner has seen neither the run nor the crash, and could not count it otherwise. It may count a start that was never
- * sent, so this does not apply to earlier crashes: those that were counted must be enough to give up the task.
+ * Starts of tasks that the next crash may give up. The store holds such a start before it is sent: if the owner ends when the worker
+ * crashes, the next owner has seen neither the run nor the crash, and could not count it otherwise. The start may never have been sent, so
+ * that it proves no crash.
  */
 import { suspicions } from "./crashCounts.js";
 import { createSuspect } from "./crashSuspect.js";
@@ -15,7 +15,7 @@
 /** Adds a planned start to the job's progress, if the next crash gives up its task. */
 export function recordSuspectStart(state: SchedulerState, job: JobRecord, step: StepRecord, run: Run): void {
     const worker = state.workers.get(run.workerId);
-    if (worker && run.suspicion === suspicions.nextCrashIsLast && run.recordedVersion === undefined) {
+    if (worker && run.suspicion === suspicions.nextCrashMayBeLast && run.recordedVersion === undefined) {
         const { workerId, bornWallMs } = worker.entry;
         taskProgress(step, run.taskIndex).suspectStart = { runId: run.runId, workerId, bornWallMs };
         markChanged(state, job);
@@ -25,7 +25,7 @@
 
 /** Whether the store holds the start, or need not. */
 export function isSuspectStartPersisted(job: JobRecord, run: Run): boolean {
-    return run.suspicion !== suspicions.nextCrashIsLast ||
+    return run.suspicion !== suspicions.nextCrashMayBeLast ||
         (run.recordedVersion !== undefined && run.recordedVersion <= job.persistedVersion);
 }
 
--- a/src/scheduling/workerCrashes.ts
+++ b/src/scheduling/workerCrashes.ts
@@ -88,6 +88,6 @@
  * crash shows whether it is the cause; the members of a gang are not apart from each other.
  */
 export function mayStartBeside(suspects: readonly Run[], suspicion: Suspicion, gangRunId: number | undefined): boolean {
-    const { nextCrashIsLast } = suspicions;
-    return suspects.every(run => run.runId === gangRunId || (run.suspicion !== nextCrashIsLast && suspicion !== nextCrashIsLast));
+    const { nextCrashMayBeLast } = suspicions;
+    return suspects.every(run => run.runId === gangRunId || (run.suspicion !== nextCrashMayBeLast && suspicion !== nextCrashMayBeLast));
 }
--- a/tests/scheduling/suspectStarts.spec.ts
+++ b/tests/scheduling/suspectStarts.spec.ts
@@ -79,6 +79,19 @@
         assert.equal(countedCrashes(next), 2);
     });
 
+    it("should be stored before it is sent, whether the earlier crashes are proven or not", () => {
+        const crashes = [{ crashedRunIds: [1, 2] }, { crashedRunIds: [1], possiblyCrashedRunIds: [2] }, { possiblyCrashedRunIds: [1, 2] }];
+        for (const crashed of crashes) {
+            const harness = createSchedulerHarness({ workers: 1, isSavedManually: true });
+            const tasks = { "0": { failedRunIds: [], checkpoint: "", ...crashed } };
+            harness.submit("job", { progress: { ...progress, occurrences: { "0": [{ done: [], tasks }] } } });
+            harness.list("w1", { sentAtMs: 0 });
+            assert.deepEqual(harness.startedTasks(), []);
+            harness.saveAll();
+            assert.deepEqual(harness.startedTasks(), ["job.0.0.0"]);
+        }
+    });
+
     it("should not be sent while the store takes no writes, and not be planned again and again", () => {
         const harness = createSchedulerHarness({ workers: 1, isSavedManually: true });
         harness.submit("job", { progress });
