Count no crash when a worker registers again in the same life

Callers saw, by the users' record, a job failed whose most tried task had ended 'lapsed' only, with no crash of a worker. Cause: a worker that is silent until its leases have ended, and whose entry is gone from the store too, is dropped, and its runs are kept in case another worker comes to its address. When the same worker registered again, alive and never restarted, it was taken for another one, and its lapsed runs counted as a crash. Nothing compared its id and its start with those of the former entry. Evidence: unprovenCrashes 'should not be suspected if its worker registers again in the same life …' failed before (1 counted, 0 expected).

--- a/src/process/poolRebalancer.ts
+++ b/src/process/poolRebalancer.ts
@@ -5,7 +5,8 @@
 import { jobLateness } from "../scheduling/jobLateness.js";
 import { isFinalState, readyStepsOf } from "../scheduling/jobRecord.js";
 import { findStep } from "../scheduling/schedulerState.js";
-import { endIncarnation, type WorkerIncarnation } from "../scheduling/workerLifecycle.js";
+import { endIncarnation } from "../scheduling/workerLifecycle.js";
+import type { WorkerIncarnation } from "../scheduling/workerRecord.js";
 import type { Run, WorkerRecord } from "../scheduling/workerRecord.js";
 import type { DemandTracker } from "./demandTracker.js";
 import { logEvents } from "./logEvents.js";
--- a/src/process/waveRunner.ts
+++ b/src/process/waveRunner.ts
@@ -7,7 +7,8 @@
 import { allowedDisruptionsByStep, disruptionLimitedTasksByStep, stepKey } from "../scheduling/availability.js";
 import { jobKeys } from "../scheduling/jobDocuments.js";
 import { stopRun } from "../scheduling/schedulerState.js";
-import { endIncarnation, type WorkerIncarnation } from "../scheduling/workerLifecycle.js";
+import { endIncarnation } from "../scheduling/workerLifecycle.js";
+import type { WorkerIncarnation } from "../scheduling/workerRecord.js";
 import { freeResources, runPhases } from "../scheduling/workerRecord.js";
 import { logEvents } from "./logEvents.js";
 import type { Logger } from "./logger.js";
--- a/src/scheduling/crashSuspect.ts
+++ b/src/scheduling/crashSuspect.ts
@@ -1,6 +1,6 @@
 /** Runs under which their worker may have crashed, and what shows whether they were at work when it ended. */
 import { minLeaseMs, startValidityMs } from "./leases.js";
-import { type Run, runPhases, type WorkerRecord } from "./workerRecord.js";
+import { type Run, runPhases, type WorkerIncarnation, type WorkerRecord } from "./workerRecord.js";
 
 /** A run of a worker that has ended or lost its leases, and what was known of the worker then. */
 export interface CrashSuspect {
@@ -13,6 +13,11 @@
     isProven: boolean;
 }
 
+/** A worker that is gone, and the runs that were lost with their leases before; it may have crashed under them. */
+export interface UnexplainedDeparture extends WorkerIncarnation {
+    runs: readonly CrashSuspect[];
+}
+
 /** The age of a run when its worker was last in touch; negative if the start was sent later. */
 export function ageAtLastContactMs(worker: WorkerRecord, run: Run): number {
     return (worker.lastContactAtMs ?? Number.NEGATIVE_INFINITY) - run.startedAtMs;
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -76,7 +76,7 @@
         isStoreWritable: true,
         commands: [],
         plannedRuns: new Set(),
-        unexplainedRunsByAddress: new Map(),
+        unexplainedDepartures: new Map(),
         workersWithUnsavedEnds: new Map(),
         unsavedJobs: new Set(),
         nextRunNumber: 1,
--- a/src/scheduling/schedulerState.ts
+++ b/src/scheduling/schedulerState.ts
@@ -1,6 +1,6 @@
 /** The scheduler's state, and the operations on it that its modules share. */
 import type { ShareTokenBucket } from "../decisions/teamShare.js";
-import type { CrashSuspect } from "./crashSuspect.js";
+import type { UnexplainedDeparture } from "./crashSuspect.js";
 import {
     attemptsProgress,
     forgetSuspectStart,
@@ -99,8 +99,8 @@
     commands: SchedulerCommand[];
     /** Runs whose starts were not sent yet. */
     plannedRuns: Set<Run>;
-    /** Runs that were lost with workers that are gone, by address; see `WorkerRecord.unexplainedRuns`. */
-    unexplainedRunsByAddress: Map<string, CrashSuspect[]>;
+    /** Workers that are gone, with their `unexplainedRuns`, by address. */
+    unexplainedDepartures: Map<string, UnexplainedDeparture>;
     /** Workers with reported ends that are not stored yet, by the job that the ends are part of. */
     workersWithUnsavedEnds: Map<string, Set<WorkerRecord>>;
     /** Jobs whose latest progress is not in the store yet. */
--- a/src/scheduling/workerLifecycle.ts
+++ b/src/scheduling/workerLifecycle.ts
@@ -6,7 +6,7 @@
 import { snapshotStates } from "./unresponsiveWorkers.js";
 import { crashSuspects, recordCrash } from "./workerCrashes.js";
 import { markRunsLost } from "./workerEnds.js";
-import { createWorkerRecord, runPhases, type WorkerEntry, type WorkerRecord } from "./workerRecord.js";
+import { createWorkerRecord, runPhases, type WorkerEntry, type WorkerIncarnation, type WorkerRecord } from "./workerRecord.js";
 
 /** Adds a worker that may hold runs of an earlier owner until it has responded or their leases have ended. */
 export function addWorker(state: SchedulerState, entry: WorkerEntry, moment: Moment): WorkerRecord {
@@ -15,15 +15,21 @@
     worker.isRunStateKnown = entry.bornWallMs > state.term.startedWallMs + clockEstimateSlackMs;
     state.workers.set(entry.workerId, worker);
     state.onDecision({ what: "worker joined", workerId: entry.workerId, detail: `${entry.poolName} ${entry.rack} ${entry.address}` });
-    // The earlier worker at the address has ended.
-    const suspects = state.unexplainedRunsByAddress.get(entry.address) ?? [];
-    recordCrash(state, suspects, "another worker registered at its address after its leases had ended", moment);
-    state.unexplainedRunsByAddress.delete(entry.address);
+    explainDeparture(state, entry, moment);
     return worker;
 }
 
-/** One life of a worker: after a restart, another incarnation may have the same id. */
-export type WorkerIncarnation = Pick<WorkerEntry, "workerId" | "bornWallMs">;
+/** Counts the crash of an earlier worker at the address, unless this is that worker, which has gone on. */
+function explainDeparture(state: SchedulerState, { workerId, bornWallMs, address }: WorkerEntry, moment: Moment): void {
+    for (const [formerAddress, departed] of state.unexplainedDepartures) {
+        if (departed.workerId === workerId && departed.bornWallMs >= bornWallMs) {
+            state.unexplainedDepartures.delete(formerAddress);
+        }
+    }
+    const suspects = state.unexplainedDepartures.get(address)?.runs ?? [];
+    recordCrash(state, suspects, "another worker registered at its address after its leases had ended", moment);
+    state.unexplainedDepartures.delete(address);
+}
 
 /**
  * Records that the worker's VM was moved or restarted: its runs are lost, and nothing is asked of it any more. An incarnation that
@@ -42,13 +48,14 @@
 
 /** Keeps the runs under which a worker that is gone may have crashed, until another worker at its address shows that it has ended. */
 function keepUnexplainedRuns(state: SchedulerState, worker: WorkerRecord): void {
-    for (const [address, runs] of state.unexplainedRunsByAddress) {
+    for (const [address, { runs }] of state.unexplainedDepartures) {
         if (!runs.some(({ run }) => state.jobs.has(run.jobId))) {
-            state.unexplainedRunsByAddress.delete(address);
+            state.unexplainedDepartures.delete(address);
         }
     }
     if (worker.unexplainedRuns.length > 0) {
-        state.unexplainedRunsByAddress.set(worker.entry.address, worker.unexplainedRuns);
+        const { workerId, bornWallMs, address } = worker.entry;
+        state.unexplainedDepartures.set(address, { workerId, bornWallMs, runs: worker.unexplainedRuns });
     }
 }
 
--- a/src/scheduling/workerRecord.ts
+++ b/src/scheduling/workerRecord.ts
@@ -17,6 +17,9 @@
     isDraining: boolean;
 }
 
+/** One life of a worker: after a restart, another incarnation may have the same id. */
+export type WorkerIncarnation = Pick<WorkerEntry, "workerId" | "bornWallMs">;
+
 export const runPhases = {
     /** Resources are reserved, and the start is sent once the store lists the worker for the job. */
     planned: "planned",
--- a/tests/scheduling/unprovenCrashes.spec.ts
+++ b/tests/scheduling/unprovenCrashes.spec.ts
@@ -178,6 +178,19 @@
     });
 
     // Guards against counting a run whose end was heard.
+    it("should not be suspected if its worker registers again in the same life, after its leases and its entry had ended", () => {
+        const harness = createPool();
+        harness.submit("job", { taskCount: 1, isLongRunning: true });
+        for (let lostCount = 1; lostCount <= lossesCount; lostCount++) {
+            const entry = letWorkerLeave(harness, lastWorkerId(harness));
+            harness.scheduler.registerWorker(entry, { nowMs: harness.nowMs(), wallMs: harness.nowMs() });
+            harness.advance(100);
+            listAll(harness);
+            assertAtWork(harness, lostCount);
+            assert.equal(countedCrashes(harness), 0);
+        }
+    });
+
     it("should not be counted once the end of its run is listed", () => {
         const harness = createPool();
         harness.submit("job", { taskCount: 1, isLongRunning: true });
