Read the crashes that earlier builds stored as not proven

Cause: earlier builds stored every counted loss under the name that now holds the proven crashes only, so that after an update a job of theirs could be given up by one more loss without any proof. Change: the stored list keeps its meaning, runs whose worker has ended, and a second one names those that are proven. A build before this one that takes over counts as it did. Test: countedCrashes 'should not be proven if an earlier build stored them …'; it would have counted them as proven before (given up after 1 crash, expected 2).

--- a/src/scheduling/jobDocuments.ts
+++ b/src/scheduling/jobDocuments.ts
@@ -33,10 +33,10 @@
 export interface TaskProgress {
     /** Ids of the failed runs, so that an end that is listed again, to another owner, counts once. */
     failedRunIds: number[];
-    /** Ids of the runs that were at work when their worker crashed; missing if there are none. */
-    crashedRunIds?: number[];
     /** Ids of the runs whose worker has ended, before or after them; missing if there are none. */
-    possiblyCrashedRunIds?: number[];
+    crashedRunIds?: number[];
+    /** Those of `crashedRunIds` that were certainly at work when their worker ended; earlier builds did not tell. */
+    provenCrashRunIds?: number[];
     /** The start of a task that the next crash gives up, until its run has ended. */
     suspectStart?: SuspectStart;
     /** Checkpoint from which the next run resumes; empty if there is none. */
--- a/src/scheduling/jobRecord.ts
+++ b/src/scheduling/jobRecord.ts
@@ -197,8 +197,8 @@
     return progress ? crashCountsOf(progress) : noCrashes;
 }
 
-export function crashCountsOf({ crashedRunIds, possiblyCrashedRunIds }: TaskProgress): CrashCounts {
-    return { provenCount: crashedRunIds?.length ?? 0, possibleCount: possiblyCrashedRunIds?.length ?? 0 };
+export function crashCountsOf({ crashedRunIds = [], provenCrashRunIds = [] }: TaskProgress): CrashCounts {
+    return { provenCount: provenCrashRunIds.length, possibleCount: crashedRunIds.length - provenCrashRunIds.length };
 }
 
 /** Removes the stored start of the run; `false` if there is none. */
--- a/src/scheduling/workerCrashes.ts
+++ b/src/scheduling/workerCrashes.ts
@@ -29,22 +29,17 @@
 
 /** Adds the run to those under which a worker crashed; returns whether that is news. */
 function addCrash(progress: TaskProgress, runId: number, isProven: boolean): boolean {
-    const proven = progress.crashedRunIds ??= [];
-    const possible = progress.possiblyCrashedRunIds ??= [];
-    if (proven.includes(runId) || (possible.includes(runId) && !isProven)) {
-        return false;
-    }
+    const crashed = progress.crashedRunIds ??= [];
+    const proven = progress.provenCrashRunIds ??= [];
     // The members of a gang share their run id, and the worker of one of them may show more than that of another.
-    progress.possiblyCrashedRunIds = possible.filter(each => each !== runId);
-    (isProven ? proven : progress.possiblyCrashedRunIds).push(runId);
-    return true;
+    const changed = [crashed, ...(isProven ? [proven] : [])].filter(runIds => !runIds.includes(runId));
+    changed.forEach(runIds => runIds.push(runId));
+    return changed.length > 0;
 }
 
-function describeRuns({ crashedRunIds = [], possiblyCrashedRunIds = [] }: TaskProgress): string {
-    return [
-        ...(crashedRunIds.length > 0 ? [`runs ${crashedRunIds.join(", ")}`] : []),
-        ...(possiblyCrashedRunIds.length > 0 ? [`not proven for runs ${possiblyCrashedRunIds.join(", ")}`] : []),
-    ].join("; ");
+function describeRuns({ crashedRunIds = [], provenCrashRunIds = [] }: TaskProgress): string {
+    const unproven = crashedRunIds.filter(runId => !provenCrashRunIds.includes(runId));
+    return `runs ${crashedRunIds.join(", ")}${unproven.length > 0 ? `; not proven for ${unproven.join(", ")}` : ""}`;
 }
 
 /** Counts the crash of a worker for the tasks of these runs, and gives up those under which too many workers have crashed. */
--- a/tests/scheduling/countedCrashes.spec.ts
+++ b/tests/scheduling/countedCrashes.spec.ts
@@ -49,6 +49,18 @@
         assert.equal(crashesCount, crashesBeforeGivingUp - 1);
     });
 
+    it("should not be proven if an earlier build stored them, which did not tell", () => {
+        const next = createPool({ token: 20 });
+        const tasks = { "0": { failedRunIds: [], checkpoint: "", crashedRunIds: [1, 2] } };
+        next.submit("job", { taskCount: 1, progress: { state: "running", occurrences: { "0": [{ done: [], tasks }] } } });
+        const crashesCount = crashWorkers(next, workerId => {
+            next.answerStarts(commandOutcomes.accepted);
+            next.advance(1_000);
+            next.replaceWorker(workerId);
+        });
+        assert.equal(crashesCount, 2);
+    });
+
     it("should include each crash once, although the next owner sees it too", () => {
         const { runId, workerId, progress } = crashUnderFirstOwner();
         const next = createSchedulerHarness({ workers: workersCount, token: 20 });
--- a/tests/scheduling/suspectStarts.spec.ts
+++ b/tests/scheduling/suspectStarts.spec.ts
@@ -80,7 +80,7 @@
     });
 
     it("should be stored before it is sent, whether the earlier crashes are proven or not", () => {
-        const crashes = [{ crashedRunIds: [1, 2] }, { crashedRunIds: [1], possiblyCrashedRunIds: [2] }, { possiblyCrashedRunIds: [1, 2] }];
+        const crashes = [[], [1], [1, 2]].map(provenCrashRunIds => ({ crashedRunIds: [1, 2], provenCrashRunIds }));
         for (const crashed of crashes) {
             const harness = createSchedulerHarness({ workers: 1, isSavedManually: true });
             const tasks = { "0": { failedRunIds: [], checkpoint: "", ...crashed } };
