Share the simulated store whose path is cut

Cause: the simulation of lapsed runs needs the same failing calls to the store as that of outages, and the processes' decisions. Change: the guard of the store's calls is a file of its own; a simulated process may have a logger. No behaviour changes.

--- a/tests/process/outageSimulation.ts
+++ b/tests/process/outageSimulation.ts
@@ -4,9 +4,7 @@
  */
 import { defaultStep } from "../../harness/defaultStep.js";
 import type { SeededRandom } from "../../harness/random.js";
-import { Err } from "../../src/common/results.js";
 import { createManualTimerService } from "../../src/common/timerService.js";
-import type { ChangeFeedStore } from "../../src/connection/platformStore.js";
 import type { ListOrder, ListResponse, OrderResponse, WorkerClient } from "../../src/connection/workerClient.js";
 import { commandOutcomes } from "../../src/scheduling/commandOutcomes.js";
 import { encodeSubmission, jobKeys } from "../../src/scheduling/jobDocuments.js";
@@ -14,6 +12,7 @@
 import { formatTaskName } from "../../src/scheduling/workerRecord.js";
 import { entryOf, modelPolicy } from "../scheduling/modelJob.js";
 import { createModelWorker, type ModelWorker } from "../scheduling/modelWorker.js";
+import { interruptStore } from "./interruptedStore.js";
 import { type SimulatedProcess, startSimulatedProcess } from "./simulatedProcess.js";
 import { createSimulatedStore } from "./simulatedStore.js";
 
@@ -45,7 +44,6 @@
 const jobIds = ["job0", "job1"];
 const tasksPerJob = 3;
 const commandTimeoutMs = 500;
-const storeTimeoutMs = 1_200;
 /** A worker's entry is removed this long after its last sign of life. */
 const entryLifetimeMs = 2_000;
 const lostAnswerPercent = 30;
@@ -129,26 +127,6 @@
         close: () => undefined,
     });
 
-    /** The store as the node reaches it. */
-    const connectStore = (nodeName: string): ChangeFeedStore => {
-        const reached = store.connect(() => false);
-        const guard =
-            <Arguments extends unknown[], Outcome>(call: (...args: Arguments) => Promise<Outcome>) =>
-            async (...args: Arguments): Promise<Outcome> => {
-                if (isCut(nodeName)) {
-                    await wait(storeTimeoutMs);
-                    return Err({ call: "call", reason: "cut off", isKnownNotApplied: true }) as Outcome;
-                }
-                return call(...args);
-            };
-        return {
-            ...reached,
-            swap: guard(reached.swap),
-            grantLease: guard(reached.grantLease),
-            keepLeaseAlive: guard(reached.keepLeaseAlive),
-            revokeLease: guard(reached.revokeLease),
-        };
-    };
     const startProcess = (nodeName: string): void => {
         processes.push(startSimulatedProcess({
             nodeName,
@@ -156,7 +134,7 @@
             timers,
             random,
             store,
-            processStore: connectStore(nodeName),
+            processStore: interruptStore(store.connect(() => false), timers, () => isCut(nodeName)),
             policy: modelPolicy,
             workerEntries: workers.filter(worker => !unregistered.has(worker)).map(entryOf),
             workerLeaseMs,
--- a/tests/process/simulatedProcess.ts
+++ b/tests/process/simulatedProcess.ts
@@ -4,7 +4,7 @@
 import type { ChangeFeedStore, StoreChange } from "../../src/connection/platformStore.js";
 import type { ConnectWorker } from "../../src/connection/workerClient.js";
 import { createDemandTracker } from "../../src/process/demandTracker.js";
-import { createSilentLogger } from "../../src/process/logger.js";
+import { createSilentLogger, type Logger } from "../../src/process/logger.js";
 import { createSchedulingOwnership, type OwnershipTerm, type SchedulingOwnership } from "../../src/process/schedulingOwnership.js";
 import { createSchedulingService, type SchedulingService } from "../../src/process/schedulingService.js";
 import type { StoreMirror } from "../../src/process/storeMirror.js";
@@ -35,6 +35,7 @@
     workerEntries: readonly WorkerEntry[];
     connectWorker: ConnectWorker;
     workerLeaseMs: number;
+    logger?: Logger;
     onUnreadable(key: string, reason: string): void;
     onTermStarted(term: OwnershipTerm): void;
 }
@@ -43,7 +44,7 @@
     const { nodeName, timers, random, store, processStore } = options;
     const lifetime = new AbortController();
     const { signal } = lifetime;
-    const logger = createSilentLogger();
+    const logger = options.logger ?? createSilentLogger();
     const directory = createJobDirectory({ onUnreadable: options.onUnreadable });
     const mirrored = new Map<string, { value: string; revision: number; receivedAtMs: number }>();
     let mirroredRevision = 0;
