--- a/tests/process/lapseSimulation.ts
+++ b/tests/process/lapseSimulation.ts
@@ -30,6 +30,8 @@
     returnsAsOther?: boolean;
     /** For how long such a worker is away. */
     crashedDurationMs?: number;
+    /** This many starts of the first task do not reach their worker, which is cut off just before. */
+    lostStartsCount?: number;
 }
 
 export interface LapseSimulation {
@@ -55,6 +57,8 @@
     killOwner(returnsAfterMs: number): void;
     /** All calls to the store fail, and it delivers no changes. */
     cutStore(durationMs: number): void;
+    /** The workers that were cut off before a start reached them. */
+    lostStarts: ModelWorker[];
     /** What the scheduler decided about crashes, one line each. */
     decisions: string[];
     violations: string[];
@@ -86,6 +90,7 @@
     const store = createSimulatedStore(timers, random, false);
     const decisions: string[] = [];
     const violations: string[] = [];
+    const lostStarts: ModelWorker[] = [];
     const processes: SimulatedProcess[] = [];
     const silent = new Set<ModelWorker>();
     const unregistered = new Set<ModelWorker>();
@@ -180,7 +185,13 @@
         };
         return {
             ...client,
-            start: order => reach(() => client.start(order), commandTimeoutMs, noResponse),
+            start: order => {
+                if (order.taskName === taskNameOf(0) && lostStarts.length < (options.lostStartsCount ?? 0)) {
+                    lostStarts.push(worker);
+                    cut(worker);
+                }
+                return reach(() => client.start(order), commandTimeoutMs, noResponse);
+            },
             stop: order => reach(() => client.stop(order), commandTimeoutMs, noResponse),
             list: order => reach(() => client.list(order), order.waitMs + commandTimeoutMs, noListing),
         };
@@ -281,6 +292,7 @@
             storeCutUntilMs = timers.nowMs() + durationMs;
         },
         decisions,
+        lostStarts,
         close: () => processes.forEach(({ lifetime }) => lifetime.abort()),
     };
 }
--- a/tests/process/lapsedRuns.spec.ts
+++ b/tests/process/lapsedRuns.spec.ts
@@ -14,9 +14,15 @@
 const taskDurationMs = 20_000;
 /** Times from a cut to the end of the owner: it has not noticed the cut, has noticed it, or will soon give the run up. */
 const ownerKillDelaysMs = [200, 1_500, 4_000];
+const noticedAfterMs = 1_500;
 const processReturnMs = 1_000;
 const storeOutageMs = 8_000;
-const entryLifetimesMs = [undefined, 2_000];
+/** A lease that a worker takes for ended has ended for the scheduler too after this time. */
+const leaseSlackMs = 1_000;
+/** A worker's entry stays for this long without a sign of life; it is removed after three heartbeats. */
+const entryLifetimesMs = [undefined, 4_500];
+/** Shorter than a crashed worker is away. */
+const shortEntryLifetimeMs = 2_000;
 /** Crashes after which a task must be given up, and the starts that owners that end meanwhile may add. */
 const maxCrashes = 3;
 const maxStartsOverOwners = 6;
@@ -67,6 +73,30 @@
     }
 }
 
+/** Cuts off the worker of the first task, ends the owner that has noticed it, and restarts the worker while no process is the owner. */
+async function lapseBetweenOwners(simulation: LapseSimulation): Promise<void> {
+    for (let round = 0; round < roundsCount && await waitForWork(simulation); round++) {
+        const worker = simulation.workerOf(0)!;
+        simulation.cut(worker);
+        await simulation.run(noticedAfterMs);
+        simulation.killOwner(processReturnMs);
+        simulation.cutStore(storeOutageMs);
+        await simulation.runUntil("the run lapses", () => worker.running.size === 0);
+        await simulation.run(leaseSlackMs);
+        simulation.restart(worker);
+    }
+}
+
+/** Each worker that is to start the first task is cut off before the start reaches it, and restarts when the next one is. */
+async function restartByTurns(simulation: LapseSimulation): Promise<void> {
+    const { lostStarts } = simulation;
+    for (let round = 1; round < roundsCount && !isFinal(simulation); round++) {
+        await simulation.runUntil("the next start is lost", () => lostStarts.length > round || isFinal(simulation));
+        simulation.restart(lostStarts[round - 1]!);
+    }
+    await waitForWork(simulation);
+}
+
 async function checkRunning(simulation: LapseSimulation): Promise<void> {
     await simulation.run(settleMs);
     simulation.close();
@@ -139,6 +169,20 @@
             });
         }
 
+        // Guards against a stored snapshot that the next owner counts although the worker restarted after its leases had ended.
+        it("should leave a long-running job running when the workers restart before the next owner begins", async () => {
+            const simulation = await startJob({ taskDurationMs: undefined, entryLifetimeMs });
+            await lapseBetweenOwners(simulation);
+            await checkRunning(simulation);
+        });
+
+        // Guards against starts that never reached their worker and are counted when it restarts.
+        it("should leave a long-running job running when the workers are cut off before the start", async () => {
+            const simulation = await startJob({ taskDurationMs: undefined, entryLifetimeMs, lostStartsCount: roundsCount });
+            await restartByTurns(simulation);
+            await checkRunning(simulation);
+        });
+
         // Guards against counting workers that never ended.
         it("should leave a long-running job running when the workers come back in their old life", async () => {
             const simulation = await startJob({ taskDurationMs: undefined, entryLifetimeMs });
@@ -170,7 +214,7 @@
 
         // Guards against crashes that no longer count because lapsed runs do not.
         it(`should be given up after three crashes of workers that come back ${kind}`, async () => {
-            for (const entryLifetimeMs of entryLifetimesMs) {
+            for (const entryLifetimeMs of [undefined, shortEntryLifetimeMs]) {
                 const simulation = await startJob({ taskDurationMs: undefined, entryLifetimeMs, isDeadly: true, returnsAsOther });
                 await checkGivenUp(simulation, maxCrashes, `entries removed after ${entryLifetimeMs} ms`);
             }
