Let workers restart in the case of the store's outage

Change: the workers restart once the next owner's runs have been at work for longer than a run may be suspected.

--- a/tests/process/lapsedRuns.spec.ts
+++ b/tests/process/lapsedRuns.spec.ts
@@ -16,6 +16,7 @@
 const ownerKillDelaysMs = [200, 1_500, 4_000];
 const noticedAfterMs = 1_500;
 const processReturnMs = 1_000;
+const unsuspectedAgeMs = 2_500;
 const storeOutageMs = 8_000;
 /** A lease that a worker takes for ended has ended for the scheduler too after this time. */
 const leaseSlackMs = 1_000;
@@ -113,7 +114,10 @@
     assert.equal(simulation.jobState(), "completed", describeDecisions(simulation));
 }
 
-/** Ends the owner and cuts off the store until all leases have ended, four times; workers with nothing at work then restart by turns. */
+/**
+ * Ends the owner and cuts off the store until all leases have ended, four times. The workers whose runs lapsed restart by turns: while
+ * they have nothing at work, or after the new owner's runs have been at work for longer than a run may be suspected.
+ */
 async function lapseWithStore(simulation: LapseSimulation, restartsBeforeTerm: boolean): Promise<void> {
     for (let round = 0; round < roundsCount && await waitForWork(simulation); round++) {
         const holders = Array.from({ length: tasksCount }, (_, taskIndex) => simulation.workerOf(taskIndex)!);
@@ -122,11 +126,10 @@
         await simulation.runUntil("the runs lapse", () => simulation.atWorkCount() === 0);
         if (!restartsBeforeTerm) {
             await simulation.runUntil("the tasks run again", () => areAllAtWork(simulation) || isFinal(simulation));
+            await simulation.run(unsuspectedAgeMs);
         }
         for (const worker of holders) {
-            if (worker.running.size === 0) {
-                simulation.restart(worker);
-            }
+            simulation.restart(worker);
             await simulation.run(cutAfterStartMs);
         }
     }
@@ -193,8 +196,8 @@
 }
 
 describe("runs that lapse on workers that nobody owns while the store is away", () => {
-    // Guards against restarts of idle workers that count against what ran there before the outage.
-    it("should leave a long-running job running when the workers restart once the tasks run elsewhere", async () => {
+    // Guards against restarts that count against runs that lapsed there before the new owner's runs.
+    it("should leave a long-running job running when the workers restart after the next owner's runs have lasted", async () => {
         const simulation = await startJob({ taskDurationMs: undefined });
         await lapseWithStore(simulation, false);
         await checkRunning(simulation);
