Forget losses without proof once a worker has survived the task

Callers: a job that runs for months would be given up in the end: losses without proof were never forgotten, and five of them are enough. Change: when a worker lists a run that has been at work for two seconds since its start, the task's losses without proof are dropped. A task that crashes its workers does so at once, and proven crashes stay.

--- a/src/scheduling/reconcileListing.ts
+++ b/src/scheduling/reconcileListing.ts
@@ -16,7 +16,7 @@
     stopRun,
 } from "./schedulerState.js";
 import { parseTaskName } from "./taskNames.js";
-import { recordCrash } from "./workerCrashes.js";
+import { clearUnprovenCrashes, recordCrash } from "./workerCrashes.js";
 import { beginIncarnation } from "./workerEnds.js";
 import { createRun, type Run, runKey, type RunNeeds, runPhases, type WorkerRecord } from "./workerRecord.js";
 
@@ -277,6 +277,7 @@
     worker.lastResponseAtMs = moment.nowMs;
     worker.lastContactAtMs = moment.nowMs;
     worker.unexplainedRuns = [];
+    clearUnprovenCrashes(state, worker, moment.nowMs);
     worker.fencedSinceMs ??= moment.nowMs;
     worker.hasRespondedToProvenOwner ||= state.isOwnershipProven;
     if (worker.unsavedEnds.length === 0 && listing.hasMoreEnds) {
--- a/src/scheduling/workerCrashes.ts
+++ b/src/scheduling/workerCrashes.ts
@@ -2,10 +2,10 @@
  * Workers that crash under the runs of a task. A task that crashes each worker that starts it would go through the whole pool,
  * so its job is given up after some crashes. Which of the runs on a worker made it crash is unknown: all young ones are suspected.
  */
-import { isGivenUp, type Suspicion, suspicions } from "./crashCounts.js";
+import { isGivenUp, type Suspicion, suspicionOf, suspicions } from "./crashCounts.js";
 import { ageAtLastContactMs, type CrashSuspect, createSuspect, describeSuspect } from "./crashSuspect.js";
 import type { TaskProgress } from "./jobDocuments.js";
-import { attemptsProgress, crashCountsOf, isFinalState } from "./jobRecord.js";
+import { attemptsProgress, countCrashes, crashCountsOf, isFinalState } from "./jobRecord.js";
 import { jobStates } from "./jobTypes.js";
 import type { Moment } from "./reconcileListing.js";
 import { endJob, findStep, markChanged, type SchedulerState } from "./schedulerState.js";
@@ -69,6 +69,23 @@
     }
 }
 
+/**
+ * Forgets the losses without proof of tasks that the worker, which has just listed its runs, has survived: such a task does not crash
+ * each worker that starts it. They would add up over the life of a long-running job otherwise.
+ */
+export function clearUnprovenCrashes(state: SchedulerState, worker: WorkerRecord, nowMs: number): void {
+    for (const run of [...worker.suspectRuns].filter(each => each.isStartConfirmed && nowMs - each.startedAtMs >= maxSuspectAgeMs)) {
+        const job = state.jobs.get(run.jobId);
+        const step = findStep(state, run);
+        if (job && step && !step.done.has(run.taskIndex) && countCrashes(step, run.taskIndex).possibleCount > 0) {
+            const progress = attemptsProgress(step, run.taskIndex);
+            progress.crashedRunIds = [...progress.provenCrashRunIds ?? []];
+            run.suspicion = suspicionOf(crashCountsOf(progress));
+            markChanged(state, job);
+        }
+    }
+}
+
 function isSuspect(worker: WorkerRecord, run: Run): boolean {
     return run.phase === runPhases.planned || ageAtLastContactMs(worker, run) < maxSuspectAgeMs;
 }
--- a/tests/scheduling/unprovenCrashes.spec.ts
+++ b/tests/scheduling/unprovenCrashes.spec.ts
@@ -178,6 +178,22 @@
     });
 
     // Guards against counting a run whose end was heard.
+    it("should not add them up with those before a run that its worker has survived", () => {
+        const harness = createPool();
+        harness.submit("job", { taskCount: 1, isLongRunning: true });
+        const lose: Loss = (_, workerId) => {
+            letLeasesEnd(harness, workerId);
+            harness.restartWorker(workerId);
+        };
+        loseRuns(harness, lose);
+        harness.answerStarts(commandOutcomes.accepted);
+        harness.advance(2_000);
+        harness.list(lastWorkerId(harness), { running: ["job.0.0.0"] });
+        listAll(harness);
+        assert.equal(countedCrashes(harness), 0);
+        loseRuns(harness, lose, lossesCount - 1);
+    });
+
     it("should not be suspected if its worker registers again in the same life, after its leases and its entry had ended", () => {
         const harness = createPool();
         harness.submit("job", { taskCount: 1, isLongRunning: true });
