Count a restart as begun only once the platform has said so

Cause: what became of such an order was inferred from what is no evidence of it. Another worker on the VM counted as the end of its restart, also when the former worker had crashed by itself; and 3 s without a sign of the restart counted as proof that the order would not be carried out.

Change: the platform restarts a VM once a wave, and answers a repeated order with 200 if that has been done. So an order without an answer is repeated after 2 s, and the VM counts as down until an answer says that the restart has begun and the list, requested after that, shows the VM up again. Busy as the answer to a repetition says nothing of the earlier order. While an order is open, the VM gets no tasks, also on a worker that follows a crash, and no order for another wave, whose restart would have counted for both.

Open: a next owner does not know of an order of an earlier one that got no answer. It may be carried out until the next owner has sent an order with its token for that VM.

--- a/src/process/vmInventory.ts
+++ b/src/process/vmInventory.ts
@@ -25,6 +25,7 @@
     isDrainedForMove(vmId: string): boolean;
     /** Records whether a restart of the VM, which ends everything on it, was requested and has not completed or failed. */
     setRestartPending(vmId: string, isPending: boolean): void;
+    isRestartPending(vmId: string): boolean;
 }
 
 export interface VmInventoryOptions {
@@ -118,5 +119,6 @@
                 worker.isVmStopping = isPending;
             }
         },
+        isRestartPending: vmId => pendingRestarts.has(vmId),
     };
 }
--- a/src/process/waveRunner.ts
+++ b/src/process/waveRunner.ts
@@ -51,19 +51,23 @@
 type WaveProgress = z.infer<typeof waveProgressSchema>;
 
 interface PendingRestart {
-    /** Worker that the VM list named when the restart was requested; another one shows that the VM is back. */
+    /** Worker that the restart ends, by the VM list; once the restart is accepted, another one shows that the VM is back. */
     workerId: string | undefined;
-    /** What is known of that worker, which the restart ends; `undefined` if the scheduler does not know it. */
+    /** The worker that the latest order ends; `undefined` if the scheduler does not know it. */
     worker: WorkerIncarnation | undefined;
+    /** Whether the list has shown the VM down for a restart since it was requested. */
+    isSeenRestarting: boolean;
+    /** When the latest order was sent. */
     requestedAtMs: number;
-    isAccepted: boolean;
+    /** When the platform said that the restart has begun; until then, an order without an answer may still be carried out. */
+    acceptedAtMs: number | undefined;
 }
 
 /** Key prefix under which the progress of waves is stored. */
 export const waveProgressPrefix = `${jobKeys.prefix}wave/`;
 
-/** A requested restart that the VM list does not show within this time was not executed. */
-const restartVisibleWithinMs = 3_000;
+/** Time after which an order without an answer is repeated: the platform restarts a VM once a wave, and the repetition's answer shows that. */
+const restartRepeatMs = 2_000;
 /** Time beyond the restart duration after which a VM is up again, unless the platform is slow. */
 const restartSlackMs = 300;
 /** Duration of a move, after which the VM takes tasks that end within a second or two. */
@@ -116,32 +120,38 @@
         }
     };
 
+    const endPendingRestart = (vmId: string, isRestarted: boolean): void => {
+        pendingRestarts.delete(vmId);
+        inventory.setRestartPending(vmId, false);
+        inventory.uncordon(vmId);
+        const leftCount = request.vmIds.length - progress.restartedVmIds.length;
+        logger.log(logEvents.waveChanged, { wave, vmId, isRestarted, leftCount });
+    };
+
     /** Updates the wave from the listed state of a VM whose restart was requested. */
     const updatePendingRestart = (vmId: string, pending: PendingRestart): void => {
         const vm = inventory.find(vmId);
-        const sinceRequestMs = inventory.listedAtMs() - pending.requestedAtMs;
-        if (sinceRequestMs < 0) {
+        if (inventory.listedAtMs() < pending.requestedAtMs) {
             return;
         }
-        const isUp = vm?.state === vmStates.up;
-        const hasOtherWorker = isUp && vm.workerId !== undefined && vm.workerId !== pending.workerId;
-        // A VM of a standby pool has no worker whose id would change, so the elapsed time decides.
-        const isBack = hasOtherWorker || (isUp && pending.isAccepted && sinceRequestMs > options.restartMs + restartSlackMs);
-        const isNotExecuted = isUp && !isBack && sinceRequestMs > restartVisibleWithinMs;
-        if (vm && (isBack || vm.state === vmStates.restarting) && !progress.restartedVmIds.includes(vmId)) {
-            progress.restartedVmIds.push(vmId);
-        }
+        pending.isSeenRestarting ||= vm?.state === vmStates.restarting;
+        const listedWorkerId = vm?.state === vmStates.up ? vm.workerId : undefined;
+        const isOther = (workerId: string | undefined): boolean => listedWorkerId !== undefined && listedWorkerId !== workerId;
         // A VM that is down, or cannot be read, may not have been restarted yet.
-        if ((hasOtherWorker || vm?.state === vmStates.restarting) && pending.worker) {
+        if (pending.worker && (vm?.state === vmStates.restarting || isOther(pending.worker.workerId))) {
             endIncarnation(state, pending.worker, "its VM is restarting", { nowMs: timers.nowMs(), wallMs: timers.wallClockMs() });
         }
-        if (!vm || isBack || isNotExecuted) {
-            pendingRestarts.delete(vmId);
-            inventory.setRestartPending(vmId, false);
-            inventory.uncordon(vmId);
-            const leftCount = request.vmIds.length - progress.restartedVmIds.length;
-            logger.log(logEvents.waveChanged, { wave, vmId, isRestarted: isBack, leftCount });
+        const sinceAcceptedMs = inventory.listedAtMs() - (pending.acceptedAtMs ?? Number.POSITIVE_INFINITY);
+        // A VM of a standby pool has no worker whose id would change, so the elapsed time decides.
+        const isBack = vm?.state === vmStates.up && sinceAcceptedMs >= 0 &&
+            (isOther(pending.workerId) || sinceAcceptedMs > options.restartMs + restartSlackMs);
+        if (!vm || isBack) {
+            endPendingRestart(vmId, isBack);
+            return;
         }
+        // A worker that crashes by itself is followed by another one too, which the order still ends.
+        inventory.cordon(vmId);
+        inventory.setRestartPending(vmId, true);
     };
 
     /** Fraction of each pool's CPU capacity that is in use. */
@@ -162,7 +172,8 @@
         const worker = inventory.workerOn(vmId);
         return {
             vmId,
-            canRestart: vm?.state === vmStates.up && !options.isMoving(vmId) && !inventory.mayRunUnknownTasks(vm),
+            canRestart: vm?.state === vmStates.up && !options.isMoving(vmId) && !inventory.isRestartPending(vmId) &&
+                !inventory.mayRunUnknownTasks(vm),
             cordonedSinceMs: inventory.cordonedSinceMs(vmId),
             shortRunCount: worker ? [...worker.runs.values()].filter(run => !run.isServing).length : 0,
             longRunningCountByStep: worker ? disruptionLimitedTasksByStep(state, worker) : new Map(),
@@ -170,20 +181,21 @@
         };
     };
 
+    /** Requests the restart of a VM, or repeats the request. */
     const restart = async (vmId: string): Promise<void> => {
         const token = options.orderToken();
         const vm = inventory.find(vmId);
         if (token === undefined || !vm) {
             return;
         }
-        inventory.cordon(vmId);
-        const pending: PendingRestart = {
-            workerId: vm.workerId,
-            worker: inventory.workerOn(vmId)?.entry,
-            requestedAtMs: timers.nowMs(),
-            isAccepted: false,
-        };
+        const earlier = pendingRestarts.get(vmId);
+        const worker = inventory.workerOn(vmId)?.entry ?? earlier?.worker;
+        const isSeenRestarting = earlier?.isSeenRestarting ?? false;
+        // Another worker that came without a listed restart has followed a crash.
+        const workerId = isSeenRestarting ? earlier?.workerId : vm.workerId ?? earlier?.workerId;
+        const pending: PendingRestart = { workerId, worker, isSeenRestarting, requestedAtMs: timers.nowMs(), acceptedAtMs: undefined };
         pendingRestarts.set(vmId, pending);
+        inventory.cordon(vmId);
         inventory.setRestartPending(vmId, true);
         const outcome = await options.vmService.restart(vmId, wave, {
             name: options.nodeName,
@@ -191,14 +203,19 @@
             mayStillSend: () => options.orderToken() === token,
         });
         logger.log(logEvents.vmOrderAnswered, { vmId, what: `restart for wave ${wave}`, outcome, token });
-        pending.isAccepted = outcome === vmOrderOutcomes.accepted;
-        if (!pending.isAccepted && outcome !== vmOrderOutcomes.unknown) {
-            pendingRestarts.delete(vmId);
-            inventory.setRestartPending(vmId, false);
-            inventory.uncordon(vmId);
+        if (outcome === vmOrderOutcomes.accepted) {
+            pending.acceptedAtMs = timers.nowMs();
+            progress.restartedVmIds.push(vmId);
+        }
+        // That a repetition finds the VM busy says nothing of the earlier order.
+        else if (outcome !== vmOrderOutcomes.unknown && !(earlier && outcome === vmOrderOutcomes.busy)) {
+            endPendingRestart(vmId, false);
         }
     };
 
+    const needsRepetition = (pending: PendingRestart): boolean =>
+        pending.acceptedAtMs === undefined && timers.nowMs() - pending.requestedAtMs >= restartRepeatMs;
+
     /** Stops one task of the step on the VM; the scheduler then starts it on another VM. */
     const evacuateOne = (vmId: string, step: string): void => {
         const worker = inventory.workerOn(vmId);
@@ -240,9 +257,11 @@
             });
             plan.cordon.forEach(vmId => inventory.cordon(vmId));
             plan.evacuate.forEach(({ vmId, step }) => evacuateOne(vmId, step));
-            await Promise.all(plan.restart.map(restart));
+            const repeated = [...pendingRestarts].filter(([, pending]) => needsRepetition(pending)).map(([vmId]) => vmId);
+            const ordered = [...repeated, ...plan.restart];
+            await Promise.all(ordered.map(restart));
             const mayAct = (): boolean => options.orderToken() !== undefined;
-            if (plan.restart.length > 0 && mayAct() && await inventory.refresh() && mayAct()) {
+            if (ordered.length > 0 && mayAct() && await inventory.refresh() && mayAct()) {
                 [...pendingRestarts].forEach(([vmId, pending]) => updatePendingRestart(vmId, pending));
             }
             await save();
