Take a VM for removed only when lists have lacked it for 5 s

What callers saw: nothing yet; found while looking for other places where an absence counts as an end. One VM list that lacks a wave's VMs, because it is empty, incomplete or has an entry without a readable id, ended the wave: it was reported as completed (MIXED), and none of its VMs was restarted any more. A VM whose restart had begun no longer counted as down, so that the next one was restarted beside it (LIMIT).

Cause: a VM that a single list lacked counted as taken away.

Change: it counts as taken away when all lists requested over 5 s have lacked it. Until then it remains in the wave, and counts as down if its restart was ordered. What an earlier owner stored as completed stays so, which the next owner could no longer tell at once from its first list.

The fixture of process/unansweredRestarts moved to a file of its own; its tests are unchanged.

What remains an absence: a VM whose entry in the list has no readable id for 5 s counts as taken away. The platform's refusal of an order for the VM would prove it, but sending one would restart a VM of which no tasks are known.

--- a/src/process/waveRunner.ts
+++ b/src/process/waveRunner.ts
@@ -68,6 +68,8 @@
 
 /** Time after which an order without an answer is repeated: the platform restarts a VM once a wave, and the repetition's answer shows that. */
 const restartRepeatMs = 2_000;
+/** A VM that all lists have lacked for this long has been taken away; a single list without it says nothing. */
+const removedAfterMs = 5_000;
 /** Time beyond the restart duration after which a VM is up again, unless the platform is slow. */
 const restartSlackMs = 300;
 /** Duration of a move, after which the VM takes tasks that end within a second or two. */
@@ -92,6 +94,8 @@
     };
     const progress = readProgress();
     const pendingRestarts = new Map<string, PendingRestart>();
+    /** When the first of the lists was requested that have lacked the VM since. */
+    const missingSinceMs = new Map<string, number>();
     let savedProgress = options.storedProgress ?? "";
     let savedStatus = "";
 
@@ -120,6 +124,17 @@
         }
     };
 
+    const updateMissing = (vmId: string): void => {
+        if (inventory.find(vmId)) {
+            missingSinceMs.delete(vmId);
+        }
+        else {
+            missingSinceMs.set(vmId, missingSinceMs.get(vmId) ?? inventory.listedAtMs());
+        }
+    };
+    const isRemoved = (vmId: string): boolean =>
+        inventory.listedAtMs() - (missingSinceMs.get(vmId) ?? Number.POSITIVE_INFINITY) >= removedAfterMs;
+
     const endPendingRestart = (vmId: string, isRestarted: boolean): void => {
         pendingRestarts.delete(vmId);
         inventory.setRestartPending(vmId, false);
@@ -145,7 +160,7 @@
         // A VM of a standby pool has no worker whose id would change, so the elapsed time decides.
         const isBack = vm?.state === vmStates.up && sinceAcceptedMs >= 0 &&
             (isOther(pending.workerId) || sinceAcceptedMs > options.restartMs + restartSlackMs);
-        if (!vm || isBack) {
+        if (isBack || isRemoved(vmId)) {
             endPendingRestart(vmId, isBack);
             return;
         }
@@ -235,14 +250,15 @@
             timeLeftMs: timeLeftMs(),
         });
 
-    const isRemaining = (vmId: string): boolean => !progress.restartedVmIds.includes(vmId) && inventory.find(vmId) !== undefined;
+    const isRemaining = (vmId: string): boolean => !progress.restartedVmIds.includes(vmId) && !isRemoved(vmId);
 
     return {
         isFinished: () => progress.isCompleted && savedStatus !== "",
         isWaitingFor: vmId => request.vmIds.includes(vmId) && !progress.restartedVmIds.includes(vmId) && isShortOfTime(),
         advance: async () => {
+            request.vmIds.forEach(updateMissing);
             [...pendingRestarts].forEach(([vmId, pending]) => updatePendingRestart(vmId, pending));
-            const remaining = request.vmIds.filter(isRemaining);
+            const remaining = progress.isCompleted ? [] : request.vmIds.filter(isRemaining);
             progress.isCompleted = remaining.length === 0 && pendingRestarts.size === 0;
             const isDown = (vmId: string): boolean => pendingRestarts.has(vmId) || inventory.find(vmId)?.state === vmStates.restarting;
             const poolLoads = measurePoolLoads();
--- a/tests/process/unansweredRestarts.spec.ts
+++ b/tests/process/unansweredRestarts.spec.ts
@@ -4,80 +4,13 @@
  */
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { Ok } from "../../src/common/results.js";
-import type { TimerService } from "../../src/common/timerService.js";
-import type { ChangeFeedStore, StoreWrite } from "../../src/connection/platformStore.js";
-import { type VmOrderOutcome, vmOrderOutcomes, type VmRecord, type VmService, vmStates } from "../../src/connection/vmService.js";
-import { createSilentLogger } from "../../src/process/logger.js";
-import { createVmInventory } from "../../src/process/vmInventory.js";
-import { createWaveRunner, type WaveRunner } from "../../src/process/waveRunner.js";
-import { createSchedulerHarness } from "../scheduling/schedulerHarness.js";
-import { describeVm } from "./describeVm.js";
-
-const restartMs = 2_000;
-
-/** A pool of `vmCount` VMs, each with an idle worker; the platform answers the orders as the test says, at first not at all. */
-async function createFixture(vmCount: number) {
-    const harness = createSchedulerHarness({ workers: vmCount });
-    const vms = Array.from({ length: vmCount }, (_, index) => describeVm({ vmId: `vm${index + 1}`, workerId: `w${index + 1}` }));
-    vms.forEach(({ workerId }) => harness.list(workerId!, { sentAtMs: 0 }));
-    const orders: string[] = [];
-    const statuses = new Map<string, string>();
-    const platform: { outcome: VmOrderOutcome; listed: VmRecord[] } = { outcome: vmOrderOutcomes.unknown, listed: vms };
-    const vmService: VmService = {
-        list: () => Promise.resolve(Ok(platform.listed.map(vm => ({ ...vm })))),
-        move: () => Promise.reject(new Error("unexpected move")),
-        restart: (vmId, waveNumber) => {
-            orders.push(`${vmId} for ${waveNumber}`);
-            return Promise.resolve(platform.outcome);
-        },
-    };
-    const timers = { nowMs: harness.nowMs, wallClockMs: harness.nowMs } as TimerService;
-    const logger = createSilentLogger();
-    const inventory = createVmInventory({ scheduler: harness.scheduler, vmService, timers, logger });
-    await inventory.refresh();
-    const store = {
-        swap: (_: unknown, writes: StoreWrite[]) => {
-            writes.forEach(({ key, value }) => void statuses.set(key, value ?? ""));
-            return Promise.resolve(Ok({ isSwapped: true, revision: 20, current: [] }));
-        },
-    } as unknown as ChangeFeedStore;
-    const createWave = (waveNumber: number, vmIds: string[]): WaveRunner =>
-        createWaveRunner({
-            request: { waveNumber, vmIds, withinMs: 60_000, maximumDown: 1 },
-            storedProgress: undefined,
-            inventory,
-            vmService,
-            nodeName: "node",
-            store,
-            orderToken: () => 10,
-            timers,
-            logger,
-            restartMs,
-            isMoving: () => false,
-            statusKey: `status/${waveNumber}`,
-            encodeStatus: isCompleted => isCompleted ? "completed" : "running",
-        });
-    const passFor = async (durationMs: number, ...waves: WaveRunner[]): Promise<void> => {
-        for (let passedMs = 0; passedMs < durationMs; passedMs += 100) {
-            harness.advance(100);
-            await inventory.refresh();
-            for (const wave of waves) {
-                await wave.advance();
-            }
-        }
-    };
-    /** Shows the VM in this state, up with this worker, from the next list on. */
-    const show = (vmId: string, changes: Partial<VmRecord>): void => {
-        platform.listed = platform.listed.map(vm => vm.vmId === vmId ? { ...vm, ...changes } : vm);
-    };
-    return { createWave, harness, orders, passFor, platform, show, status: (wave: number) => statuses.get(`status/${wave}`) };
-}
+import { vmOrderOutcomes, vmStates } from "../../src/connection/vmService.js";
+import { createWaveFixture, restartMs } from "./waveFixture.js";
 
 describe("a restart without an answer", () => {
     // MIXED: a wave is reported as completed before the restart of a VM has begun.
     it("should not count as carried out because the VM's worker has crashed", async () => {
-        const { createWave, orders, passFor, platform, show, status } = await createFixture(1);
+        const { createWave, orders, passFor, platform, show, status } = await createWaveFixture(1);
         const wave = createWave(1, ["vm1"]);
         await passFor(100, wave);
         assert.deepEqual(orders, ["vm1 for 1"]);
@@ -96,7 +29,7 @@
 
     // LIMIT: the restart is carried out late, while another VM of the wave is down.
     it("should count as down until the platform has said that it has begun and the VM is up again", async () => {
-        const { createWave, harness, orders, passFor, platform, show } = await createFixture(2);
+        const { createWave, harness, orders, passFor, platform, show } = await createWaveFixture(2);
         const run = { taskName: "gone.0.0.0", runId: 15_000_001 };
         harness.list("w2", { sentAtMs: 0, running: [run] });
         const wave = createWave(1, ["vm1", "vm2"]);
@@ -121,7 +54,7 @@
 
     // MIXED: the restart for one wave counts for the other, whose own order the platform refuses while the VM is down.
     it("should keep the VM from another wave, whose restart would count for it", async () => {
-        const { createWave, orders, passFor, platform, show, status } = await createFixture(1);
+        const { createWave, orders, passFor, platform, show, status } = await createWaveFixture(1);
         const first = createWave(1, ["vm1"]);
         const second = createWave(2, ["vm1"]);
         await passFor(1_000, first, second);
@@ -137,7 +70,7 @@
 
     // AVAIL: a task that starts on the worker after a crash is ended by the order that is still under way.
     it("should keep new tasks from a worker that follows a crash on the VM", async () => {
-        const { createWave, harness, passFor, show } = await createFixture(1);
+        const { createWave, harness, passFor, show } = await createWaveFixture(1);
         const wave = createWave(1, ["vm1"]);
         await passFor(100, wave);
         const { scheduler } = harness;
