--- a/tests/platform/workerHttpClient.spec.ts
+++ b/tests/platform/workerHttpClient.spec.ts
@@ -102,4 +102,16 @@
         assert.deepEqual(listed.val.map(({ vmId, state }) => [vmId, state]), [["vm1", vmStates.up], ["vm2", vmStates.down]]);
         assert.deepEqual(places, ["machines[1]", "machines[2]"]);
     });
+
+    // Guards against a wave that ends since its VMs are missing from a response that is no list.
+    it("should not take a response without VMs for an empty list", async () => {
+        const client = createVmServiceClient(server.address, assert.fail);
+        for (const body of ["{}", '{"machines":null}', '{"machines":{}}']) {
+            server.respond = socket => socket.write(jsonResponse(body));
+            const listed = await client.list();
+            assert.equal(listed.ok, false, body);
+        }
+        server.respond = socket => socket.write(jsonResponse(JSON.stringify({ machines: [] })));
+        assert.deepEqual((await client.list()).val, []);
+    });
 });
