Keep the worker of a VM that is listed without one

What callers saw: nothing yet; found while looking for other places where an absence counts as an end. A wave restarted a VM at once, whatever ran there: a task of a step that had none to spare was ended (AVAIL), and short tasks were not waited for.

Cause: a VM that is up and listed without a worker counted as empty. The list names the worker, and an entry that lacks it says nothing of what runs.

Change: while the list names no worker on a VM that is up, the one that it named last counts, until the scheduler knows that it has ended: its VM was listed as moving or restarting, or its entry is gone and its leases have ended. Before any was listed in a term, a VM outside standby may run tasks of an earlier owner as long as leases of that owner may last.

Evidence: on the code before, all three tests of process/unlistedWorkers fail (1, 1 and 3 orders instead of none); they pass now.

--- a/src/process/vmInventory.ts
+++ b/src/process/vmInventory.ts
@@ -1,6 +1,6 @@
 /** The owner's view of the VMs: the platform's list, the worker on each VM, and the cordoned VMs, which get no new work. */
 import type { TimerService } from "../common/timerService.js";
-import type { VmRecord, VmService } from "../connection/vmService.js";
+import { type VmRecord, type VmService, vmStates } from "../connection/vmService.js";
 import type { Scheduler } from "../scheduling/scheduler.js";
 import type { WorkerRecord } from "../scheduling/workerRecord.js";
 import { logEvents } from "./logEvents.js";
@@ -14,6 +14,7 @@
     listedAtMs(): number;
     /** Reads the list again; `false` if that failed. */
     refresh(): Promise<boolean>;
+    /** The worker on the VM; while the list names none on a VM that is up, the one that it named last and that has not ended. */
     workerOn(vmId: string): WorkerRecord | undefined;
     /** Whether the VM may run tasks unknown to the current owner, because its worker has not been listed or is not registered. */
     mayRunUnknownTasks(vm: VmRecord): boolean;
@@ -41,14 +42,29 @@
     const cordons = new Map<string, number>();
     let drainedForMove = new Set<string>();
     const pendingRestarts = new Set<string>();
+    /** The worker last listed on each VM since it was last down for a move or a restart. */
+    const lastWorkerIds = new Map<string, string>();
     let vms = new Map<string, VmRecord>();
     let listedAtMs = Number.NEGATIVE_INFINITY;
     let isAvailable = true;
 
     const workerOn = (vmId: string): WorkerRecord | undefined => {
-        const workerId = vms.get(vmId)?.workerId;
-        return workerId === undefined ? undefined : scheduler.state.workers.get(workerId);
+        const vm = vms.get(vmId);
+        if (vm?.workerId !== undefined) {
+            return scheduler.state.workers.get(vm.workerId);
+        }
+        const last = vm?.state === vmStates.up ? scheduler.state.workers.get(lastWorkerIds.get(vmId) ?? "") : undefined;
+        return last?.hasEnded ? undefined : last;
+    };
+    const updateLastWorkerId = ({ vmId, state, workerId }: VmRecord): void => {
+        if (workerId !== undefined) {
+            lastWorkerIds.set(vmId, workerId);
+        }
+        else if (state === vmStates.moving || state === vmStates.restarting) {
+            lastWorkerIds.delete(vmId);
+        }
     };
+    const isInStandby = ({ poolName }: VmRecord): boolean => scheduler.state.policy.pools.get(poolName)?.isStandby ?? false;
     const getsNoWork = (vmId: string): boolean => cordons.has(vmId) || drainedForMove.has(vmId);
     const applyCordon = (vmId: string): void => {
         const worker = workerOn(vmId);
@@ -69,10 +85,10 @@
         scheduler,
         workerOn,
         mayRunUnknownTasks: vm => {
-            if (vm.workerId === undefined) {
+            const worker = workerOn(vm.vmId);
+            if (!worker && vm.workerId === undefined && isInStandby(vm)) {
                 return false;
             }
-            const worker = workerOn(vm.vmId);
             return worker ? !worker.isRunStateKnown : timers.nowMs() < scheduler.state.term.unknownWorkersUntilMs;
         },
         find: vmId => vms.get(vmId),
@@ -92,6 +108,7 @@
             }
             vms = new Map(listed.val.map(vm => [vm.vmId, vm]));
             listedAtMs = requestedAtMs;
+            vms.forEach(updateLastWorkerId);
             vms.forEach((_, vmId) => applyEnded(vmId));
             return true;
         },
