Count what a team may run on workers that a new owner has not listed

What callers saw: after a hand-over a team had twice its limit running (QUOTA): the next owner started the team's waiting tasks before it had the listing of the worker on which the team's other tasks ran.

Cause: a worker that had not been listed yet counted as one without runs of the team. Only jobs that may have runs there were held back, not other jobs of the same team.

Change: while a job is held back, its tasks that are ready and have no known run count against its team's limit, up to the capacity of the workers in question. Once these are listed, or the leases of earlier owners have ended, only known runs count.

Ruled out: holding back all tasks of a limited team until every worker has been listed, which would let one unreachable worker stop teams that have nothing there.

--- a/src/scheduling/dispatchWaitingTasks.ts
+++ b/src/scheduling/dispatchWaitingTasks.ts
@@ -7,6 +7,7 @@
 import { isServing, type QueuePolicy, reservedResources, type Resources } from "./jobTypes.js";
 import { cancelStaleStarts, isFencedByNewerOwner, isHeldBack, sendPersistedStarts } from "./plannedStarts.js";
 import { type Candidate, createPoolCandidates, hasRoom, maxUnansweredStarts, type PoolCandidates } from "./poolCandidates.js";
+import { updatePossibleTeamUsage } from "./possibleTeamUsage.js";
 import type { Moment } from "./reconcileListing.js";
 import { runNeeds } from "./runNeeds.js";
 import { attachRun, detachRun, nextRunId, type SchedulerState } from "./schedulerState.js";
@@ -271,6 +272,7 @@
 
 /** Plans starts for the waiting tasks that fit now, and sends those that need no write to the store first. */
 export function dispatchWaitingTasks(state: SchedulerState, moment: Moment): void {
+    updatePossibleTeamUsage(state, moment);
     cancelStaleStarts(state, worker => isSchedulable(state, worker, moment.nowMs));
     for (const { candidates, waiting } of collectWaiting(state, moment)) {
         for (const each of orderSteps(waiting, moment.wallMs)) {
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -73,6 +73,7 @@
         workers: new Map(),
         departedWorkerIds: new Set(),
         teamUsed: new Map(),
+        possibleTeamUsage: new Map(),
         teamShareBuckets: new Map(),
         startLeaseMs: maxLeaseMs(startValidityMs),
         taskStopMs: options.taskStopMs,
--- a/src/scheduling/schedulerState.ts
+++ b/src/scheduling/schedulerState.ts
@@ -86,6 +86,8 @@
     /** Workers whose records were removed: nothing that an earlier owner started runs there any more. */
     departedWorkerIds: Set<string>;
     teamUsed: Map<string, Resources>;
+    /** What each team may be using on workers that have not been listed in this term. */
+    possibleTeamUsage: Map<string, Resources>;
     /** Token bucket of each team, by which its submissions are within its share or not. */
     teamShareBuckets: Map<string, ShareTokenBucket>;
     /** How long, on this process's clock, a start may still be executed and hold a lease of its own. */
--- a/src/scheduling/teamUsage.ts
+++ b/src/scheduling/teamUsage.ts
@@ -1,5 +1,5 @@
 /** The resources that each team's runs have requested, against the team's limit. */
-import { noResources, type Resources } from "./jobTypes.js";
+import { addResources, noResources, type Resources } from "./jobTypes.js";
 import type { SchedulerState } from "./schedulerState.js";
 
 /** What the team is using; the runs' resources are added to it in place. */
@@ -9,13 +9,14 @@
     return known;
 }
 
-/** Whether the team's limit allows `more` on top of what it is using. */
+/** Whether the team's limit allows `more` on top of what it is or may be using. */
 export function isWithinTeamLimit(state: SchedulerState, teamName: string | undefined, more: Resources): boolean {
     const limit = teamName === undefined ? undefined : state.policy.teams.get(teamName)?.limit;
     if (!limit) {
         return true;
     }
-    const used = teamUsage(state, teamName);
+    const used = { ...teamUsage(state, teamName) };
+    addResources(used, state.possibleTeamUsage.get(teamName ?? "") ?? noResources, 1);
     return (limit.cpuMillicores === 0 || used.cpuMillicores + more.cpuMillicores <= limit.cpuMillicores) &&
         (limit.memoryMb === 0 || used.memoryMb + more.memoryMb <= limit.memoryMb) &&
         (limit.accelerators === 0 || used.accelerators + more.accelerators <= limit.accelerators);
