Take no worker for empty by the clocks after a takeover

Callers: a task may run twice (TWICE) after a takeover, if the clock of a worker is ahead. Cause: a worker whose start lay after the takeover, by its own clock against that of the owner, counted as holding nothing of an earlier owner before it was listed. Evidence: takeoverClocks 'should hold back the jobs of which it may run tasks …' failed before; its worker started 2 s before, by a clock that is 5 s ahead. Change: the comparison is gone, and with it the start of the term. A worker gets no start before its first listing anyway, which shows what it holds.

--- a/bench/jobSize.ts
+++ b/bench/jobSize.ts
@@ -31,7 +31,7 @@
 function createIdleOwner(): Scheduler {
     const scheduler = createScheduler({
         policy,
-        term: { token: 1, startedWallMs: 0, unknownWorkersUntilMs: 0 },
+        term: { token: 1, unknownWorkersUntilMs: 0 },
         workerLeaseMs: 6_000,
         taskStopMs: 900,
         onDecision: () => undefined,
--- a/bench/schedulingPass.ts
+++ b/bench/schedulingPass.ts
@@ -81,7 +81,7 @@
 const moment = (): Moment => ({ nowMs: time.nowMs(), wallMs: time.nowMs() });
 const scheduler = createScheduler({
     policy: load.policy,
-    term: { token: 1, startedWallMs: 0, unknownWorkersUntilMs: 0 },
+    term: { token: 1, unknownWorkersUntilMs: 0 },
     workerLeaseMs,
     taskStopMs: 900,
     onDecision: decision => parts.measure("log", () => logger.log(logEvents.schedulingDecided, { ...decision })),
--- a/src/process/schedulingService.ts
+++ b/src/process/schedulingService.ts
@@ -223,7 +223,7 @@
         const scheduler = createScheduler({
             policy,
             retained: policies.retained(),
-            term: { token, startedWallMs: now.wallMs, unknownWorkersUntilMs },
+            term: { token, unknownWorkersUntilMs },
             workerLeaseMs,
             taskStopMs: options.taskStopMs,
             onDecision: decision => {
--- a/src/scheduling/leases.ts
+++ b/src/scheduling/leases.ts
@@ -3,7 +3,7 @@
 /** Fraction by which a worker's clock may run slower than this process's clock; its leases then end later. */
 const maxClockDriftRatio = 0.02;
 /** Upper bound on the time between estimating a worker's clock and sending the command that uses the estimate. */
-export const clockEstimateSlackMs = 200;
+const clockEstimateSlackMs = 200;
 /** Upper bound of the clock difference and delivery delay by which a lease of an earlier owner may outlast its nominal duration. */
 const formerLeaseSlackMs = 400;
 /**
--- a/src/scheduling/schedulerState.ts
+++ b/src/scheduling/schedulerState.ts
@@ -54,7 +54,6 @@
 export interface Term {
     /** Fencing token of every command; higher than that of any earlier owner. */
     token: number;
-    startedWallMs: number;
     /**
      * Until then, workers that have not responded in this term may still run tasks of an earlier owner, so jobs that may run on such a
      * worker start nothing.
--- a/src/scheduling/workerLifecycle.ts
+++ b/src/scheduling/workerLifecycle.ts
@@ -1,5 +1,4 @@
 /** Adds, drains and removes workers, and bounds how long their runs may keep their leases. */
-import { clockEstimateSlackMs } from "./leases.js";
 import { forgetWorker } from "./plannedStarts.js";
 import type { Moment } from "./reconcileListing.js";
 import { commandKinds, type SchedulerState, stopRun } from "./schedulerState.js";
@@ -11,8 +10,6 @@
 /** Adds a worker that may hold runs of an earlier owner until it has responded or their leases have ended. */
 export function addWorker(state: SchedulerState, entry: WorkerEntry, moment: Moment): WorkerRecord {
     const worker = createWorkerRecord(entry, state.term.unknownWorkersUntilMs);
-    // An incarnation that began during this term cannot hold runs of an earlier owner.
-    worker.isRunStateKnown = entry.bornWallMs > state.term.startedWallMs + clockEstimateSlackMs;
     state.workers.set(entry.workerId, worker);
     state.onDecision({ what: "worker joined", workerId: entry.workerId, detail: `${entry.poolName} ${entry.rack} ${entry.address}` });
     explainDeparture(state, entry, moment);
--- a/tests/process/fleetSimulation.ts
+++ b/tests/process/fleetSimulation.ts
@@ -69,7 +69,7 @@
         periods.some(each => time.nowMs() >= each.fromMs && time.nowMs() < each.untilMs);
     const scheduler = createScheduler({
         policy: load.policy,
-        term: { token: 1, startedWallMs: 0, unknownWorkersUntilMs: 0 },
+        term: { token: 1, unknownWorkersUntilMs: 0 },
         workerLeaseMs,
         taskStopMs: 900,
         onDecision: decision => {
--- a/tests/process/oddDocuments.spec.ts
+++ b/tests/process/oddDocuments.spec.ts
@@ -97,7 +97,7 @@
                 const unreadable = new Set<string>();
                 const scheduler = createScheduler({
                     policy: modelPolicy,
-                    term: { token: 1, startedWallMs: nowWallMs, unknownWorkersUntilMs: 0 },
+                    term: { token: 1, unknownWorkersUntilMs: 0 },
                     workerLeaseMs: 1,
                     taskStopMs: 1,
                     onDecision: () => undefined,
--- a/tests/scheduling/schedulerHarness.ts
+++ b/tests/scheduling/schedulerHarness.ts
@@ -87,7 +87,7 @@
     const now = (): Moment => ({ nowMs, wallMs: nowMs });
     const scheduler = createScheduler({
         policy,
-        term: { token, startedWallMs: 0, unknownWorkersUntilMs: 10_000 },
+        term: { token, unknownWorkersUntilMs: 10_000 },
         workerLeaseMs,
         taskStopMs,
         onDecision: options.onDecision ?? (() => undefined),
--- a/tests/scheduling/schedulingModel.ts
+++ b/tests/scheduling/schedulingModel.ts
@@ -114,7 +114,7 @@
         store.highestTerm = token;
         const scheduler = createScheduler({
             policy: modelPolicy,
-            term: { token, startedWallMs: nowMs, unknownWorkersUntilMs: nowMs + unknownForMs },
+            term: { token, unknownWorkersUntilMs: nowMs + unknownForMs },
             workerLeaseMs,
             taskStopMs: tickMs,
             onDecision: () => undefined,
