--- a/src/scheduling/crashCounts.ts
+++ b/src/scheduling/crashCounts.ts
@@ -14,7 +14,7 @@
 
 /** A task is given up after this many crashes, if enough of them are proven. */
 const maxCrashes = 3;
-/** Two workers do not end under the same young task by chance; a third crash need not be proven. */
+/** With two proven crashes, the third need not be proven. */
 const minProvenCrashes = 2;
 /** A task that crashes workers may be started twice more after it has crashed three; without proof, all of that is used. */
 const maxPossibleCrashes = 5;
@@ -28,7 +28,7 @@
     none: "none",
     /** Workers have ended under the task. */
     suspected: "suspected",
-    /** The next crash gives up the task, if it and an earlier one are proven. */
+    /** The next crash may give up the task. */
     nextCrashMayBeLast: "nextCrashMayBeLast",
 } as const;
 export type Suspicion = (typeof suspicions)[keyof typeof suspicions];
--- a/src/scheduling/crashSuspect.ts
+++ b/src/scheduling/crashSuspect.ts
@@ -24,11 +24,11 @@
 }
 
 /**
- * By when the worker has ended, if it is seen to have ended now. A worker whose connections were ended and refused, and which has a
- * successor before its leases may have ended, had ended when they were; a cut alone would have let it go on.
+ * By when the worker had ended, if it is seen to have ended now. If a successor is there while its leases may still last, it had ended
+ * when its connections did.
  */
-function endedByMs({ succeededAtMs, disconnectedAtMs, leaseEndsAtMs }: WorkerRecord, nowMs: number): number {
-    const seenAtMs = Math.min(nowMs, succeededAtMs ?? nowMs);
+function endedByMs({ addressTakenAtMs, disconnectedAtMs, leaseEndsAtMs }: WorkerRecord, nowMs: number): number {
+    const seenAtMs = Math.min(nowMs, addressTakenAtMs ?? nowMs);
     return seenAtMs <= leaseEndsAtMs ? Math.min(seenAtMs, disconnectedAtMs ?? seenAtMs) : seenAtMs;
 }
 
--- a/src/scheduling/reconcileListing.ts
+++ b/src/scheduling/reconcileListing.ts
@@ -273,7 +273,7 @@
     }
     worker.unresponsiveSinceMs = undefined;
     worker.disconnectedAtMs = undefined;
-    worker.succeededAtMs = undefined;
+    worker.addressTakenAtMs = undefined;
     worker.lastResponseAtMs = moment.nowMs;
     worker.lastContactAtMs = moment.nowMs;
     worker.unexplainedRuns = [];
--- a/src/scheduling/workerEnds.ts
+++ b/src/scheduling/workerEnds.ts
@@ -47,11 +47,12 @@
     worker.entry = { ...worker.entry, bornWallMs };
     worker.lastContactAtMs = undefined;
     worker.disconnectedAtMs = undefined;
-    worker.succeededAtMs = undefined;
+    worker.addressTakenAtMs = undefined;
     worker.leaseHeldUntilMs = Number.NEGATIVE_INFINITY;
     worker.unexplainedRuns = [];
     worker.hasRespondedToProvenOwner = false;
     worker.hasEnded = false;
+    worker.hasLeft = false;
     worker.lastEndNumber = 0;
     worker.unsavedEnds = [];
     worker.failedJobIds.clear();
--- a/src/scheduling/workerLifecycle.ts
+++ b/src/scheduling/workerLifecycle.ts
@@ -15,7 +15,7 @@
     explainDeparture(state, entry, moment);
     for (const other of state.workers.values()) {
         if (other !== worker && other.entry.address === entry.address) {
-            other.succeededAtMs ??= moment.nowMs;
+            other.addressTakenAtMs ??= moment.nowMs;
         }
     }
     return worker;
@@ -86,7 +86,7 @@
                 state.commands.push({ kind: commandKinds.removeSnapshot, workerId: worker.entry.workerId });
             }
             state.workers.delete(worker.entry.workerId);
-            if (worker.succeededAtMs === undefined) {
+            if (worker.addressTakenAtMs === undefined) {
                 keepUnexplainedRuns(state, worker);
             }
             else {
--- a/src/scheduling/workerRecord.ts
+++ b/src/scheduling/workerRecord.ts
@@ -115,8 +115,8 @@
     lastResponseAtMs: number | undefined;
     /** When the address of the worker first refused or ended a connection since it last responded. */
     disconnectedAtMs: number | undefined;
-    /** When another worker registered at the address, which one that goes on keeps. */
-    succeededAtMs: number | undefined;
+    /** When another worker registered at the address; a worker that goes on keeps its address. */
+    addressTakenAtMs: number | undefined;
     /** When this incarnation last listed its runs or accepted a command. */
     lastContactAtMs: number | undefined;
     /** Runs that were lost with their leases while the worker did not respond; it may have crashed under them. */
@@ -166,7 +166,7 @@
         unsavedEnds: [],
         lastResponseAtMs: undefined,
         disconnectedAtMs: undefined,
-        succeededAtMs: undefined,
+        addressTakenAtMs: undefined,
         lastContactAtMs: undefined,
         unexplainedRuns: [],
         fencedSinceMs: undefined,
