Prove no crash by a start without a response, nor under a run that may have been stopped

Cause: a start without a response counted as held for its own validity, though it may never have arrived; and a stop without a response did not count as one that may have been carried out. Change: only a run that the worker has accepted or listed, and that nobody has stopped, can prove a crash.

--- a/src/scheduling/crashSuspect.ts
+++ b/src/scheduling/crashSuspect.ts
@@ -1,5 +1,4 @@
 /** Runs under which their worker may have crashed, and what shows whether they were at work when it ended. */
-import { minLeaseMs, startValidityMs } from "./leases.js";
 import { type Run, runPhases, type WorkerIncarnation, type WorkerRecord } from "./workerRecord.js";
 
 /** A run of a worker that has ended or lost its leases, and what was known of the worker then. */
@@ -32,10 +31,9 @@
     return seenAtMs <= leaseEndsAtMs ? Math.min(seenAtMs, disconnectedAtMs ?? seenAtMs) : seenAtMs;
 }
 
-/** Whether the worker holds the run until its lease ends, unless the run ends by itself. */
+/** Whether the worker certainly had the run until its lease ended, unless the run ended by itself. */
 function isAtWork(worker: WorkerRecord, run: Run): boolean {
-    const isStopAccepted = run.phase === runPhases.stopping && run.respondedAtMs !== undefined;
-    return !run.isPresumed && !isStopAccepted && !worker.hasLeft;
+    return run.isStartAccepted && !run.isPresumed && run.phase !== runPhases.stopping && !worker.hasLeft;
 }
 
 /**
@@ -43,12 +41,11 @@
  * ends with its lease on a worker that is cut off. Only an end within the lease shows that.
  */
 export function createSuspect(worker: WorkerRecord, run: Run, nowMs: number): CrashSuspect {
-    // A start without a response may not have reached the worker, so that no other lease than its own counts.
-    const leaseHeldUntilMs = run.isStartAccepted ? worker.leaseHeldUntilMs : run.startedAtMs + minLeaseMs(startValidityMs);
+    const { lastContactAtMs, leaseHeldUntilMs } = worker;
     return {
         run,
         ageMs: ageAtLastContactMs(worker, run),
-        lastContactAtMs: worker.lastContactAtMs,
+        lastContactAtMs,
         leaseHeldUntilMs,
         isProven: isAtWork(worker, run) && endedByMs(worker, nowMs) <= leaseHeldUntilMs,
     };
@@ -56,7 +53,8 @@
 
 /** Describes the suspect for the log. */
 export function describeSuspect({ run, ageMs, lastContactAtMs, leaseHeldUntilMs }: CrashSuspect, nowMs: number): string {
+    const held = Number.isFinite(leaseHeldUntilMs) ? `certainly held for another ${Math.round(leaseHeldUntilMs - nowMs)} ms` : "not confirmed";
     const contact = lastContactAtMs === undefined ? "none" : `${Math.round(nowMs - lastContactAtMs)} ms ago`;
     return `phase ${run.phase}, age at last contact ${Math.round(ageMs)} ms, last contact ${contact}, ` +
-        `lease certainly held for another ${Math.round(leaseHeldUntilMs - nowMs)} ms`;
+        `lease ${held}`;
 }
