Do not suspect a run that an earlier owner stored, once it is found at work

Evidence: crashEvidence failed before in both cases 'of whatever age'; one such crash failed a job that had run for long. Change: its age is unknown, as that of any other adopted run.

--- a/src/scheduling/reconcileListing.ts
+++ b/src/scheduling/reconcileListing.ts
@@ -251,6 +251,9 @@
         run.isStartConfirmed = true;
         run.isStartAccepted = true;
         run.suspectOfRestart = undefined;
+        if (run.isPresumed) {
+            run.startedAtMs = Number.NEGATIVE_INFINITY;
+        }
         run.isPresumed = false;
         run.percent = listed.percent;
         run.measured = listed.measured;
