Take only a later worker at an address for a successor

Cause: any entry at the address of a worker dated its end, also that of an earlier worker. Evidence: crashEvidence 'should not be proven by the entry of an earlier worker …' failed before.

--- a/src/scheduling/workerLifecycle.ts
+++ b/src/scheduling/workerLifecycle.ts
@@ -14,7 +14,7 @@
     state.onDecision({ what: "worker joined", workerId: entry.workerId, detail: `${entry.poolName} ${entry.rack} ${entry.address}` });
     explainDeparture(state, entry, moment);
     for (const other of state.workers.values()) {
-        if (other !== worker && other.entry.address === entry.address) {
+        if (other !== worker && other.entry.address === entry.address && entry.bornWallMs > other.entry.bornWallMs) {
             other.addressTakenAtMs ??= moment.nowMs;
         }
     }
