Take a worker for gone only while its address refuses each connection

Cause: one connection that ended, before a cut, dated the end of a worker although all later calls got no response at all. Evidence: crashEvidence 'should not be proven by connections that ended, if later calls get no response' failed before.

--- a/src/scheduling/unresponsiveWorkers.ts
+++ b/src/scheduling/unresponsiveWorkers.ts
@@ -65,9 +65,8 @@
         const detail = `${worker.runs.size} runs`;
         state.onDecision({ what: "worker unresponsive", workerId: worker.entry.workerId, reason, detail });
     }
-    if (isDisconnected) {
-        worker.disconnectedAtMs ??= nowMs;
-    }
+    // Calls without any response show that the worker may be cut off rather than gone.
+    worker.disconnectedAtMs = isDisconnected ? worker.disconnectedAtMs ?? nowMs : undefined;
     markUnresponsive(worker, nowMs);
 }
 
--- a/src/scheduling/workerRecord.ts
+++ b/src/scheduling/workerRecord.ts
@@ -113,7 +113,7 @@
     lastEndNumber: number;
     unsavedEnds: UnsavedEnd[];
     lastResponseAtMs: number | undefined;
-    /** When the address of the worker first refused or ended a connection since it last responded. */
+    /** When the address of the worker first refused or ended a connection; all calls since then have ended so. */
     disconnectedAtMs: number | undefined;
     /** When another worker registered at the address; a worker that goes on keeps its address. */
     addressTakenAtMs: number | undefined;
