Count a lease as held no longer than its worker grants it

Cause: the time until which a lease is held was estimated from when the request was sent, with the worker's clock as it was when an earlier response was read. Read late, that clock is behind, and the lease ended before the estimate: 'held until 6250, granted until 6000'. Evidence: confirmedLeases failed before for responses that were read 450 and 1,500 ms late. Change: the response that confirms the extension gives the worker's clock, so that what is left of the lease then is known.

--- a/src/process/workerSession.ts
+++ b/src/process/workerSession.ts
@@ -123,7 +123,9 @@
                 waitMs,
             });
             wasLastListAccepted = answer.outcome === commandOutcomes.accepted;
-            handleListResponse(answer, token, sentAtMs, clockMs === undefined ? undefined : options.leaseMs);
+            // By the worker's clock in the response, which was written after `sentAtMs`, however late it is read.
+            const extendedByMs = clockMs === undefined || answer.clockMs === undefined ? undefined : clockMs + options.leaseMs - answer.clockMs;
+            handleListResponse(answer, token, sentAtMs, extendedByMs);
             isListFailing = false;
             return answer.outcome;
         }
