Let a start without a response prove a crash only while it is valid

Change: such a start counts again, if the successor is seen while the start is valid; connections that ended do not date it. A stop that follows it counts as carried out once it is accepted. One case of crashEvidence stays red, listed: a silent worker that is replaced within 2.3 s of a start that never arrived.

--- a/src/process/workerSession.ts
+++ b/src/process/workerSession.ts
@@ -124,7 +124,9 @@
             });
             wasLastListAccepted = answer.outcome === commandOutcomes.accepted;
             // By the worker's clock in the response, which was written after `sentAtMs`, however late it is read.
-            const extendedByMs = clockMs === undefined || answer.clockMs === undefined ? undefined : clockMs + options.leaseMs - answer.clockMs;
+            const extendedByMs = clockMs === undefined || answer.clockMs === undefined ?
+                undefined :
+                clockMs + options.leaseMs - answer.clockMs;
             handleListResponse(answer, token, sentAtMs, extendedByMs);
             isListFailing = false;
             return answer.outcome;
--- a/src/scheduling/crashSuspect.ts
+++ b/src/scheduling/crashSuspect.ts
@@ -1,4 +1,5 @@
 /** Runs under which their worker may have crashed, and what shows whether they were at work when it ended. */
+import { minLeaseMs, startValidityMs } from "./leases.js";
 import { type Run, runPhases, type WorkerIncarnation, type WorkerRecord } from "./workerRecord.js";
 
 /** A run of a worker that has ended or lost its leases, and what was known of the worker then. */
@@ -33,7 +34,9 @@
 
 /** Whether the worker certainly had the run until its lease ended, unless the run ended by itself. */
 function isAtWork(worker: WorkerRecord, run: Run): boolean {
-    return run.isStartAccepted && !run.isPresumed && run.phase !== runPhases.stopping && !worker.hasLeft;
+    // A start without a response is always followed by a stop, which the worker carries out only if it goes on.
+    const mayBeStopped = run.phase === runPhases.stopping && (run.isStartAccepted || run.respondedAtMs !== undefined);
+    return !run.isPresumed && !mayBeStopped && !worker.hasLeft;
 }
 
 /**
@@ -41,19 +44,24 @@
  * ends with its lease on a worker that is cut off. Only an end within the lease shows that.
  */
 export function createSuspect(worker: WorkerRecord, run: Run, nowMs: number): CrashSuspect {
-    const { lastContactAtMs, leaseHeldUntilMs } = worker;
+    const { lastContactAtMs } = worker;
+    // A start without a response may not have reached the worker, so only an end that is seen while the start is valid counts.
+    const leaseHeldUntilMs = run.isStartAccepted ? worker.leaseHeldUntilMs : run.startedAtMs + minLeaseMs(startValidityMs);
+    const endedAtMs = run.isStartAccepted ? endedByMs(worker, nowMs) : nowMs;
     return {
         run,
         ageMs: ageAtLastContactMs(worker, run),
         lastContactAtMs,
         leaseHeldUntilMs,
-        isProven: isAtWork(worker, run) && endedByMs(worker, nowMs) <= leaseHeldUntilMs,
+        isProven: isAtWork(worker, run) && endedAtMs <= leaseHeldUntilMs,
     };
 }
 
 /** Describes the suspect for the log. */
 export function describeSuspect({ run, ageMs, lastContactAtMs, leaseHeldUntilMs }: CrashSuspect, nowMs: number): string {
-    const held = Number.isFinite(leaseHeldUntilMs) ? `certainly held for another ${Math.round(leaseHeldUntilMs - nowMs)} ms` : "not confirmed";
+    const held = Number.isFinite(leaseHeldUntilMs) ?
+        `certainly held for another ${Math.round(leaseHeldUntilMs - nowMs)} ms` :
+        "not confirmed";
     const contact = lastContactAtMs === undefined ? "none" : `${Math.round(nowMs - lastContactAtMs)} ms ago`;
     return `phase ${run.phase}, age at last contact ${Math.round(ageMs)} ms, last contact ${contact}, ` +
         `lease ${held}`;
