Add a first version of the fault soak

Change: stand-ins with leases and lives, callers that keep their connections, faults drawn from a seed, checks of what callers and workers saw. The store stand-in moves to harness/, wakes its watches on changes and can expire leases.

--- /dev/null
+++ b/harness/soak.ts
@@ -0,0 +1,197 @@
+/** A fault soak: processes of the platform build between stand-ins and callers, disturbed and checked as its seed says. */
+import { type LeasedWorker, startLeasedWorker } from "./leasedWorker.js";
+import { createPlatformProcesses, platformBounds } from "./platformProcesses.js";
+import { createSeededRandom } from "./random.js";
+import { startSoakCallers } from "./soakCallers.js";
+import { createSoakOperator, maxAttempts } from "./soakConfigurations.js";
+import { drawFaults, playFaults } from "./soakFaults.js";
+import { createSoakJobs } from "./soakJobs.js";
+import { startStoreStandIn } from "./storeStandIn.js";
+import { waitUntil } from "./waitUntil.js";
+
+export interface SoakOptions {
+    seed: number;
+    processesCount: number;
+    /** Time in which faults begin. */
+    faultsMs: number;
+    /** First two bytes of the loopback addresses; runs at the same time need different ones. */
+    addressPrefix: string;
+}
+
+export interface SoakResult {
+    /** One line for each broken rule. */
+    violations: string[];
+    /** Counts for the report. */
+    summary: Record<string, unknown>;
+    /** What happened, in order, one line each. */
+    events: string[];
+    /** Output of the processes. */
+    processLogs: Map<string, readonly string[]>;
+}
+
+const zones = ["az-1", "az-2", "az-3"];
+const workersCount = 9;
+const workerCapacity = { cpu: 16_000, memMb: 65_536, gpu: 0 };
+const workerPort = 8090;
+/** PROTOCOL.md: an entry is removed after three heartbeat intervals of silence. */
+const entryLifetimeMs = 4_500;
+const minCallersCount = 16;
+const maxCallersCount = 100;
+/** A slower event loop makes the store and the workers slow too. */
+const maxLoopDelayMs = 250;
+const loopCheckMs = 50;
+const calmTrafficMs = 4_500;
+const minClockRate = 0.98;
+const pollMs = 100;
+const sleep = (durationMs: number): Promise<void> => new Promise(resolve => setTimeout(resolve, durationMs));
+
+export async function runSoak(options: SoakOptions): Promise<SoakResult> {
+    const lifetime = new AbortController();
+    const random = createSeededRandom(options.seed);
+    const startedAtMs = performance.now();
+    const events: string[] = [];
+    const violations: string[] = [];
+    const record = (what: string, fields: object): void =>
+        void events.push(`${((performance.now() - startedAtMs) / 1_000).toFixed(3)} ${what} ${JSON.stringify(fields)}`);
+    const onViolation = (rule: string, fields: object): void => {
+        record(`VIOLATION ${rule}`, fields);
+        violations.push(events.at(-1)!);
+    };
+
+    const store = await startStoreStandIn({ expiresLeases: true });
+    let storeFaultsCount = 0;
+    let storeDisturbedAtMs = startedAtMs;
+    const storeLastDisturbedAtMs = (): number => storeFaultsCount > 0 ? Number.POSITIVE_INFINITY : storeDisturbedAtMs;
+    const disturbStore = (): () => void => {
+        storeFaultsCount += 1;
+        return () => {
+            storeFaultsCount -= 1;
+            storeDisturbedAtMs = performance.now();
+        };
+    };
+    let loopDelaysCount = 0;
+    let expectedAtMs = performance.now() + loopCheckMs;
+    const loopCheck = setInterval(() => {
+        const delayMs = performance.now() - expectedAtMs;
+        if (delayMs > maxLoopDelayMs) {
+            loopDelaysCount += 1;
+            storeDisturbedAtMs = performance.now();
+            record("the soak itself was late", { delayMs: Math.round(delayMs) });
+        }
+        expectedAtMs = performance.now() + loopCheckMs;
+    }, loopCheckMs);
+
+    const operator = createSoakOperator(store, random, record);
+    const processes = createPlatformProcesses(
+        { count: options.processesCount, addressPrefix: `${options.addressPrefix}.0`, zones, storeAddress: store.address, onViolation },
+        lifetime.signal,
+    );
+    const isCalmSince = (sinceMs: number): boolean =>
+        storeLastDisturbedAtMs() < sinceMs && processes.every(process => process.disturbedAtMs() < sinceMs && process.isRunning());
+    const jobs = createSoakJobs({ maxAttempts, workerCpu: workerCapacity.cpu, isCalmSince, record, onViolation });
+
+    const entryWrittenAtMs = new Map<string, number>();
+    const isStoreDown = (): boolean => store.faults.isSilent || store.faults.errorStatus !== undefined;
+    const writeEntry = (workerId: string, entry: object): void => {
+        if (!isStoreDown()) {
+            entryWrittenAtMs.set(workerId, performance.now());
+            store.putItem({ key: `servers/${workerId}`, value: Buffer.from(JSON.stringify(entry)).toString("base64") });
+        }
+    };
+    const entryCheck = setInterval(() => {
+        const silentIds = [...entryWrittenAtMs].filter(([, atMs]) => atMs + entryLifetimeMs < performance.now()).map(([workerId]) =>
+            workerId
+        );
+        silentIds.forEach(workerId => {
+            entryWrittenAtMs.delete(workerId);
+            store.removeItem(`servers/${workerId}`);
+        });
+    }, pollMs);
+    const workers: LeasedWorker[] = [];
+    for (let index = 0; index < workersCount; index++) {
+        workers.push(
+            await startLeasedWorker({
+                name: `worker-${index + 1}`,
+                address: `${options.addressPrefix}.1.${index + 1}:${workerPort}`,
+                zone: zones[index % zones.length]!,
+                pool: operator.pools[0]!,
+                capacity: workerCapacity,
+                clockRate: minClockRate + (1 - minClockRate) * random.unit(),
+                writeEntry,
+                observer: jobs,
+            }),
+        );
+    }
+
+    try {
+        processes.forEach(process => process.start());
+        await waitUntil("all processes are ready", async () => (await Promise.all(processes.map(each => each.isReady()))).every(Boolean));
+        record("all processes are ready", {});
+        const callers = startSoakCallers({
+            count: Math.min(maxCallersCount, Math.max(minCallersCount, options.processesCount)),
+            random: createSeededRandom(random.between(1, 2 ** 30)),
+            processes,
+            operator,
+            jobs,
+            storeDisturbedAtMs: storeLastDisturbedAtMs,
+            record,
+            onViolation,
+        });
+        const faults = drawFaults({ processes, workers, store, operator, disturbStore, record }, random, options.faultsMs);
+        await playFaults(faults, record);
+        record("all faults have ended", {});
+        await sleep(calmTrafficMs);
+        await callers.end();
+        record("the traffic has ended", {});
+
+        const finishAtMs = performance.now() + platformBounds.finish_s * 1_000;
+        const isFinished = (): boolean => jobs.owedJobs().every(job => jobs.missingTasks(job).length === 0);
+        while (!isFinished() && performance.now() < finishAtMs) {
+            await sleep(pollMs);
+        }
+        jobs.owedJobs().filter(job => jobs.missingTasks(job).length > 0).forEach(job =>
+            onViolation("LOST", { job: job.jobId, missing: jobs.missingTasks(job), text: "not finished in time" })
+        );
+        record("the jobs have ended", {});
+        for (const job of jobs.owedJobs()) {
+            const expected = job.steps[0]!.longRunning ? "running" : "completed";
+            const shownUntilMs = performance.now() + platformBounds.visible_ms;
+            let state = await callers.askState(job);
+            while (state !== expected && performance.now() < shownUntilMs) {
+                await sleep(pollMs);
+                state = await callers.askState(job);
+            }
+            if (state !== expected) {
+                onViolation("LOST", { job: job.jobId, state, expected, text: "shown wrongly at the end" });
+            }
+        }
+        jobs.checkEnd();
+        await callers.close();
+        await Promise.all(processes.map(process => process.terminate()));
+        const all = [...jobs.jobs.values()];
+        return {
+            violations,
+            summary: {
+                seed: options.seed,
+                processes: options.processesCount,
+                faults: faults.length,
+                jobs: all.length,
+                accepted: all.filter(job => job.acceptedAtMs !== undefined).length,
+                owed: jobs.owedJobs().length,
+                loopDelays: loopDelaysCount,
+                durationS: Math.round((performance.now() - startedAtMs) / 1_000),
+                calls: Object.fromEntries([...callers.counts].sort()),
+            },
+            events,
+            processLogs: new Map(processes.map(process => [process.name, process.logLines])),
+        };
+    }
+    finally {
+        await Promise.all(processes.map(process => process.kill()));
+        workers.forEach(worker => worker.stop());
+        clearInterval(loopCheck);
+        clearInterval(entryCheck);
+        store.close();
+        lifetime.abort();
+    }
+}
--- /dev/null
+++ b/harness/soakFaults.ts
@@ -0,0 +1,227 @@
+/** The faults of a soak: drawn from its seed beforehand, in series that overlap. */
+import type { LeasedWorker } from "./leasedWorker.js";
+import type { PlatformProcess } from "./platformProcesses.js";
+import type { SeededRandom } from "./random.js";
+import type { SoakOperator } from "./soakConfigurations.js";
+import type { StoreStandIn } from "./storeStandIn.js";
+
+export interface SoakTargets {
+    processes: readonly PlatformProcess[];
+    workers: readonly LeasedWorker[];
+    store: StoreStandIn;
+    operator: SoakOperator;
+    /** Marks the time until the returned function is called as a disturbance of the store. */
+    disturbStore(): () => void;
+    record(what: string, fields: object): void;
+}
+
+interface Fault {
+    atMs: number;
+    kind: string;
+    /** What is disturbed, and for how long; fixed when the fault is drawn. */
+    fields: object;
+    play(): Promise<void>;
+}
+
+const faultsPerS = 0.8;
+const ownerShare = 0.35;
+const compactionPauseMs = 700;
+const configurationPauseMs = 300;
+const reloadPauseMs = 50;
+
+const sleep = (durationMs: number): Promise<void> => new Promise(resolve => setTimeout(resolve, durationMs));
+
+/** Draws the faults of `windowMs`. Each ends what it has disturbed. */
+export function drawFaults(targets: SoakTargets, random: SeededRandom, windowMs: number): Fault[] {
+    const { processes, workers, store, operator } = targets;
+
+    /** Chooses the owner of the scheduling at the time of the fault, or a process that is fixed now. */
+    const drawProcess = (): { name: string; get(): PlatformProcess } => {
+        const fixed = random.pick(processes);
+        return random.unit() < ownerShare ?
+            { name: "owner", get: () => processes.find(each => each.isRunning() && each.isOwner()) ?? fixed } :
+            { name: fixed.name, get: () => fixed };
+    };
+    const drawWorkers = (): LeasedWorker[] => {
+        const count = random.between(1, Math.max(1, Math.floor(workers.length / 3)));
+        return [...new Set(Array.from({ length: count }, () => random.pick(workers)))];
+    };
+    const endProcess = (signal: "kill" | "terminate") => () => {
+        const target = drawProcess();
+        const downMs = random.between(0, 3_000);
+        return {
+            fields: { process: target.name, downMs },
+            play: async () => {
+                const process = target.get();
+                await process[signal]();
+                await sleep(downMs);
+                process.start();
+            },
+        };
+    };
+    const disturbStore = (name: string, begin: () => void, end: () => void) => () => {
+        const durationMs = random.between(300, 6_000);
+        return {
+            fields: { fault: name, durationMs },
+            play: async () => {
+                const calm = targets.disturbStore();
+                begin();
+                await sleep(durationMs);
+                end();
+                calm();
+            },
+        };
+    };
+    const setStoreStatus = (errorStatus: number | undefined) => (): void => {
+        store.faults.errorStatus = errorStatus;
+        store.dropConnections();
+    };
+
+    const kinds: Record<string, () => { fields: object; play(): Promise<void> }> = {
+        terminate: endProcess("terminate"),
+        terminateAgain: endProcess("terminate"),
+        kill: endProcess("kill"),
+        killAll: () => {
+            const downTimesMs = processes.map(() => random.between(0, 2_000));
+            return {
+                fields: {},
+                play: async () => {
+                    await Promise.all(processes.map(async (process, index) => {
+                        await process.kill();
+                        await sleep(downTimesMs[index]!);
+                        process.start();
+                    }));
+                },
+            };
+        },
+        pause: () => {
+            const target = drawProcess();
+            const durationMs = random.between(200, 7_000);
+            return {
+                fields: { process: target.name, durationMs },
+                play: async () => {
+                    const process = target.get();
+                    process.pause();
+                    await sleep(durationMs);
+                    process.resume();
+                },
+            };
+        },
+        reload: () => {
+            const target = drawProcess();
+            const count = random.between(1, 5);
+            return {
+                fields: { process: target.name, count },
+                play: async () => {
+                    for (let index = 0; index < count; index++) {
+                        target.get().reload();
+                        await sleep(reloadPauseMs);
+                    }
+                },
+            };
+        },
+        configurations: () => {
+            const count = random.between(1, 5);
+            return {
+                fields: { count },
+                play: async () => {
+                    for (let index = 0; index < count; index++) {
+                        operator.change();
+                        await sleep(configurationPauseMs);
+                    }
+                },
+            };
+        },
+        storeUnavailable: disturbStore("unavailable", setStoreStatus(503), setStoreStatus(undefined)),
+        storeSilent: disturbStore("silent", () => store.faults.isSilent = true, () => {
+            store.faults.isSilent = false;
+            store.dropConnections();
+        }),
+        storeSlow: () => {
+            const delayMs = random.between(50, 1_500);
+            return disturbStore(
+                `late by ${delayMs} ms`,
+                () => store.faults.responseDelayMs = delayMs,
+                () => store.faults.responseDelayMs = 0,
+            )();
+        },
+        storeLosesAnswers: () => {
+            const count = random.between(3, 30);
+            const begin = (): void => void (store.faults.droppedResponsesCount = count);
+            return disturbStore(`loses ${count} answers`, begin, () => store.faults.droppedResponsesCount = 0)();
+        },
+        storeCompacts: () => {
+            const count = random.between(1, 4);
+            return {
+                fields: { count },
+                play: async () => {
+                    for (let index = 0; index < count; index++) {
+                        store.compact();
+                        await sleep(compactionPauseMs);
+                    }
+                },
+            };
+        },
+        storeWatchesInParts: disturbStore("watches in parts", () => store.faults.revisionsPerWatch = 1, () => {
+            store.faults.revisionsPerWatch = Number.POSITIVE_INFINITY;
+        }),
+        workersCrash: () => {
+            const chosen = drawWorkers();
+            const isSameId = random.unit() < 0.5;
+            const downMs = random.between(100, 6_000);
+            return {
+                fields: { workers: chosen.map(each => each.name), isSameId, downMs },
+                play: async () => {
+                    const ended = chosen.filter(each => each.isUp());
+                    ended.forEach(each => each.crash());
+                    await sleep(downMs);
+                    await Promise.all(ended.map(each => each.restart(isSameId)));
+                },
+            };
+        },
+        workersCutOff: () => {
+            const chosen = drawWorkers();
+            const durationMs = random.between(500, 11_000);
+            const crashes = random.unit() < 0.3;
+            return {
+                fields: { workers: chosen.map(each => each.name), durationMs, crashes },
+                play: async () => {
+                    chosen.forEach(each => each.cutOff());
+                    await sleep(durationMs);
+                    const ended = chosen.filter(each => crashes && each.isUp());
+                    ended.forEach(each => each.crash());
+                    await Promise.all(ended.map(each => each.restart(true)));
+                    chosen.forEach(each => each.reconnect());
+                },
+            };
+        },
+        workersLate: () => {
+            const chosen = drawWorkers();
+            const delayMs = random.between(50, 900);
+            const durationMs = random.between(500, 5_000);
+            return {
+                fields: { workers: chosen.map(each => each.name), delayMs, durationMs },
+                play: async () => {
+                    chosen.forEach(each => each.responseDelayMs = delayMs);
+                    await sleep(durationMs);
+                    chosen.forEach(each => each.responseDelayMs = 0);
+                },
+            };
+        },
+    };
+    const count = Math.max(1, Math.round(windowMs / 1_000 * faultsPerS));
+    return Array.from({ length: count }, () => {
+        const kind = random.pick(Object.keys(kinds));
+        return { atMs: random.between(0, windowMs), kind, ...kinds[kind]!() };
+    }).sort((left, right) => left.atMs - right.atMs);
+}
+
+/** Plays the faults at their times; resolves when all have ended. */
+export async function playFaults(faults: readonly Fault[], record: SoakTargets["record"]): Promise<void> {
+    await Promise.all(faults.map(async ({ atMs, kind, fields, play }) => {
+        await sleep(atMs);
+        record("fault begins", { kind, ...fields });
+        await play();
+        record("fault ends", { kind, ...fields });
+    }));
+}
--- a/tests/platform/storeStandIn.ts
+++ b/harness/storeStandIn.ts
@@ -1,8 +1,8 @@
 /** In-memory stand-in for the platform's key-value service with the same HTTP API, and faults that a test can switch on. */
 import http from "node:http";
 import type { AddressInfo } from "node:net";
-import { createJsonHttpClient } from "../../platform/jsonHttpClient.js";
-import type { CallService } from "../../src/connection/serviceCalls.js";
+import { createJsonHttpClient } from "../platform/jsonHttpClient.js";
+import type { CallService } from "../src/connection/serviceCalls.js";
 
 interface Item {
     key: string;
@@ -27,6 +27,8 @@
     failedWatchPrefix?: string;
     /** Rate at which all responses together are sent. */
     bytesPerS: number;
+    /** Time by which each response is held back. */
+    responseDelayMs: number;
 }
 
 export interface StoreStandIn {
@@ -37,15 +39,18 @@
     endLease(leaseId: number): void;
     /** Writes an item as it is, whatever the type of its value. */
     putItem(item: { key: string; value: unknown }): void;
+    removeItem(key: string): void;
+    /** Breaks all connections, without answers to the calls on them. */
+    dropConnections(): void;
     callCount(path: string): number;
     close(): void;
 }
 
-const watchPollMs = 5;
 /** Size of the pieces in which a response is sent at a limited rate. */
 const pieceBytes = 4_000;
 
-export async function startStoreStandIn(): Promise<StoreStandIn> {
+/** With `expiresLeases`, a lease ends by itself unless it is renewed. */
+export async function startStoreStandIn({ expiresLeases = false } = {}): Promise<StoreStandIn> {
     const items = new Map<string, Item>();
     const faults: StoreStandInFaults = {
         droppedResponsesCount: 0,
@@ -53,15 +58,28 @@
         itemsPerPage: 500,
         revisionsPerWatch: Number.POSITIVE_INFINITY,
         bytesPerS: Number.POSITIVE_INFINITY,
+        responseDelayMs: 0,
     };
     let linkFreeAtMs = 0;
     const calls = new Map<string, number>();
-    const leases = new Set<number>();
+    const leases = new Map<number, { ttlMs: number; timer: NodeJS.Timeout | undefined }>();
+    const waitingWatches = new Set<() => void>();
     let history: Event[] = [];
     let compactedRevision = 0;
     let revision = 1;
     let nextLeaseId = 100;
 
+    const wakeWatches = (): void => waitingWatches.forEach(wake => wake());
+    const waitForChange = (timeoutMs: number): Promise<void> =>
+        new Promise(resolve => {
+            const wake = (): void => {
+                clearTimeout(timer);
+                waitingWatches.delete(wake);
+                resolve();
+            };
+            const timer = setTimeout(wake, timeoutMs);
+            waitingWatches.add(wake);
+        });
     const remove = (key: string): void => {
         if (items.delete(key)) {
             history.push({ key, revision, tombstone: true });
@@ -83,6 +101,7 @@
             history.push(item);
         }
         (body["deletes"] as string[]).forEach(remove);
+        wakeWatches();
         return [200, { revision }];
     };
     const range = (query: URLSearchParams): [number, object] => {
@@ -108,21 +127,35 @@
             if (after < compactedRevision) {
                 return [410, {}];
             }
-            const events = history.filter(event => event.revision > after && event.key.startsWith(query.get("prefix")!));
-            if (events.length > 0 || Date.now() > endsAtMs) {
+            // The newest changes are at the end, and few watches lag far behind.
+            const firstIndex = history.findLastIndex(event => event.revision <= after) + 1;
+            const events = history.slice(firstIndex).filter(event => event.key.startsWith(query.get("prefix")!));
+            const remainingMs = endsAtMs - Date.now();
+            if (events.length > 0 || remainingMs <= 0) {
                 return [200, truncateEvents(events)];
             }
-            await new Promise(resolve => setTimeout(resolve, watchPollMs));
+            await waitForChange(remainingMs);
         }
     };
     const endLease = (leaseId: number): boolean => {
+        clearTimeout(leases.get(leaseId)?.timer);
         const isKnown = leases.delete(leaseId);
         revision += 1;
         [...items.values()].filter(item => item.leaseId === leaseId).forEach(item => remove(item.key));
+        wakeWatches();
         return isKnown;
     };
+    const renew = (leaseId: number): boolean => {
+        const lease = leases.get(leaseId);
+        if (lease && expiresLeases) {
+            clearTimeout(lease.timer);
+            lease.timer = setTimeout(() => endLease(leaseId), lease.ttlMs);
+        }
+        return lease !== undefined;
+    };
     const grant = (body: { ttlMs: number }): [number, object] => {
-        leases.add(nextLeaseId);
+        leases.set(nextLeaseId, { ttlMs: body.ttlMs, timer: undefined });
+        renew(nextLeaseId);
         return [200, { leaseId: nextLeaseId++, ttlMs: body.ttlMs }];
     };
 
@@ -143,7 +176,7 @@
             case "POST /api/kv-lease":
                 return grant(body as unknown as { ttlMs: number });
             case "POST /api/kv-keep":
-                return leases.has(leaseId) ? [200, {}] : [404, {}];
+                return renew(leaseId) ? [200, {}] : [404, {}];
             case "DELETE /api/kv-lease-end":
                 return endLease(leaseId) ? [200, {}] : [404, {}];
             default:
@@ -177,7 +210,8 @@
                 response.writeHead(faults.errorStatus).end("{}");
                 return;
             }
-            void handle(request.method!, url, text).then(([status, body]) => {
+            void handle(request.method!, url, text).then(async ([status, body]) => {
+                await (faults.responseDelayMs > 0 ? new Promise(resolve => setTimeout(resolve, faults.responseDelayMs)) : undefined);
                 if (url.pathname === "/api/kv-txn" && faults.droppedResponsesCount > 0) {
                     faults.droppedResponsesCount -= 1;
                     response.destroy();
@@ -194,11 +228,15 @@
         compact: () => {
             compactedRevision = revision;
             history = [];
+            wakeWatches();
         },
         endLease,
         putItem: ({ key, value }) => void transact({ expectedRev: [], writes: [{ key, value }], deletes: [] }),
+        removeItem: key => void transact({ expectedRev: [], writes: [], deletes: [key] }),
+        dropConnections: () => server.closeAllConnections(),
         callCount: path => calls.get(path) ?? 0,
         close: () => {
+            leases.forEach(({ timer }) => clearTimeout(timer));
             server.closeAllConnections();
             server.close();
         },
