--- a/harness/soakJobs.ts
+++ b/harness/soakJobs.ts
@@ -30,7 +30,7 @@
     owedJobs(): SoakJob[];
     add(job: SoakJob): void;
     /** Checks a state that a caller was given. */
-    onState(job: SoakJob, state: unknown, processName: string): void;
+    onState(job: SoakJob, state: unknown): void;
     /** Tasks of a job that have not been done, or are not running if they are long-running. */
     missingTasks(job: SoakJob): string[];
     checkEnd(): void;
@@ -142,11 +142,11 @@
                 }
             }
         },
-        onState: (job, state, processName) => {
+        onState: (job, state) => {
             const fail = (rule: string, text: string): void =>
                 onViolation(rule, {
                     job: job.jobId,
-                    process: processName,
+
                     state,
                     missing: allNamesOf(job).filter(task => !isDone(task)),
                     text,
