--- a/scripts/soak.ts
+++ b/scripts/soak.ts
@@ -7,6 +7,7 @@
 import path from "node:path";
 import { parseArgs } from "node:util";
 import { runSoak } from "../harness/soak.js";
+import { describeError } from "../src/common/describeError.js";
 
 const { values } = parseArgs({
     options: {
@@ -23,7 +24,12 @@
 let failedCount = 0;
 for (let seed = firstSeed; seed <= lastSeed; seed++) {
     const faultsMs = Number(values["faults-s"]) * 1_000;
-    const result = await runSoak({ seed, processesCount: Number(values.processes), faultsMs, addressPrefix });
+    const result = await runSoak({ seed, processesCount: Number(values.processes), faultsMs, addressPrefix }).catch(describeError);
+    if (typeof result === "string") {
+        failedCount += 1;
+        console.log(`seed ${seed} could not run: ${result}`);
+        continue;
+    }
     console.log(JSON.stringify({ ...result.summary, violations: result.violations.length }));
     if (result.violations.length > 0) {
         failedCount += 1;
