--- a/scripts/soak.ts
+++ b/scripts/soak.ts
@@ -1,7 +1,7 @@
 /**
  * Runs the fault soak for a range of seeds, and keeps the events and logs of each seed that breaks a rule.
  *
- * Usage: `npm run soak -- --seeds 1-50 [--processes N] [--faults-s N] [--keep FOLDER]`.
+ * Usage: `npm run soak -- --seeds 1-50 [--processes N] [--faults-s N] [--script FILE] [--keep FOLDER]`.
  */
 import { mkdirSync, writeFileSync } from "node:fs";
 import path from "node:path";
@@ -13,6 +13,7 @@
     options: {
         "seeds": { type: "string", default: "1-5" },
         "processes": { type: "string", default: "6" },
+        "script": { type: "string" },
         "faults-s": { type: "string", default: "25" },
         "keep": { type: "string", default: path.join("target", "soak") },
     },
@@ -24,7 +25,9 @@
 let failedCount = 0;
 for (let seed = firstSeed; seed <= lastSeed; seed++) {
     const faultsMs = Number(values["faults-s"]) * 1_000;
-    const result = await runSoak({ seed, processesCount: Number(values.processes), faultsMs, addressPrefix }).catch(describeError);
+    const result = await runSoak({ seed, processesCount: Number(values.processes), script: values.script, faultsMs, addressPrefix }).catch(
+        describeError,
+    );
     if (typeof result === "string") {
         failedCount += 1;
         console.log(`seed ${seed} could not run: ${result}`);
