--- a/harness/soak.ts
+++ b/harness/soak.ts
@@ -153,6 +153,7 @@
         });
         const faults = drawFaults({ processes, workers, store, operator, disturbStore, record }, random, options.faultsMs);
         await playFaults(faults, record);
+        await Promise.all(processes.map(each => waitUntil(`${each.name} is ready again`, each.isReady)));
         record("all faults have ended", {});
         await sleep(calmTrafficMs);
         await callers.end();
