--- a/harness/soak.ts
+++ b/harness/soak.ts
@@ -153,7 +153,14 @@
         });
         const faults = drawFaults({ processes, workers, store, operator, disturbStore, record }, random, options.faultsMs);
         await playFaults(faults, record);
-        await Promise.all(processes.map(each => waitUntil(`${each.name} is ready again`, each.isReady)));
+        await Promise.all(processes.map(async process => {
+            try {
+                await waitUntil("it is ready again", process.isReady);
+            }
+            catch (error) {
+                onViolation("RECOVER", { process: process.name, isRunning: process.isRunning(), error: String(error) });
+            }
+        }));
         record("all faults have ended", {});
         await sleep(calmTrafficMs);
         await callers.end();
--- a/harness/soakCallers.ts
+++ b/harness/soakCallers.ts
@@ -18,7 +18,7 @@
 }
 
 export interface SoakCallers {
-    /** Calls and answers so far, by method and status. */
+    /** Calls so far by method and outcome, and under "calm" the answers to which the bounds for machines in touch apply. */
     counts: ReadonlyMap<string, number>;
     /** Ends the traffic; resolves when all calls have ended. */
     end(): Promise<void>;
@@ -138,6 +138,7 @@
                 const answer = { status: response.statusCode, body: await response.body.json() as Record<string, unknown> };
                 count(answer.status);
                 const isCalm = isCalmAt(called.disturbedAtMs()) && isCalmAt(options.storeDisturbedAtMs());
+                counts.set("calm", (counts.get("calm") ?? 0) + Number(isCalm));
                 checkCredentials(request, answer.status, sentAtMs, isCalm, fields);
                 return { answer, isCalm, sentAtMs };
             }
