--- a/harness/soak.ts
+++ b/harness/soak.ts
@@ -2,7 +2,7 @@
 import { type LeasedWorker, startLeasedWorker } from "./leasedWorker.js";
 import { createPlatformProcesses, platformBounds } from "./platformProcesses.js";
 import { createSeededRandom } from "./random.js";
-import { startSoakCallers } from "./soakCallers.js";
+import { type SoakCallers, startSoakCallers } from "./soakCallers.js";
 import { createSoakOperator, maxAttempts } from "./soakConfigurations.js";
 import { drawFaults, playFaults } from "./soakFaults.js";
 import { createSoakJobs } from "./soakJobs.js";
@@ -134,6 +134,7 @@
         );
     }
 
+    let callers: SoakCallers | undefined;
     try {
         for (let index = 0; index < processes.length; index += startedAtOnceCount) {
             const started = processes.slice(index, index + startedAtOnceCount);
@@ -141,7 +142,7 @@
             await Promise.all(started.map(each => waitUntil(`${each.name} is ready`, each.isReady)));
         }
         record("all processes are ready", {});
-        const callers = startSoakCallers({
+        callers = startSoakCallers({
             count: Math.min(maxCallersCount, Math.max(minCallersCount, options.processesCount)),
             random: createSeededRandom(random.between(1, 2 ** 30)),
             processes,
@@ -214,6 +215,7 @@
         };
     }
     finally {
+        await callers?.end();
         await Promise.all(processes.map(process => process.kill()));
         workers.forEach(worker => worker.stop());
         clearInterval(loopCheck);
