--- a/harness/platformProcesses.ts
+++ b/harness/platformProcesses.ts
@@ -94,7 +94,7 @@
         await child.exited;
         clearTimeout(timer);
     };
-    return {
+    const process: PlatformProcess = {
         name,
         callerUrl: `http://${ip}:${ports.callers}`,
         logLines,
@@ -125,6 +125,9 @@
                 child = undefined;
                 isPaused = false;
                 disturbedAtMs = Number.POSITIVE_INFINITY;
+                if (!isEnding) {
+                    process.start();
+                }
             });
         },
         pause: () => {
@@ -156,6 +159,7 @@
             return last !== undefined && ownershipEventPattern.exec(last)![1] === ownershipAcquiredEvent;
         },
     };
+    return process;
 }
 
 /** Writes the processes' settings files, and removes them when `signal` aborts. None is started yet. */
