Show a job as running whose first start the earlier owner has not stored

Cause: the owner ended 55 ms after the first start of the job, before it stored the state. A new owner that adopts the run noted that the job has started, but left its state, and nothing set it later. Change: adopting the first run of a job sets and stores its state. Test: takeoverWaits 'should store that a job runs …', which failed before.

--- a/src/scheduling/reconcileListing.ts
+++ b/src/scheduling/reconcileListing.ts
@@ -2,7 +2,7 @@
 import { paceFillers } from "../decisions/paceFillers.js";
 import { suspicions } from "./crashCounts.js";
 import { isFinalState, type JobRecord } from "./jobRecord.js";
-import { noResources } from "./jobTypes.js";
+import { jobStates, noResources } from "./jobTypes.js";
 import { runNeeds } from "./runNeeds.js";
 import {
     applyEnd,
@@ -10,6 +10,7 @@
     commandKinds,
     detachRun,
     findStep,
+    markChanged,
     type RunEnd,
     runEnds,
     type SchedulerState,
@@ -160,7 +161,12 @@
     };
     attachRun(state, worker, isWanted ? step : undefined, run);
     if (isWanted) {
-        job.hasStarted = true;
+        if (!job.hasStarted) {
+            // The earlier owner may have ended before it stored the first start.
+            job.hasStarted = true;
+            job.state = jobStates.running;
+            markChanged(state, job);
+        }
         step.adopted.add(task.taskIndex);
         state.onDecision({ what: "adopt run", jobId: run.jobId, taskName: run.taskName, runId: run.runId, workerId: run.workerId });
     }
--- a/tests/scheduling/takeoverWaits.spec.ts
+++ b/tests/scheduling/takeoverWaits.spec.ts
@@ -31,6 +31,13 @@
         assert.deepEqual(harness.startedTasks(), ["job.0.0.0"], "the other task may run on w2");
     });
 
+    it("should store that a job runs whose first start the earlier owner has not stored", () => {
+        const harness = createSchedulerHarness({ workers: 1, token: 100, isSavedManually: true });
+        harness.submit("job", { taskCount: 1, isLongRunning: true, formerWorkerIds: ["w1"] });
+        harness.list("w1", { running: [{ taskName: "job.0.0.0", runId: 7 }] });
+        assert.deepEqual(harness.scheduler.takeUnsavedJobs(1).map(({ progress }) => progress.state), ["running"]);
+    });
+
     it("should hold back a task whose run had ended before the takeover, since a later one may run on an unreachable worker", () => {
         const harness = createSchedulerHarness({ workers: 2, token: 100 });
         harness.submit("job", { taskCount: 1, isLongRunning: true, formerWorkerIds: ["w1", "w2"] });
