Take back a crash once the worker lists the end of its run, and forget old departures

Cause: a count stayed although the worker, which goes on elsewhere, lists that the run had ended; and a worker that came to an address years later still counted, so that the list of departures grew for as long as long-running jobs went on. Change: a listed end takes the count back (not for gangs, whose members share a run id); departures are forgotten after ten minutes. Evidence: openCrashCounts 'should no longer count once …' and 'should be forgotten …' failed before (1 counted; 50 departures kept).

--- a/src/scheduling/crashSuspect.ts
+++ b/src/scheduling/crashSuspect.ts
@@ -16,6 +16,7 @@
 /** A worker that is gone, and the runs that were lost with their leases before; it may have crashed under them. */
 export interface UnexplainedDeparture extends WorkerIncarnation {
     runs: readonly CrashSuspect[];
+    departedAtMs: number;
 }
 
 /** The age of a run when its worker was last in touch; negative if the start was sent later. */
--- a/src/scheduling/reconcileListing.ts
+++ b/src/scheduling/reconcileListing.ts
@@ -17,7 +17,7 @@
     stopRun,
 } from "./schedulerState.js";
 import { parseTaskName } from "./taskNames.js";
-import { clearUnprovenCrashes, recordCrash } from "./workerCrashes.js";
+import { clearUnprovenCrashes, recordCrash, withdrawCrash } from "./workerCrashes.js";
 import { beginIncarnation } from "./workerEnds.js";
 import { createRun, type Run, runKey, type RunNeeds, runPhases, type WorkerRecord } from "./workerRecord.js";
 
@@ -96,6 +96,7 @@
         const task = parseTaskName(listed.taskName);
         const run = worker.runs.get(runKey(listed.taskName, listed.runId));
         if (task) {
+            withdrawCrash(state, task, listed.runId);
             applyEnd(
                 state,
                 { ...task, runId: listed.runId, workerId: worker.entry.workerId, end: listed.end, checkpoint: listed.checkpoint },
--- a/src/scheduling/workerCrashes.ts
+++ b/src/scheduling/workerCrashes.ts
@@ -9,6 +9,7 @@
 import { jobStates } from "./jobTypes.js";
 import type { Moment } from "./reconcileListing.js";
 import { endJob, findStep, markChanged, type SchedulerState } from "./schedulerState.js";
+import type { TaskIdentity } from "./taskNames.js";
 import { type Run, runPhases, type WorkerRecord } from "./workerRecord.js";
 
 /** A run that its worker was seen to survive for this long is not suspected of the worker's crash. */
@@ -42,6 +43,19 @@
     return `runs ${crashedRunIds.join(", ")}${unproven.length > 0 ? `; not proven for ${unproven.join(", ")}` : ""}`;
 }
 
+/** Takes back what was counted for a run whose worker has listed its end since: it ended before the worker did. */
+export function withdrawCrash(state: SchedulerState, place: TaskIdentity, runId: number): void {
+    const job = state.jobs.get(place.jobId);
+    const step = findStep(state, place);
+    // The members of a gang share their run id, and the crash under one of them ends the others.
+    const progress = step?.spec.isGang ? undefined : step?.tasks.get(place.taskIndex);
+    if (job && progress?.crashedRunIds?.includes(runId)) {
+        progress.crashedRunIds = progress.crashedRunIds.filter(each => each !== runId);
+        progress.provenCrashRunIds = progress.provenCrashRunIds?.filter(each => each !== runId);
+        markChanged(state, job);
+    }
+}
+
 /** Counts the crash of a worker for the tasks of these runs, and gives up those under which too many workers have crashed. */
 export function recordCrash(state: SchedulerState, suspects: readonly CrashSuspect[], reason: string, moment: Moment): void {
     for (const suspect of suspects) {
--- a/src/scheduling/workerLifecycle.ts
+++ b/src/scheduling/workerLifecycle.ts
@@ -7,6 +7,9 @@
 import { markRunsLost } from "./workerEnds.js";
 import { createWorkerRecord, runPhases, type WorkerEntry, type WorkerIncarnation, type WorkerRecord } from "./workerRecord.js";
 
+/** A worker that comes to an address later than this says nothing about how the earlier one there ended. */
+const maxDepartureAgeMs = 600_000;
+
 /** Adds a worker that may hold runs of an earlier owner until it has responded or their leases have ended. */
 export function addWorker(state: SchedulerState, entry: WorkerEntry, moment: Moment): WorkerRecord {
     const worker = createWorkerRecord(entry, state.term.unknownWorkersUntilMs);
@@ -58,15 +61,15 @@
 }
 
 /** Keeps the runs under which a worker that is gone may have crashed, until another worker at its address shows that it has ended. */
-function keepUnexplainedRuns(state: SchedulerState, worker: WorkerRecord): void {
-    for (const [address, { runs }] of state.unexplainedDepartures) {
-        if (!runs.some(({ run }) => state.jobs.has(run.jobId))) {
+function keepUnexplainedRuns(state: SchedulerState, worker: WorkerRecord, nowMs: number): void {
+    for (const [address, { runs, departedAtMs }] of state.unexplainedDepartures) {
+        if (nowMs - departedAtMs > maxDepartureAgeMs || !runs.some(({ run }) => state.jobs.has(run.jobId))) {
             state.unexplainedDepartures.delete(address);
         }
     }
     if (worker.unexplainedRuns.length > 0) {
         const { workerId, bornWallMs, address } = worker.entry;
-        state.unexplainedDepartures.set(address, { workerId, bornWallMs, runs: worker.unexplainedRuns });
+        state.unexplainedDepartures.set(address, { workerId, bornWallMs, runs: worker.unexplainedRuns, departedAtMs: nowMs });
     }
 }
 
@@ -87,7 +90,7 @@
             }
             state.workers.delete(worker.entry.workerId);
             if (worker.addressTakenAtMs === undefined) {
-                keepUnexplainedRuns(state, worker);
+                keepUnexplainedRuns(state, worker, moment.nowMs);
             }
             else {
                 recordCrash(state, worker.unexplainedRuns, "another worker registered at its address", moment);
