Prove a crash only under a run that was young when its worker ended

Cause: a run was suspected by its age at the last contact. Silence for seconds was taken for youth: a short task that had ended by itself behind a cut, or a run that was 5 s old, proved a crash if the worker restarted within the lease. Change: the run must have been young when the worker ended, by what dates that. Six tests of workerCrashes let 3 s pass in silence and expected three crashes; they stand for processes that end, so their connections end in them now, with the same bounds.

--- a/src/scheduling/crashSuspect.ts
+++ b/src/scheduling/crashSuspect.ts
@@ -2,6 +2,9 @@
 import { minLeaseMs, startValidityMs } from "./leases.js";
 import { type Run, runPhases, type WorkerIncarnation, type WorkerRecord } from "./workerRecord.js";
 
+/** A run that its worker was seen to survive for this long is not suspected of the worker's crash. */
+export const maxSuspectAgeMs = 2_000;
+
 /** A run of a worker that has ended or lost its leases, and what was known of the worker then. */
 export interface CrashSuspect {
     run: Run;
@@ -54,7 +57,8 @@
         ageMs: ageAtLastContactMs(worker, run),
         lastContactAtMs,
         leaseHeldUntilMs,
-        isProven: isAtWork(worker, run) && endedAtMs <= leaseHeldUntilMs,
+        // A run that may have grown old in silence may also have ended by itself.
+        isProven: isAtWork(worker, run) && endedAtMs <= leaseHeldUntilMs && endedAtMs - run.startedAtMs < maxSuspectAgeMs,
     };
 }
 
--- a/src/scheduling/workerCrashes.ts
+++ b/src/scheduling/workerCrashes.ts
@@ -3,7 +3,7 @@
  * so its job is given up after some crashes. Which of the runs on a worker made it crash is unknown: all young ones are suspected.
  */
 import { isGivenUp, type Suspicion, suspicionOf, suspicions } from "./crashCounts.js";
-import { ageAtLastContactMs, type CrashSuspect, createSuspect, describeSuspect } from "./crashSuspect.js";
+import { ageAtLastContactMs, type CrashSuspect, createSuspect, describeSuspect, maxSuspectAgeMs } from "./crashSuspect.js";
 import type { TaskProgress } from "./jobDocuments.js";
 import { attemptsProgress, countCrashes, crashCountsOf, isFinalState } from "./jobRecord.js";
 import { jobStates } from "./jobTypes.js";
@@ -12,9 +12,6 @@
 import type { TaskIdentity } from "./taskNames.js";
 import { type Run, runPhases, type WorkerRecord } from "./workerRecord.js";
 
-/** A run that its worker was seen to survive for this long is not suspected of the worker's crash. */
-const maxSuspectAgeMs = 2_000;
-
 /** Whether the worker's end, if it has ended, is a crash. */
 function endsUnexpectedly({ entry, isVmStopping, hasEnded }: WorkerRecord): boolean {
     return !entry.isDraining && !isVmStopping && !hasEnded;
--- a/tests/scheduling/crashPool.ts
+++ b/tests/scheduling/crashPool.ts
@@ -39,6 +39,11 @@
     }
 }
 
+/** The connections to the worker end, and its address refuses others, as when its process ends. */
+export function endConnections({ scheduler, nowMs }: SchedulerHarness, workerId: string): void {
+    scheduler.workerUnresponsive(workerId, nowMs(), "other side closed", true);
+}
+
 /** Lets the worker of the latest start crash until no more starts follow, and returns how many workers have crashed. */
 export function crashWorkers(harness: SchedulerHarness, crash: (workerId: string) => void): number {
     let crashesCount = 0;
--- a/tests/scheduling/workerCrashes.spec.ts
+++ b/tests/scheduling/workerCrashes.spec.ts
@@ -4,13 +4,22 @@
 import { commandOutcomes } from "../../src/scheduling/commandOutcomes.js";
 import { commandKinds } from "../../src/scheduling/schedulerState.js";
 import { snapshotStates } from "../../src/scheduling/unresponsiveWorkers.js";
-import { crashesBeforeGivingUp, crashWorkers, createPool, jobState, listAll, unprovenCrashesBeforeGivingUp } from "./crashPool.js";
+import {
+    crashesBeforeGivingUp,
+    crashWorkers,
+    createPool,
+    endConnections,
+    jobState,
+    listAll,
+    unprovenCrashesBeforeGivingUp,
+} from "./crashPool.js";
 import type { JobInput, SchedulerHarness } from "./schedulerHarness.js";
 
 describe("a task that crashes each worker that starts it", () => {
     const ways: Record<string, (harness: SchedulerHarness, workerId: string) => void> = {
         "before the worker is listed, which starts again under its id": (harness, workerId) => {
             harness.answerStarts(commandOutcomes.accepted);
+            endConnections(harness, workerId);
             harness.advance(3_000);
             harness.restartWorker(workerId);
             harness.list(workerId, {});
@@ -18,12 +27,14 @@
         "after the worker has listed it": (harness, workerId) => {
             harness.answerStarts(commandOutcomes.accepted);
             harness.list(workerId, { running: ["job.0.0.0"] });
+            endConnections(harness, workerId);
             harness.advance(3_000);
             harness.restartWorker(workerId);
             harness.list(workerId, {});
         },
         "and another worker responds at its address": (harness, workerId) => {
             harness.answerStarts(commandOutcomes.accepted);
+            endConnections(harness, workerId);
             harness.advance(3_000);
             harness.replaceWorker(workerId);
         },
@@ -85,6 +96,7 @@
 
     const replace = (harness: SchedulerHarness, workerId: string): void => {
         harness.answerStarts(commandOutcomes.accepted);
+        endConnections(harness, workerId);
         harness.advance(3_000);
         harness.replaceWorker(workerId);
     };
