Keep the stand-ins that speak the platform's wire among the platform's tests

The soak had moved the store's stand-in to harness/ and added others there, so that names of the users' wire stood outside platform/ and its tests. They stand in tests/platform now; harness/ imports what it did before.

--- a/scripts/soak.ts
+++ b/scripts/soak.ts
@@ -6,8 +6,8 @@
 import { mkdirSync, writeFileSync } from "node:fs";
 import path from "node:path";
 import { parseArgs } from "node:util";
-import { runSoak } from "../harness/soak.js";
 import { describeError } from "../src/common/describeError.js";
+import { runSoak } from "../tests/platform/soak.js";
 
 const { values } = parseArgs({
     options: {
--- a/tests/platform/mirrorFixture.ts
+++ b/tests/platform/mirrorFixture.ts
@@ -1,10 +1,10 @@
 /** A store stand-in, a client of it, and mirrors of its keys. */
 import assert from "node:assert/strict";
-import { openStoreCalls, startStoreStandIn, type StoreStandIn } from "../../harness/storeStandIn.js";
 import { createStoreClient } from "../../platform/storeClient.js";
 import { createTimerService, delay } from "../../src/common/timerService.js";
 import type { ChangeFeedStore } from "../../src/connection/platformStore.js";
 import { createStoreMirror, type StoreMirror, type StoreMirrorOptions } from "../../src/process/storeMirror.js";
+import { openStoreCalls, startStoreStandIn, type StoreStandIn } from "./storeStandIn.js";
 
 const timers = createTimerService();
 
--- a/tests/platform/oddEntries.spec.ts
+++ b/tests/platform/oddEntries.spec.ts
@@ -8,13 +8,13 @@
 import path from "node:path";
 import { after, before, describe, it } from "node:test";
 import { type Child, startChild } from "../../harness/childProcess.js";
-import { startStoreStandIn, type StoreStandIn } from "../../harness/storeStandIn.js";
 import { waitUntil } from "../../harness/waitUntil.js";
 import { createJsonHttpClient } from "../../platform/jsonHttpClient.js";
 import { platformKeys } from "../../platform/platformKeys.js";
 import { createTimerService, delay } from "../../src/common/timerService.js";
 import { logEvents } from "../../src/process/logEvents.js";
 import { type PlatformWorkerStandIn, startPlatformWorkerStandIn } from "./platformWorkerStandIn.js";
+import { startStoreStandIn, type StoreStandIn } from "./storeStandIn.js";
 
 const usable = {
     service: "pool",
--- a/harness/platformProcesses.ts
+++ b/tests/platform/platformProcesses.ts
@@ -3,7 +3,7 @@
 import os from "node:os";
 import path from "node:path";
 import { request } from "undici";
-import { type Child, startChild } from "./childProcess.js";
+import { type Child, startChild } from "../../harness/childProcess.js";
 
 /** Times that the platform grants, in the terms of its settings file. */
 export const platformBounds = {
--- a/harness/soak.ts
+++ b/tests/platform/soak.ts
@@ -1,13 +1,13 @@
 /** A fault soak: processes of the platform build between stand-ins and callers, disturbed and checked as its seed says. */
+import { createSeededRandom } from "../../harness/random.js";
+import { waitUntil } from "../../harness/waitUntil.js";
 import { type LeasedWorker, startLeasedWorker } from "./leasedWorker.js";
 import { createPlatformProcesses, platformBounds } from "./platformProcesses.js";
-import { createSeededRandom } from "./random.js";
 import { type SoakCallers, startSoakCallers } from "./soakCallers.js";
 import { createSoakOperator, maxAttempts } from "./soakConfigurations.js";
 import { drawFaults, playFaults } from "./soakFaults.js";
 import { createSoakJobs } from "./soakJobs.js";
 import { startStoreStandIn } from "./storeStandIn.js";
-import { waitUntil } from "./waitUntil.js";
 
 export interface SoakOptions {
     seed: number;
--- a/harness/soakCallers.ts
+++ b/tests/platform/soakCallers.ts
@@ -1,7 +1,7 @@
 /** Callers of a soak: each keeps its connection to a process until that is gone, and checks what it is answered. */
 import { Client } from "undici";
+import type { SeededRandom } from "../../harness/random.js";
 import { platformBounds, type PlatformProcess } from "./platformProcesses.js";
-import type { SeededRandom } from "./random.js";
 import { constantKey, lastingQueueName, queueNames, soakHost, type SoakOperator, type SoakVersion } from "./soakConfigurations.js";
 import { encodeSpec, type SoakJob, type SoakJobs } from "./soakJobs.js";
 
--- a/harness/soakConfigurations.ts
+++ b/tests/platform/soakConfigurations.ts
@@ -1,5 +1,5 @@
 /** The operator of a soak: replaces the configuration, and tells which answers the versions in force allow. */
-import type { SeededRandom } from "./random.js";
+import type { SeededRandom } from "../../harness/random.js";
 import type { StoreStandIn } from "./storeStandIn.js";
 
 export const soakHost = "soak.example";
--- a/harness/soakFaults.ts
+++ b/tests/platform/soakFaults.ts
@@ -1,7 +1,7 @@
 /** The faults of a soak: drawn from its seed beforehand, in series that overlap. */
+import type { SeededRandom } from "../../harness/random.js";
 import type { LeasedWorker } from "./leasedWorker.js";
 import type { PlatformProcess } from "./platformProcesses.js";
-import type { SeededRandom } from "./random.js";
 import type { SoakOperator } from "./soakConfigurations.js";
 import type { StoreStandIn, StoreStandInFaults } from "./storeStandIn.js";
 
--- a/tests/platform/storeClient.spec.ts
+++ b/tests/platform/storeClient.spec.ts
@@ -1,7 +1,6 @@
 /** The client of the platform's key-value service, and the group commit and scheduling ownership on top of it. */
 import assert from "node:assert/strict";
 import { after, before, describe, it } from "node:test";
-import { openStoreCalls, startStoreStandIn, type StoreStandIn } from "../../harness/storeStandIn.js";
 import { createStoreClient } from "../../platform/storeClient.js";
 import type { WatchFailure, WatchObserver, WatchResponse } from "../../platform/storeFollower.js";
 import { createTimerService, delay } from "../../src/common/timerService.js";
@@ -10,6 +9,7 @@
 import { createSilentLogger } from "../../src/process/logger.js";
 import { createSchedulingOwnership, type OwnershipTerm, type SchedulingOwnership } from "../../src/process/schedulingOwnership.js";
 import { createStoreMirror, type StoreMirror } from "../../src/process/storeMirror.js";
+import { openStoreCalls, startStoreStandIn, type StoreStandIn } from "./storeStandIn.js";
 
 const timers = createTimerService();
 
--- a/tests/platform/storeMirror.spec.ts
+++ b/tests/platform/storeMirror.spec.ts
@@ -1,11 +1,11 @@
 /** The mirror of the platform's key-value service: what it contains, and since when it counts as current. */
 import assert from "node:assert/strict";
 import { after, before, describe, it } from "node:test";
-import type { StoreStandIn } from "../../harness/storeStandIn.js";
 import { createTimerService, delay } from "../../src/common/timerService.js";
 import type { ChangeFeedStore } from "../../src/connection/platformStore.js";
 import { createStoreMirror, type StoreMirror } from "../../src/process/storeMirror.js";
 import { type MirrorFixture, openMirrorFixture, waitUntil } from "./mirrorFixture.js";
+import type { StoreStandIn } from "./storeStandIn.js";
 
 const timers = createTimerService();
 
--- a/tests/platform/storeRelay.spec.ts
+++ b/tests/platform/storeRelay.spec.ts
@@ -7,7 +7,6 @@
 import net, { type AddressInfo } from "node:net";
 import { after, afterEach, before, describe, it } from "node:test";
 import { WebSocket } from "ws";
-import { startStoreStandIn, type StoreStandIn } from "../../harness/storeStandIn.js";
 import { waitUntil } from "../../harness/waitUntil.js";
 import { createStoreCalls } from "../../platform/storeCalls.js";
 import { createStoreClient } from "../../platform/storeClient.js";
@@ -16,6 +15,7 @@
 import { logEvents } from "../../src/process/logEvents.js";
 import { createSilentLogger, type Logger } from "../../src/process/logger.js";
 import type { RelayMember } from "../../src/process/relayedCalls.js";
+import { startStoreStandIn, type StoreStandIn } from "./storeStandIn.js";
 
 const timers = createTimerService();
 const refused: RelayMember = { name: "refused", address: "127.61.0.1:7000", zone: "zone-1", capacity: 1 };
--- a/harness/storeStandIn.ts
+++ b/tests/platform/storeStandIn.ts
@@ -1,8 +1,8 @@
 /** In-memory stand-in for the platform's key-value service with the same HTTP API, and faults that a test can switch on. */
 import http from "node:http";
 import type { AddressInfo } from "node:net";
-import { createJsonHttpClient } from "../platform/jsonHttpClient.js";
-import type { CallService } from "../src/connection/serviceCalls.js";
+import { createJsonHttpClient } from "../../platform/jsonHttpClient.js";
+import type { CallService } from "../../src/connection/serviceCalls.js";
 
 interface Item {
     key: string;
--- a/tests/proofs/soak.spec.ts
+++ b/tests/proofs/soak.spec.ts
@@ -1,7 +1,7 @@
 /** A short run of the fault soak with real processes, with fixed seeds. `npm run soak` runs others. */
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { runSoak } from "../../harness/soak.js";
+import { runSoak } from "../platform/soak.js";
 
 const seeds = [3, 17];
 const processesCount = 5;
--- a/tests/proofs/soakJobs.spec.ts
+++ b/tests/proofs/soakJobs.spec.ts
@@ -1,8 +1,8 @@
 /** The checks of the fault soak find each rule broken on purpose. */
 import assert from "node:assert/strict";
 import { beforeEach, describe, it } from "node:test";
-import type { WorkerRun } from "../../harness/leasedWorker.js";
-import { createSoakJobs, encodeSpec, type SoakJob, type SoakJobs } from "../../harness/soakJobs.js";
+import type { WorkerRun } from "../platform/leasedWorker.js";
+import { createSoakJobs, encodeSpec, type SoakJob, type SoakJobs } from "../platform/soakJobs.js";
 
 const jobId = "00000000000000a1";
 const firstTask = `${jobId}.0.0.0`;
