--- a/tests/platform/platformProcesses.ts
+++ b/tests/platform/platformProcesses.ts
@@ -118,7 +118,7 @@
                 record("process ended", { process: name, pid: started.pid, code, ageMs });
                 // Before its handlers are set, a signal ends a process at once.
                 const hasEndedAsTold = isEnding && [0, "SIGKILL", "SIGTERM"].includes(code);
-                // RULES.md, "Own ends": "unless it ends during a disruption on its machine or links or within a second of it".
+                // A start is a disturbance, and an end within a second of one does not count.
                 if (!hasEndedAsTold && !(code === "SIGHUP" && ageMs < ownEndSlackMs)) {
                     onViolation("OWN END", { process: name, code, ageMs, stderr: started.stderrText().slice(-500) });
                 }
--- a/tests/platform/soak.ts
+++ b/tests/platform/soak.ts
@@ -167,8 +167,7 @@
         await callers.end();
         record("the traffic has ended", {});
 
-        // RULES.md: "Rules with a time bound hold only for machines in touch", and these need a stable store. The soak's own delays make it
-        // unstable, and the time begins anew.
+        // The bound holds while the store is stable. Delays of this process disturb the store that it runs, so the time begins anew.
         const trafficEndedAtMs = performance.now();
         const isWithin = (boundMs: number): boolean => {
             const nowMs = performance.now();
--- a/tests/platform/soakCallers.ts
+++ b/tests/platform/soakCallers.ts
@@ -151,7 +151,7 @@
                 const isProcessCalm = isCalmAt(called.disturbedAtMs());
                 const failure = { ...fields, durationMs, error: message };
                 if (hasTimedOut) {
-                    // RULES.md counts no request whose deadline was reached. A process that nothing disturbs answers before.
+                    // A request may go unanswered once its deadline is reached, but a process that nothing disturbs answers before.
                     if (isProcessCalm && isCalmAt(options.storeDisturbedAtMs())) {
                         onViolation("LOST", { ...failure, text: "no answer in time" });
                     }
--- a/tests/platform/soakJobs.ts
+++ b/tests/platform/soakJobs.ts
@@ -54,7 +54,7 @@
 }
 
 const rejectedStatuses: readonly (number | undefined)[] = [401, 404, 409, 429, 503];
-/** Time that RULES.md grants for a start after a job was shown as completed. */
+/** A start may follow this long after a job was shown as completed. */
 const startAfterCompletionMs = 1_000;
 
 export function createSoakJobs(options: SoakJobsOptions): SoakJobs {
--- a/tests/process/lapsedRuns.spec.ts
+++ b/tests/process/lapsedRuns.spec.ts
@@ -27,7 +27,7 @@
 const shortEntryLifetimeMs = 2_000;
 /** Crashes after which a task is given up, if they are seen. */
 const maxCrashes = 3;
-/** The users' bound: after the third crash, a task is not started a third time. */
+/** A task that has crashed three workers may be started twice more. */
 const maxStarts = 5;
 const silences: readonly [string, readonly number[]][] = [
     ["while their leases last", [3_200]],
--- a/tests/scheduling/crashPool.ts
+++ b/tests/scheduling/crashPool.ts
@@ -6,7 +6,7 @@
 
 export const workersCount = 8;
 export const crashesBeforeGivingUp = 3;
-/** The users' bound: a task that has crashed three workers is not started a third time after that. */
+/** A task that has crashed three workers may be started twice more. */
 export const unprovenCrashesBeforeGivingUp = crashesBeforeGivingUp + 2;
 /** Bounds a test in which nothing is given up. */
 const maxCrashes = 3 * workersCount;
