Log what delays the moves of VMs, and count the owner's calls to workers

Cause: the lines could not tell whether moves wait for other work on VMs, for the lease or for the processor. Change: event 6110 is logged while no moves are planned, with the part of the work that is waiting and the age of the lease; 6107 tells how many starts, stops and listings the owner called for, and how many got no response. No logic changes.

--- a/src/process/logEvents.ts
+++ b/src/process/logEvents.ts
@@ -92,6 +92,11 @@
         logLevels.warn,
         "The policies of removed queues and teams that have unfinished jobs could not be written; the write is repeated.",
     ),
+    vmWorkDelayed: defineEvent(
+        6110,
+        logLevels.warn,
+        "No moves of VMs were planned for 'delayMs'; 'activeParts' lists the work on VMs that is waiting for responses, and 'leaseAgeMs' tells how long the lease has not been confirmed.",
+    ),
     jobAccepted: defineEvent(
         2101,
         logLevels.info,
--- a/src/process/schedulingOwnership.ts
+++ b/src/process/schedulingOwnership.ts
@@ -29,6 +29,8 @@
     maySendOrders(): boolean;
     /** Whether the lease is confirmed to be held. Required for actions that have effects outside the workers. */
     isLeaseValid(): boolean;
+    /** Time since the lease was last confirmed to be held; `undefined` while this process is not the owner. */
+    leaseAgeMs(): number | undefined;
     token(): number | undefined;
     /** Must be called whenever the mirror has applied changes. */
     onStoreChanged(): void;
@@ -265,6 +267,7 @@
     return {
         isLeaseValid,
         maySendOrders: () => held !== undefined && timeSinceRenewalMs(held) < options.leaseMs + options.gracePeriodMs,
+        leaseAgeMs: () => held && Math.round(timeSinceRenewalMs(held)),
         token: () => held?.token,
         onStoreChanged,
         onFenced: () => loseOwnership("a worker has received commands from a newer owner"),
--- a/src/process/schedulingService.ts
+++ b/src/process/schedulingService.ts
@@ -88,7 +88,7 @@
     const moment = (): Moment => ({ nowMs: timers.nowMs(), wallMs: timers.wallClockMs() });
     const maySendOrders = (): boolean => options.ownership().maySendOrders();
     const lateness = createLatenessMeter(timers);
-    const summary = createSchedulingSummary(timers, logger, lateness.latenessMs);
+    const summary = createSchedulingSummary(timers, logger, lateness.latenessMs, () => ({ ...sessions.takeCallCounts() }));
     const logUnreadable = createUnreadableDocumentLog(logger, timers.nowMs);
     const termRevision = (): number | undefined => options.ownership().token();
     const revisionOf = (key: string): number => options.mirror().revisionOf(key);
--- a/src/process/schedulingSummary.ts
+++ b/src/process/schedulingSummary.ts
@@ -5,7 +5,7 @@
 import type { SchedulerState } from "../scheduling/schedulerState.js";
 import { freeResources } from "../scheduling/workerRecord.js";
 import { logEvents } from "./logEvents.js";
-import type { Logger } from "./logger.js";
+import type { LogFields, Logger } from "./logger.js";
 
 export interface SchedulingSummary {
     /** Records the duration of one scheduling pass. */
@@ -77,8 +77,13 @@
         `tasks waiting: ${inTime} in time, ${late} late, ${worthless} too late`;
 }
 
-/** `latenessMs` tells how late this process runs its timers. */
-export function createSchedulingSummary(timers: TimerService, logger: Logger, latenessMs: () => number): SchedulingSummary {
+/** `latenessMs` tells how late this process runs its timers; `takeFigures` returns further figures since it was last called. */
+export function createSchedulingSummary(
+    timers: TimerService,
+    logger: Logger,
+    latenessMs: () => number,
+    takeFigures: () => LogFields = () => ({}),
+): SchedulingSummary {
     let passesCount = 0;
     let passMs = 0;
     let longestPassMs = 0;
@@ -94,6 +99,7 @@
             passMs: Math.round(passMs),
             longestPassMs: Math.round(longestPassMs),
             latenessMs: Math.round(latenessMs()),
+            ...takeFigures(),
             jobsCount: state.jobs.size,
             unsavedJobsCount: state.unsavedJobs.size,
             pools: [...summarizePools(state, timers.wallClockMs())].map(([name, pool]) => formatPool(name, pool)),
--- a/src/process/vmManager.ts
+++ b/src/process/vmManager.ts
@@ -42,6 +42,10 @@
     /** Fencing token of what this term's state decides; `undefined` while the lease is not confirmed, and once the term has ended. */
     orderToken(): number | undefined;
     isAdvancing: boolean;
+    /** What `advanceTerm` is doing; `undefined` while it does nothing. */
+    activePart: { name: string; startedAtMs: number } | undefined;
+    movesPlannedAtMs: number;
+    delayLoggedAtMs: number;
     inventory: VmInventory;
     rebalancer: PoolRebalancer;
     waves: Map<number, WaveRunner>;
@@ -52,6 +56,8 @@
 const listIntervalMs = 400;
 /** Interval at which workers with unready long-running tasks are listed, so that a ready task is noticed soon. */
 const unreadyListIntervalMs = 300;
+/** Moves that are planned later than this miss the first part of a surge. */
+const loggedDelayMs = 1_000;
 
 export function createVmManager(options: VmManagerOptions): VmManager {
     const { timers, logger } = options;
@@ -103,7 +109,9 @@
                 createWave(activeTerm, request);
             }
         }
+        const enter = (name: string): void => void (activeTerm.activePart = { name, startedAtMs: timers.nowMs() });
         const isDue = timers.nowMs() - activeTerm.inventory.listedAtMs() >= listIntervalMs;
+        enter("list");
         if (isDue && (!await activeTerm.inventory.refresh() || !mayAct())) {
             return;
         }
@@ -112,20 +120,41 @@
             listWorkersWithUnreadyTasks(activeTerm.inventory.scheduler);
         }
         for (const wave of unfinishedWaves) {
+            enter("wave");
             await continueAfterError("wave", () => wave.advance());
             if (!mayAct()) {
                 return;
             }
         }
+        enter("moves");
+        activeTerm.movesPlannedAtMs = timers.nowMs();
         await continueAfterError("moves between pools", () => activeTerm.rebalancer.advance());
     };
 
+    const logDelay = (activeTerm: Term): void => {
+        const { activePart } = activeTerm;
+        const nowMs = timers.nowMs();
+        const delayMs = nowMs - activeTerm.movesPlannedAtMs;
+        if (delayMs < loggedDelayMs || nowMs - activeTerm.delayLoggedAtMs < loggedDelayMs) {
+            return;
+        }
+        activeTerm.delayLoggedAtMs = nowMs;
+        logger.log(logEvents.vmWorkDelayed, {
+            delayMs: Math.round(delayMs),
+            activeParts: activePart ? [`${activePart.name} for ${Math.round(nowMs - activePart.startedAtMs)} ms`] : [],
+            leaseAgeMs: options.ownership().leaseAgeMs(),
+        });
+    };
+
     const advanceIfIdle = (activeTerm: Term): void => {
         if (!activeTerm.isAdvancing) {
             activeTerm.isAdvancing = true;
             advanceTerm(activeTerm)
                 .catch((error: unknown) => logger.log(logEvents.unexpectedError, { where: "vmManager", error: describeError(error) }))
-                .finally(() => activeTerm.isAdvancing = false);
+                .finally(() => {
+                    activeTerm.isAdvancing = false;
+                    activeTerm.activePart = undefined;
+                });
         }
     };
 
@@ -138,8 +167,20 @@
             const orderToken = (): number | undefined =>
                 !termSignal.aborted && options.ownership().isLeaseValid() ? scheduler.state.term.token : undefined;
             const rebalancer = createPoolRebalancer({ ...options, inventory, mustStay, orderToken });
-            const term: Term = { orderToken, isAdvancing: false, inventory, rebalancer, waves };
-            timers.every(advanceIntervalMs, termSignal, () => advanceIfIdle(term));
+            const term: Term = {
+                orderToken,
+                isAdvancing: false,
+                activePart: undefined,
+                movesPlannedAtMs: timers.nowMs(),
+                delayLoggedAtMs: Number.NEGATIVE_INFINITY,
+                inventory,
+                rebalancer,
+                waves,
+            };
+            timers.every(advanceIntervalMs, termSignal, () => {
+                logDelay(term);
+                advanceIfIdle(term);
+            });
         },
         onWaveRequested: request => {
             requests.set(request.waveNumber, request);
--- a/src/process/workerSessions.ts
+++ b/src/process/workerSessions.ts
@@ -3,6 +3,7 @@
 import type { ConnectWorker } from "../connection/workerClient.js";
 import type { Scheduler } from "../scheduling/scheduler.js";
 import type { WorkerEntry } from "../scheduling/workerRecord.js";
+import { countWorkerCalls, type WorkerCallCounts } from "./workerCallCounts.js";
 import { createWorkerSession, type WorkerCommand, type WorkerSession, type WorkerSessionOptions } from "./workerSession.js";
 
 export interface WorkerSessions {
@@ -12,6 +13,8 @@
     execute(command: WorkerCommand): void;
     /** Must be called when progress was saved. */
     onProgressSaved(): void;
+    /** Returns how many calls were made to workers since this was last asked. */
+    takeCallCounts(): WorkerCallCounts;
     /** Closes all sessions; must be called before `sync` is called with another scheduler. */
     close(): void;
 }
@@ -23,6 +26,7 @@
 }
 
 export function createWorkerSessions(options: WorkerSessionsOptions): WorkerSessions {
+    const calls = countWorkerCalls(options.connectWorker);
     /** The session is `undefined` if none could be opened; it is tried again at another address only. */
     const sessions = new Map<string, { address: string; session: WorkerSession | undefined }>();
 
@@ -33,7 +37,7 @@
             return createWorkerSession({
                 ...options,
                 workerId,
-                client: options.connectWorker(entry),
+                client: calls.connectWorker(entry),
                 scheduler,
                 onListFailed: reason => options.onFailed(workerId, "worker listing", reason),
             });
@@ -61,6 +65,7 @@
         },
         execute: command => sessions.get("run" in command ? command.run.workerId : command.workerId)?.session?.execute(command),
         onProgressSaved: () => sessions.forEach(({ session }) => session?.onProgressSaved()),
+        takeCallCounts: calls.take,
         close: () => {
             sessions.forEach(({ session }) => session?.close());
             sessions.clear();
--- a/tests/process/schedulingTermFixture.ts
+++ b/tests/process/schedulingTermFixture.ts
@@ -143,6 +143,7 @@
                 token: () => token,
                 isLeaseValid: () => token !== undefined,
                 maySendOrders: () => token !== undefined,
+                leaseAgeMs: () => 0,
             }) as SchedulingOwnership,
         timers,
         logger,
--- a/tests/process/vmManager.spec.ts
+++ b/tests/process/vmManager.spec.ts
@@ -62,7 +62,7 @@
             },
         } as unknown as ChangeFeedStore,
         mirror: () => ({ valueOf: (key: string) => key.endsWith("wave/7") ? storedWaveProgress : undefined }) as unknown as StoreMirror,
-        ownership: () => ({ token: () => token, isLeaseValid: () => token !== undefined }) as SchedulingOwnership,
+        ownership: () => ({ token: () => token, isLeaseValid: () => token !== undefined, leaseAgeMs: () => 0 }) as SchedulingOwnership,
         timers,
         logger: createSilentLogger(),
         signal: new AbortController().signal,
