Show by tests that moves of VMs and lease renewals wait for responses that can wait

What callers saw: most jobs of a surge late, while VMs of other pools stood empty, and changes of owner without a fault.

--- a/tests/process/schedulingOwnership.spec.ts
+++ b/tests/process/schedulingOwnership.spec.ts
@@ -1,4 +1,7 @@
-/** Guards against a process that becomes the owner while it is stopping, and against an owner whose term cannot be started. */
+/**
+ * Guards against a process that becomes the owner while it is stopping, an owner whose term cannot be started, and one that is replaced
+ * because it is late itself.
+ */
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { Ok } from "../../src/common/results.js";
@@ -143,4 +146,45 @@
         assert.equal(ownership.isLeaseValid(), true);
         lifetime.abort();
     });
+
+    it("should be kept while responses to renewals are handled later than the lease lasts", async () => {
+        const timers = createManualTimerService();
+        const lifetime = new AbortController();
+        const leaseMs = 1_800;
+        const responseDelayMs = 1_900;
+        const losses: string[] = [];
+        let leaseEndsAtMs = Number.POSITIVE_INFINITY;
+        const store = {
+            grantLease: () => {
+                leaseEndsAtMs = timers.nowMs() + leaseMs;
+                return Promise.resolve(Ok("lease"));
+            },
+            swap: () => Promise.resolve(Ok({ isSwapped: true, revision: 2, current: [] })),
+            keepLeaseAlive: () => {
+                // The store handles the call at once.
+                const isAlive = timers.nowMs() < leaseEndsAtMs;
+                if (!isAlive) {
+                    losses.push(`the lease had ended ${timers.nowMs() - leaseEndsAtMs} ms before`);
+                }
+                leaseEndsAtMs = isAlive ? timers.nowMs() + leaseMs : leaseEndsAtMs;
+                return new Promise(resolve => timers.after(responseDelayMs, () => resolve(Ok(isAlive))));
+            },
+            revokeLease: () => Promise.resolve(Ok(undefined)),
+        } as unknown as PlatformStore;
+        const ownership = createOwnership({
+            store,
+            timers,
+            signal: lifetime.signal,
+            leaseMs,
+            onAcquired: () => undefined,
+            onLost: reason => losses.push(reason),
+        });
+        for (let round = 0; round < 200; round++) {
+            await new Promise(resolve => setImmediate(resolve));
+            timers.advance(60);
+        }
+        assert.deepEqual(losses, []);
+        assert.notEqual(ownership.token(), undefined);
+        lifetime.abort();
+    });
 });
--- a/tests/process/vmManager.spec.ts
+++ b/tests/process/vmManager.spec.ts
@@ -1,4 +1,7 @@
-/** Guards against VM orders and writes that the state of an ended term decides, and checks that a continued term goes on. */
+/**
+ * Guards against VM orders and writes that the state of an ended term decides, and against moves that wait for work that is not urgent; checks
+ * that a continued term goes on.
+ */
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { Ok } from "../../src/common/results.js";
@@ -113,6 +116,14 @@
     return harness;
 };
 
+/** A scheduler with an idle worker, and a standby pool for VMs that may be moved. */
+const createWithStandby = (token: number): SchedulerHarness => {
+    const harness = createIdle(token);
+    const { state } = harness.scheduler;
+    state.policy = { ...state.policy, pools: new Map([...state.policy.pools, ["idle", { name: "idle", isStandby: true }]]) };
+    return harness;
+};
+
 describe("a VM list that is answered in a later term", () => {
     it("should not restart a VM that was empty in the earlier term", async () => {
         const { manager, lists, orders, writes, acquire, lose, pass } = createFixture([vm("vm1", "pool", "w1")]);
@@ -144,13 +155,12 @@
 
     it("should not move a VM that was empty in the earlier term", async () => {
         const { lists, orders, acquire, lose, pass } = createFixture([vm("vm1", "pool", "w1"), vm("idle1", "idle", undefined)]);
-        const withWaitingWork = (harness: SchedulerHarness): SchedulerHarness => {
-            const { state } = harness.scheduler;
-            state.policy = { ...state.policy, pools: new Map([...state.policy.pools, ["idle", { name: "idle", isStandby: true }]]) };
+        const createWithWaitingWork = (token: number): SchedulerHarness => {
+            const harness = createWithStandby(token);
             harness.submit("wide", { taskCount: 24 });
             return harness;
         };
-        acquire(10, withWaitingWork(createIdle(10)));
+        acquire(10, createWithWaitingWork(10));
         await pass();
         const earlierList = lists.shift()!;
         lose();
@@ -158,7 +168,7 @@
         await earlierList();
         assert.deepEqual(orders, []);
         lose();
-        acquire(30, withWaitingWork(createIdle(30)));
+        acquire(30, createWithWaitingWork(30));
         await pass();
         await lists.shift()!();
         assert.deepEqual(orders, ["move idle1 to pool with 30"], "the same demand moves the VM within a term");
@@ -214,3 +224,47 @@
         });
     }
 });
+
+describe("a surge", () => {
+    const vms = [vm("vm1", "pool", "w1"), vm("idle1", "idle", undefined), vm("idle2", "idle", undefined)];
+
+    it("should get VMs while the restarts of a wave have no response", async () => {
+        const { manager, lists, orders, acquire, pass } = createFixture(vms);
+        manager.onWaveRequested({ ...wave, vmIds: ["idle2"] });
+        const harness = createWithStandby(10);
+        harness.submit("wide", { taskCount: 24 });
+        acquire(10, harness);
+        await pass();
+        await lists.shift()!();
+        await pass();
+        assert.deepEqual(orders.toSorted(), ["move idle1 to pool with 10", "restart idle2 for 7 with 10"]);
+    });
+
+    it("should get further VMs while an earlier move has no response", async () => {
+        const { lists, orders, acquire, pass } = createFixture(vms);
+        const harness = createWithStandby(10);
+        harness.submit("narrow", { taskCount: 15 });
+        acquire(10, harness);
+        await pass();
+        await lists.shift()!();
+        assert.equal(orders.length, 1, orders.join());
+        harness.submit("wide", { taskCount: 24 });
+        await pass();
+        assert.equal(orders.length, 2, orders.join());
+    });
+
+    it("should get VMs while the VM list has no response for less than it may take", async () => {
+        const { lists, orders, acquire, pass } = createFixture(vms);
+        const harness = createWithStandby(10);
+        acquire(10, harness);
+        await pass();
+        await lists.shift()!();
+        for (let passes = 0; passes < 4; passes++) {
+            await pass();
+        }
+        assert.equal(lists.length, 1, "the list is read again");
+        harness.submit("wide", { taskCount: 24 });
+        await pass();
+        assert.ok(orders.length > 0);
+    });
+});
