Renew the owner's lease in time although responses are handled late

What callers saw: on small VMs, an overloaded owner lost the ownership again and again; each next owner began anew. Cause: a renewal was sent only after the response to the one before had been handled. The store extends the lease when the call arrives; an owner that handles the response 1.9 s later sends the next one after its lease of 1.8 s has ended. Change: renewals are sent at fixed intervals, up to four of them unanswered. What the process may do still counts from the renewals that it knows to have succeeded.

--- a/src/process/poolDemandLog.ts
+++ b/src/process/poolDemandLog.ts
@@ -46,11 +46,12 @@
             }
             loggedAtMs = nowMs;
             const required = requiredVmsByPool(pools);
+            const emptyCountOf = ({ poolName }: PoolDemand): number => emptyVms.filter(vm => vm.poolName === poolName).length;
             logger.log(logEvents.poolDemandSummarized, {
                 pools: pools.map(pool =>
                     pool.isStandby ?
-                        `${pool.poolName}: standby, ${pool.vmCount} available` :
-                        formatPool(pool, required.get(pool.poolName)!, emptyVms.filter(vm => vm.poolName === pool.poolName).length)
+                        `${pool.poolName}: standby, ${pool.vmCount} available, ${emptyCountOf(pool)} of them movable` :
+                        formatPool(pool, required.get(pool.poolName)!, emptyCountOf(pool))
                 ),
                 excludedVms: [...excludedCounts].map(([reason, count]) => `${reason}: ${count}`),
             });
--- a/src/process/schedulingOwnership.ts
+++ b/src/process/schedulingOwnership.ts
@@ -8,6 +8,7 @@
 import { delay, type TimerService } from "../common/timerService.js";
 import type { PlatformStore, StoreError, SwapOutcome } from "../connection/platformStore.js";
 import { jobKeys } from "../scheduling/jobDocuments.js";
+import type { Moment } from "../scheduling/reconcileListing.js";
 import { logEvents } from "./logEvents.js";
 import type { Logger } from "./logger.js";
 import { createOwnerDocuments, type Handover, type OwnerDocument } from "./ownerDocuments.js";
@@ -68,9 +69,13 @@
 interface HeldLease {
     token: number;
     leaseId: string;
-    /** When the last successful renewal was sent, by the monotonic clock and by the wall clock. */
-    renewedAtMs: number;
-    renewedWallMs: number;
+    /** When the last renewal that succeeded was sent. */
+    renewed: Moment;
+    /** When the last renewal was sent that has not failed. */
+    renewalSent: Moment;
+    renewalsInFlight: number;
+    /** Whether the store has told that the lease has ended. */
+    hasEnded: boolean;
     formerOwnersEndAtMs: number;
     /** Whether the store tells the next owner that this one is the only one that may have sent commands since. */
     isSoleOwnerRecorded: boolean;
@@ -79,6 +84,8 @@
 const checkIntervalMs = 60;
 /** Fraction of the lease duration after which it is renewed; leaves time for two failed renewals. */
 const renewAfterFraction = 0.3;
+/** As many as are sent within the lease duration. */
+const maxRenewalsInFlight = 4;
 /** Processes other than the last owner wait a random time up to this before they try, so that they do not all write at once. */
 const maxStaggerMs = 80;
 const handoverRetryDelayMs = 1_000;
@@ -98,10 +105,10 @@
     const chooseStaggerMs = (): number => options.acquireDelayMs + options.random() * maxStaggerMs;
     let staggerMs = chooseStaggerMs();
 
-    /** Time since the last renewal by whichever clock shows more: on a suspended VM the monotonic clock stops, the wall clock does not. */
-    const timeSinceRenewalMs = (lease: HeldLease): number =>
-        Math.max(timers.nowMs() - lease.renewedAtMs, timers.wallClockMs() - lease.renewedWallMs);
-    const isLeaseValid = (): boolean => held !== undefined && timeSinceRenewalMs(held) < options.leaseMs;
+    const now = (): Moment => ({ nowMs: timers.nowMs(), wallMs: timers.wallClockMs() });
+    /** The time by whichever clock shows more: on a suspended VM the monotonic clock stops, the wall clock does not. */
+    const timeSinceMs = ({ nowMs, wallMs }: Moment): number => Math.max(timers.nowMs() - nowMs, timers.wallClockMs() - wallMs);
+    const isLeaseValid = (): boolean => held !== undefined && timeSinceMs(held.renewed) < options.leaseMs;
 
     const loseOwnership = (reason: string): void => {
         if (held) {
@@ -154,8 +161,7 @@
         const isContinued = ownTermRevision !== 0 && ownTermRevision === termRevision;
         replacedTermRevision = termRevision;
         const formerOwnersEndedAtMs = findFormerOwnersEndMs(termRevision);
-        const sentAtMs = timers.nowMs();
-        const sentWallMs = timers.wallClockMs();
+        const sent = now();
         const lease = await store.grantLease(options.leaseMs / 1000);
         if (lease.err) {
             return;
@@ -177,8 +183,10 @@
         held = {
             token: swapped.val.revision,
             leaseId: lease.val,
-            renewedAtMs: sentAtMs,
-            renewedWallMs: sentWallMs,
+            renewed: sent,
+            renewalSent: sent,
+            renewalsInFlight: 0,
+            hasEnded: false,
             formerOwnersEndAtMs,
             isSoleOwnerRecorded: false,
         };
@@ -205,22 +213,33 @@
     };
 
     const renew = async (lease: HeldLease): Promise<void> => {
-        if (timeSinceRenewalMs(lease) < options.leaseMs * renewAfterFraction) {
-            return;
-        }
-        const sentAtMs = timers.nowMs();
-        const sentWallMs = timers.wallClockMs();
+        const sent = now();
+        lease.renewalSent = sent;
+        lease.renewalsInFlight += 1;
         const kept = await store.keepLeaseAlive(lease.leaseId);
-        if (held !== lease || kept.err) {
-            return;
+        lease.renewalsInFlight -= 1;
+        if (kept.err) {
+            lease.renewalSent = lease.renewed;
+        }
+        else if (!kept.val) {
+            lease.hasEnded = true;
+        }
+        else if (sent.nowMs > lease.renewed.nowMs) {
+            lease.renewed = sent;
         }
-        if (kept.val) {
-            lease.renewedAtMs = sentAtMs;
-            lease.renewedWallMs = sentWallMs;
+    };
+
+    const keep = async (lease: HeldLease): Promise<void> => {
+        if (lease.hasEnded) {
+            // For example during an outage. This process continues unless another one was the owner meanwhile.
+            await acquire();
             return;
         }
-        // The lease has expired, for example during an outage. This process continues unless another one was the owner meanwhile.
-        await acquire();
+        const isDue = timeSinceMs(lease.renewalSent) >= options.leaseMs * renewAfterFraction;
+        if (isDue && lease.renewalsInFlight < maxRenewalsInFlight) {
+            // Not awaited: a process that is late handles the response late, and must renew the lease again before.
+            void renew(lease);
+        }
     };
 
     const tryAcquire = async (): Promise<void> => {
@@ -253,7 +272,7 @@
     const run = async (): Promise<void> => {
         while (!signal.aborted && !isReleased) {
             try {
-                await (held ? renew(held) : tryAcquire());
+                await (held ? keep(held) : tryAcquire());
             }
             catch (error) {
                 // The lease must be renewed all the same.
@@ -266,8 +285,8 @@
 
     return {
         isLeaseValid,
-        maySendOrders: () => held !== undefined && timeSinceRenewalMs(held) < options.leaseMs + options.gracePeriodMs,
-        leaseAgeMs: () => held && Math.round(timeSinceRenewalMs(held)),
+        maySendOrders: () => held !== undefined && timeSinceMs(held.renewed) < options.leaseMs + options.gracePeriodMs,
+        leaseAgeMs: () => held && Math.round(timeSinceMs(held.renewed)),
         token: () => held?.token,
         onStoreChanged,
         onFenced: () => loseOwnership("a worker has received commands from a newer owner"),
