Move VMs out of standby from the first moment of a term

What callers saw: most jobs of a surge too late that began around a change of the owner; quick-quote and tile-check, whose many short tasks need most VMs, lost most. Cause: a VM whose worker has not responded to the present owner is neither moved nor restarted, for as long as leases of an earlier owner may last, 6 s. The list names a worker on VMs in standby too, the one that they had before. So none of them could be moved in the first 6 s of a term, as long as a surge, and the surging pool got what other pools had left. The test failed before. Change: a VM in standby is off, so it runs nothing, whatever worker the list names; only one whose worker is registered is waited for.

--- a/src/process/vmInventory.ts
+++ b/src/process/vmInventory.ts
@@ -86,7 +86,8 @@
         workerOn,
         mayRunUnknownTasks: vm => {
             const worker = workerOn(vm.vmId);
-            if (!worker && vm.workerId === undefined && isInStandby(vm)) {
+            // A VM in standby is off; the list may still name the worker that it had before.
+            if (!worker && isInStandby(vm)) {
                 return false;
             }
             return worker ? !worker.isRunStateKnown : timers.nowMs() < scheduler.state.term.unknownWorkersUntilMs;
--- a/tests/process/unknownWorkers.spec.ts
+++ b/tests/process/unknownWorkers.spec.ts
@@ -24,18 +24,26 @@
     restart(): Promise<void>;
 }
 
-/** Two VMs in one pool, and an empty standby pool. A wave is to restart the second VM. */
-async function createFixture(options: { listedWorkerId?: string; unknownWorkersUntilMs?: number } = {}): Promise<Fixture> {
+interface FixtureOptions {
+    listedWorkerId?: string;
+    /** The worker that the list names on the VM in standby; without it there is no such VM. */
+    standbyWorkerId?: string;
+    unknownWorkersUntilMs?: number;
+}
+
+/** Two VMs in one pool, and a standby pool. A wave is to restart the second VM. */
+async function createFixture(options: FixtureOptions = {}): Promise<Fixture> {
     const harness = createSchedulerHarness({ workers: 2 });
     const { state } = harness.scheduler;
     state.term = { ...state.term, unknownWorkersUntilMs: options.unknownWorkersUntilMs ?? 0 };
     state.policy = { ...state.policy, pools: new Map([...state.policy.pools, ["idle", { name: "idle", isStandby: true }]]) };
     const orders: string[] = [];
+    const vms = [describeVm({ vmId: "vm1", workerId: "w1" }), describeVm({ vmId: "vm2", workerId: options.listedWorkerId ?? "w2" })];
+    if (options.standbyWorkerId !== undefined) {
+        vms.push(describeVm({ vmId: "standby1", poolName: "idle", workerId: options.standbyWorkerId }));
+    }
     const vmService: VmService = {
-        list: () =>
-            Promise.resolve(
-                Ok([describeVm({ vmId: "vm1", workerId: "w1" }), describeVm({ vmId: "vm2", workerId: options.listedWorkerId ?? "w2" })]),
-            ),
+        list: () => Promise.resolve(Ok(vms)),
         move: vmId => Promise.resolve((orders.push(`move ${vmId}`), vmOrderOutcomes.accepted)),
         restart: vmId => Promise.resolve((orders.push(`restart ${vmId}`), vmOrderOutcomes.accepted)),
     };
@@ -92,3 +100,14 @@
         assert.deepEqual(orders, ["restart vm2"]);
     });
 });
+
+describe("a surge just after a takeover", () => {
+    it("should get a VM of standby, where it is off, although the list still names a worker on it", async () => {
+        const { harness, orders, move } = await createFixture({ standbyWorkerId: "former", unknownWorkersUntilMs: 6_000 });
+        harness.list("w1", { sentAtMs: 0 });
+        harness.list("w2", { sentAtMs: 0 });
+        harness.submit("wide", { taskCount: 60 });
+        await move();
+        assert.deepEqual(orders, ["move standby1"]);
+    });
+});
