Plan moves of VMs without waiting for waves, lists and earlier moves

What callers saw: most jobs of a surge too late, while VMs of other pools stood empty for seconds. Cause: the work on VMs was done in turn: the list, each wave with its restarts, a second list and a write to the store, then the moves, and all responses to these before the next turn. Moves, which a surge waits for, came last, and one slow response held them up. Change: the list, each wave and each move wait for their own responses only. Moves are planned every 150 ms and after each list, from a list of at most 2 s. A list that is overtaken by one that was requested later is dropped.

--- a/src/process/poolRebalancer.ts
+++ b/src/process/poolRebalancer.ts
@@ -1,4 +1,5 @@
 /** Moves VMs between pools according to demand, in the process that owns the scheduling. */
+import { describeError } from "../common/describeError.js";
 import type { TimerService } from "../common/timerService.js";
 import { type VmOrderOutcome, vmOrderOutcomes, type VmRecord, type VmService, vmStates } from "../connection/vmService.js";
 import { type DrainableVm, type EmptyVm, type MovePlanInput, planMoves, type PoolDemand, type VmMove } from "../decisions/planMoves.js";
@@ -15,8 +16,8 @@
 import { createWaitingTrend } from "./waitingTrend.js";
 
 export interface PoolRebalancer {
-    /** Requests the moves that the pools need now; `true` if there were any. */
-    advance(): Promise<boolean>;
+    /** Requests the moves that the pools need now; does not wait for the responses. */
+    advance(): void;
     /** Whether a move of the VM was requested and has not completed or failed. */
     isMoving(vmId: string): boolean;
 }
@@ -263,20 +264,24 @@
         handleMoveOutcome(move, pending, outcome, token);
     };
 
+    const startMove = (move: VmMove, token: number): void =>
+        void executeMove(move, token).catch((error: unknown) =>
+            options.logger.log(logEvents.unexpectedError, { where: `move of ${move.vmId}`, error: describeError(error) })
+        );
+
     return {
-        advance: async () => {
+        advance: () => {
             updatePendingMoves();
             const fleet = describeFleet();
             demandLog.record(fleet, fleet.excludedCounts);
             const token = options.orderToken();
             if (token === undefined) {
                 inventory.setDrainedForMove([]);
-                return false;
+                return;
             }
             const { moves, drainedVmIds } = planMoves(fleet);
             inventory.setDrainedForMove(drainedVmIds);
-            await Promise.all(moves.map(move => executeMove(move, token)));
-            return moves.length > 0;
+            moves.forEach(move => startMove(move, token));
         },
         isMoving: vmId => pendingMoves.has(vmId),
     };
--- a/src/process/vmInventory.ts
+++ b/src/process/vmInventory.ts
@@ -107,6 +107,10 @@
             if (listed.err) {
                 return false;
             }
+            if (requestedAtMs < listedAtMs) {
+                // A list that was requested later has arrived before.
+                return true;
+            }
             vms = new Map(listed.val.map(vm => [vm.vmId, vm]));
             listedAtMs = requestedAtMs;
             vms.forEach(updateLastWorkerId);
--- a/src/process/vmManager.ts
+++ b/src/process/vmManager.ts
@@ -41,9 +41,8 @@
 interface Term {
     /** Fencing token of what this term's state decides; `undefined` while the lease is not confirmed, and once the term has ended. */
     orderToken(): number | undefined;
-    isAdvancing: boolean;
-    /** What `advanceTerm` is doing; `undefined` while it does nothing. */
-    activePart: { name: string; startedAtMs: number } | undefined;
+    /** When the parts of the work began that wait for responses now. */
+    activeParts: Map<string, number>;
     movesPlannedAtMs: number;
     delayLoggedAtMs: number;
     inventory: VmInventory;
@@ -54,6 +53,8 @@
 const advanceIntervalMs = 150;
 /** The VM list changes through this process's own requests, after which it is read at once, and through failures. */
 const listIntervalMs = 400;
+/** Orders are planned from a list up to this age, which covers a slow response to the next one. */
+const maxListAgeMs = 2_000;
 /** Interval at which workers with unready long-running tasks are listed, so that a ready task is noticed soon. */
 const unreadyListIntervalMs = 300;
 /** Moves that are planned later than this miss the first part of a surge. */
@@ -64,16 +65,16 @@
     const requests = new Map<number, WaveRequest>();
     let unreadyListedAtMs = Number.NEGATIVE_INFINITY;
 
-    const createWave = (activeTerm: Term, request: WaveRequest): void => {
-        activeTerm.waves.set(
+    const createWave = (term: Term, request: WaveRequest): void => {
+        term.waves.set(
             request.waveNumber,
             createWaveRunner({
                 ...options,
                 request,
                 storedProgress: options.mirror().valueOf(`${waveProgressPrefix}${request.waveNumber}`),
-                inventory: activeTerm.inventory,
-                isMoving: activeTerm.rebalancer.isMoving,
-                orderToken: activeTerm.orderToken,
+                inventory: term.inventory,
+                isMoving: term.rebalancer.isMoving,
+                orderToken: term.orderToken,
                 statusKey: options.waveStatusKey(request.waveNumber),
                 encodeStatus: isCompleted => options.encodeWaveStatus(request.waveNumber, isCompleted),
             }),
@@ -89,75 +90,69 @@
         }
     };
 
-    /** What fails for one wave must hold up neither other waves nor the moves. */
-    const continueAfterError = async (part: string, advance: () => Promise<unknown>): Promise<void> => {
-        try {
-            await advance();
-        }
-        catch (error) {
-            logger.log(logEvents.unexpectedError, { where: `vmManager, ${part}`, error: describeError(error) });
+    /**
+     * Begins a part of the work unless it is under way. The parts do not wait for each other: a surge needs its moves, whatever responses a
+     * wave waits for, and what fails for one wave must hold up neither other waves nor the moves.
+     */
+    const begin = (term: Term, part: string, work: () => Promise<unknown>): void => {
+        if (term.activeParts.has(part)) {
+            return;
         }
+        term.activeParts.set(part, timers.nowMs());
+        work()
+            .catch((error: unknown) => logger.log(logEvents.unexpectedError, { where: `vmManager, ${part}`, error: describeError(error) }))
+            .finally(() => term.activeParts.delete(part));
     };
 
-    const advanceTerm = async (activeTerm: Term): Promise<void> => {
-        const mayAct = (): boolean => activeTerm.orderToken() !== undefined;
-        if (!mayAct()) {
+    /** Orders what the last list shows to be needed. */
+    const advanceOrders = (term: Term): void => {
+        if (term.orderToken() === undefined || timers.nowMs() - term.inventory.listedAtMs() > maxListAgeMs) {
             return;
         }
-        for (const request of requests.values()) {
-            if (!activeTerm.waves.has(request.waveNumber)) {
-                createWave(activeTerm, request);
-            }
+        const unfinishedWaves = [...term.waves].filter(([, wave]) => !wave.isFinished());
+        if (unfinishedWaves.length > 0) {
+            listWorkersWithUnreadyTasks(term.inventory.scheduler);
         }
-        const enter = (name: string): void => void (activeTerm.activePart = { name, startedAtMs: timers.nowMs() });
-        const isDue = timers.nowMs() - activeTerm.inventory.listedAtMs() >= listIntervalMs;
-        enter("list");
-        if (isDue && (!await activeTerm.inventory.refresh() || !mayAct())) {
-            return;
+        unfinishedWaves.forEach(([waveNumber, wave]) => begin(term, `wave ${waveNumber}`, wave.advance));
+        term.rebalancer.advance();
+        term.movesPlannedAtMs = timers.nowMs();
+    };
+
+    const refreshList = async (term: Term): Promise<void> => {
+        if (await term.inventory.refresh()) {
+            advanceOrders(term);
         }
-        const unfinishedWaves = [...activeTerm.waves.values()].filter(wave => !wave.isFinished());
-        if (unfinishedWaves.length > 0) {
-            listWorkersWithUnreadyTasks(activeTerm.inventory.scheduler);
+    };
+
+    const advanceTerm = (term: Term): void => {
+        if (term.orderToken() === undefined) {
+            return;
         }
-        for (const wave of unfinishedWaves) {
-            enter("wave");
-            await continueAfterError("wave", () => wave.advance());
-            if (!mayAct()) {
-                return;
+        for (const request of requests.values()) {
+            if (!term.waves.has(request.waveNumber)) {
+                createWave(term, request);
             }
         }
-        enter("moves");
-        activeTerm.movesPlannedAtMs = timers.nowMs();
-        await continueAfterError("moves between pools", () => activeTerm.rebalancer.advance());
+        if (timers.nowMs() - term.inventory.listedAtMs() >= listIntervalMs) {
+            begin(term, "list", () => refreshList(term));
+        }
+        advanceOrders(term);
     };
 
-    const logDelay = (activeTerm: Term): void => {
-        const { activePart } = activeTerm;
+    const logDelay = (term: Term): void => {
         const nowMs = timers.nowMs();
-        const delayMs = nowMs - activeTerm.movesPlannedAtMs;
-        if (delayMs < loggedDelayMs || nowMs - activeTerm.delayLoggedAtMs < loggedDelayMs) {
+        const delayMs = nowMs - term.movesPlannedAtMs;
+        if (delayMs < loggedDelayMs || nowMs - term.delayLoggedAtMs < loggedDelayMs) {
             return;
         }
-        activeTerm.delayLoggedAtMs = nowMs;
+        term.delayLoggedAtMs = nowMs;
         logger.log(logEvents.vmWorkDelayed, {
             delayMs: Math.round(delayMs),
-            activeParts: activePart ? [`${activePart.name} for ${Math.round(nowMs - activePart.startedAtMs)} ms`] : [],
+            activeParts: [...term.activeParts].map(([part, beganAtMs]) => `${part} for ${Math.round(nowMs - beganAtMs)} ms`),
             leaseAgeMs: options.ownership().leaseAgeMs(),
         });
     };
 
-    const advanceIfIdle = (activeTerm: Term): void => {
-        if (!activeTerm.isAdvancing) {
-            activeTerm.isAdvancing = true;
-            advanceTerm(activeTerm)
-                .catch((error: unknown) => logger.log(logEvents.unexpectedError, { where: "vmManager", error: describeError(error) }))
-                .finally(() => {
-                    activeTerm.isAdvancing = false;
-                    activeTerm.activePart = undefined;
-                });
-        }
-    };
-
     return {
         onTermStarted: (scheduler, termSignal) => {
             const inventory = createVmInventory({ scheduler, vmService: options.vmService, timers, logger });
@@ -169,8 +164,7 @@
             const rebalancer = createPoolRebalancer({ ...options, inventory, mustStay, orderToken });
             const term: Term = {
                 orderToken,
-                isAdvancing: false,
-                activePart: undefined,
+                activeParts: new Map(),
                 movesPlannedAtMs: timers.nowMs(),
                 delayLoggedAtMs: Number.NEGATIVE_INFINITY,
                 inventory,
@@ -178,8 +172,13 @@
                 waves,
             };
             timers.every(advanceIntervalMs, termSignal, () => {
+                try {
+                    advanceTerm(term);
+                }
+                catch (error) {
+                    logger.log(logEvents.unexpectedError, { where: "vmManager", error: describeError(error) });
+                }
                 logDelay(term);
-                advanceIfIdle(term);
             });
         },
         onWaveRequested: request => {
--- a/tests/process/drainedVms.spec.ts
+++ b/tests/process/drainedVms.spec.ts
@@ -5,7 +5,7 @@
 import { runEnds } from "../../src/scheduling/schedulerState.js";
 import { createSchedulerHarness, type JobInput, type SchedulerHarness } from "../scheduling/schedulerHarness.js";
 import { describeVm } from "./describeVm.js";
-import { type RebalancerFixture, startRebalancer } from "./rebalancerFixture.js";
+import { type RebalancerFixture, requestMoves, startRebalancer } from "./rebalancerFixture.js";
 
 const workerIds = ["w1", "w2", "w3"];
 const vms = workerIds.map((workerId, index) => describeVm({ vmId: `vm${index + 1}`, workerId }));
@@ -46,37 +46,37 @@
 describe("VMs with overdue tasks", () => {
     it("should get no new tasks while work in time waits elsewhere, and move as soon as they are empty", async () => {
         const { harness, fixture } = await startOverdueRuns({});
-        await fixture.rebalancer.advance();
+        await requestMoves(fixture.rebalancer);
         assert.deepEqual(cordonedWorkers(harness), ["w2", "w3"]);
         assert.deepEqual(fixture.orders, []);
 
         harness.list("w3", { ended: tasksOn(harness, "w3").map(taskName => ({ taskName, end: runEnds.done })) });
-        await fixture.rebalancer.advance();
+        await requestMoves(fixture.rebalancer);
         assert.deepEqual(fixture.orders, ["vm3 to other"]);
     });
 
     it("should get tasks again when the other work no longer waits, or no move may be ordered", async () => {
         const { harness, fixture } = await startOverdueRuns({});
-        await fixture.rebalancer.advance();
+        await requestMoves(fixture.rebalancer);
         fixture.setMayOrder(false);
-        await fixture.rebalancer.advance();
+        await requestMoves(fixture.rebalancer);
         assert.deepEqual(cordonedWorkers(harness), []);
 
         fixture.setMayOrder(true);
-        await fixture.rebalancer.advance();
+        await requestMoves(fixture.rebalancer);
         assert.deepEqual(cordonedWorkers(harness), ["w2", "w3"]);
         harness.scheduler.cancelJob("urgent", harness.nowMs());
-        await fixture.rebalancer.advance();
+        await requestMoves(fixture.rebalancer);
         assert.deepEqual(cordonedWorkers(harness), []);
     });
 
     it("should not be drained while they run long-running tasks or tasks in time", async () => {
         const longRunning = await startOverdueRuns({ isLongRunning: true });
-        await longRunning.fixture.rebalancer.advance();
+        await requestMoves(longRunning.fixture.rebalancer);
         assert.deepEqual(cordonedWorkers(longRunning.harness), ["w3"]);
 
         const inTime = await startOverdueRuns({ estimatedDurationMs: 60_000 });
-        await inTime.fixture.rebalancer.advance();
+        await requestMoves(inTime.fixture.rebalancer);
         assert.deepEqual(cordonedWorkers(inTime.harness), ["w3"]);
     });
 });
--- a/tests/process/fleetSimulation.ts
+++ b/tests/process/fleetSimulation.ts
@@ -174,7 +174,7 @@
                 await inventory.refresh();
             }
             if (mayAct()) {
-                await rebalancer.advance();
+                rebalancer.advance();
                 await new Promise(resolve => setImmediate(resolve));
             }
         }
--- a/tests/process/movesInWave.spec.ts
+++ b/tests/process/movesInWave.spec.ts
@@ -15,6 +15,7 @@
 import { createWaveRunner } from "../../src/process/waveRunner.js";
 import { createSchedulerHarness } from "../scheduling/schedulerHarness.js";
 import { describeVm } from "./describeVm.js";
+import { requestMoves } from "./rebalancerFixture.js";
 
 const idleVmsCount = 6;
 
@@ -75,7 +76,7 @@
         const { orders, wave, rebalancer } = await createFixture(120_000);
         await wave.advance();
         assert.deepEqual(orders, ["restart idle0"]);
-        await rebalancer.advance();
+        await requestMoves(rebalancer);
         assert.ok(orders.length >= 3, orders.join());
         assert.ok(orders.slice(1).every(text => /^move idle[1-5] to pool$/.test(text)), orders.join());
     });
@@ -83,13 +84,13 @@
     it("should get none while the wave is short of time", async () => {
         const { orders, wave, rebalancer } = await createFixture(20_000);
         await wave.advance();
-        await rebalancer.advance();
+        await requestMoves(rebalancer);
         assert.deepEqual(orders, ["restart idle0"]);
     });
 
     it("should not have a VM restarted whose move was ordered after the last list", async () => {
         const { orders, wave, rebalancer } = await createFixture(120_000);
-        await rebalancer.advance();
+        await requestMoves(rebalancer);
         const movedIds = orders.map(text => text.split(" ")[1]);
         await wave.advance();
         const restartedIds = orders.filter(text => text.startsWith("restart")).map(text => text.split(" ")[1]);
--- a/tests/process/poolRebalancer.spec.ts
+++ b/tests/process/poolRebalancer.spec.ts
@@ -7,12 +7,12 @@
 import { createSilentLogger, type LogFields, type Logger } from "../../src/process/logger.js";
 import { createSchedulerHarness, type SchedulerHarness } from "../scheduling/schedulerHarness.js";
 import { describeVm } from "./describeVm.js";
-import { startRebalancer } from "./rebalancerFixture.js";
+import { requestMoves, startRebalancer } from "./rebalancerFixture.js";
 
 /** The moves that are requested for a pool of 16 cores a VM, beside a standby pool. */
 async function requestedMoves(harness: SchedulerHarness, vms: readonly VmRecord[], logger?: Logger): Promise<string[]> {
     const { rebalancer, orders } = await startRebalancer(harness, vms, logger);
-    await rebalancer.advance();
+    await requestMoves(rebalancer);
     return orders;
 }
 
--- a/tests/process/rebalancerFixture.ts
+++ b/tests/process/rebalancerFixture.ts
@@ -16,6 +16,12 @@
     setMayOrder(mayOrder: boolean): void;
 }
 
+/** Requests the moves that the pools need now, and lets their responses arrive. */
+export async function requestMoves(rebalancer: PoolRebalancer): Promise<void> {
+    rebalancer.advance();
+    await new Promise(resolve => setImmediate(resolve));
+}
+
 /** Adds a standby pool to those of the scheduler's policy. */
 export async function startRebalancer(
     harness: SchedulerHarness,
--- a/tests/process/unknownWorkers.spec.ts
+++ b/tests/process/unknownWorkers.spec.ts
@@ -12,6 +12,7 @@
 import { createWaveRunner } from "../../src/process/waveRunner.js";
 import { createSchedulerHarness, type SchedulerHarness } from "../scheduling/schedulerHarness.js";
 import { describeVm } from "./describeVm.js";
+import { requestMoves } from "./rebalancerFixture.js";
 
 const logger = createSilentLogger();
 const store = { swap: () => Promise.resolve(Ok({ isSwapped: true, revision: 20, current: [] })) } as unknown as ChangeFeedStore;
@@ -66,7 +67,7 @@
         harness,
         inventory,
         orders,
-        move: async () => void await rebalancer.advance(),
+        move: () => requestMoves(rebalancer),
         restart: () => wave.advance(),
     };
 }
