Read the VM list and plan orders less often while the owner is late

Cause: with the list, waves and moves on their own, nothing paced the work on VMs any more: an overloaded owner read and decoded the list of all VMs every 400 ms and planned moves nine times a second, with the processor time that starts need. The test failed before. Change: the interval of the list grows with the lateness, to at most 1.5 s; a late owner plans orders once for each list.

--- a/src/process/schedulingService.ts
+++ b/src/process/schedulingService.ts
@@ -14,7 +14,7 @@
 import { addStoredJob } from "./addStoredJob.js";
 import type { DemandTracker } from "./demandTracker.js";
 import { createKnownWorkers } from "./knownWorkers.js";
-import { createLatenessMeter } from "./latenessMeter.js";
+import type { LatenessMeter } from "./latenessMeter.js";
 import { logEvents } from "./logEvents.js";
 import type { Logger } from "./logger.js";
 import { createPassTrigger } from "./passTrigger.js";
@@ -51,6 +51,7 @@
     directory: JobDirectory;
     ownership(): SchedulingOwnership;
     timers: TimerService;
+    lateness: LatenessMeter;
     logger: Logger;
     signal: AbortSignal;
     /** Whether the workers' entries that were passed in are recent. */
@@ -79,7 +80,7 @@
 const cleanupIntervalMs = 5_000;
 
 export function createSchedulingService(options: SchedulingServiceOptions): SchedulingService {
-    const { store, directory, timers, logger } = options;
+    const { store, directory, timers, lateness, logger } = options;
     const knownWorkers = createKnownWorkers(timers.nowMs);
     const workerLeaseMs = requestedLeaseMs(options.workerLeaseMs);
     let activeTerm: ActiveTerm | undefined;
@@ -87,7 +88,6 @@
 
     const moment = (): Moment => ({ nowMs: timers.nowMs(), wallMs: timers.wallClockMs() });
     const maySendOrders = (): boolean => options.ownership().maySendOrders();
-    const lateness = createLatenessMeter(timers);
     const summary = createSchedulingSummary(timers, logger, lateness.latenessMs, () => ({ ...sessions.takeCallCounts() }));
     const logUnreadable = createUnreadableDocumentLog(logger, timers.nowMs);
     const termRevision = (): number | undefined => options.ownership().token();
--- a/src/process/vmManager.ts
+++ b/src/process/vmManager.ts
@@ -32,6 +32,8 @@
     signal: AbortSignal;
     restartMs: number;
     demand: DemandTracker;
+    /** How late this process runs its timers. */
+    latenessMs(): number;
     /** Key under which the operator reads the status of a wave, encoded by `encodeWaveStatus`. */
     waveStatusKey(waveNumber: number): string;
     encodeWaveStatus(waveNumber: number, isCompleted: boolean): string;
@@ -53,8 +55,13 @@
 const advanceIntervalMs = 150;
 /** The VM list changes through this process's own requests, after which it is read at once, and through failures. */
 const listIntervalMs = 400;
+/** While this process is late, the list is read less often, by this multiple of the lateness. */
+const listPauseFactor = 10;
+const maxListIntervalMs = 1_500;
 /** Orders are planned from a list up to this age, which covers a slow response to the next one. */
-const maxListAgeMs = 2_000;
+const maxListAgeMs = 3_000;
+/** A process that is later than this plans orders only once for each list. */
+const toleratedLatenessMs = 60;
 /** Interval at which workers with unready long-running tasks are listed, so that a ready task is noticed soon. */
 const unreadyListIntervalMs = 300;
 /** Moves that are planned later than this miss the first part of a surge. */
@@ -133,10 +140,14 @@
                 createWave(term, request);
             }
         }
-        if (timers.nowMs() - term.inventory.listedAtMs() >= listIntervalMs) {
+        const latenessMs = options.latenessMs();
+        const intervalMs = Math.min(maxListIntervalMs, listIntervalMs + listPauseFactor * latenessMs);
+        if (timers.nowMs() - term.inventory.listedAtMs() >= intervalMs) {
             begin(term, "list", () => refreshList(term));
         }
-        advanceOrders(term);
+        if (latenessMs <= toleratedLatenessMs) {
+            advanceOrders(term);
+        }
     };
 
     const logDelay = (term: Term): void => {
--- a/tests/process/schedulingTermFixture.ts
+++ b/tests/process/schedulingTermFixture.ts
@@ -6,6 +6,7 @@
 import type { ChangeFeedStore, StoreError, StoreGuard, StoreWrite, SwapOutcome } from "../../src/connection/platformStore.js";
 import type { ListOrder, ListResponse, StartOrder, WorkerClient } from "../../src/connection/workerClient.js";
 import { createDemandTracker } from "../../src/process/demandTracker.js";
+import { createLatenessMeter } from "../../src/process/latenessMeter.js";
 import { logEvents } from "../../src/process/logEvents.js";
 import { createSilentLogger, type Logger } from "../../src/process/logger.js";
 import type { SchedulingOwnership } from "../../src/process/schedulingOwnership.js";
@@ -146,6 +147,7 @@
                 leaseAgeMs: () => 0,
             }) as SchedulingOwnership,
         timers,
+        lateness: createLatenessMeter(timers),
         logger,
         signal: lifetime.signal,
         areWorkersCurrent: () => areWorkersCurrent,
--- a/tests/process/simulatedProcess.ts
+++ b/tests/process/simulatedProcess.ts
@@ -4,6 +4,7 @@
 import type { ChangeFeedStore, StoreChange } from "../../src/connection/platformStore.js";
 import type { ConnectWorker } from "../../src/connection/workerClient.js";
 import { createDemandTracker } from "../../src/process/demandTracker.js";
+import { createLatenessMeter } from "../../src/process/latenessMeter.js";
 import { createSilentLogger, type Logger } from "../../src/process/logger.js";
 import { createSchedulingOwnership, type OwnershipTerm, type SchedulingOwnership } from "../../src/process/schedulingOwnership.js";
 import { createSchedulingService, type SchedulingService } from "../../src/process/schedulingService.js";
@@ -61,6 +62,7 @@
         directory,
         ownership: () => ownership,
         timers,
+        lateness: createLatenessMeter(timers),
         logger,
         signal,
         areWorkersCurrent: () => true,
--- a/tests/process/vmManager.spec.ts
+++ b/tests/process/vmManager.spec.ts
@@ -27,6 +27,8 @@
     acquire(token: number, harness: SchedulerHarness): void;
     continueWith(token: number, harness: SchedulerHarness): void;
     lose(): void;
+    /** How late the process runs its timers; at first it does not. */
+    setLatenessMs(latenessMs: number): void;
     pass(): Promise<void>;
 }
 
@@ -41,6 +43,7 @@
     const writes: Fixture["writes"] = [];
     let token: number | undefined;
     let term = new AbortController();
+    let latenessMs = 0;
     const settle = async (): Promise<void> => {
         for (let turn = 0; turn < 3; turn++) {
             await new Promise(resolve => setImmediate(resolve));
@@ -71,6 +74,7 @@
         signal: new AbortController().signal,
         restartMs: 1_000,
         demand: createDemandTracker(timers.nowMs),
+        latenessMs: () => latenessMs,
         waveStatusKey: waveNumber => `status/${waveNumber}`,
         encodeWaveStatus: (_waveNumber, isCompleted) => String(isCompleted),
     });
@@ -93,6 +97,7 @@
             token = undefined;
             term.abort();
         },
+        setLatenessMs: newLatenessMs => latenessMs = newLatenessMs,
         pass: async () => {
             timers.advance(150);
             await settle();
@@ -267,4 +272,25 @@
         await pass();
         assert.ok(orders.length > 0);
     });
+
+    it("should not cost a process that is late the processor time of more lists", async () => {
+        const { lists, acquire, setLatenessMs, pass } = createFixture(vms);
+        const countLists = async (): Promise<number> => {
+            let listsCount = 0;
+            for (let passes = 0; passes < 20; passes++) {
+                await pass();
+                for (const answer of lists.splice(0)) {
+                    listsCount += 1;
+                    await answer();
+                }
+            }
+            return listsCount;
+        };
+        acquire(10, createWithStandby(10));
+        const inTimeCount = await countLists();
+        setLatenessMs(300);
+        const lateCount = await countLists();
+        assert.ok(inTimeCount >= 6, String(inTimeCount));
+        assert.ok(lateCount > 0 && lateCount <= 3, String(lateCount));
+    });
 });
