Send starts in a window that follows how late the owner is

Cause: every task that fitted on a worker was started at once. The starts, their responses and the listings of the ends wait for the owner's processor in the order in which they came, so beyond what it can do in a second all work becomes late, also that which the scheduler would start first. Change: the number of starts without a response is limited by a window, which shrinks while the owner's timers run late and grows else. What is beyond it waits in the scheduler; tasks of all pools that can be in time come before overdue ones. Long-running tasks are not limited. The collection of waiting steps moves to a file of its own.

--- a/harness/simulatedOwner.ts
+++ b/harness/simulatedOwner.ts
@@ -2,6 +2,8 @@
  * Drives a scheduler in virtual time as its owner does: listings of simulated workers, commands to them, writes of progress, and passes
  * that follow events.
  */
+import { listingPauseMs } from "../src/decisions/paceListings.js";
+import { createStartWindow } from "../src/decisions/startWindow.js";
 import { passDelayMs } from "../src/process/passTrigger.js";
 import { commandOutcomes } from "../src/scheduling/commandOutcomes.js";
 import type { Listing, Moment } from "../src/scheduling/reconcileListing.js";
@@ -26,6 +28,8 @@
     isAway?(): boolean;
     /** Whether the store takes no writes now. */
     isStoreAway?(): boolean;
+    /** Processor time for each call to a worker and for each response, which are handled one after the other; by default none. */
+    callCostMs?: number;
 }
 
 export interface SimulatedOwner {
@@ -55,11 +59,25 @@
     const isAway = options.isAway ?? ((): boolean => false);
     const isStoreAway = options.isStoreAway ?? ((): boolean => false);
     const waitingForSave = new Set<string>();
+    const { callCostMs = 0 } = options;
+    const startWindow = createStartWindow();
+    let unansweredStartsCount = 0;
+    let busyUntilMs = 0;
     let isPassDue = true;
     let lastPassAtMs = 0;
     let writesInFlight = 0;
 
     const moment = (): Moment => ({ nowMs: time.nowMs(), wallMs: time.nowMs() });
+    const latenessMs = (): number => Math.max(0, busyUntilMs - time.nowMs());
+    /** Handles a call or a response when those before it have been handled. */
+    const handle = (work: () => void): void => {
+        if (callCostMs === 0) {
+            work();
+            return;
+        }
+        busyUntilMs = Math.max(busyUntilMs, time.nowMs()) + callCostMs;
+        time.after(Math.ceil(latenessMs()), work);
+    };
     const hasUnsavedEnds = (workerId: string): boolean => (scheduler.state.workers.get(workerId)?.unsavedEnds.length ?? 0) > 0;
 
     const list = (workerId: string, waitMs: number, onListed: () => void): void => {
@@ -79,9 +97,11 @@
                 onListed();
             }
         };
-        time.after(
-            linkMs,
-            () => findWorker(workerId)?.list(acknowledged, waitMs, listing => time.after(linkMs, () => receive(listing))),
+        handle(() =>
+            time.after(
+                linkMs,
+                () => findWorker(workerId)?.list(acknowledged, waitMs, listing => time.after(linkMs, () => handle(() => receive(listing)))),
+            )
         );
     };
     const poll = (workerId: string, waitMs: number): void =>
@@ -96,7 +116,13 @@
         });
     const pollAfterSave = (workerId: string): void => {
         if (waitingForSave.delete(workerId)) {
-            poll(workerId, longPollMs);
+            const pauseMs = listingPauseMs(latenessMs());
+            if (pauseMs > 0) {
+                time.after(Math.ceil(pauseMs), () => poll(workerId, longPollMs));
+            }
+            else {
+                poll(workerId, longPollMs);
+            }
         }
     };
 
@@ -126,10 +152,15 @@
         else if (command.kind === commandKinds.start) {
             const { run } = command;
             const durationMs = options.runDurationMs(run);
-            time.after(linkMs, () => findWorker(run.workerId)?.start(run, durationMs));
-            time.after(2 * linkMs, () => {
-                scheduler.startResponseReceived(run, commandOutcomes.accepted, "", moment());
-                isPassDue = true;
+            unansweredStartsCount += 1;
+            handle(() => {
+                time.after(linkMs, () => findWorker(run.workerId)?.start(run, durationMs));
+                time.after(2 * linkMs, () =>
+                    handle(() => {
+                        unansweredStartsCount -= 1;
+                        scheduler.startResponseReceived(run, commandOutcomes.accepted, "", moment());
+                        isPassDue = true;
+                    }));
             });
         }
         else if (command.kind === commandKinds.stop) {
@@ -146,7 +177,8 @@
         isPassDue = false;
         lastPassAtMs = time.nowMs();
         scheduler.setStoreWritable(!isStoreAway());
-        scheduler.step(moment());
+        const window = startWindow.update(latenessMs(), time.nowMs());
+        scheduler.step(moment(), Math.max(0, window - unansweredStartsCount - scheduler.state.plannedRuns.size));
         if (scheduler.hasPlannedStarts()) {
             flushProgress();
         }
--- a/src/process/workerCallCounts.ts
+++ b/src/process/workerCallCounts.ts
@@ -12,6 +12,8 @@
 
 export interface CountedWorkerCalls {
     connectWorker: ConnectWorker;
+    /** Starts without a response so far. */
+    openStartsCount(): number;
     /** Returns the counts since they were last taken. */
     take(): WorkerCallCounts;
 }
@@ -22,6 +24,7 @@
 
 export function countWorkerCalls(connectWorker: ConnectWorker): CountedWorkerCalls {
     let counts = noCalls();
+    let openStartsCount = 0;
     const countAnswer = <Response extends { outcome: CommandOutcome }>(response: Response): Response => {
         counts.unansweredCount += response.outcome === commandOutcomes.unknown ? 1 : 0;
         return response;
@@ -33,7 +36,13 @@
                 ...client,
                 start: async order => {
                     counts.startsCount += 1;
-                    return countAnswer(await client.start(order));
+                    openStartsCount += 1;
+                    try {
+                        return countAnswer(await client.start(order));
+                    }
+                    finally {
+                        openStartsCount -= 1;
+                    }
                 },
                 stop: async order => {
                     counts.stopsCount += 1;
@@ -45,6 +54,7 @@
                 },
             };
         },
+        openStartsCount: () => openStartsCount,
         take: () => {
             const taken = counts;
             counts = noCalls();
--- a/src/process/workerSessions.ts
+++ b/src/process/workerSessions.ts
@@ -1,6 +1,7 @@
 /** The owner's sessions with all workers of its scheduler. */
 import { describeError } from "../common/describeError.js";
 import type { ConnectWorker } from "../connection/workerClient.js";
+import { createStartWindow } from "../decisions/startWindow.js";
 import type { Scheduler } from "../scheduling/scheduler.js";
 import type { WorkerEntry } from "../scheduling/workerRecord.js";
 import { countWorkerCalls, type WorkerCallCounts } from "./workerCallCounts.js";
@@ -13,6 +14,8 @@
     execute(command: WorkerCommand): void;
     /** Must be called when progress was saved. */
     onProgressSaved(): void;
+    /** How many more starts may be sent now, given those without a response and how late this process is. */
+    maxFurtherStarts(): number;
     /** Returns how many calls were made to workers since this was last asked. */
     takeCallCounts(): WorkerCallCounts;
     /** Closes all sessions; must be called before `sync` is called with another scheduler. */
@@ -27,6 +30,7 @@
 
 export function createWorkerSessions(options: WorkerSessionsOptions): WorkerSessions {
     const calls = countWorkerCalls(options.connectWorker);
+    const startWindow = createStartWindow();
     /** The session is `undefined` if none could be opened; it is tried again at another address only. */
     const sessions = new Map<string, { address: string; session: WorkerSession | undefined }>();
 
@@ -65,6 +69,7 @@
         },
         execute: command => sessions.get("run" in command ? command.run.workerId : command.workerId)?.session?.execute(command),
         onProgressSaved: () => sessions.forEach(({ session }) => session?.onProgressSaved()),
+        maxFurtherStarts: () => startWindow.update(options.latenessMs(), options.timers.nowMs()) - calls.openStartsCount(),
         takeCallCounts: calls.take,
         close: () => {
             sessions.forEach(({ session }) => session?.close());
--- /dev/null
+++ b/src/scheduling/collectWaiting.ts
@@ -0,0 +1,141 @@
+/** Collects the steps that wait and may fit on a worker, by pool, for one pass. */
+import type { StepOrderInput } from "../decisions/orderSteps.js";
+import { deadlineWallMs } from "./jobLateness.js";
+import { isFinalState, isStepReady, type JobRecord, type OccurrenceRecord, type StepRecord } from "./jobRecord.js";
+import { isServing, type QueuePolicy, reservedResources } from "./jobTypes.js";
+import { isFencedByNewerOwner, isHeldBack } from "./plannedStarts.js";
+import { createPoolCandidates, type PoolCandidates } from "./poolCandidates.js";
+import type { Moment } from "./reconcileListing.js";
+import type { SchedulerState } from "./schedulerState.js";
+import { snapshotStates } from "./unresponsiveWorkers.js";
+import type { WorkerRecord } from "./workerRecord.js";
+
+export interface WaitingStep extends StepOrderInput {
+    job: JobRecord;
+    step: StepRecord;
+    /** Whether only tasks that have been adopted may start. */
+    isHeldBack: boolean;
+}
+
+/** A pool during a pass: its workers, and the waiting steps that may fit on them. */
+export interface PoolPass {
+    candidates: PoolCandidates;
+    /** Whether any step waits for the pool, with or without room for it. */
+    hasWaiting: boolean;
+    waiting: WaitingStep[];
+}
+
+/** A queue, and the pass over its pool. */
+interface QueuePass {
+    queue: QueuePolicy;
+    pool: PoolPass;
+}
+
+/** A worker gets no new runs once its last response is older than this; listings are answered within two seconds. */
+export const responseTimeoutMs = 2_500;
+
+/** Whether new runs may start on the worker now. */
+export function isSchedulable(state: SchedulerState, worker: WorkerRecord, nowMs: number): boolean {
+    return worker.isRegistered && isFencedByNewerOwner(state, worker) && worker.snapshotState === snapshotStates.none &&
+        !worker.entry.isDraining && !worker.hasEnded &&
+        !worker.isCordoned &&
+        worker.avoidedUntilMs <= nowMs && worker.lastResponseAtMs !== undefined && nowMs - worker.lastResponseAtMs < responseTimeoutMs;
+}
+
+function createWaitingStep(
+    job: JobRecord,
+    occurrence: OccurrenceRecord,
+    step: StepRecord,
+    queue: QueuePolicy,
+    isJobHeldBack: boolean,
+): WaitingStep {
+    return {
+        job,
+        step,
+        isHeldBack: isJobHeldBack,
+        isLongRunning: isServing(step.spec),
+        workMillicoreS: job.workMillicoreS,
+        isWithinShare: job.isWithinShare,
+        submittedWallMs: occurrence.dueWallMs,
+        deadlineWallMs: deadlineWallMs(job, occurrence, queue),
+        criticalPathMs: step.criticalPathMs,
+        hasStarted: job.hasStarted,
+    };
+}
+
+/** Whether a task of the step waits and may start. */
+function hasStartableTask(step: StepRecord, isJobHeldBack: boolean): boolean {
+    return isJobHeldBack ? !step.spec.isGang && [...step.adopted].some(task => step.waiting.has(task)) : step.waiting.size > 0;
+}
+
+/** Adds the job's steps that wait and may fit on a worker of the pool. */
+function collectJob(state: SchedulerState, job: JobRecord, { queue, pool }: QueuePass, moment: Moment): void {
+    const { candidates } = pool;
+    if (isFinalState(job.state) || (pool.hasWaiting && !candidates.mayFit(job.smallestNeed))) {
+        return;
+    }
+    const isJobHeldBack = isHeldBack(state, job, moment.nowMs);
+    for (const occurrence of job.occurrences.values()) {
+        if (occurrence.dueWallMs > moment.wallMs) {
+            continue;
+        }
+        for (const step of occurrence.steps) {
+            if (hasStartableTask(step, isJobHeldBack) && isStepReady(occurrence, step)) {
+                pool.hasWaiting = true;
+                if (candidates.mayFit(reservedResources(step.spec))) {
+                    pool.waiting.push(createWaitingStep(job, occurrence, step, queue, isJobHeldBack));
+                }
+            }
+        }
+    }
+}
+function groupByPool(state: SchedulerState, nowMs: number): Map<string, WorkerRecord[]> {
+    const byPool = new Map<string, WorkerRecord[]>();
+    for (const worker of state.workers.values()) {
+        if (!isSchedulable(state, worker, nowMs)) {
+            continue;
+        }
+        const workers = byPool.get(worker.entry.poolName);
+        if (workers) {
+            workers.push(worker);
+        }
+        else {
+            byPool.set(worker.entry.poolName, [worker]);
+        }
+    }
+    return byPool;
+}
+
+/** Collects the waiting steps by pool, in the order of the first job that waits for each pool. */
+export function collectWaiting(state: SchedulerState, moment: Moment): PoolPass[] {
+    const workersByPool = groupByPool(state, moment.nowMs);
+    const pools = new Map<string, PoolPass>();
+    const queues = new Map<string, QueuePass | undefined>();
+    const createQueuePass = (queue: QueuePolicy): QueuePass | undefined => {
+        const workers = workersByPool.get(queue.poolName);
+        if (!workers) {
+            return undefined;
+        }
+        const pool = pools.get(queue.poolName) ?? { candidates: createPoolCandidates(workers), hasWaiting: false, waiting: [] };
+        pools.set(queue.poolName, pool);
+        return { queue, pool };
+    };
+    const ordered: PoolPass[] = [];
+    for (const job of state.jobs.values()) {
+        const { queueName } = job.submission;
+        if (!queues.has(queueName)) {
+            const queue = state.policy.queues.get(queueName);
+            queues.set(queueName, queue && createQueuePass(queue));
+        }
+        const queuePass = queues.get(queueName);
+        if (!queuePass) {
+            continue;
+        }
+        const hadWaiting = queuePass.pool.hasWaiting;
+        collectJob(state, job, queuePass, moment);
+        if (!hadWaiting && queuePass.pool.hasWaiting) {
+            ordered.push(queuePass.pool);
+        }
+    }
+    return ordered;
+}
--- a/src/scheduling/dispatchWaitingTasks.ts
+++ b/src/scheduling/dispatchWaitingTasks.ts
@@ -1,152 +1,21 @@
 /** Assigns waiting tasks to workers, in one pass over all pools. */
-import { orderSteps, type StepOrderInput } from "../decisions/orderSteps.js";
+import { latenessClass, orderSteps } from "../decisions/orderSteps.js";
 import { placeTask } from "../decisions/placeTask.js";
+import { collectWaiting, isSchedulable, type WaitingStep } from "./collectWaiting.js";
 import { type Suspicion, suspicionOf, suspicions } from "./crashCounts.js";
 import { mayHoldGang } from "./gangRoom.js";
-import { deadlineWallMs } from "./jobLateness.js";
-import { countCrashes, isFinalState, isStepReady, type JobRecord, type OccurrenceRecord, type StepRecord } from "./jobRecord.js";
-import { isServing, type QueuePolicy, reservedResources, type Resources } from "./jobTypes.js";
-import { cancelStaleStarts, isFencedByNewerOwner, isHeldBack, sendPersistedStarts } from "./plannedStarts.js";
-import { type Candidate, createPoolCandidates, hasRoom, maxUnansweredStarts, type PoolCandidates } from "./poolCandidates.js";
+import { countCrashes, type StepRecord } from "./jobRecord.js";
+import { reservedResources, type Resources } from "./jobTypes.js";
+import { cancelStaleStarts, sendPersistedStarts } from "./plannedStarts.js";
+import { type Candidate, hasRoom, maxUnansweredStarts, type PoolCandidates } from "./poolCandidates.js";
 import { updatePossibleTeamUsage } from "./possibleTeamUsage.js";
 import type { Moment } from "./reconcileListing.js";
 import { runNeeds } from "./runNeeds.js";
 import { attachRun, detachRun, nextRunId, type SchedulerState } from "./schedulerState.js";
 import { formatTaskName } from "./taskNames.js";
 import { isWithinTeamLimit } from "./teamUsage.js";
-import { snapshotStates } from "./unresponsiveWorkers.js";
 import { mayStartBeside } from "./workerCrashes.js";
-import { createRun, type Run, type WorkerRecord } from "./workerRecord.js";
-
-interface WaitingStep extends StepOrderInput {
-    job: JobRecord;
-    step: StepRecord;
-    /** Whether only tasks that have been adopted may start. */
-    isHeldBack: boolean;
-}
-
-/** A pool during a pass: its workers, and the waiting steps that may fit on them. */
-interface PoolPass {
-    candidates: PoolCandidates;
-    /** Whether any step waits for the pool, with or without room for it. */
-    hasWaiting: boolean;
-    waiting: WaitingStep[];
-}
-
-/** A queue, and the pass over its pool. */
-interface QueuePass {
-    queue: QueuePolicy;
-    pool: PoolPass;
-}
-
-/** A worker gets no new runs once its last response is older than this; listings are answered within two seconds. */
-export const responseTimeoutMs = 2_500;
-
-/** Whether new runs may start on the worker now. */
-function isSchedulable(state: SchedulerState, worker: WorkerRecord, nowMs: number): boolean {
-    return worker.isRegistered && isFencedByNewerOwner(state, worker) && worker.snapshotState === snapshotStates.none &&
-        !worker.entry.isDraining && !worker.hasEnded &&
-        !worker.isCordoned &&
-        worker.avoidedUntilMs <= nowMs && worker.lastResponseAtMs !== undefined && nowMs - worker.lastResponseAtMs < responseTimeoutMs;
-}
-
-function createWaitingStep(
-    job: JobRecord,
-    occurrence: OccurrenceRecord,
-    step: StepRecord,
-    queue: QueuePolicy,
-    isJobHeldBack: boolean,
-): WaitingStep {
-    return {
-        job,
-        step,
-        isHeldBack: isJobHeldBack,
-        isLongRunning: isServing(step.spec),
-        workMillicoreS: job.workMillicoreS,
-        isWithinShare: job.isWithinShare,
-        submittedWallMs: occurrence.dueWallMs,
-        deadlineWallMs: deadlineWallMs(job, occurrence, queue),
-        criticalPathMs: step.criticalPathMs,
-        hasStarted: job.hasStarted,
-    };
-}
-
-/** Whether a task of the step waits and may start. */
-function hasStartableTask(step: StepRecord, isJobHeldBack: boolean): boolean {
-    return isJobHeldBack ? !step.spec.isGang && [...step.adopted].some(task => step.waiting.has(task)) : step.waiting.size > 0;
-}
-
-/** Adds the job's steps that wait and may fit on a worker of the pool. */
-function collectJob(state: SchedulerState, job: JobRecord, { queue, pool }: QueuePass, moment: Moment): void {
-    const { candidates } = pool;
-    if (isFinalState(job.state) || (pool.hasWaiting && !candidates.mayFit(job.smallestNeed))) {
-        return;
-    }
-    const isJobHeldBack = isHeldBack(state, job, moment.nowMs);
-    for (const occurrence of job.occurrences.values()) {
-        if (occurrence.dueWallMs > moment.wallMs) {
-            continue;
-        }
-        for (const step of occurrence.steps) {
-            if (hasStartableTask(step, isJobHeldBack) && isStepReady(occurrence, step)) {
-                pool.hasWaiting = true;
-                if (candidates.mayFit(reservedResources(step.spec))) {
-                    pool.waiting.push(createWaitingStep(job, occurrence, step, queue, isJobHeldBack));
-                }
-            }
-        }
-    }
-}
-function groupByPool(state: SchedulerState, nowMs: number): Map<string, WorkerRecord[]> {
-    const byPool = new Map<string, WorkerRecord[]>();
-    for (const worker of state.workers.values()) {
-        if (!isSchedulable(state, worker, nowMs)) {
-            continue;
-        }
-        const workers = byPool.get(worker.entry.poolName);
-        if (workers) {
-            workers.push(worker);
-        }
-        else {
-            byPool.set(worker.entry.poolName, [worker]);
-        }
-    }
-    return byPool;
-}
-
-/** Collects the waiting steps by pool, in the order of the first job that waits for each pool. */
-function collectWaiting(state: SchedulerState, moment: Moment): PoolPass[] {
-    const workersByPool = groupByPool(state, moment.nowMs);
-    const pools = new Map<string, PoolPass>();
-    const queues = new Map<string, QueuePass | undefined>();
-    const createQueuePass = (queue: QueuePolicy): QueuePass | undefined => {
-        const workers = workersByPool.get(queue.poolName);
-        if (!workers) {
-            return undefined;
-        }
-        const pool = pools.get(queue.poolName) ?? { candidates: createPoolCandidates(workers), hasWaiting: false, waiting: [] };
-        pools.set(queue.poolName, pool);
-        return { queue, pool };
-    };
-    const ordered: PoolPass[] = [];
-    for (const job of state.jobs.values()) {
-        const { queueName } = job.submission;
-        if (!queues.has(queueName)) {
-            const queue = state.policy.queues.get(queueName);
-            queues.set(queueName, queue && createQueuePass(queue));
-        }
-        const queuePass = queues.get(queueName);
-        if (!queuePass) {
-            continue;
-        }
-        const hadWaiting = queuePass.pool.hasWaiting;
-        collectJob(state, job, queuePass, moment);
-        if (!hadWaiting && queuePass.pool.hasWaiting) {
-            ordered.push(queuePass.pool);
-        }
-    }
-    return ordered;
-}
+import { createRun, type Run } from "./workerRecord.js";
 
 /** What the crashes under earlier runs of a task say about it, and the run id if other tasks of its gang have one already. */
 interface RunHistory {
@@ -203,11 +72,11 @@
     return run;
 }
 
-/** Plans starts for all tasks of a gang, or for none. */
-function planGang(state: SchedulerState, waiting: WaitingStep, pool: PoolCandidates, nowMs: number): boolean {
+/** Plans starts for all tasks of a gang, or for none; returns how many. */
+function planGang(state: SchedulerState, waiting: WaitingStep, pool: PoolCandidates, nowMs: number): number {
     const { step } = waiting;
     if (step.runs.size > 0) {
-        return false;
+        return 0;
     }
     const racks = step.spec.isRackBound ? [...new Set(pool.all().map(each => each.rack))] : [undefined];
     for (const rack of racks) {
@@ -224,19 +93,22 @@
             runs.push(run);
         }
         if (runs.length === step.spec.taskCount) {
-            return true;
+            return runs.length;
         }
         runs.forEach(run => detachRun(state, run));
         pool.recordCancelled(candidates);
     }
-    return false;
+    return 0;
 }
 
-/** Plans starts for as many tasks of the step as fit. */
-function planTasks(state: SchedulerState, waiting: WaitingStep, pool: PoolCandidates, nowMs: number): boolean {
+/** Plans starts for as many tasks of the step as fit, up to a number; returns how many. */
+function planTasks(state: SchedulerState, waiting: WaitingStep, pool: PoolCandidates, nowMs: number, maxStarts: number): number {
     const { step } = waiting;
-    let hasPlanned = false;
+    let plannedCount = 0;
     for (const taskIndex of step.waiting) {
+        if (plannedCount >= maxStarts) {
+            break;
+        }
         if (waiting.isHeldBack && !step.adopted.has(taskIndex)) {
             continue;
         }
@@ -252,33 +124,58 @@
             // The step's other tasks need not run apart from suspects.
             continue;
         }
-        hasPlanned = true;
+        plannedCount += 1;
     }
-    return hasPlanned;
+    return plannedCount;
 }
 
-function planStep(state: SchedulerState, waiting: WaitingStep, pool: PoolCandidates, nowMs: number): void {
+/** Plans starts for the step; returns how many. A gang is planned as a whole, whatever its size. */
+function planStep(state: SchedulerState, waiting: WaitingStep, pool: PoolCandidates, nowMs: number, maxStarts: number): number {
     const { job, step } = waiting;
     if (
         !pool.mayFit(reservedResources(step.spec)) || !isWithinTeamLimit(state, job.submission.teamName, step.spec.request) ||
         (!state.isStoreWritable && job.persistedWorkerIds.size === 0)
     ) {
-        return;
+        return 0;
     }
     pool.prepareFor(job, step);
-    const hasPlanned = step.spec.isGang ? planGang(state, waiting, pool, nowMs) : planTasks(state, waiting, pool, nowMs);
-    if (hasPlanned) {
+    const plannedCount = step.spec.isGang ? planGang(state, waiting, pool, nowMs) : planTasks(state, waiting, pool, nowMs, maxStarts);
+    if (plannedCount > 0) {
         sendPersistedStarts(state, job, nowMs);
     }
+    return plannedCount;
+}
+
+function isOverdue(waiting: WaitingStep, wallMs: number): boolean {
+    return !waiting.isLongRunning && latenessClass(waiting, wallMs) > 0;
 }
 
-/** Plans starts for the waiting tasks that fit now, and sends those that need no write to the store first. */
-export function dispatchWaitingTasks(state: SchedulerState, moment: Moment): void {
+/**
+ * Plans starts for the waiting tasks that fit now, and sends those that need no write to the store first. At most `maxStarts` short tasks
+ * start; those of all pools that can be in time come first.
+ */
+export function dispatchWaitingTasks(state: SchedulerState, moment: Moment, maxStarts: number): void {
     updatePossibleTeamUsage(state, moment);
     cancelStaleStarts(state, worker => isSchedulable(state, worker, moment.nowMs));
+    const overdue: { waiting: WaitingStep; candidates: PoolCandidates }[] = [];
+    let startsLeft = maxStarts;
+    const plan = (waiting: WaitingStep, candidates: PoolCandidates): void => {
+        if (waiting.isLongRunning) {
+            planStep(state, waiting, candidates, moment.nowMs, Number.POSITIVE_INFINITY);
+        }
+        else if (startsLeft > 0) {
+            startsLeft -= planStep(state, waiting, candidates, moment.nowMs, startsLeft);
+        }
+    };
     for (const { candidates, waiting } of collectWaiting(state, moment)) {
         for (const each of orderSteps(waiting, moment.wallMs)) {
-            planStep(state, each, candidates, moment.nowMs);
+            if (isOverdue(each, moment.wallMs)) {
+                overdue.push({ waiting: each, candidates });
+            }
+            else {
+                plan(each, candidates);
+            }
         }
     }
+    overdue.forEach(({ waiting, candidates }) => plan(waiting, candidates));
 }
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -282,15 +282,16 @@
         },
         /**
          * Starts the tasks that can start now and gives up runs whose leases have ended. Only an owner with proven ownership may
-         * conclude that the leases of an unresponsive worker have ended: another owner may have extended them.
+         * conclude that the leases of an unresponsive worker have ended: another owner may have extended them. At most `maxStarts`
+         * short tasks start, those first that can be in time.
          */
-        step: (moment: Moment): void => {
+        step: (moment: Moment, maxStarts = Number.POSITIVE_INFINITY): void => {
             if (state.isOwnershipProven) {
                 expireLeases(state, moment);
             }
             evacuateDrainingWorkers(state);
             updateSnapshots(state, moment.nowMs);
-            dispatchWaitingTasks(state, moment);
+            dispatchWaitingTasks(state, moment, maxStarts);
         },
         takeCommands: (): SchedulerCommand[] => state.commands.splice(0),
     };
--- a/tests/process/fleetSimulation.ts
+++ b/tests/process/fleetSimulation.ts
@@ -41,6 +41,8 @@
     /** The store serves no calls: no job is accepted, no progress saved, no VM moved. */
     storeAway: readonly Period[];
     logger?: Logger;
+    /** See `SimulatedOwnerOptions`. */
+    callCostMs?: number;
 }
 
 export interface FleetSimulationResult extends EarnedWorth {
@@ -92,6 +94,7 @@
         runDurationMs: run => run.isServing ? undefined : jobs.get(run.jobId)!.taskDurationsMs[run.stepIndex]![run.taskIndex]!,
         isAway: () => isWithin(options.ownerAway),
         isStoreAway: () => isWithin(options.storeAway),
+        callCostMs: options.callCostMs,
     });
 
     const simulateWorker = ({ bornWallMs }: WorkerEntry): SimulatedWorker => {
