Renew a duty's lease beside its rounds

What operators would see: the duty of the stewards changes its holder although nothing failed, while the store is slow. Cause: the lease was renewed between rounds only, so one that waits longer than the lease lasts ended it. Change: renewals run at fixed intervals while the duty is held.

--- a/src/process/duty.ts
+++ b/src/process/duty.ts
@@ -27,6 +27,8 @@
     leaseId: string;
     fence: StoreGuard;
     renewedAtMs: number;
+    /** Aborts when the duty is lost. */
+    lifetime: AbortController;
 }
 
 /** Fraction of the lease duration after which it is renewed. */
@@ -55,27 +57,40 @@
         }
         options.onAcquired();
         logger.log(logEvents.dutyAcquired, { duty: options.name, fence: swapped.val.revision });
-        return { leaseId: lease.val, fence: { key, expectedRevision: swapped.val.revision }, renewedAtMs };
+        const fence = { key, expectedRevision: swapped.val.revision };
+        return { leaseId: lease.val, fence, renewedAtMs, lifetime: new AbortController() };
     };
 
-    const renew = async (duty: DutyLease): Promise<DutyLease | undefined> => {
-        const nowMs = timers.nowMs();
-        if (nowMs - duty.renewedAtMs < leaseMs * renewAfterFraction) {
-            return duty;
-        }
+    const renew = async (duty: DutyLease): Promise<void> => {
+        const sentAtMs = timers.nowMs();
         const alive = await store.keepLeaseAlive(duty.leaseId);
         if (alive.ok && alive.val) {
-            return { ...duty, renewedAtMs: nowMs };
+            duty.renewedAtMs = Math.max(duty.renewedAtMs, sentAtMs);
+        }
+        else if (alive.ok || sentAtMs - duty.renewedAtMs >= leaseMs) {
+            lose(duty);
         }
-        if (alive.err && nowMs - duty.renewedAtMs < leaseMs) {
-            return duty;
+    };
+    const lose = (duty: DutyLease): void => {
+        if (held === duty) {
+            held = undefined;
+            duty.lifetime.abort();
+            logger.log(logEvents.dutyLost, { duty: options.name });
         }
-        logger.log(logEvents.dutyLost, { duty: options.name });
-        return undefined;
+    };
+    /** Renews the lease beside the rounds: these may wait for the store for longer than the lease lasts. */
+    const startRenewing = (duty: DutyLease): void => {
+        const whileHeld = AbortSignal.any([signal, duty.lifetime.signal]);
+        timers.every(leaseMs * renewAfterFraction, whileHeld, () => void renew(duty));
     };
 
     while (!signal.aborted) {
-        held = held ? await renew(held) : await acquire();
+        if (!held) {
+            held = await acquire();
+            if (held && !signal.aborted) {
+                startRenewing(held);
+            }
+        }
         if (held) {
             await options.runRound(held.fence);
         }
