--- a/src/process/schedulingOwnership.ts
+++ b/src/process/schedulingOwnership.ts
@@ -229,7 +229,7 @@
         }
     };
 
-    const keep = async (lease: HeldLease): Promise<void> => {
+    const renewIfDue = async (lease: HeldLease): Promise<void> => {
         if (lease.hasEnded) {
             // For example during an outage. This process continues unless another one was the owner meanwhile.
             await acquire();
@@ -272,7 +272,7 @@
     const run = async (): Promise<void> => {
         while (!signal.aborted && !isReleased) {
             try {
-                await (held ? keep(held) : tryAcquire());
+                await (held ? renewIfDue(held) : tryAcquire());
             }
             catch (error) {
                 // The lease must be renewed all the same.
