Go on after a renewal that fails unexpectedly

What operators would see: an error in a renewal of the scheduling ownership was not logged with its place, and each one counted as a renewal without a response for good, so that after four of them the lease was not renewed any more; in a duty it was an unhandled rejection. Cause: renewals that are not awaited lost the handler of the loop that awaited them before. Change: errors are logged at the renewal. The limit to renewals without a response goes: each call has a timeout, which bounds them. The specs share their loop over checks.

--- a/src/process/duty.ts
+++ b/src/process/duty.ts
@@ -2,6 +2,7 @@
  * Runs a duty on one steward at a time, elected by a lease. Every write is guarded by the duty's key, whose revision
  * serves as the fencing token: an owner that was paused beyond its lease can no longer write.
  */
+import { describeError } from "../common/describeError.js";
 import { delay, type TimerService } from "../common/timerService.js";
 import { storeKeys } from "../connection/members.js";
 import type { PlatformStore, StoreGuard } from "../connection/platformStore.js";
@@ -81,7 +82,14 @@
     /** Renews the lease beside the rounds: these may wait for the store for longer than the lease lasts. */
     const startRenewing = (duty: DutyLease): void => {
         const whileHeld = AbortSignal.any([signal, duty.lifetime.signal]);
-        timers.every(leaseMs * renewAfterFraction, whileHeld, () => void renew(duty));
+        timers.every(
+            leaseMs * renewAfterFraction,
+            whileHeld,
+            () =>
+                void renew(duty).catch((error: unknown) =>
+                    logger.log(logEvents.unexpectedError, { where: `renewal of the duty ${options.name}`, error: describeError(error) })
+                ),
+        );
     };
 
     while (!signal.aborted) {
--- a/src/process/schedulingOwnership.ts
+++ b/src/process/schedulingOwnership.ts
@@ -73,7 +73,6 @@
     renewed: Moment;
     /** When the last renewal was sent that has not failed. */
     renewalSent: Moment;
-    renewalsInFlight: number;
     /** Whether the store has told that the lease has ended. */
     hasEnded: boolean;
     formerOwnersEndAtMs: number;
@@ -84,8 +83,6 @@
 const checkIntervalMs = 60;
 /** Fraction of the lease duration after which it is renewed; leaves time for two failed renewals. */
 const renewAfterFraction = 0.3;
-/** As many as are sent within the lease duration. */
-const maxRenewalsInFlight = 4;
 /** Processes other than the last owner wait a random time up to this before they try, so that they do not all write at once. */
 const maxStaggerMs = 80;
 const handoverRetryDelayMs = 1_000;
@@ -105,6 +102,8 @@
     const chooseStaggerMs = (): number => options.acquireDelayMs + options.random() * maxStaggerMs;
     let staggerMs = chooseStaggerMs();
 
+    const logUnexpectedError = (error: unknown): void =>
+        logger.log(logEvents.unexpectedError, { where: "scheduling ownership", error: describeError(error) });
     const now = (): Moment => ({ nowMs: timers.nowMs(), wallMs: timers.wallClockMs() });
     /** The time by whichever clock shows more: on a suspended VM the monotonic clock stops, the wall clock does not. */
     const timeSinceMs = ({ nowMs, wallMs }: Moment): number => Math.max(timers.nowMs() - nowMs, timers.wallClockMs() - wallMs);
@@ -185,7 +184,6 @@
             leaseId: lease.val,
             renewed: sent,
             renewalSent: sent,
-            renewalsInFlight: 0,
             hasEnded: false,
             formerOwnersEndAtMs,
             isSoleOwnerRecorded: false,
@@ -215,9 +213,7 @@
     const renew = async (lease: HeldLease): Promise<void> => {
         const sent = now();
         lease.renewalSent = sent;
-        lease.renewalsInFlight += 1;
         const kept = await store.keepLeaseAlive(lease.leaseId);
-        lease.renewalsInFlight -= 1;
         if (kept.err) {
             lease.renewalSent = lease.renewed;
         }
@@ -235,10 +231,9 @@
             await acquire();
             return;
         }
-        const isDue = timeSinceMs(lease.renewalSent) >= options.leaseMs * renewAfterFraction;
-        if (isDue && lease.renewalsInFlight < maxRenewalsInFlight) {
+        if (timeSinceMs(lease.renewalSent) >= options.leaseMs * renewAfterFraction) {
             // Not awaited: a process that is late handles the response late, and must renew the lease again before.
-            void renew(lease);
+            renew(lease).catch(logUnexpectedError);
         }
     };
 
@@ -271,13 +266,8 @@
 
     const run = async (): Promise<void> => {
         while (!signal.aborted && !isReleased) {
-            try {
-                await (held ? renewIfDue(held) : tryAcquire());
-            }
-            catch (error) {
-                // The lease must be renewed all the same.
-                logger.log(logEvents.unexpectedError, { where: "scheduling ownership", error: describeError(error) });
-            }
+            // After an error, the lease must be renewed all the same.
+            await (held ? renewIfDue(held) : tryAcquire()).catch(logUnexpectedError);
             await delay(timers, checkIntervalMs, signal);
         }
     };
--- a/tests/process/duty.spec.ts
+++ b/tests/process/duty.spec.ts
@@ -11,12 +11,13 @@
 const leaseMs = leaseS * 1_000;
 
 describe("a duty", () => {
-    it("should be kept during a round that takes longer than the lease", async () => {
+    it("should be kept during a round that takes longer than the lease, and after a renewal has failed unexpectedly", async () => {
         const timers = createManualTimerService();
         const lifetime = new AbortController();
         let leaseEndsAtMs = 0;
         let acquisitionsCount = 0;
         let roundsCount = 0;
+        let renewalsCount = 0;
         const lapses: number[] = [];
         const extendLease = (): void => {
             leaseEndsAtMs = timers.nowMs() + leaseMs;
@@ -30,6 +31,10 @@
             },
             swap: () => Promise.resolve(Ok({ isSwapped: true, revision: 1, current: [] })),
             keepLeaseAlive: () => {
+                renewalsCount += 1;
+                if (renewalsCount === 2) {
+                    return Promise.reject(new Error("unreadable response"));
+                }
                 const isAlive = timers.nowMs() < leaseEndsAtMs;
                 if (isAlive) {
                     extendLease();
--- a/tests/process/schedulingOwnership.spec.ts
+++ b/tests/process/schedulingOwnership.spec.ts
@@ -5,8 +5,9 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { Ok } from "../../src/common/results.js";
-import { createManualTimerService } from "../../src/common/timerService.js";
+import { createManualTimerService, type ManualTimerService } from "../../src/common/timerService.js";
 import type { PlatformStore, StoreGuard, StoreWrite, SwapOutcome } from "../../src/connection/platformStore.js";
+import { type LogEvent, logEvents } from "../../src/process/logEvents.js";
 import { createSilentLogger } from "../../src/process/logger.js";
 import {
     createSchedulingOwnership,
@@ -34,6 +35,14 @@
         ...options,
     });
 
+/** Lets the process check its ownership as many times. */
+async function passChecks(timers: ManualTimerService, count: number): Promise<void> {
+    for (let check = 0; check < count; check++) {
+        await new Promise(resolve => setImmediate(resolve));
+        timers.advance(60);
+    }
+}
+
 describe("scheduling ownership", () => {
     it("should not be acquired by a process that was told to stop while its attempt was under way", async () => {
         const timers = createManualTimerService();
@@ -96,10 +105,7 @@
             onAcquired: term => terms.push(term),
             onLost: reason => losses.push(reason),
         });
-        for (let round = 0; round < 40; round++) {
-            await new Promise(resolve => setImmediate(resolve));
-            timers.advance(60);
-        }
+        await passChecks(timers, 40);
         assert.ok(terms.length > 2, `${terms.length} terms`);
         assert.deepEqual(losses, []);
         assert.deepEqual(terms.map(term => term.isContinued), terms.map((_, index) => index > 0));
@@ -136,10 +142,7 @@
                 startedTokens.push(term.token);
             },
         });
-        for (let round = 0; round < 40; round++) {
-            await new Promise(resolve => setImmediate(resolve));
-            timers.advance(60);
-        }
+        await passChecks(timers, 40);
         assert.deepEqual(endedLeases, ["lease-1"], "so that another process can acquire the ownership at once");
         assert.deepEqual(startedTokens, [2]);
         assert.ok(renewalsCount > 2, `the lease was renewed ${renewalsCount} times`);
@@ -179,12 +182,36 @@
             onAcquired: () => undefined,
             onLost: reason => losses.push(reason),
         });
-        for (let round = 0; round < 200; round++) {
-            await new Promise(resolve => setImmediate(resolve));
-            timers.advance(60);
-        }
+        await passChecks(timers, 200);
         assert.deepEqual(losses, []);
         assert.notEqual(ownership.token(), undefined);
         lifetime.abort();
     });
+
+    it("should be kept after a renewal has failed unexpectedly", async () => {
+        const timers = createManualTimerService();
+        const lifetime = new AbortController();
+        const loggedEvents: LogEvent[] = [];
+        let renewalsCount = 0;
+        const store = {
+            grantLease: () => Promise.resolve(Ok("lease")),
+            swap: () => Promise.resolve(Ok({ isSwapped: true, revision: 2, current: [] })),
+            keepLeaseAlive: () => {
+                renewalsCount += 1;
+                return renewalsCount === 1 ? Promise.reject(new Error("unreadable response")) : Promise.resolve(Ok(true));
+            },
+            revokeLease: () => Promise.resolve(Ok(undefined)),
+        } as unknown as PlatformStore;
+        const ownership = createOwnership({
+            store,
+            timers,
+            signal: lifetime.signal,
+            logger: { ...createSilentLogger(), log: event => loggedEvents.push(event) },
+            onAcquired: () => undefined,
+        });
+        await passChecks(timers, 40);
+        assert.equal(loggedEvents.filter(event => event === logEvents.unexpectedError).length, 1);
+        assert.equal(ownership.isLeaseValid(), true);
+        lifetime.abort();
+    });
 });
