Keep the pacing of the work on VMs and the window of starts with the decisions

Cause: the intervals by lateness stood in the manager of VMs among its calls, two callers each subtracted what the window had already given out, and no test covered a VM list that arrives after a later one. Change: decisions/paceVmWork holds the intervals; the window returns how many further starts there may be; a test for the dropped list, which fails without the check ('old' instead of 'new'). Comments and titles say what is measured. No change of logic.

--- a/harness/simulatedOwner.ts
+++ b/harness/simulatedOwner.ts
@@ -177,8 +177,8 @@
         isPassDue = false;
         lastPassAtMs = time.nowMs();
         scheduler.setStoreWritable(!isStoreAway());
-        const window = startWindow.update(latenessMs(), time.nowMs());
-        scheduler.step(moment(), Math.max(0, window - unansweredStartsCount - scheduler.state.plannedRuns.size));
+        const startsCount = unansweredStartsCount + scheduler.state.plannedRuns.size;
+        scheduler.step(moment(), startWindow.furtherStarts(startsCount, latenessMs(), time.nowMs()));
         if (scheduler.hasPlannedStarts()) {
             flushProgress();
         }
--- a/src/decisions/startWindow.ts
+++ b/src/decisions/startWindow.ts
@@ -1,13 +1,16 @@
 /**
- * Limits how many starts of short tasks are without a response at a time. It is designed for a surge of more tasks than the owner's
- * processor can start: starts that are sent all at once wait for each other in the order in which they were sent, until all of them are late.
- * Those beyond the window wait in the scheduler instead, which starts first what can still be in time.
+ * Limits how many starts are without a response at a time. It is designed for a surge of more short tasks than the owner's processor can
+ * start: starts that are sent all at once wait for each other in the order in which they were sent, until all of them are late. Those beyond
+ * the window wait in the scheduler instead, which starts first what can still be in time.
  *
- * The window follows an additive-increase, multiplicative-decrease rule, since what a start costs differs by VM and load.
+ * What a start costs differs by VM and load, so the window grows in small steps while the owner keeps up, and shrinks faster while it is late.
  */
 export interface StartWindow {
-    /** Returns how many starts may be without a response now; `latenessMs` is how late the owner's timers fire. */
-    update(latenessMs: number, nowMs: number): number;
+    /**
+     * Returns how many more starts may be sent or planned, given those without a response and planned ones; `latenessMs` is how late the
+     * owner's timers fire.
+     */
+    furtherStarts(unansweredStartsCount: number, latenessMs: number, nowMs: number): number;
 }
 
 /**
@@ -28,14 +31,14 @@
     let size = initialSize;
     let updatedAtMs = Number.NEGATIVE_INFINITY;
     return {
-        update: (latenessMs, nowMs) => {
+        furtherStarts: (unansweredStartsCount, latenessMs, nowMs) => {
             if (nowMs - updatedAtMs >= updateIntervalMs) {
                 updatedAtMs = nowMs;
                 size = latenessMs > toleratedLatenessMs ?
                     Math.max(minSize, size * decreaseFactor) :
                     Math.min(maxSize, Math.max(size * increaseFactor, size + leastIncrease));
             }
-            return Math.floor(size);
+            return Math.max(0, Math.floor(size) - unansweredStartsCount);
         },
     };
 }
--- a/src/process/schedulingService.ts
+++ b/src/process/schedulingService.ts
@@ -146,7 +146,7 @@
         scheduler.setOwnershipProven(options.ownership().isLeaseValid());
         scheduler.setStoreWritable(progressWriter.isHealthy());
         if (maySendOrders()) {
-            scheduler.step(moment(), Math.max(0, sessions.maxFurtherStarts() - scheduler.state.plannedRuns.size));
+            scheduler.step(moment(), sessions.maxFurtherStarts(scheduler.state.plannedRuns.size));
         }
         if (scheduler.hasPlannedStarts()) {
             progressWriter.flush();
--- a/src/process/vmManager.ts
+++ b/src/process/vmManager.ts
@@ -3,6 +3,7 @@
 import type { TimerService } from "../common/timerService.js";
 import type { ChangeFeedStore } from "../connection/platformStore.js";
 import type { VmService, WaveRequest } from "../connection/vmService.js";
+import { mayPlanBetweenLists, vmListIntervalMs } from "../decisions/paceVmWork.js";
 import { workersWithUnreadyTasks } from "../scheduling/availability.js";
 import type { Scheduler } from "../scheduling/scheduler.js";
 import { commandKinds } from "../scheduling/schedulerState.js";
@@ -53,15 +54,8 @@
 }
 
 const advanceIntervalMs = 150;
-/** The VM list changes through this process's own requests, after which it is read at once, and through failures. */
-const listIntervalMs = 400;
-/** While this process is late, the list is read less often, by this multiple of the lateness. */
-const listPauseFactor = 10;
-const maxListIntervalMs = 1_500;
 /** Orders are planned from a list up to this age, which covers a slow response to the next one. */
 const maxListAgeMs = 2_000;
-/** A process that is later than this plans orders only once for each list. */
-const toleratedLatenessMs = 60;
 /** Interval at which workers with unready long-running tasks are listed, so that a ready task is noticed soon. */
 const unreadyListIntervalMs = 300;
 /** Moves that are planned later than this miss the first part of a surge. */
@@ -141,11 +135,10 @@
             }
         }
         const latenessMs = options.latenessMs();
-        const intervalMs = Math.min(maxListIntervalMs, listIntervalMs + listPauseFactor * latenessMs);
-        if (timers.nowMs() - term.inventory.listedAtMs() >= intervalMs) {
+        if (timers.nowMs() - term.inventory.listedAtMs() >= vmListIntervalMs(latenessMs)) {
             begin(term, "list", () => refreshList(term));
         }
-        if (latenessMs <= toleratedLatenessMs) {
+        if (mayPlanBetweenLists(latenessMs)) {
             advanceOrders(term);
         }
     };
--- a/src/process/workerSessions.ts
+++ b/src/process/workerSessions.ts
@@ -14,8 +14,8 @@
     execute(command: WorkerCommand): void;
     /** Must be called when progress was saved. */
     onProgressSaved(): void;
-    /** How many more starts may be sent now, given those without a response and how late this process is. */
-    maxFurtherStarts(): number;
+    /** How many more starts may be planned, given those that are planned, those without a response and how late this process is. */
+    maxFurtherStarts(plannedStartsCount: number): number;
     /** Returns how many calls were made to workers since this was last asked. */
     takeCallCounts(): WorkerCallCounts;
     /** Closes all sessions; must be called before `sync` is called with another scheduler. */
@@ -69,7 +69,8 @@
         },
         execute: command => sessions.get("run" in command ? command.run.workerId : command.workerId)?.session?.execute(command),
         onProgressSaved: () => sessions.forEach(({ session }) => session?.onProgressSaved()),
-        maxFurtherStarts: () => startWindow.update(options.latenessMs(), options.timers.nowMs()) - calls.openStartsCount(),
+        maxFurtherStarts: plannedStartsCount =>
+            startWindow.furtherStarts(plannedStartsCount + calls.openStartsCount(), options.latenessMs(), options.timers.nowMs()),
         takeCallCounts: calls.take,
         close: () => {
             sessions.forEach(({ session }) => session?.close());
--- a/tests/process/overloadedOwner.spec.ts
+++ b/tests/process/overloadedOwner.spec.ts
@@ -4,14 +4,14 @@
 import { simulateFleet } from "./fleetSimulation.js";
 
 const seeds = [2, 3, 4];
-/** In a surge, the calls that the load needs take about one and a half times the processor time that there is. */
+/** In a surge, the calls that the load needs take more processor time than there is. */
 const overload = { scale: 0.3, durationMs: 20_000, hotTeams: [], ownerAway: [], storeAway: [], callCostMs: 1.8 };
-/** Part of a kind's worth that must be earned on a day with disruptions. */
+/** The least part of the value of a queue's jobs that a fleet with disruptions has to earn. */
 const leastEarnedPart = 0.21;
 
 describe("an owner whose processor is the limit", () => {
     for (const seed of seeds) {
-        it(`should complete a part of each kind of job in time, seed ${seed}`, async () => {
+        it(`should complete a part of each queue's jobs in time, seed ${seed}`, async () => {
             const { earnedPartByQueue } = await simulateFleet({ ...overload, seed });
             assert.equal(earnedPartByQueue.size, 4);
             const tooLittle = [...earnedPartByQueue].filter(([, earnedPart]) => earnedPart < leastEarnedPart);
--- a/tests/process/vmInventory.spec.ts
+++ b/tests/process/vmInventory.spec.ts
@@ -1,4 +1,7 @@
-/** Guards against a worker that gets no runs any more because the VM list did not show it when its VM was released. */
+/**
+ * Guards against a worker that gets no runs any more because the VM list did not show it when its VM was released, and against a list that
+ * arrives after a later one.
+ */
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { Ok } from "../../src/common/results.js";
@@ -37,3 +40,28 @@
         assert.deepEqual(harness.startedTasks(), ["job.0.0.0"]);
     });
 });
+
+describe("a VM list", () => {
+    it("should be dropped if one that was requested later has arrived before", async () => {
+        const harness = createSchedulerHarness({ workers: 1 });
+        const answers: ((poolName: string) => void)[] = [];
+        const list = (): Promise<unknown> =>
+            new Promise(resolve => answers.push(poolName => resolve(Ok([describeVm({ vmId: "vm1", poolName })]))));
+        const inventory = createVmInventory({
+            scheduler: harness.scheduler,
+            vmService: { list } as unknown as VmService,
+            timers: { nowMs: harness.nowMs } as TimerService,
+            logger: createSilentLogger(),
+        });
+        const earlier = inventory.refresh();
+        harness.advance(100);
+        const later = inventory.refresh();
+        answers[1]!("new");
+        await later;
+        const listedAtMs = inventory.listedAtMs();
+        answers[0]!("old");
+        await earlier;
+        assert.equal(inventory.find("vm1")!.poolName, "new");
+        assert.equal(inventory.listedAtMs(), listedAtMs);
+    });
+});
