--- a/src/decisions/planMoves.ts
+++ b/src/decisions/planMoves.ts
@@ -29,6 +29,8 @@
     waitingGrowthMillicoresPerS: number;
     /** Work that arrived recently, in millicore-seconds per second. */
     arrivingCpuMillicores: number;
+    /** Number of jobs that this work comes from. */
+    arrivingJobsCount: number;
     /** Highest recent arrival rate, which decays over time. */
     peakCpuMillicores: number;
     /** CPU reserved by long-running tasks. */
@@ -164,6 +166,7 @@
         surplusOver(vms => vms.expectedCount),
         surplusOver(vms => vms.totalCount),
     ];
+    const purposes = ["the present work", "the expected surge", "overdue work"];
     const totalSurplus = surpluses.at(-1)!;
     const moves: VmMove[] = [];
     const moved = new Set<string>();
@@ -185,7 +188,7 @@
         }
     };
     /** Fills pools from the given sources, the neediest first; returns how many VMs are still missing. */
-    const fill = (surplus: VmCounts, findVm: (toPool: string) => EmptyVm | undefined): number => {
+    const fill = (surplus: VmCounts, purpose: string, findVm: (toPool: string) => EmptyVm | undefined): number => {
         let missingCount = 0;
         const needy = active.map(pool => pool.poolName).filter(poolName => surplus.get(poolName)! < 0)
             .sort((a, b) => surplus.get(a)! - surplus.get(b)!);
@@ -196,7 +199,7 @@
                     missingCount -= surplus.get(poolName)!;
                     break;
                 }
-                addMove(vm, poolName, `the pool needs ${-surplus.get(poolName)!} more VMs`);
+                addMove(vm, poolName, `the pool needs ${-surplus.get(poolName)!} more VMs for ${purpose}`);
             }
         }
         return missingCount;
@@ -208,7 +211,7 @@
             findSurplusVm(totalSurplus, toPool) ??
                 findEmptyVm(vm => vm.poolName === standby?.poolName) ??
                 lessUrgent.map(each => findSurplusVm(each, toPool)).find(vm => vm !== undefined);
-        const missingCount = fill(surplus, findVm);
+        const missingCount = fill(surplus, purposes[index]!, findVm);
         if (missingCount > 0) {
             // Nothing is drained for overdue work: it would only take the place of other overdue work.
             drainedVmIds = surplus === totalSurplus ? [] : chooseDrainedVms(input.drainableVms, surplus, missingCount);
--- a/src/process/demandTracker.ts
+++ b/src/process/demandTracker.ts
@@ -3,6 +3,8 @@
 export interface PoolArrivals {
     /** Current rate of arriving work, in millicore-seconds per second. */
     arrivingCpuMillicores: number;
+    /** Number of jobs that this work comes from. */
+    arrivingJobsCount: number;
     /** Highest rate of the last minutes, measured over a longer window and decaying. */
     peakCpuMillicores: number;
 }
@@ -16,8 +18,13 @@
     read(poolName: string): PoolArrivals;
 }
 
+interface Arrival {
+    atMs: number;
+    workMillicoreS: number;
+}
+
 interface PoolHistory {
-    arrivals: { atMs: number; workMillicoreS: number }[];
+    arrivals: Arrival[];
     peak: number;
     peakAtMs: number;
 }
@@ -35,11 +42,10 @@
 export function createDemandTracker(nowMs: () => number): DemandTracker {
     const histories = new Map<string, PoolHistory>();
 
-    const rateWithin = (history: PoolHistory, windowMs: number): number => {
-        const sinceMs = nowMs() - windowMs;
-        const recent = history.arrivals.filter(arrival => arrival.atMs > sinceMs);
-        return recent.reduce((sum, arrival) => sum + arrival.workMillicoreS, 0) / (windowMs / 1000);
-    };
+    const arrivalsWithin = (history: PoolHistory, windowMs: number): Arrival[] =>
+        history.arrivals.filter(arrival => arrival.atMs > nowMs() - windowMs);
+    const rateWithin = (history: PoolHistory, windowMs: number): number =>
+        arrivalsWithin(history, windowMs).reduce((sum, arrival) => sum + arrival.workMillicoreS, 0) / (windowMs / 1000);
     const decayedPeak = (history: PoolHistory): number => history.peak * 0.5 ** ((nowMs() - history.peakAtMs) / peakHalfLifeMs);
 
     return {
@@ -61,8 +67,12 @@
         read: poolName => {
             const history = histories.get(poolName);
             return history ?
-                { arrivingCpuMillicores: rateWithin(history, arrivalWindowMs), peakCpuMillicores: decayedPeak(history) } :
-                { arrivingCpuMillicores: 0, peakCpuMillicores: 0 };
+                {
+                    arrivingCpuMillicores: rateWithin(history, arrivalWindowMs),
+                    arrivingJobsCount: arrivalsWithin(history, arrivalWindowMs).length,
+                    peakCpuMillicores: decayedPeak(history),
+                } :
+                { arrivingCpuMillicores: 0, arrivingJobsCount: 0, peakCpuMillicores: 0 };
         },
     };
 }
--- a/src/process/poolDemandLog.ts
+++ b/src/process/poolDemandLog.ts
@@ -20,7 +20,7 @@
 
 export interface PoolDemandLog {
     /** Logs what the next moves are planned from, unless that was done within the last second. */
-    record(input: MovePlanInput, excludedCounts: ReadonlyMap<VmExclusion, number>): void;
+    record(input: MovePlanInput, excludedCounts: ReadonlyMap<string, ReadonlyMap<VmExclusion, number>>): void;
 }
 
 const intervalMs = 1_000;
@@ -34,7 +34,9 @@
         `cores: ${formatCores(pool.busyCpuMillicores)} busy, ${formatCores(pool.servingCpuMillicores)} serving, ` +
         `${formatCores(pool.waitingCpuMillicores)} waiting, ${formatCores(pool.waitingGrowthMillicoresPerS)}/s growth, ` +
         `${formatCores(pool.overdueCpuMillicores)} overdue, ` +
-        `${formatCores(pool.arrivingCpuMillicores)} arriving, ${formatCores(pool.peakCpuMillicores)} peak`;
+        `${formatCores(pool.arrivingCpuMillicores)} arriving with ${pool.arrivingJobsCount} jobs, ${
+            formatCores(pool.peakCpuMillicores)
+        } peak`;
 }
 
 export function createPoolDemandLog(logger: Logger): PoolDemandLog {
@@ -53,7 +55,9 @@
                         `${pool.poolName}: standby, ${pool.vmCount} available, ${emptyCountOf(pool)} of them movable` :
                         formatPool(pool, required.get(pool.poolName)!, emptyCountOf(pool))
                 ),
-                excludedVms: [...excludedCounts].map(([reason, count]) => `${reason}: ${count}`),
+                excludedVms: [...excludedCounts].map(([poolName, counts]) =>
+                    `${poolName}: ${[...counts].map(([reason, count]) => `${count} ${reason}`).join(", ")}`
+                ),
             });
         },
     };
--- a/src/process/poolRebalancer.ts
+++ b/src/process/poolRebalancer.ts
@@ -37,7 +37,8 @@
 
 /** What the pools need, and which of their VMs could be moved. */
 interface FleetDescription extends MovePlanInput {
-    excludedCounts: ReadonlyMap<VmExclusion, number>;
+    /** VMs that do not count as available, by pool and reason. */
+    excludedCounts: ReadonlyMap<string, ReadonlyMap<VmExclusion, number>>;
 }
 
 interface WaitingCpu {
@@ -144,8 +145,12 @@
         const usableVms = new Map<string, number>();
         const emptyVms: EmptyVm[] = [];
         const drainableVms: DrainableVm[] = [];
-        const excludedCounts = new Map<VmExclusion, number>();
-        const exclude = (reason: VmExclusion): void => void excludedCounts.set(reason, (excludedCounts.get(reason) ?? 0) + 1);
+        const excludedCounts = new Map<string, Map<VmExclusion, number>>();
+        const exclude = ({ poolName }: VmRecord, reason: VmExclusion): void => {
+            const counts = excludedCounts.get(poolName) ?? new Map<VmExclusion, number>();
+            excludedCounts.set(poolName, counts);
+            counts.set(reason, (counts.get(reason) ?? 0) + 1);
+        };
         for (const policy of state.policy.pools.values()) {
             const { inTimeMillicores, overdueMillicores } = waiting.get(policy.name) ?? { inTimeMillicores: 0, overdueMillicores: 0 };
             pools.set(policy.name, {
@@ -169,20 +174,20 @@
                 return;
             }
             if (pendingMoves.has(vm.vmId)) {
-                exclude(vmExclusions.moving);
+                exclude(vm, vmExclusions.moving);
                 return;
             }
             if (vm.state !== vmStates.up) {
-                exclude(vmExclusions.notUp);
+                exclude(vm, vmExclusions.notUp);
                 return;
             }
             if (!pool.isStandby && !worker) {
-                exclude(vmExclusions.withoutWorker);
+                exclude(vm, vmExclusions.withoutWorker);
                 return;
             }
             pool.vmCpuMillicores = Math.max(pool.vmCpuMillicores, vm.capacity.cpuMillicores);
             if (worker?.unresponsiveSinceMs !== undefined || unresponsiveZones.has(vm.zone)) {
-                exclude(vmExclusions.unresponsive);
+                exclude(vm, vmExclusions.unresponsive);
                 return;
             }
             let busyCpuMillicores = 0;
@@ -200,7 +205,7 @@
             if (
                 inventory.cordonedSinceMs(vm.vmId) !== undefined || (worker?.isCordoned && !isDraining) || worker?.entry.isDraining
             ) {
-                exclude(vmExclusions.draining);
+                exclude(vm, vmExclusions.draining);
                 return;
             }
             usableVms.set(pool.poolName, (usableVms.get(pool.poolName) ?? 0) + usablePart(vm, worker));
--- a/src/process/waveRunner.ts
+++ b/src/process/waveRunner.ts
@@ -217,7 +217,7 @@
             token,
             mayStillSend: () => options.orderToken() === token,
         });
-        logger.log(logEvents.vmOrderAnswered, { vmId, what: `restart for wave ${wave}`, outcome, token });
+        logger.log(logEvents.vmOrderAnswered, { vmId, what: `restart in ${vm.poolName} for wave ${wave}`, outcome, token });
         if (outcome === vmOrderOutcomes.accepted) {
             pending.acceptedAtMs = timers.nowMs();
             progress.restartedVmIds.push(vmId);
--- a/tests/decisions/planMoves.spec.ts
+++ b/tests/decisions/planMoves.spec.ts
@@ -20,6 +20,7 @@
     waitingCpuMillicores: 0,
     overdueCpuMillicores: 0,
     arrivingCpuMillicores: 0,
+    arrivingJobsCount: 0,
     peakCpuMillicores: 0,
     waitingGrowthMillicoresPerS: 0,
     servingCpuMillicores: 0,
--- a/tests/decisions/surges.spec.ts
+++ b/tests/decisions/surges.spec.ts
@@ -76,6 +76,7 @@
         overdueCpuMillicores: 0,
         waitingGrowthMillicoresPerS: 0,
         arrivingCpuMillicores: 2_000,
+        arrivingJobsCount: 0,
         peakCpuMillicores: 4_000,
         servingCpuMillicores: 0,
     };
