--- a/tests/process/movesInWave.spec.ts
+++ b/tests/process/movesInWave.spec.ts
@@ -1,6 +1,6 @@
 /**
  * Guards against a surge that finds no VMs because a maintenance wave over half of the fleet keeps them where they are until
- * their turn comes, and against a move and a restart of one VM at the same time.
+ * their turn comes, or drains and restarts those of the surging pool, and against a move and a restart of one VM at the same time.
  */
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
@@ -19,19 +19,32 @@
 
 const idleVmsCount = 6;
 
-/** A pool of one VM with more work than it can take, and idle VMs in standby that all wait for a wave, one VM at a time. */
-async function createFixture(withinMs: number) {
-    const harness = createSchedulerHarness({ workers: 1 });
+interface FixtureOptions {
+    withinMs: number;
+    busyVmsCount?: number;
+    idleVmsCount?: number;
+    /** Tasks of the pool's first job; sixteen fill a VM. */
+    taskCount?: number;
+    /** Whether the wave is over the busy VMs and not over the idle ones. */
+    isOverBusyVms?: boolean;
+    maximumDown?: number;
+}
+
+/** A pool of busy VMs, by default one with more work than it can take, and idle VMs in standby that all wait for a wave. */
+async function createFixture(options: FixtureOptions) {
+    const { withinMs, busyVmsCount = 1, taskCount = 60, maximumDown = 1 } = options;
+    const harness = createSchedulerHarness({ workers: busyVmsCount });
     const { state } = harness.scheduler;
     state.policy = { ...state.policy, pools: new Map([...state.policy.pools, ["idle", { name: "idle", isStandby: true }]]) };
-    harness.list("w1", { sentAtMs: 0 });
-    harness.submit("wide", { taskCount: 60 });
+    const busyNumbers = Array.from({ length: busyVmsCount }, (_, index) => index + 1);
+    busyNumbers.forEach(each => harness.list(`w${each}`, { sentAtMs: 0 }));
+    harness.submit("wide", { taskCount });
     const orders: string[] = [];
     const vms = new Map<string, VmRecord>();
     const addVm = (vmId: string, poolName: string, workerId: string | undefined): void =>
         void vms.set(vmId, describeVm({ vmId, poolName, workerId }));
-    addVm("vm1", "pool", "w1");
-    const idleIds = Array.from({ length: idleVmsCount }, (_, index) => `idle${index}`);
+    busyNumbers.forEach(each => addVm(`vm${each}`, "pool", `w${each}`));
+    const idleIds = Array.from({ length: options.idleVmsCount ?? idleVmsCount }, (_, index) => `idle${index}`);
     idleIds.forEach(vmId => addVm(vmId, "idle", undefined));
     const order = (vmId: string, text: string) => {
         orders.push(text);
@@ -53,10 +66,11 @@
         logger: createSilentLogger(),
     };
     await common.inventory.refresh();
+    const busyIds = busyNumbers.map(each => `vm${each}`);
     const wave = createWaveRunner({
         ...common,
         store: { swap: () => Promise.resolve(Ok({ isSwapped: true, revision: 20, current: [] })) } as unknown as ChangeFeedStore,
-        request: { waveNumber: 1, vmIds: idleIds, withinMs, maximumDown: 1 },
+        request: { waveNumber: 1, vmIds: options.isOverBusyVms ? busyIds : idleIds, withinMs, maximumDown },
         storedProgress: undefined,
         restartMs: 2_000,
         isMoving: vmId => rebalancer.isMoving(vmId),
@@ -68,12 +82,14 @@
         demand: createDemandTracker(harness.nowMs),
         mustStay: wave.isWaitingFor,
     });
-    return { orders, wave, rebalancer };
+    /** VMs of the pool whose workers get no new tasks. */
+    const drainedIds = (): string[] => busyIds.filter(vmId => common.inventory.workerOn(vmId)?.isCordoned);
+    return { harness, orders, wave, rebalancer, drainedIds };
 }
 
 describe("a surge during a maintenance wave", () => {
     it("should get VMs that wait for the wave", async () => {
-        const { orders, wave, rebalancer } = await createFixture(120_000);
+        const { orders, wave, rebalancer } = await createFixture({ withinMs: 120_000 });
         await wave.advance();
         assert.deepEqual(orders, ["restart idle0"]);
         await requestMoves(rebalancer);
@@ -82,14 +98,14 @@
     });
 
     it("should get none while the wave is short of time", async () => {
-        const { orders, wave, rebalancer } = await createFixture(20_000);
+        const { orders, wave, rebalancer } = await createFixture({ withinMs: 20_000 });
         await wave.advance();
         await requestMoves(rebalancer);
         assert.deepEqual(orders, ["restart idle0"]);
     });
 
     it("should not have a VM restarted whose move was ordered after the last list", async () => {
-        const { orders, wave, rebalancer } = await createFixture(120_000);
+        const { orders, wave, rebalancer } = await createFixture({ withinMs: 120_000 });
         await requestMoves(rebalancer);
         const movedIds = orders.map(text => text.split(" ")[1]);
         await wave.advance();
@@ -98,3 +114,33 @@
         assert.ok(!movedIds.includes(restartedIds[0]), orders.join());
     });
 });
+
+describe("a maintenance wave during a surge", () => {
+    const overBusyVms: FixtureOptions = { withinMs: 120_000, isOverBusyVms: true, busyVmsCount: 3, idleVmsCount: 0, maximumDown: 2 };
+
+    it("should leave a pool the VMs that it needs, while the wave has time", async () => {
+        const { orders, wave, rebalancer, drainedIds } = await createFixture(overBusyVms);
+        await requestMoves(rebalancer);
+        await wave.advance();
+        assert.deepEqual([orders, drainedIds()], [[], []]);
+    });
+
+    it("should give VMs back that it has drained when a surge begins", async () => {
+        const { harness, orders, wave, rebalancer, drainedIds } = await createFixture({ ...overBusyVms, taskCount: 3 });
+        await requestMoves(rebalancer);
+        await wave.advance();
+        assert.notDeepEqual([orders, drainedIds()], [[], []]);
+        const restartedCount = orders.length;
+        harness.submit("surge", { taskCount: 60 });
+        await requestMoves(rebalancer);
+        await wave.advance();
+        assert.deepEqual([orders.length, drainedIds().length], [restartedCount, restartedCount]);
+    });
+
+    it("should restart all of them once it is short of time", async () => {
+        const { orders, wave, rebalancer, drainedIds } = await createFixture({ ...overBusyVms, withinMs: 5_000 });
+        await requestMoves(rebalancer);
+        await wave.advance();
+        assert.deepEqual([orders.length, drainedIds().length], [2, 2]);
+    });
+});
