Recognise surges by the number of jobs instead of the size of their work

Cause: a surge was taken from the work of one second. Change: a surge begins when more jobs arrive within a second than chance brings, by the usual number of jobs, which is that of the calmest six of the last thirty seconds. The work of fewer than three jobs in two seconds counts only as what waits and runs. A surge beyond all peaks is expected to grow on for a move's duration.

--- a/src/decisions/planMoves.ts
+++ b/src/decisions/planMoves.ts
@@ -5,12 +5,14 @@
  * A pool that needs more VMs than it has gets empty VMs from pools that need fewer, the most recently used first, and then
  * from standby pools. VMs that stay empty for long go to standby, where they cost nothing. When a surge begins, the pool
  * immediately gets as many VMs as earlier surges needed: adding one VM after another, each delayed by the duration of a
- * move, would lag behind the surge. The first surge of a pool is expected to grow about as large as those of the other pools, and
- * waiting work that grows to go on growing while VMs move.
+ * move, would lag behind the surge. A surge begins when unusually many jobs arrive; the first one of a pool is expected to grow about as large as
+ * those of the other pools, and arriving and waiting work that grows to go on growing while VMs move. A few large jobs are no surge.
  */
+import type { PoolArrivals } from "./poolArrivals.js";
+import { isUnusualCount } from "./unusualCount.js";
 
 /** VMs and CPU demand of one pool. */
-export interface PoolDemand {
+export interface PoolDemand extends PoolArrivals {
     poolName: string;
     isStandby: boolean;
     /** VMs available in the pool, without those that are moving into it. */
@@ -27,12 +29,6 @@
     overdueCpuMillicores: number;
     /** Growth of that over the last second, in millicores per second; 0 if it falls. */
     waitingGrowthMillicoresPerS: number;
-    /** Work that arrived recently, in millicore-seconds per second. */
-    arrivingCpuMillicores: number;
-    /** Number of jobs that this work comes from. */
-    arrivingJobsCount: number;
-    /** Highest recent arrival rate, which decays over time. */
-    peakCpuMillicores: number;
     /** CPU reserved by long-running tasks. */
     servingCpuMillicores: number;
 }
@@ -87,18 +83,29 @@
 /** An empty VM is moved to another pool only after this time, so that a VM whose task has just ended stays in its pool. */
 const movableAfterMs = 250;
 
-/** A surge is assumed to have begun above this fraction of the recent peak; between surges, far less work arrives. */
+/** A surge is assumed to go on above this fraction of the recent peak; between surges, far less work arrives. */
 const surgeThresholdFraction = 0.25;
+/** The work of fewer jobs says little about the rate at which work arrives. */
+const fewestJobsForRate = 3;
+/** Time for which a surge that is larger than all before is expected to grow as it does: a move, and half of the time in which the rate is measured. */
+const arrivalGrowthHorizonS = 2;
 
 /** Waiting work is expected to grow for this long as it did; less than a move takes, since the growth also ends. */
 const growthHorizonS = 1;
 
-/** Returns the peak of the pool's present or next surge; `otherPeakCpuMillicores` is the highest of the other pools. */
-function expectedPeakCpu(pool: PoolDemand, otherPeakCpuMillicores: number): number {
-    const isFirstSurge = pool.arrivingCpuMillicores > pool.peakCpuMillicores &&
-        pool.peakCpuMillicores < surgeThresholdFraction * otherPeakCpuMillicores;
-    // Once the pool has had a surge of that order, its own peak is the better estimate.
-    return isFirstSurge ? otherPeakCpuMillicores : pool.peakCpuMillicores;
+/** Returns the work that the pool's present surge is expected to bring, 0 if there is none; `otherPeakCpuMillicores` is the highest peak of the other pools. */
+function expectedSurgeCpu(pool: PoolDemand, arrivingCpuMillicores: number, otherPeakCpuMillicores: number): number {
+    const { arrivingGrowthMillicoresPerS, peakCpuMillicores } = pool;
+    if (arrivingGrowthMillicoresPerS > 0 && isUnusualCount(pool.arrivingJobsCount, pool.usualJobsCount)) {
+        // Once the pool has had a surge of that order, its own peak is the better estimate.
+        const isFirstSurge = peakCpuMillicores < surgeThresholdFraction * otherPeakCpuMillicores;
+        const isBeyondPeak = arrivingCpuMillicores > peakCpuMillicores;
+        return Math.max(
+            isFirstSurge ? otherPeakCpuMillicores : peakCpuMillicores,
+            isBeyondPeak ? arrivingCpuMillicores + arrivingGrowthMillicoresPerS * arrivalGrowthHorizonS : 0,
+        );
+    }
+    return arrivingCpuMillicores > surgeThresholdFraction * peakCpuMillicores ? peakCpuMillicores : 0;
 }
 
 function vmsFor(pool: PoolDemand, shortTaskCpuMillicores: number): number {
@@ -118,10 +125,9 @@
 /** Returns the VMs that the pool needs now; `otherPeakCpuMillicores` is the highest peak of the other pools. */
 export function requiredVms(pool: PoolDemand, otherPeakCpuMillicores = 0): RequiredVms {
     const waitingCpu = pool.waitingCpuMillicores + pool.waitingGrowthMillicoresPerS * growthHorizonS;
-    const presentCpu = Math.max(pool.busyCpuMillicores + waitingCpu, pool.arrivingCpuMillicores);
-    const peakCpu = expectedPeakCpu(pool, otherPeakCpuMillicores);
-    const isSurging = pool.arrivingCpuMillicores > surgeThresholdFraction * peakCpu;
-    const expectedCpu = isSurging ? Math.max(presentCpu, peakCpu) : presentCpu;
+    const arrivingCpu = pool.recentJobsCount >= fewestJobsForRate ? pool.arrivingCpuMillicores : 0;
+    const presentCpu = Math.max(pool.busyCpuMillicores + waitingCpu, arrivingCpu);
+    const expectedCpu = Math.max(presentCpu, expectedSurgeCpu(pool, arrivingCpu, otherPeakCpuMillicores));
     // Overdue work must end some time, also while other pools lack VMs.
     const leastCount = pool.overdueCpuMillicores > 0 ? 1 : 0;
     return {
--- /dev/null
+++ b/src/decisions/poolArrivals.ts
@@ -0,0 +1,15 @@
+/** What arrives for a pool. */
+export interface PoolArrivals {
+    /** Current rate of arriving work, in millicore-seconds per second. */
+    arrivingCpuMillicores: number;
+    /** Growth of that against the second before, in millicores per second; 0 if it falls. */
+    arrivingGrowthMillicoresPerS: number;
+    /** Number of jobs that the arriving work comes from. */
+    arrivingJobsCount: number;
+    /** Number of jobs that arrive in the same time while the queues are calm; more than 0. */
+    usualJobsCount: number;
+    /** Number of jobs that arrived within the window of the peak. */
+    recentJobsCount: number;
+    /** Highest rate of the last minutes, measured over a longer window and decaying. */
+    peakCpuMillicores: number;
+}
--- a/src/process/demandTracker.ts
+++ b/src/process/demandTracker.ts
@@ -1,13 +1,5 @@
 /** Tracks the rate of arriving work per pool, and its recent peak. Runs in every process, since any may become the owner. */
-
-export interface PoolArrivals {
-    /** Current rate of arriving work, in millicore-seconds per second. */
-    arrivingCpuMillicores: number;
-    /** Number of jobs that this work comes from. */
-    arrivingJobsCount: number;
-    /** Highest rate of the last minutes, measured over a longer window and decaying. */
-    peakCpuMillicores: number;
-}
+import type { PoolArrivals } from "../decisions/poolArrivals.js";
 
 export interface DemandTracker {
     /**
@@ -27,6 +19,8 @@
     arrivals: Arrival[];
     peak: number;
     peakAtMs: number;
+    /** Number of jobs that arrived in each second of the clock, oldest first, without seconds in which none did. */
+    jobsBySecond: { second: number; jobsCount: number }[];
 }
 
 /** Shorter than a surge, but long enough to cover several large jobs. */
@@ -36,9 +30,23 @@
 /** Half-life of the decaying peak. */
 const peakHalfLifeMs = 60_000;
 
+/** The usual number of jobs is the smallest of any time of this length, so that a surge does not count as usual. */
+const calmWindowS = 6;
+/** Calm times are looked for this far back. */
+const calmHistoryS = 30;
+
 /** Several times the store's slowest response. */
 const maxArrivalAgeMs = 1_500;
 
+const noArrivals: PoolArrivals = {
+    arrivingCpuMillicores: 0,
+    arrivingGrowthMillicoresPerS: 0,
+    arrivingJobsCount: 0,
+    usualJobsCount: 1 / calmWindowS,
+    recentJobsCount: 0,
+    peakCpuMillicores: 0,
+};
+
 export function createDemandTracker(nowMs: () => number): DemandTracker {
     const histories = new Map<string, PoolHistory>();
 
@@ -46,6 +54,28 @@
         history.arrivals.filter(arrival => arrival.atMs > nowMs() - windowMs);
     const rateWithin = (history: PoolHistory, windowMs: number): number =>
         arrivalsWithin(history, windowMs).reduce((sum, arrival) => sum + arrival.workMillicoreS, 0) / (windowMs / 1000);
+    /** Returns the rate of the least busy time, without the last seconds; one job more than arrived, since few say little. */
+    const usualJobsPerS = ({ jobsBySecond }: PoolHistory): number => {
+        const endSecond = Math.floor((nowMs() - arrivalWindowMs) / 1_000);
+        let least = Number.POSITIVE_INFINITY;
+        for (let fromSecond = endSecond - calmHistoryS; fromSecond <= endSecond - calmWindowS; fromSecond++) {
+            const within = jobsBySecond.filter(({ second }) => second >= fromSecond && second < fromSecond + calmWindowS);
+            least = Math.min(least, within.reduce((sum, { jobsCount }) => sum + jobsCount, 0));
+        }
+        return (least + 1) / calmWindowS;
+    };
+    const countJob = ({ jobsBySecond }: PoolHistory): void => {
+        const second = Math.floor(nowMs() / 1_000);
+        const last = jobsBySecond.at(-1);
+        if (last?.second === second) {
+            last.jobsCount += 1;
+            return;
+        }
+        jobsBySecond.push({ second, jobsCount: 1 });
+        if (jobsBySecond[0]!.second < second - calmHistoryS - 1) {
+            jobsBySecond.shift();
+        }
+    };
     const decayedPeak = (history: PoolHistory): number => history.peak * 0.5 ** ((nowMs() - history.peakAtMs) / peakHalfLifeMs);
 
     return {
@@ -53,11 +83,12 @@
             if (ageMs >= maxArrivalAgeMs) {
                 return;
             }
-            const history = histories.get(poolName) ?? { arrivals: [], peak: 0, peakAtMs: nowMs() };
+            const history = histories.get(poolName) ?? { arrivals: [], peak: 0, peakAtMs: nowMs(), jobsBySecond: [] };
             histories.set(poolName, history);
             const oldestMs = nowMs() - peakWindowMs;
             history.arrivals = history.arrivals.filter(arrival => arrival.atMs > oldestMs);
             history.arrivals.push({ atMs: nowMs(), workMillicoreS });
+            countJob(history);
             const rate = rateWithin(history, peakWindowMs);
             if (rate >= decayedPeak(history)) {
                 history.peak = rate;
@@ -66,13 +97,20 @@
         },
         read: poolName => {
             const history = histories.get(poolName);
-            return history ?
-                {
-                    arrivingCpuMillicores: rateWithin(history, arrivalWindowMs),
-                    arrivingJobsCount: arrivalsWithin(history, arrivalWindowMs).length,
-                    peakCpuMillicores: decayedPeak(history),
-                } :
-                { arrivingCpuMillicores: 0, arrivingJobsCount: 0, peakCpuMillicores: 0 };
+            if (!history) {
+                return noArrivals;
+            }
+            const arriving = rateWithin(history, arrivalWindowMs);
+            // The window of the peak is twice as long.
+            const preceding = 2 * rateWithin(history, peakWindowMs) - arriving;
+            return {
+                arrivingCpuMillicores: arriving,
+                arrivingGrowthMillicoresPerS: Math.max(0, arriving - preceding) / (arrivalWindowMs / 1_000),
+                arrivingJobsCount: arrivalsWithin(history, arrivalWindowMs).length,
+                usualJobsCount: usualJobsPerS(history) * arrivalWindowMs / 1_000,
+                recentJobsCount: arrivalsWithin(history, peakWindowMs).length,
+                peakCpuMillicores: decayedPeak(history),
+            };
         },
     };
 }
--- a/src/process/poolDemandLog.ts
+++ b/src/process/poolDemandLog.ts
@@ -29,14 +29,18 @@
     return String(Math.round(cpuMillicores / 1000));
 }
 
+function formatCount(count: number): string {
+    return count.toFixed(1);
+}
+
 function formatPool(pool: PoolDemand, required: RequiredVms, emptyCount: number): string {
     return `${pool.poolName}: needs ${required.presentCount} VMs (${required.expectedCount} expected, ${required.totalCount} with overdue work), has ${pool.vmCount} (${emptyCount} empty) and ${pool.incomingCount} coming; ` +
         `cores: ${formatCores(pool.busyCpuMillicores)} busy, ${formatCores(pool.servingCpuMillicores)} serving, ` +
         `${formatCores(pool.waitingCpuMillicores)} waiting, ${formatCores(pool.waitingGrowthMillicoresPerS)}/s growth, ` +
         `${formatCores(pool.overdueCpuMillicores)} overdue, ` +
-        `${formatCores(pool.arrivingCpuMillicores)} arriving with ${pool.arrivingJobsCount} jobs, ${
-            formatCores(pool.peakCpuMillicores)
-        } peak`;
+        `${formatCores(pool.arrivingCpuMillicores)} arriving with ${pool.arrivingJobsCount} jobs (usually ${
+            formatCount(pool.usualJobsCount)
+        }), ${formatCores(pool.peakCpuMillicores)} peak`;
 }
 
 export function createPoolDemandLog(logger: Logger): PoolDemandLog {
