Let a maintenance wave wait for VMs that pools need, while it has time

Cause: a wave always drained and restarted as many VMs as may be down, ranked by the load of their pools, whatever these needed. Change: the plan of moves tells how many VMs each pool has beyond its need, without overdue work. A wave takes VMs only of pools that lack none, and only as many as the fleet has spare; VMs with long-running tasks, which need the most rounds, do not wait for spare ones. Drained VMs go back to a pool whose need rises. Once the wave is short of time, all is as before. Waves are planned after the moves.

--- a/src/decisions/planMoves.ts
+++ b/src/decisions/planMoves.ts
@@ -64,6 +64,11 @@
     moves: VmMove[];
     /** VMs that get no new tasks, so that they can be moved soon; all others do. */
     drainedVmIds: string[];
+    /**
+     * VMs of each pool beyond its need, without overdue work, and those left in standby, once the moves are complete; negative where a pool lacks
+     * VMs.
+     */
+    spareCounts: ReadonlyMap<string, number>;
 }
 
 export interface VmMove {
@@ -174,6 +179,11 @@
     ];
     const purposes = ["the present work", "the expected surge", "overdue work"];
     const totalSurplus = surpluses.at(-1)!;
+    /** VMs beyond all but overdue work, and those in standby. */
+    const spareCounts = surpluses[1]!;
+    if (standby) {
+        spareCounts.set(standby.poolName, standby.vmCount + standby.incomingCount);
+    }
     const moves: VmMove[] = [];
     const moved = new Set<string>();
 
@@ -225,7 +235,7 @@
         }
     }
     if (!standby) {
-        return { moves, drainedVmIds };
+        return { moves, drainedVmIds, spareCounts };
     }
     for (const vm of [...input.emptyVms].sort((a, b) => a.emptySinceMs - b.emptySinceMs)) {
         const pool = active.find(each => each.poolName === vm.poolName);
@@ -236,7 +246,7 @@
             addMove(vm, standby.poolName, "surplus VM has been empty for long");
         }
     }
-    return { moves, drainedVmIds };
+    return { moves, drainedVmIds, spareCounts };
 }
 
 /** Chooses VMs of pools with a surplus: those that are drained already, then the least busy. */
--- a/src/decisions/planWave.ts
+++ b/src/decisions/planWave.ts
@@ -4,11 +4,14 @@
  *
  * At any time, as many VMs are drained or restarted as may be down, the least loaded first. A VM restarts once its short
  * tasks have ended, and only if each long-running step with tasks on it allows their disruption.
+ *
+ * While there is time, a wave takes only VMs that no pool needs: a surge lasts some seconds, a wave has several times as long.
  */
 
 /** A VM of the wave that has not been restarted yet. */
 export interface WaveVm {
     vmId: string;
+    poolName: string;
     /** Whether the VM is up and all tasks on it are known. */
     canRestart: boolean;
     /** Time since which the VM gets no new tasks; `undefined` while it does. */
@@ -28,6 +31,8 @@
     maximumDown: number;
     /** Number of tasks of each long-running step that may be disrupted now. */
     disruptionsAllowedByStep: ReadonlyMap<string, number>;
+    /** VMs of each pool beyond its need, negative where it lacks VMs; `undefined` if that is not known. */
+    spareCounts: ReadonlyMap<string, number> | undefined;
     /** Time by the end of which the last VM must have begun its restart. */
     timeLeftMs: number;
     /** Duration of one restart. */
@@ -36,6 +41,8 @@
 
 export interface WavePlan {
     cordon: string[];
+    /** Drained VMs whose pools need them; they get new tasks again. */
+    release: string[];
     restart: string[];
     /** Long-running steps with more tasks on a VM than may be disrupted at once: one task has to move first. */
     evacuate: { vmId: string; step: string }[];
@@ -61,13 +68,57 @@
     return wave.timeLeftMs < rounds * wave.restartMs * timeReserveFactor + wave.restartMs;
 }
 
+/** The VMs that a wave may take without a pool lacking any. */
+interface SpareVms {
+    /** Takes the VM unless it is needed; `false` if it is. */
+    take(vm: WaveVm): boolean;
+    /** Gives a drained VM back to its pool if it lacks VMs; `false` if it does not. */
+    giveBack(vm: WaveVm): boolean;
+}
+
+const unlimitedSpareVms: SpareVms = { take: () => true, giveBack: () => false };
+
+function createSpareVms(spareCounts: ReadonlyMap<string, number>, vms: readonly WaveVm[]): SpareVms {
+    const left = new Map(spareCounts);
+    const drainedCounts = new Map<string, number>();
+    for (const { poolName } of vms.filter(vm => vm.cordonedSinceMs !== undefined)) {
+        drainedCounts.set(poolName, (drainedCounts.get(poolName) ?? 0) + 1);
+    }
+    const spareIn = ({ poolName }: WaveVm): number => left.get(poolName) ?? 0;
+    let fleetCount = [...spareCounts.values()].reduce((sum, count) => sum + count, 0);
+    const add = (vm: WaveVm, count: number): void => {
+        left.set(vm.poolName, spareIn(vm) + count);
+        fleetCount += count;
+    };
+    return {
+        take: vm => {
+            // A pool without spare VMs gets another one if the fleet has any. Those with long-running tasks need the most rounds, so they do not wait for that.
+            if (spareIn(vm) < 0 || (fleetCount <= 0 && vm.longRunningCountByStep.size === 0)) {
+                return false;
+            }
+            add(vm, -1);
+            return true;
+        },
+        giveBack: vm => {
+            // A pool lacks those that were taken until others have moved there; only what it lacks beyond them is a need that has risen.
+            if (spareIn(vm) + (drainedCounts.get(vm.poolName) ?? 0) >= 0) {
+                return false;
+            }
+            add(vm, 1);
+            return true;
+        },
+    };
+}
+
 /** Plans the next actions of a maintenance wave. */
 export function planWave(input: WavePlanInput): WavePlan {
-    const plan: WavePlan = { cordon: [], restart: [], evacuate: [] };
+    const plan: WavePlan = { cordon: [], release: [], restart: [], evacuate: [] };
     const disruptionsAllowed = new Map(input.disruptionsAllowedByStep);
     let availableCount = input.maximumDown - input.downCount;
     const isBehindSchedule = isWaveBehindSchedule({ ...input, remainingCount: input.vms.length });
 
+    const spareVms = isBehindSchedule || !input.spareCounts ? unlimitedSpareVms : createSpareVms(input.spareCounts, input.vms);
+
     const ranked = input.vms.filter(vm => vm.canRestart).sort((a, b) =>
         Number(b.cordonedSinceMs !== undefined) - Number(a.cordonedSinceMs !== undefined) ||
         a.poolUtilization - b.poolUtilization ||
@@ -78,6 +129,13 @@
         if (availableCount <= 0) {
             break;
         }
+        if (vm.cordonedSinceMs !== undefined && spareVms.giveBack(vm)) {
+            plan.release.push(vm.vmId);
+            continue;
+        }
+        if (vm.cordonedSinceMs === undefined && !spareVms.take(vm)) {
+            continue;
+        }
         availableCount -= 1;
         const cordonedForMs = vm.cordonedSinceMs === undefined ? 0 : input.nowMs - vm.cordonedSinceMs;
         const isDrainFinished = vm.shortRunCount === 0 || isBehindSchedule || cordonedForMs > maximumDrainMs;
--- a/src/process/poolRebalancer.ts
+++ b/src/process/poolRebalancer.ts
@@ -20,6 +20,8 @@
     advance(): void;
     /** Whether a move of the VM was requested and has not completed or failed. */
     isMoving(vmId: string): boolean;
+    /** VMs of each pool beyond its need after the last moves, negative where it lacks VMs; `undefined` until moves were planned. */
+    spareCounts(): ReadonlyMap<string, number> | undefined;
 }
 
 export interface PoolRebalancerOptions {
@@ -71,6 +73,7 @@
     const refusedUntilMs = new Map<string, number>();
     const emptySinceMs = new Map<string, number>();
     const trend = createWaitingTrend();
+    let spareCounts: ReadonlyMap<string, number> | undefined;
     const demandLog = createPoolDemandLog(options.logger);
 
     /** CPU that ready waiting tasks request in each pool, by whether their jobs can be in time. */
@@ -284,10 +287,12 @@
                 inventory.setDrainedForMove([]);
                 return;
             }
-            const { moves, drainedVmIds } = planMoves(fleet);
-            inventory.setDrainedForMove(drainedVmIds);
-            moves.forEach(move => startMove(move, token));
+            const plan = planMoves(fleet);
+            spareCounts = plan.spareCounts;
+            inventory.setDrainedForMove(plan.drainedVmIds);
+            plan.moves.forEach(move => startMove(move, token));
         },
         isMoving: vmId => pendingMoves.has(vmId),
+        spareCounts: () => spareCounts,
     };
 }
--- a/src/process/vmManager.ts
+++ b/src/process/vmManager.ts
@@ -75,6 +75,7 @@
                 storedProgress: options.mirror().valueOf(`${waveProgressPrefix}${request.waveNumber}`),
                 inventory: term.inventory,
                 isMoving: term.rebalancer.isMoving,
+                spareCounts: term.rebalancer.spareCounts,
                 orderToken: term.orderToken,
                 statusKey: options.waveStatusKey(request.waveNumber),
                 encodeStatus: isCompleted => options.encodeWaveStatus(request.waveNumber, isCompleted),
@@ -110,13 +111,14 @@
         if (term.orderToken() === undefined || timers.nowMs() - term.inventory.listedAtMs() > maxListAgeMs) {
             return;
         }
+        term.rebalancer.advance();
+        term.movesPlannedAtMs = timers.nowMs();
+        // Waves take what the moves leave.
         const unfinishedWaves = [...term.waves].filter(([, wave]) => !wave.isFinished());
         if (unfinishedWaves.length > 0) {
             listWorkersWithUnreadyTasks(term.inventory.scheduler);
         }
         unfinishedWaves.forEach(([waveNumber, wave]) => begin(term, `wave ${waveNumber}`, wave.advance));
-        term.rebalancer.advance();
-        term.movesPlannedAtMs = timers.nowMs();
     };
 
     const refreshList = async (term: Term): Promise<void> => {
--- a/src/process/waveRunner.ts
+++ b/src/process/waveRunner.ts
@@ -37,6 +37,8 @@
     restartMs: number;
     /** Whether a move of the VM was requested and has not completed or failed. */
     isMoving(vmId: string): boolean;
+    /** VMs of each pool beyond its need, negative where it lacks VMs; `undefined` if that is not known yet. */
+    spareCounts(): ReadonlyMap<string, number> | undefined;
     /** Key under which the operator reads the status of the wave, encoded by `encodeStatus`. */
     statusKey: string;
     encodeStatus(isCompleted: boolean): string;
@@ -187,6 +189,7 @@
         const worker = inventory.workerOn(vmId);
         return {
             vmId,
+            poolName: vm?.poolName ?? "",
             canRestart: vm?.state === vmStates.up && !options.isMoving(vmId) && !inventory.isRestartPending(vmId) &&
                 !inventory.mayRunUnknownTasks(vm),
             cordonedSinceMs: inventory.cordonedSinceMs(vmId),
@@ -268,9 +271,14 @@
                 downCount: request.vmIds.filter(isDown).length,
                 maximumDown: request.maximumDown,
                 disruptionsAllowedByStep: allowedDisruptionsByStep(state),
+                spareCounts: options.spareCounts(),
                 timeLeftMs: timeLeftMs(),
                 restartMs: options.restartMs,
             });
+            if (plan.release.length > 0) {
+                plan.release.forEach(vmId => inventory.uncordon(vmId));
+                logger.log(logEvents.waveChanged, { wave, releasedVmIds: plan.release, timeLeftMs: timeLeftMs() });
+            }
             plan.cordon.forEach(vmId => inventory.cordon(vmId));
             plan.evacuate.forEach(({ vmId, step }) => evacuateOne(vmId, step));
             const repeated = [...pendingRestarts].filter(([, pending]) => needsRepetition(pending)).map(([vmId]) => vmId);
--- a/tests/decisions/schedulingPolicy.spec.ts
+++ b/tests/decisions/schedulingPolicy.spec.ts
@@ -133,6 +133,7 @@
 
 const waveVm = (vmId: string, changes: Partial<WaveVm>): WaveVm => ({
     vmId,
+    poolName: "pool",
     canRestart: true,
     cordonedSinceMs: undefined,
     shortRunCount: 0,
@@ -146,6 +147,7 @@
     downCount: 0,
     maximumDown: 2,
     disruptionsAllowedByStep: new Map(),
+    spareCounts: undefined,
     timeLeftMs: 60_000,
     restartMs: 2_000,
     ...changes,
@@ -158,6 +160,29 @@
         assert.equal(planWave(waveInput({ vms, downCount: 2 })).restart.length, 0);
     });
 
+    it("should take only VMs that no pool needs, until it is short of time", () => {
+        const vms = ["calm", "calm", "short", "standby", "standby"].map((poolName, index) => waveVm(`${poolName}-${index}`, { poolName }));
+        const plan = (counts: Record<string, number>, changes: Partial<WavePlanInput> = {}): string[] =>
+            planWave(waveInput({ vms, maximumDown: 9, spareCounts: new Map(Object.entries(counts)), ...changes })).restart;
+        assert.deepEqual(plan({ calm: 1, short: -2, standby: 3 }), ["calm-0", "calm-1"], "the fleet has two");
+        assert.deepEqual(plan({ calm: 0, short: -2, standby: 9 }), ["calm-0", "standby-3", "standby-4"], "calm gets one from standby");
+        assert.deepEqual(plan({ calm: 1, short: -2, standby: 1 }), []);
+        assert.deepEqual(plan({ calm: 1, short: -2, standby: 1 }, { timeLeftMs: 3_000 }), vms.map(vm => vm.vmId));
+    });
+
+    it("should restart VMs with long-running tasks also while the fleet has no spare VMs, but not in a pool that lacks some", () => {
+        const longRunningCountByStep = new Map([["step", 1]]);
+        const vms = ["calm", "short"].map(poolName => waveVm(poolName, { poolName, longRunningCountByStep }));
+        assert.deepEqual(planWave(waveInput({ vms, spareCounts: new Map([["calm", 0], ["short", -5]]) })).restart, ["calm"]);
+    });
+
+    it("should give back drained VMs only of a pool that lacks more than those", () => {
+        const vms = ["a", "b", "c"].map(vmId => waveVm(vmId, { shortRunCount: 1, cordonedSinceMs: 9_500 }));
+        const release = (spareCount: number): string[] =>
+            planWave(waveInput({ vms, maximumDown: 3, spareCounts: new Map([["pool", spareCount]]) })).release;
+        assert.deepEqual([release(0), release(-3), release(-4), release(-9)], [[], [], ["a"], ["a", "b", "c"]]);
+    });
+
     it("should disrupt only as many tasks of a long-running step as allowed, over all VMs together", () => {
         const vms = ["a", "b"].map(vmId => waveVm(vmId, { longRunningCountByStep: new Map([["step", 1]]) }));
         assert.deepEqual(planWave(waveInput({ vms, disruptionsAllowedByStep: new Map([["step", 1]]) })).restart, ["a"]);
--- a/tests/process/unknownWorkers.spec.ts
+++ b/tests/process/unknownWorkers.spec.ts
@@ -57,6 +57,7 @@
         ...common,
         store,
         isMoving: rebalancer.isMoving,
+        spareCounts: rebalancer.spareCounts,
         request: { waveNumber: 1, vmIds: ["vm2"], withinMs: 60_000, maximumDown: 1 },
         storedProgress: undefined,
         restartMs: 2_000,
--- a/tests/process/unreadableVms.spec.ts
+++ b/tests/process/unreadableVms.spec.ts
@@ -44,6 +44,7 @@
         logger,
         restartMs: 2_000,
         isMoving: () => false,
+        spareCounts: () => undefined,
         statusKey: "status",
         encodeStatus: String,
     });
--- a/tests/process/waveFixture.ts
+++ b/tests/process/waveFixture.ts
@@ -50,6 +50,7 @@
             logger,
             restartMs,
             isMoving: () => false,
+            spareCounts: () => undefined,
             statusKey: `status/${waveNumber}`,
             encodeStatus: isCompleted => isCompleted ? "completed" : "running",
         });
