--- a/harness/simulatedOwner.ts
+++ b/harness/simulatedOwner.ts
@@ -30,6 +30,8 @@
     isStoreAway?(): boolean;
     /** Processor time for each call to a worker and for each response, which are handled one after the other; by default none. */
     callCostMs?: number;
+    /** Whether a worker leaves the listing that is sent now without a response; by default none does. */
+    isListingUnanswered?(): boolean;
 }
 
 export interface SimulatedOwner {
@@ -46,6 +48,9 @@
 export const storeMs = 6;
 export const workerLeaseMs = 6_000;
 const longPollMs = 1_000;
+/** Time beyond the wait of a listing after which no response is expected, and pause before the next one. */
+const listTimeoutMs = 500;
+const retryDelayMs = 100;
 const saveIntervalMs = 20;
 const maxSaveWaitMs = 40;
 const jobsPerWrite = 15;
@@ -84,6 +89,15 @@
         if (!findWorker(workerId)) {
             return;
         }
+        if (options.isListingUnanswered?.()) {
+            time.after(waitMs + listTimeoutMs, () => {
+                if (findWorker(workerId)) {
+                    scheduler.workerUnresponsive(workerId, time.nowMs());
+                    time.after(retryDelayMs, onListed);
+                }
+            });
+            return;
+        }
         const sentAtMs = time.nowMs();
         const acknowledged = scheduler.acknowledgedEndNumber(workerId);
         scheduler.leaseExtensionSent(workerId, workerLeaseMs, sentAtMs);
--- a/tests/process/fleetSimulation.ts
+++ b/tests/process/fleetSimulation.ts
@@ -2,6 +2,7 @@
  * A fleet under queues that surge one after the other, in virtual time: the owner's scheduler and its moves of VMs between pools, with
  * simulated VMs, workers and store. The store or the owner may be away for a while. What each queue's jobs earn is measured.
  */
+import { createSeededRandom } from "../../harness/random.js";
 import {
     createSchedulingLoad,
     createSimulatedWorker,
@@ -43,6 +44,8 @@
     logger?: Logger;
     /** See `SimulatedOwnerOptions`. */
     callCostMs?: number;
+    /** Part of the listings that workers leave without a response. */
+    unansweredFraction?: number;
 }
 
 export interface FleetSimulationResult extends EarnedWorth {
@@ -82,6 +85,7 @@
         },
     });
     const demand = createDemandTracker(time.nowMs);
+    const responseRandom = createSeededRandom(options.seed + 2);
     const jobs = new Map<string, TrackedJob>();
     const workers = new Map<string, SimulatedWorker>();
     const arrivedWhileAway: JobSubmission[] = [];
@@ -95,6 +99,7 @@
         isAway: () => isWithin(options.ownerAway),
         isStoreAway: () => isWithin(options.storeAway),
         callCostMs: options.callCostMs,
+        isListingUnanswered: () => responseRandom.unit() < (options.unansweredFraction ?? 0),
     });
 
     const simulateWorker = ({ bornWallMs }: WorkerEntry): SimulatedWorker => {
