List a worker again whose listing without a response hides the ends of its tasks

Cause: one listing at a time waits for ends on each worker. If it gets no response, it is given up after 1.5 s, and until then no end on the worker is known, although the owner sees that its tasks should have ended long ago. A job is as late as its last task, so with a few per cent of listings unanswered most jobs of many tasks are late. Class: waiting for a response that does not come while another call could tell. A missing response says nothing of a worker that has answered a later listing.

--- a/harness/simulatedOwner.ts
+++ b/harness/simulatedOwner.ts
@@ -6,6 +6,7 @@
 import { createStartWindow } from "../src/decisions/startWindow.js";
 import { passDelayMs } from "../src/process/passTrigger.js";
 import { commandOutcomes } from "../src/scheduling/commandOutcomes.js";
+import { createOverdueEnds } from "../src/scheduling/overdueEnds.js";
 import type { Listing, Moment } from "../src/scheduling/reconcileListing.js";
 import type { Scheduler, UnsavedJob } from "../src/scheduling/scheduler.js";
 import { commandKinds, type SchedulerCommand } from "../src/scheduling/schedulerState.js";
@@ -64,8 +65,12 @@
     const isAway = options.isAway ?? ((): boolean => false);
     const isStoreAway = options.isStoreAway ?? ((): boolean => false);
     const waitingForSave = new Set<string>();
+    const answeredSentAtMs = new Map<string, number>();
+    /** Number of the last poll of each worker; an earlier one that is open gets no response. */
+    const pollNumbers = new Map<string, number>();
     const { callCostMs = 0 } = options;
     const startWindow = createStartWindow();
+    const overdueEnds = createOverdueEnds();
     let unansweredStartsCount = 0;
     let busyUntilMs = 0;
     let isPassDue = true;
@@ -89,16 +94,16 @@
         if (!findWorker(workerId)) {
             return;
         }
+        const sentAtMs = time.nowMs();
         if (options.isListingUnanswered?.()) {
             time.after(waitMs + listTimeoutMs, () => {
-                if (findWorker(workerId)) {
+                if (findWorker(workerId) && (answeredSentAtMs.get(workerId) ?? 0) <= sentAtMs) {
                     scheduler.workerUnresponsive(workerId, time.nowMs());
-                    time.after(retryDelayMs, onListed);
                 }
+                time.after(retryDelayMs, onListed);
             });
             return;
         }
-        const sentAtMs = time.nowMs();
         const acknowledged = scheduler.acknowledgedEndNumber(workerId);
         scheduler.leaseExtensionSent(workerId, workerLeaseMs, sentAtMs);
         const receive = (listing: Listing): void => {
@@ -107,6 +112,7 @@
             }
             else if (findWorker(workerId)) {
                 scheduler.listingReceived(workerId, listing, sentAtMs, moment());
+                answeredSentAtMs.set(workerId, Math.max(answeredSentAtMs.get(workerId) ?? 0, sentAtMs));
                 isPassDue = true;
                 onListed();
             }
@@ -118,16 +124,34 @@
             )
         );
     };
-    const poll = (workerId: string, waitMs: number): void =>
+    const poll = (workerId: string, waitMs: number): void => {
+        const pollNumber = (pollNumbers.get(workerId) ?? 0) + 1;
+        pollNumbers.set(workerId, pollNumber);
         list(workerId, waitMs, () => {
-            if (hasUnsavedEnds(workerId)) {
-                waitingForSave.add(workerId);
-                time.after(maxSaveWaitMs, () => pollAfterSave(workerId));
+            if (pollNumbers.get(workerId) === pollNumber) {
+                continuePolling(workerId);
             }
-            else {
-                poll(workerId, longPollMs);
+        });
+    };
+    const continuePolling = (workerId: string): void => {
+        if (hasUnsavedEnds(workerId)) {
+            waitingForSave.add(workerId);
+            time.after(maxSaveWaitMs, () => pollAfterSave(workerId));
+        }
+        else {
+            poll(workerId, longPollMs);
+        }
+    };
+    /** Lists the worker at once; if that shows ends, an open poll gets no response, and the next one is sent. */
+    const listImmediately = (workerId: string): void => {
+        const lastEndNumber = scheduler.state.workers.get(workerId)?.lastEndNumber ?? 0;
+        list(workerId, 0, () => {
+            if ((scheduler.state.workers.get(workerId)?.lastEndNumber ?? 0) > lastEndNumber && !waitingForSave.has(workerId)) {
+                pollNumbers.set(workerId, (pollNumbers.get(workerId) ?? 0) + 1);
+                continuePolling(workerId);
             }
         });
+    };
     const pollAfterSave = (workerId: string): void => {
         if (waitingForSave.delete(workerId)) {
             const pauseMs = listingPauseMs(latenessMs());
@@ -161,7 +185,7 @@
     const execute = (command: SchedulerCommand): void => {
         options.onCommand?.(command);
         if (command.kind === commandKinds.list) {
-            list(command.workerId, 0, () => undefined);
+            listImmediately(command.workerId);
         }
         else if (command.kind === commandKinds.start) {
             const { run } = command;
@@ -210,7 +234,10 @@
             if (nowMs % saveIntervalMs === 0) {
                 flushProgress();
             }
-            isPassDue ||= nowMs % passIntervalMs === 0;
+            if (nowMs % passIntervalMs === 0) {
+                overdueEnds.takeWorkers(scheduler.state, nowMs, latenessMs()).forEach(listImmediately);
+                isPassDue = true;
+            }
             if (isPassDue && passDelayMs(lastPassAtMs, nowMs) === 0) {
                 runPass();
             }
--- a/src/decisions/paceListings.ts
+++ b/src/decisions/paceListings.ts
@@ -5,6 +5,9 @@
  *
  * A listing of an idle worker waits longer. After a listing with ended runs, the next one pauses longer the later the owner is, so
  * that it returns several ends at once; an owner that keeps up does not pause.
+ *
+ * A job whose last end is hidden by a listing without a response is late, and of jobs with many tasks, most are on such a worker if a few per cent
+ * of the listings get none. So a worker with a run that should have ended is listed once more, the later the later the owner is.
  */
 
 /** How long a listing of a worker with runs waits for an end; each listing also extends the leases. */
@@ -18,6 +21,12 @@
 /** Short against the time that callers allow beyond the work of their jobs. */
 const maxPauseMs = 250;
 
+/** A task may take this much longer than estimated, and its end is seen so much later, before another listing is worth its cost. */
+const overdueFactor = 1.3;
+const overdueSlackMs = 100;
+/** Allowance for an owner that is late: it sees all ends later. */
+const overdueLatenessFactor = 10;
+
 /** Returns how long a listing of a worker waits for an end. */
 export function listingWaitMs(runsCount: number): number {
     return runsCount === 0 ? idleWaitMs : busyWaitMs;
@@ -27,3 +36,8 @@
 export function listingPauseMs(latenessMs: number): number {
     return Math.min(maxPauseMs, Math.max(0, latenessMs - toleratedLatenessMs) * pauseFactor);
 }
+
+/** Returns the age at which a run should have been seen to end; `latenessMs` is how late the owner's timers fire. */
+export function overdueEndAgeMs(estimatedDurationMs: number, latenessMs: number): number {
+    return overdueFactor * estimatedDurationMs + overdueSlackMs + overdueLatenessFactor * latenessMs;
+}
--- a/src/process/workerSession.ts
+++ b/src/process/workerSession.ts
@@ -53,12 +53,17 @@
     const { signal } = lifetime;
     let clock: { clockMs: number; atMs: number } | undefined;
     let wakeAfterSave: (() => void) | undefined;
+    /** Ends the wait for the last poll's response. */
+    let abandonPoll: (() => void) | undefined;
+    /** When the last of the listings with a response was sent. */
+    let answeredSentAtMs = Number.NEGATIVE_INFINITY;
     let isImmediateListOpen = false;
     let wasLastListAccepted = false;
     let isListFailing = false;
     let openStopsCount = 0;
     const waitingStops = new Set<StopCommand>();
 
+    const worker = (): WorkerRecord | undefined => scheduler.state.workers.get(workerId);
     const moment = (): Moment => ({ nowMs: timers.nowMs(), wallMs: timers.wallClockMs() });
     const workerClockMs = (): number | undefined => clock && clock.clockMs + (timers.nowMs() - clock.atMs);
 
@@ -86,9 +91,11 @@
         }
         else if (answer.listing && answer.clockMs !== undefined) {
             clock = { clockMs: answer.clockMs, atMs: now.nowMs };
+            answeredSentAtMs = Math.max(answeredSentAtMs, sentAtMs);
             scheduler.listingReceived(workerId, answer.listing, sentAtMs, now, extendedByMs);
         }
-        else {
+        // A missing response says nothing once a later listing got one.
+        else if (answer.isDisconnected || sentAtMs >= answeredSentAtMs) {
             scheduler.workerUnresponsive(workerId, now.nowMs, answer.reason, answer.isDisconnected);
         }
         options.onSchedulerChanged();
@@ -107,7 +114,7 @@
         options.onSchedulerChanged();
     };
 
-    const list = async (waitMs: number): Promise<CommandOutcome> => {
+    const list = async (waitMs: number): Promise<{ outcome: CommandOutcome; hasNewEnds: boolean }> => {
         const sentAtMs = timers.nowMs();
         // The leases of an unresponsive worker are not extended, so that its runs can eventually be considered lost.
         const clockMs = wasLastListAccepted && scheduler.mayExtendLeases(workerId) ? workerClockMs() : undefined;
@@ -122,23 +129,25 @@
                 leaseUntilClockMs: clockMs === undefined ? undefined : Math.round(clockMs + options.leaseMs),
                 waitMs,
             });
-            wasLastListAccepted = answer.outcome === commandOutcomes.accepted;
+            if (answer.outcome === commandOutcomes.accepted || sentAtMs >= answeredSentAtMs) {
+                wasLastListAccepted = answer.outcome === commandOutcomes.accepted;
+            }
             // By the worker's clock in the response, which was written after `sentAtMs`, however late it is read.
             const extendedByMs = clockMs === undefined || answer.clockMs === undefined ?
                 undefined :
                 clockMs + options.leaseMs - answer.clockMs;
+            const lastEndNumber = worker()?.lastEndNumber ?? 0;
             handleListResponse(answer, token, sentAtMs, extendedByMs);
             isListFailing = false;
-            return answer.outcome;
+            return { outcome: answer.outcome, hasNewEnds: (worker()?.lastEndNumber ?? 0) > lastEndNumber };
         }
         catch (error) {
             wasLastListAccepted = false;
             handleListFailure(String(error));
-            return commandOutcomes.unknown;
+            return { outcome: commandOutcomes.unknown, hasNewEnds: false };
         }
     };
 
-    const worker = (): WorkerRecord | undefined => scheduler.state.workers.get(workerId);
     const hasUnsavedEnds = (): boolean => (worker()?.unsavedEnds.length ?? 0) > 0;
     const waitForSave = async (): Promise<void> => {
         await Promise.race([delay(timers, maxSaveWaitMs, signal), new Promise<void>(resolve => wakeAfterSave = resolve)]);
@@ -150,13 +159,18 @@
         await (pauseMs > 0 ? Promise.all([waitForSave(), delay(timers, pauseMs, signal)]) : waitForSave());
     };
 
+    const poll = (): Promise<CommandOutcome> => {
+        const abandoned = new Promise<CommandOutcome>(resolve => abandonPoll = () => resolve(commandOutcomes.accepted));
+        const listed = list(clock ? listingWaitMs(worker()?.runs.size ?? 0) : 0).then(({ outcome }) => outcome);
+        return Promise.race([listed, abandoned]);
+    };
     const pollLoop = async (): Promise<void> => {
         while (!signal.aborted) {
             if (!options.maySendOrders()) {
                 await delay(timers, retryDelayMs, signal);
                 continue;
             }
-            const outcome = await list(clock ? listingWaitMs(worker()?.runs.size ?? 0) : 0);
+            const outcome = await poll();
             if (outcome !== commandOutcomes.accepted) {
                 await delay(timers, retryDelayMs, signal);
             }
@@ -229,8 +243,12 @@
     const listImmediately = async (): Promise<void> => {
         if (!isImmediateListOpen && options.maySendOrders()) {
             isImmediateListOpen = true;
-            await list(0);
+            const { hasNewEnds } = await list(0);
             isImmediateListOpen = false;
+            if (hasNewEnds) {
+                // An open poll would have returned the ends, so it gets no response.
+                abandonPoll?.();
+            }
         }
     };
 
--- a/src/process/workerSessions.ts
+++ b/src/process/workerSessions.ts
@@ -2,13 +2,18 @@
 import { describeError } from "../common/describeError.js";
 import type { ConnectWorker } from "../connection/workerClient.js";
 import { createStartWindow } from "../decisions/startWindow.js";
+import { createOverdueEnds } from "../scheduling/overdueEnds.js";
 import type { Scheduler } from "../scheduling/scheduler.js";
+import { commandKinds } from "../scheduling/schedulerState.js";
 import type { WorkerEntry } from "../scheduling/workerRecord.js";
 import { countWorkerCalls, type WorkerCallCounts } from "./workerCallCounts.js";
 import { createWorkerSession, type WorkerCommand, type WorkerSession, type WorkerSessionOptions } from "./workerSession.js";
 
 export interface WorkerSessions {
-    /** Opens and closes sessions so that there is one with each worker of the scheduler that has not ended, at its current address. */
+    /**
+     * Opens and closes sessions so that there is one with each worker of the scheduler that has not ended, at its current address, and lists workers
+     * again whose ends may be hidden by a listing without a response. Must be called often.
+     */
     sync(scheduler: Scheduler): void;
     /** Sends the command, if there is a session with its worker. */
     execute(command: WorkerCommand): void;
@@ -28,9 +33,13 @@
     onFailed(workerId: string, where: string, reason: string): void;
 }
 
+const overdueCheckIntervalMs = 100;
+
 export function createWorkerSessions(options: WorkerSessionsOptions): WorkerSessions {
     const calls = countWorkerCalls(options.connectWorker);
     const startWindow = createStartWindow();
+    const overdueEnds = createOverdueEnds();
+    let overdueCheckedAtMs = Number.NEGATIVE_INFINITY;
     /** The session is `undefined` if none could be opened; it is tried again at another address only. */
     const sessions = new Map<string, { address: string; session: WorkerSession | undefined }>();
 
@@ -51,6 +60,16 @@
             return undefined;
         }
     };
+    const execute = (command: WorkerCommand): void =>
+        sessions.get("run" in command ? command.run.workerId : command.workerId)?.session?.execute(command);
+    const listOverdueWorkers = ({ state }: Scheduler): void => {
+        const nowMs = options.timers.nowMs();
+        if (nowMs - overdueCheckedAtMs >= overdueCheckIntervalMs) {
+            overdueCheckedAtMs = nowMs;
+            overdueEnds.takeWorkers(state, nowMs, options.latenessMs())
+                .forEach(workerId => execute({ kind: commandKinds.list, workerId }));
+        }
+    };
     return {
         sync: scheduler => {
             const { workers } = scheduler.state;
@@ -66,8 +85,9 @@
                     sessions.set(workerId, { address: entry.address, session: open(entry, scheduler) });
                 }
             }
+            listOverdueWorkers(scheduler);
         },
-        execute: command => sessions.get("run" in command ? command.run.workerId : command.workerId)?.session?.execute(command),
+        execute,
         onProgressSaved: () => sessions.forEach(({ session }) => session?.onProgressSaved()),
         maxFurtherStarts: plannedStartsCount =>
             startWindow.furtherStarts(plannedStartsCount + calls.openStartsCount(), options.latenessMs(), options.timers.nowMs()),
--- a/tests/process/workerSession.spec.ts
+++ b/tests/process/workerSession.spec.ts
@@ -171,6 +171,41 @@
         session.close();
     });
 
+    it("should poll again without waiting for a poll that has no response, once another listing shows ends", async context => {
+        const harness = createSchedulerHarness({ workers: 1 });
+        const { scheduler } = harness;
+        harness.submit("job", { taskCount: 2 });
+        const accepted = { outcome: commandOutcomes.accepted, reason: "", isFenced: false, clockMs: 1_000 };
+        const emptyListing = { bornWallMs: 0, running: [], ended: [] };
+        const waitsMs: number[] = [];
+        const respond: ((response: object) => void)[] = [];
+        const client = {
+            list: ({ waitMs }: { waitMs: number }) => {
+                waitsMs.push(waitMs);
+                return new Promise(resolve => respond.push(resolve));
+            },
+            close: () => undefined,
+        } as unknown as WorkerClient;
+        const timers = createManualTimerService();
+        const session = createWorkerSession({ client, scheduler, timers, ...sessionDefaults });
+        context.after(() => session.close());
+        respond[0]!({ ...accepted, listing: emptyListing });
+        await settle();
+        assert.equal(waitsMs.length, 2, "the poll that gets no response");
+        timers.advance(900);
+        session.execute({ kind: commandKinds.list, workerId: "w1" });
+        const ended = [{ endNumber: 1, taskName: "other.0.0.0", runId: 1, end: "done", checkpoint: "" }];
+        respond[2]!({ ...accepted, listing: { ...emptyListing, ended } });
+        await settle();
+        assert.deepEqual(waitsMs.map(waitMs => waitMs > 0), [false, true, false, true]);
+        respond[1]!({ outcome: commandOutcomes.unknown, reason: "no response within 1500 ms", isFenced: false });
+        await settle();
+        assert.equal(scheduler.state.workers.get("w1")!.unresponsiveSinceMs, undefined, "the later listing got a response");
+        respond[3]!({ outcome: commandOutcomes.unknown, reason: "no response within 1500 ms", isFenced: false });
+        await settle();
+        assert.notEqual(scheduler.state.workers.get("w1")!.unresponsiveSinceMs, undefined);
+    });
+
     it("should list a worker again whose listing cannot be read, without extending its leases", async context => {
         const { scheduler } = createSchedulerHarness({ workers: 1 });
         const timers = createManualTimerService();
