Spread the restarts of a maintenance wave over its time

Cause: a wave had as many VMs down as it may until it was through. Change: of the VMs left, a wave takes as many at a time as spread over its time, with half of it in reserve. Two tests of waves with a minute or two left asked for all VMs that may be down at once; they now leave time for that many rounds only, and assert the same counts.

--- a/src/decisions/planWave.ts
+++ b/src/decisions/planWave.ts
@@ -2,7 +2,7 @@
  * Plans which VMs of a maintenance wave are drained and which are restarted now. It is designed for a wave over nearly half
  * of the VMs while queues surge one after the other and long-running steps allow one disruption at a time.
  *
- * At any time, as many VMs are drained or restarted as may be down, the least loaded first. A VM restarts once its short
+ * The restarts are spread over most of the wave's time, so that few VMs are away when a surge begins, the least loaded first. A VM restarts once its short
  * tasks have ended, and only if each long-running step with tasks on it allows their disruption.
  *
  * While there is time, a wave takes only VMs that no pool needs: a surge lasts some seconds, a wave has several times as long.
@@ -56,6 +56,9 @@
  */
 const timeReserveFactor = 1.3;
 
+/** The restarts are planned to take this multiple of their duration, which leaves time to drain, and to wait while pools lack VMs. */
+const paceFactor = 2;
+
 function isDisruptionAllowed(vm: WaveVm, disruptionsAllowed: ReadonlyMap<string, number>): boolean {
     return [...vm.longRunningCountByStep].every(([step, count]) => count <= (disruptionsAllowed.get(step) ?? Number.POSITIVE_INFINITY));
 }
@@ -68,6 +71,12 @@
     return wave.timeLeftMs < rounds * wave.restartMs * timeReserveFactor + wave.restartMs;
 }
 
+/** Returns how many VMs are down at a time if the remaining restarts are spread over the time left. */
+function pacedDownCount({ vms, downCount, restartMs, timeLeftMs }: WavePlanInput): number {
+    const roundsCount = Math.max(1, Math.floor((timeLeftMs - restartMs) / (paceFactor * restartMs)));
+    return Math.ceil((vms.length + downCount) / roundsCount);
+}
+
 /** The VMs that a wave may take without a pool lacking any. */
 interface SpareVms {
     /** Takes the VM unless it is needed; `false` if it is. */
@@ -114,8 +123,8 @@
 export function planWave(input: WavePlanInput): WavePlan {
     const plan: WavePlan = { cordon: [], release: [], restart: [], evacuate: [] };
     const disruptionsAllowed = new Map(input.disruptionsAllowedByStep);
-    let availableCount = input.maximumDown - input.downCount;
     const isBehindSchedule = isWaveBehindSchedule({ ...input, remainingCount: input.vms.length });
+    let availableCount = (isBehindSchedule ? input.maximumDown : Math.min(input.maximumDown, pacedDownCount(input))) - input.downCount;
 
     const spareVms = isBehindSchedule || !input.spareCounts ? unlimitedSpareVms : createSpareVms(input.spareCounts, input.vms);
 
--- a/tests/decisions/schedulingPolicy.spec.ts
+++ b/tests/decisions/schedulingPolicy.spec.ts
@@ -156,14 +156,39 @@
 describe("a maintenance wave", () => {
     it("should never have more VMs down than allowed", () => {
         const vms = ["a", "b", "c", "d"].map(vmId => waveVm(vmId, {}));
-        assert.equal(planWave(waveInput({ vms, downCount: 1 })).restart.length, 1);
+        // Enough time for two rounds of restarts, and not for more.
+        const timeLeftMs = 8_000;
+        assert.equal(planWave(waveInput({ vms, timeLeftMs })).restart.length, 2);
+        assert.equal(planWave(waveInput({ vms, timeLeftMs, downCount: 1 })).restart.length, 1);
+        assert.equal(planWave(waveInput({ vms, timeLeftMs, downCount: 2 })).restart.length, 0);
         assert.equal(planWave(waveInput({ vms, downCount: 2 })).restart.length, 0);
     });
 
+    it("should spread its restarts over its time, and end in time", () => {
+        const [vmsCount, withinMs, restartMs, stepMs] = [100, 28_000, 2_000, 200];
+        let waiting = Array.from({ length: vmsCount }, (_, index) => waveVm(`vm${index}`, {}));
+        let upAtMs: number[] = [];
+        const downCounts: number[] = [];
+        for (let nowMs = 0; nowMs < withinMs; nowMs += stepMs) {
+            upAtMs = upAtMs.filter(each => each > nowMs);
+            const timeLeftMs = withinMs - nowMs;
+            const { restart } = planWave(
+                waveInput({ nowMs, vms: waiting, downCount: upAtMs.length, maximumDown: 66, timeLeftMs, restartMs }),
+            );
+            waiting = waiting.filter(vm => !restart.includes(vm.vmId));
+            upAtMs.push(...restart.map(() => nowMs + restartMs));
+            downCounts.push(upAtMs.length);
+        }
+        assert.equal(waiting.length, 0);
+        const leastPossible = vmsCount * restartMs / withinMs;
+        assert.ok(Math.max(...downCounts) <= 3 * leastPossible, `${Math.max(...downCounts)} VMs are down at once`);
+    });
+
     it("should take only VMs that no pool needs, until it is short of time", () => {
         const vms = ["calm", "calm", "short", "standby", "standby"].map((poolName, index) => waveVm(`${poolName}-${index}`, { poolName }));
         const plan = (counts: Record<string, number>, changes: Partial<WavePlanInput> = {}): string[] =>
-            planWave(waveInput({ vms, maximumDown: 9, spareCounts: new Map(Object.entries(counts)), ...changes })).restart;
+            planWave(waveInput({ vms, maximumDown: 9, timeLeftMs: 8_000, spareCounts: new Map(Object.entries(counts)), ...changes }))
+                .restart;
         assert.deepEqual(plan({ calm: 1, short: -2, standby: 3 }), ["calm-0", "calm-1"], "the fleet has two");
         assert.deepEqual(plan({ calm: 0, short: -2, standby: 9 }), ["calm-0", "standby-3", "standby-4"], "calm gets one from standby");
         assert.deepEqual(plan({ calm: 1, short: -2, standby: 1 }), []);
