Let a wave yield for half of its time only, and never hold back VMs with long-running tasks

What callers saw: none; operators would have seen a late wave. Cause: spread the restarts over all the time left, again and again, so an outage near the end leaves too little; and steps of long-running tasks, which allow few disruptions at a time, need more rounds than the VMs that may be down suggest, while their VMs waited for surges. VMs with long-running tasks are never held back.

--- a/src/decisions/planWave.ts
+++ b/src/decisions/planWave.ts
@@ -2,10 +2,11 @@
  * Plans which VMs of a maintenance wave are drained and which are restarted now. It is designed for a wave over nearly half
  * of the VMs while queues surge one after the other and long-running steps allow one disruption at a time.
  *
- * The restarts are spread over most of the wave's time, so that few VMs are away when a surge begins, the least loaded first. A VM restarts once its short
+ * The restarts are spread over half of the wave's time, so that few VMs are away when a surge begins, the least loaded first. A VM restarts once its short
  * tasks have ended, and only if each long-running step with tasks on it allows their disruption.
  *
- * While there is time, a wave takes only VMs that no pool needs: a surge lasts some seconds, a wave has several times as long.
+ * During this half, a wave takes only VMs that no pool needs. The other half is in reserve for outages, and for long-running steps, which may need many rounds:
+ * then as many VMs are down at a time as may be.
  */
 
 /** A VM of the wave that has not been restarted yet. */
@@ -35,6 +36,8 @@
     spareCounts: ReadonlyMap<string, number> | undefined;
     /** Time by the end of which the last VM must have begun its restart. */
     timeLeftMs: number;
+    /** That time when the wave began. */
+    withinMs: number;
     /** Duration of one restart. */
     restartMs: number;
 }
@@ -56,8 +59,8 @@
  */
 const timeReserveFactor = 1.3;
 
-/** The restarts are planned to take this multiple of their duration, which leaves time to drain, and to wait while pools lack VMs. */
-const paceFactor = 2;
+/** Part of its time during which a wave yields to what pools need. */
+const yieldingFraction = 0.5;
 
 function isDisruptionAllowed(vm: WaveVm, disruptionsAllowed: ReadonlyMap<string, number>): boolean {
     return [...vm.longRunningCountByStep].every(([step, count]) => count <= (disruptionsAllowed.get(step) ?? Number.POSITIVE_INFINITY));
@@ -71,12 +74,17 @@
     return wave.timeLeftMs < rounds * wave.restartMs * timeReserveFactor + wave.restartMs;
 }
 
-/** Returns how many VMs are down at a time if the remaining restarts are spread over the time left. */
-function pacedDownCount({ vms, downCount, restartMs, timeLeftMs }: WavePlanInput): number {
-    const roundsCount = Math.max(1, Math.floor((timeLeftMs - restartMs) / (paceFactor * restartMs)));
+/** Returns how many VMs are down at a time if the remaining restarts are spread over the given time. */
+function pacedDownCount({ vms, downCount, restartMs }: WavePlanInput, durationMs: number): number {
+    const roundsCount = Math.max(1, Math.floor(durationMs / restartMs));
     return Math.ceil((vms.length + downCount) / roundsCount);
 }
 
+/** VMs with long-running tasks are never held back: their steps allow a few disruptions at a time, so they need the most rounds. */
+function needsRounds(vm: WaveVm): boolean {
+    return vm.longRunningCountByStep.size > 0;
+}
+
 /** The VMs that a wave may take without a pool lacking any. */
 interface SpareVms {
     /** Takes the VM unless it is needed; `false` if it is. */
@@ -101,8 +109,8 @@
     };
     return {
         take: vm => {
-            // A pool without spare VMs gets another one if the fleet has any. Those with long-running tasks need the most rounds, so they do not wait for that.
-            if (spareIn(vm) < 0 || (fleetCount <= 0 && vm.longRunningCountByStep.size === 0)) {
+            // A pool without spare VMs gets another one if the fleet has any.
+            if (!needsRounds(vm) && (spareIn(vm) < 0 || fleetCount <= 0)) {
                 return false;
             }
             add(vm, -1);
@@ -110,7 +118,7 @@
         },
         giveBack: vm => {
             // A pool lacks those that were taken until others have moved there; only what it lacks beyond them is a need that has risen.
-            if (spareIn(vm) + (drainedCounts.get(vm.poolName) ?? 0) >= 0) {
+            if (needsRounds(vm) || spareIn(vm) + (drainedCounts.get(vm.poolName) ?? 0) >= 0) {
                 return false;
             }
             add(vm, 1);
@@ -124,9 +132,11 @@
     const plan: WavePlan = { cordon: [], release: [], restart: [], evacuate: [] };
     const disruptionsAllowed = new Map(input.disruptionsAllowedByStep);
     const isBehindSchedule = isWaveBehindSchedule({ ...input, remainingCount: input.vms.length });
-    let availableCount = (isBehindSchedule ? input.maximumDown : Math.min(input.maximumDown, pacedDownCount(input))) - input.downCount;
-
-    const spareVms = isBehindSchedule || !input.spareCounts ? unlimitedSpareVms : createSpareVms(input.spareCounts, input.vms);
+    const yieldingMs = input.timeLeftMs - (1 - yieldingFraction) * input.withinMs;
+    const isYielding = yieldingMs > 0 && !isBehindSchedule;
+    const maximumDown = isYielding ? Math.min(input.maximumDown, pacedDownCount(input, yieldingMs)) : input.maximumDown;
+    let availableCount = maximumDown - input.downCount;
+    const spareVms = isYielding && input.spareCounts ? createSpareVms(input.spareCounts, input.vms) : unlimitedSpareVms;
 
     const ranked = input.vms.filter(vm => vm.canRestart).sort((a, b) =>
         Number(b.cordonedSinceMs !== undefined) - Number(a.cordonedSinceMs !== undefined) ||
--- a/src/process/waveRunner.ts
+++ b/src/process/waveRunner.ts
@@ -273,6 +273,7 @@
                 disruptionsAllowedByStep: allowedDisruptionsByStep(state),
                 spareCounts: options.spareCounts(),
                 timeLeftMs: timeLeftMs(),
+                withinMs: request.withinMs,
                 restartMs: options.restartMs,
             });
             if (plan.release.length > 0) {
