Give a pool VMs for tasks that fit on none of its VMs

Cause: a pool's need was a sum of CPU over its VMs. Long-running tasks leave some CPU and memory on each, which is of no use for tasks that need more. Change: for tasks that can be in time and fit on no worker of their pool, but on an empty one, the pool needs VMs beyond those with long-running tasks or tasks in time. What waits is measured in a file of its own.

--- a/src/decisions/planMoves.ts
+++ b/src/decisions/planMoves.ts
@@ -17,6 +17,8 @@
     isStandby: boolean;
     /** VMs available in the pool, without those that are moving into it. */
     vmCount: number;
+    /** The part of them with long-running tasks, or tasks of jobs that can be in time. */
+    occupiedVmCount: number;
     /** VMs that are moving into the pool. */
     incomingCount: number;
     /** CPU capacity of one VM. */
@@ -25,6 +27,8 @@
     busyCpuMillicores: number;
     /** CPU requested by waiting tasks of jobs that can be in time. */
     waitingCpuMillicores: number;
+    /** The part of that whose tasks fit on none of the VMs that are there, but on an empty one. */
+    unplaceableCpuMillicores: number;
     /** CPU reserved or requested by short tasks of jobs that cannot be in time any more. */
     overdueCpuMillicores: number;
     /** Growth of that over the last second, in millicores per second; 0 if it falls. */
@@ -113,8 +117,12 @@
     return arrivingCpuMillicores > surgeThresholdFraction * peakCpuMillicores ? peakCpuMillicores : 0;
 }
 
+function vmsOf(pool: PoolDemand, cpuMillicores: number): number {
+    return Math.ceil(cpuMillicores / (pool.vmCpuMillicores * usableFraction));
+}
+
 function vmsFor(pool: PoolDemand, shortTaskCpuMillicores: number): number {
-    return Math.ceil((shortTaskCpuMillicores + pool.servingCpuMillicores) / (pool.vmCpuMillicores * usableFraction));
+    return vmsOf(pool, shortTaskCpuMillicores + pool.servingCpuMillicores);
 }
 
 /** VMs that a pool needs; each count contains the previous one. */
@@ -135,10 +143,13 @@
     const expectedCpu = Math.max(presentCpu, expectedSurgeCpu(pool, arrivingCpu, otherPeakCpuMillicores));
     // Overdue work must end some time, also while other pools lack VMs.
     const leastCount = pool.overdueCpuMillicores > 0 ? 1 : 0;
+    // Capacity that is left on many VMs is of no use for tasks that fit on none of them.
+    const fragmentedCount = pool.unplaceableCpuMillicores > 0 ? pool.occupiedVmCount + vmsOf(pool, pool.unplaceableCpuMillicores) : 0;
+    const presentCount = Math.max(leastCount, fragmentedCount, vmsFor(pool, presentCpu));
     return {
-        presentCount: Math.max(leastCount, vmsFor(pool, presentCpu)),
-        expectedCount: Math.max(leastCount, vmsFor(pool, expectedCpu)),
-        totalCount: vmsFor(pool, expectedCpu + pool.overdueCpuMillicores),
+        presentCount,
+        expectedCount: Math.max(presentCount, vmsFor(pool, expectedCpu)),
+        totalCount: Math.max(presentCount, vmsFor(pool, expectedCpu + pool.overdueCpuMillicores)),
     };
 }
 
--- a/src/process/poolRebalancer.ts
+++ b/src/process/poolRebalancer.ts
@@ -4,7 +4,7 @@
 import { type VmOrderOutcome, vmOrderOutcomes, type VmRecord, type VmService, vmStates } from "../connection/vmService.js";
 import { type DrainableVm, type EmptyVm, type MovePlanInput, planMoves, type PoolDemand, type VmMove } from "../decisions/planMoves.js";
 import { jobLateness } from "../scheduling/jobLateness.js";
-import { isFinalState, readyStepsOf } from "../scheduling/jobRecord.js";
+import { isFinalState } from "../scheduling/jobRecord.js";
 import { findStep } from "../scheduling/schedulerState.js";
 import { endIncarnation } from "../scheduling/workerLifecycle.js";
 import type { Run, WorkerIncarnation, WorkerRecord } from "../scheduling/workerRecord.js";
@@ -13,6 +13,7 @@
 import type { Logger } from "./logger.js";
 import { createPoolDemandLog, type VmExclusion, vmExclusions } from "./poolDemandLog.js";
 import type { VmInventory } from "./vmInventory.js";
+import { measureWaitingDemand, noWaitingDemand } from "./waitingDemand.js";
 import { createWaitingTrend } from "./waitingTrend.js";
 
 export interface PoolRebalancer {
@@ -43,11 +44,6 @@
     excludedCounts: ReadonlyMap<string, ReadonlyMap<VmExclusion, number>>;
 }
 
-interface WaitingCpu {
-    inTimeMillicores: number;
-    overdueMillicores: number;
-}
-
 interface PendingMove {
     toPool: string;
     /** The worker that the move ends; `undefined` if none is known on the VM. */
@@ -76,25 +72,6 @@
     let spareCounts: ReadonlyMap<string, number> | undefined;
     const demandLog = createPoolDemandLog(options.logger);
 
-    /** CPU that ready waiting tasks request in each pool, by whether their jobs can be in time. */
-    const waitingCpuByPool = (): Map<string, WaitingCpu> => {
-        const waiting = new Map<string, WaitingCpu>();
-        const wallMs = timers.wallClockMs();
-        for (const job of state.jobs.values()) {
-            const queue = state.policy.queues.get(job.submission.queueName);
-            if (queue === undefined || isFinalState(job.state)) {
-                continue;
-            }
-            for (const { occurrence, step } of readyStepsOf(job, wallMs)) {
-                const pool = waiting.get(queue.poolName) ?? { inTimeMillicores: 0, overdueMillicores: 0 };
-                waiting.set(queue.poolName, pool);
-                const isOverdue = !step.spec.isLongRunning && jobLateness(job, occurrence, queue, step.criticalPathMs, wallMs) > 0;
-                pool[isOverdue ? "overdueMillicores" : "inTimeMillicores"] += step.waiting.size * step.spec.request.cpuMillicores;
-            }
-        }
-        return waiting;
-    };
-
     /** Whether the job of a short task that runs can no longer be in time. */
     const isOverdue = (run: Run): boolean => {
         const job = state.jobs.get(run.jobId);
@@ -140,7 +117,7 @@
     };
 
     const describeFleet = (): FleetDescription => {
-        const waiting = waitingCpuByPool();
+        const waiting = measureWaitingDemand(state, timers.wallClockMs());
         const nowMs = timers.nowMs();
         const unresponsiveZones = findUnresponsiveZones();
         const pools = new Map<string, PoolDemand>();
@@ -155,15 +132,17 @@
             counts.set(reason, (counts.get(reason) ?? 0) + 1);
         };
         for (const policy of state.policy.pools.values()) {
-            const { inTimeMillicores, overdueMillicores } = waiting.get(policy.name) ?? { inTimeMillicores: 0, overdueMillicores: 0 };
+            const { inTimeMillicores, unplaceableMillicores, overdueMillicores } = waiting.get(policy.name) ?? noWaitingDemand;
             pools.set(policy.name, {
                 poolName: policy.name,
                 isStandby: policy.isStandby,
                 vmCount: 0,
+                occupiedVmCount: 0,
                 incomingCount: [...pendingMoves.values()].filter(pending => pending.toPool === policy.name).length,
                 vmCpuMillicores: 0,
                 busyCpuMillicores: 0,
                 waitingCpuMillicores: inTimeMillicores,
+                unplaceableCpuMillicores: unplaceableMillicores,
                 waitingGrowthMillicoresPerS: trend.record(policy.name, nowMs, inTimeMillicores),
                 overdueCpuMillicores: overdueMillicores,
                 ...options.demand.read(policy.name),
@@ -194,14 +173,17 @@
                 return;
             }
             let busyCpuMillicores = 0;
+            let isOccupied = false;
             for (const run of worker?.runs.values() ?? []) {
                 const { cpuMillicores } = run.reserved;
+                const isRunOverdue = !run.isServing && isOverdue(run);
+                isOccupied ||= !isRunOverdue;
                 if (run.isServing) {
                     pool.servingCpuMillicores += cpuMillicores;
                     continue;
                 }
                 busyCpuMillicores += cpuMillicores;
-                pool[isOverdue(run) ? "overdueCpuMillicores" : "busyCpuMillicores"] += cpuMillicores;
+                pool[isRunOverdue ? "overdueCpuMillicores" : "busyCpuMillicores"] += cpuMillicores;
             }
             const isDraining = inventory.isDrainedForMove(vm.vmId);
             // A wave drains or restarts a cordoned VM.
@@ -211,6 +193,7 @@
                 exclude(vm, vmExclusions.draining);
                 return;
             }
+            pool.occupiedVmCount += isOccupied ? 1 : 0;
             usableVms.set(pool.poolName, (usableVms.get(pool.poolName) ?? 0) + usablePart(vm, worker));
             const mayMove = !options.mustStay(vm.vmId) && (refusedUntilMs.get(vm.vmId) ?? 0) <= nowMs;
             if ((worker && worker.runs.size > 0) || inventory.mayRunUnknownTasks(vm)) {
--- /dev/null
+++ b/src/process/waitingDemand.ts
@@ -0,0 +1,60 @@
+/** Measures which ready tasks wait for each pool, in the process that owns the scheduling. */
+import { jobLateness } from "../scheduling/jobLateness.js";
+import { isFinalState, readyStepsOf } from "../scheduling/jobRecord.js";
+import { fitsInto, type Resources } from "../scheduling/jobTypes.js";
+import type { SchedulerState } from "../scheduling/schedulerState.js";
+import { freeResources, type WorkerRecord } from "../scheduling/workerRecord.js";
+
+/** CPU that ready waiting tasks request in a pool. */
+export interface WaitingDemand {
+    /** Of jobs that can be in time. */
+    inTimeMillicores: number;
+    /** The part of that whose tasks fit on no worker of the pool now, but on an empty one. */
+    unplaceableMillicores: number;
+    overdueMillicores: number;
+}
+
+export const noWaitingDemand: Readonly<WaitingDemand> = { inTimeMillicores: 0, unplaceableMillicores: 0, overdueMillicores: 0 };
+
+/** Whether the worker gets new tasks if it has room. */
+function isAvailable({ isRegistered, hasEnded, isCordoned, unresponsiveSinceMs }: WorkerRecord): boolean {
+    return isRegistered && !hasEnded && !isCordoned && unresponsiveSinceMs === undefined;
+}
+
+/** Returns the CPU that waits for each pool; without an entry, none does. */
+export function measureWaitingDemand(state: SchedulerState, wallMs: number): Map<string, WaitingDemand> {
+    const workers = [...state.workers.values()].filter(isAvailable);
+    const roomsByPool = new Map<string, Resources[]>();
+    for (const worker of workers) {
+        const { poolName } = worker.entry;
+        const rooms = roomsByPool.get(poolName) ?? [];
+        roomsByPool.set(poolName, rooms);
+        rooms.push(freeResources(worker));
+    }
+    const isUnplaceable = (request: Resources, poolName: string): boolean =>
+        !(roomsByPool.get(poolName) ?? []).some(room => fitsInto(request, room)) &&
+        workers.some(worker => fitsInto(request, worker.entry.capacity));
+
+    const demandByPool = new Map<string, WaitingDemand>();
+    for (const job of state.jobs.values()) {
+        const queue = state.policy.queues.get(job.submission.queueName);
+        if (queue === undefined || isFinalState(job.state)) {
+            continue;
+        }
+        for (const { occurrence, step } of readyStepsOf(job, wallMs)) {
+            const demand = demandByPool.get(queue.poolName) ?? { ...noWaitingDemand };
+            demandByPool.set(queue.poolName, demand);
+            const { spec } = step;
+            const waitingMillicores = step.waiting.size * spec.request.cpuMillicores;
+            if (!spec.isLongRunning && jobLateness(job, occurrence, queue, step.criticalPathMs, wallMs) > 0) {
+                demand.overdueMillicores += waitingMillicores;
+                continue;
+            }
+            demand.inTimeMillicores += waitingMillicores;
+            if (isUnplaceable(spec.request, queue.poolName)) {
+                demand.unplaceableMillicores += waitingMillicores;
+            }
+        }
+    }
+    return demandByPool;
+}
--- a/tests/decisions/planMoves.spec.ts
+++ b/tests/decisions/planMoves.spec.ts
@@ -14,6 +14,8 @@
     poolName,
     isStandby: false,
     vmCount: 4,
+    occupiedVmCount: 0,
+    unplaceableCpuMillicores: 0,
     incomingCount: 0,
     vmCpuMillicores: 16_000,
     busyCpuMillicores: 0,
@@ -150,6 +152,18 @@
         assert.deepEqual(drainedVmIds, ["overdue-7", "overdue-6", "overdue-5", "overdue-4"]);
     });
 
+    it("should not keep VMs with overdue work only for a task that fits on none of them", () => {
+        const fragmented = { ...overdue, waitingCpuMillicores: 10_000, unplaceableCpuMillicores: 10_000, occupiedVmCount: 1 };
+        assert.deepEqual(requiredVms(fragmented).presentCount, 2);
+        const { drainedVmIds } = planMoves({
+            nowMs: 1_000,
+            pools: [fragmented, surging],
+            emptyVms: [],
+            drainableVms: drainable("overdue", 10),
+        });
+        assert.equal(drainedVmIds.length, 6);
+    });
+
     it("should go on to drain the same VMs, and move each as soon as it is empty", () => {
         const pools = [overdue, surging];
         const drained = drainable("overdue", 2, { isDraining: true, busyCpuMillicores: 16_000 });
--- a/tests/decisions/surgeOnset.spec.ts
+++ b/tests/decisions/surgeOnset.spec.ts
@@ -35,6 +35,8 @@
         poolName,
         isStandby: poolName === "standby",
         vmCount,
+        occupiedVmCount: 0,
+        unplaceableCpuMillicores: 0,
         incomingCount: 0,
         vmCpuMillicores,
         busyCpuMillicores: 0,
--- a/tests/decisions/surges.spec.ts
+++ b/tests/decisions/surges.spec.ts
@@ -69,7 +69,9 @@
     const quiet = {
         isStandby: false,
         vmCount: 4,
+        occupiedVmCount: 0,
         incomingCount: 0,
+        unplaceableCpuMillicores: 0,
         vmCpuMillicores: 10_000,
         busyCpuMillicores: 0,
         waitingCpuMillicores: 0,
--- a/tests/process/poolRebalancer.spec.ts
+++ b/tests/process/poolRebalancer.spec.ts
@@ -5,6 +5,7 @@
 import { createDemandTracker } from "../../src/process/demandTracker.js";
 import { logEvents } from "../../src/process/logEvents.js";
 import { createSilentLogger, type LogFields, type Logger } from "../../src/process/logger.js";
+import { commandOutcomes } from "../../src/scheduling/commandOutcomes.js";
 import { createSchedulerHarness, type SchedulerHarness } from "../scheduling/schedulerHarness.js";
 import { describeVm } from "./describeVm.js";
 import { requestMoves, startRebalancer } from "./rebalancerFixture.js";
@@ -44,6 +45,27 @@
         assert.deepEqual(await requestedMoves(harness, vms), []);
     });
 
+    it("should request a VM for a task that fits on none of the pool's VMs, although they have enough in total", async () => {
+        const workerIds = ["w1", "w2", "w3", "w4"];
+        const harness = createSchedulerHarness({ workers: workerIds.length });
+        workerIds.forEach(workerId => harness.list(workerId, { sentAtMs: 0 }));
+        const request = (cpuMillicores: number) => ({ cpuMillicores, memoryMb: 0, accelerators: 0 });
+        harness.submit("service", { taskCount: 4, maxTasksPerWorker: 1, isLongRunning: true, request: request(8_000) });
+        harness.answerStarts(commandOutcomes.accepted);
+        const vms = [
+            ...workerIds.map(workerId => describeVm({ vmId: `vm of ${workerId}`, workerId })),
+            ...["idle1", "idle2"].map(vmId => describeVm({ vmId, poolName: "idle" })),
+        ];
+        harness.submit("fits", { taskCount: 1, request: request(6_000) });
+        assert.deepEqual(await requestedMoves(harness, vms), []);
+        harness.submit("waits", { taskCount: 1, request: request(10_000) });
+        assert.deepEqual(await requestedMoves(harness, vms), ["idle1 to pool"]);
+        const tooLarge = createSchedulerHarness({ workers: 1 });
+        tooLarge.list("w1", { sentAtMs: 0 });
+        tooLarge.submit("never", { taskCount: 1, request: request(17_000) });
+        assert.equal((await requestedMoves(tooLarge, [vms[0]!, vms[4]!, vms[5]!])).length, 1, "no empty VM would hold it");
+    });
+
     it("should log how many VMs a pool needs and has, and why others are not counted", async () => {
         const harness = createSchedulerHarness({ workers: 2 });
         harness.list("w2", { sentAtMs: 0 });
