--- a/harness/simulatedOwner.ts
+++ b/harness/simulatedOwner.ts
@@ -88,9 +88,10 @@
         busyUntilMs = Math.max(busyUntilMs, time.nowMs()) + callCostMs;
         time.after(Math.ceil(latenessMs()), work);
     };
+    const lastEndNumber = (workerId: string): number => scheduler.state.workers.get(workerId)?.lastEndNumber ?? 0;
     const hasUnsavedEnds = (workerId: string): boolean => (scheduler.state.workers.get(workerId)?.unsavedEnds.length ?? 0) > 0;
 
-    const list = (workerId: string, waitMs: number, onListed: () => void): void => {
+    const list = (workerId: string, waitMs: number, onListed: (hasNewEnds: boolean) => void): void => {
         if (!findWorker(workerId)) {
             return;
         }
@@ -100,7 +101,7 @@
                 if (findWorker(workerId) && (answeredSentAtMs.get(workerId) ?? 0) <= sentAtMs) {
                     scheduler.workerUnresponsive(workerId, time.nowMs());
                 }
-                time.after(retryDelayMs, onListed);
+                time.after(retryDelayMs, () => onListed(false));
             });
             return;
         }
@@ -111,10 +112,11 @@
                 time.after(takeoverRetryMs, () => receive(listing));
             }
             else if (findWorker(workerId)) {
+                const earlierEndNumber = lastEndNumber(workerId);
                 scheduler.listingReceived(workerId, listing, sentAtMs, moment());
                 answeredSentAtMs.set(workerId, Math.max(answeredSentAtMs.get(workerId) ?? 0, sentAtMs));
                 isPassDue = true;
-                onListed();
+                onListed(lastEndNumber(workerId) > earlierEndNumber);
             }
         };
         handle(() =>
@@ -144,9 +146,8 @@
     };
     /** Lists the worker at once; if that shows ends, an open poll gets no response, and the next one is sent. */
     const listImmediately = (workerId: string): void => {
-        const lastEndNumber = scheduler.state.workers.get(workerId)?.lastEndNumber ?? 0;
-        list(workerId, 0, () => {
-            if ((scheduler.state.workers.get(workerId)?.lastEndNumber ?? 0) > lastEndNumber && !waitingForSave.has(workerId)) {
+        list(workerId, 0, hasNewEnds => {
+            if (hasNewEnds && !waitingForSave.has(workerId)) {
                 pollNumbers.set(workerId, (pollNumbers.get(workerId) ?? 0) + 1);
                 continuePolling(workerId);
             }
--- a/src/decisions/planMoves.ts
+++ b/src/decisions/planMoves.ts
@@ -182,19 +182,16 @@
             pool.poolName,
             pool.vmCount + pool.incomingCount - requiredCount(required.get(pool.poolName)!),
         ]));
+    const presentSurplus = surplusOver(vms => vms.presentCount);
+    const expectedSurplus = surplusOver(vms => vms.expectedCount);
+    const totalSurplus = surplusOver(vms => vms.totalCount);
     /** VMs beyond each need, the most urgent need first. */
-    const surpluses = [
-        surplusOver(vms => vms.presentCount),
-        surplusOver(vms => vms.expectedCount),
-        surplusOver(vms => vms.totalCount),
-    ];
-    const purposes = ["the present work", "the expected surge", "overdue work"];
-    const totalSurplus = surpluses.at(-1)!;
-    /** VMs beyond all but overdue work, and those in standby. */
-    const spareCounts = surpluses[1]!;
-    if (standby) {
-        spareCounts.set(standby.poolName, standby.vmCount + standby.incomingCount);
-    }
+    const surpluses = [presentSurplus, expectedSurplus, totalSurplus];
+    const purposes = new Map([
+        [presentSurplus, "the present work"],
+        [expectedSurplus, "the expected surge"],
+        [totalSurplus, "overdue work"],
+    ]);
     const moves: VmMove[] = [];
     const moved = new Set<string>();
 
@@ -215,7 +212,7 @@
         }
     };
     /** Fills pools from the given sources, the neediest first; returns how many VMs are still missing. */
-    const fill = (surplus: VmCounts, purpose: string, findVm: (toPool: string) => EmptyVm | undefined): number => {
+    const fill = (surplus: VmCounts, findVm: (toPool: string) => EmptyVm | undefined): number => {
         let missingCount = 0;
         const needy = active.map(pool => pool.poolName).filter(poolName => surplus.get(poolName)! < 0)
             .sort((a, b) => surplus.get(a)! - surplus.get(b)!);
@@ -226,7 +223,7 @@
                     missingCount -= surplus.get(poolName)!;
                     break;
                 }
-                addMove(vm, poolName, `the pool needs ${-surplus.get(poolName)!} more VMs for ${purpose}`);
+                addMove(vm, poolName, `the pool needs ${-surplus.get(poolName)!} more VMs for ${purposes.get(surplus)}`);
             }
         }
         return missingCount;
@@ -238,7 +235,7 @@
             findSurplusVm(totalSurplus, toPool) ??
                 findEmptyVm(vm => vm.poolName === standby?.poolName) ??
                 lessUrgent.map(each => findSurplusVm(each, toPool)).find(vm => vm !== undefined);
-        const missingCount = fill(surplus, purposes[index]!, findVm);
+        const missingCount = fill(surplus, findVm);
         if (missingCount > 0) {
             // Nothing is drained for overdue work: it would only take the place of other overdue work.
             drainedVmIds = surplus === totalSurplus ? [] : chooseDrainedVms(input.drainableVms, surplus, missingCount);
@@ -246,7 +243,7 @@
         }
     }
     if (!standby) {
-        return { moves, drainedVmIds, spareCounts };
+        return { moves, drainedVmIds, spareCounts: expectedSurplus };
     }
     for (const vm of [...input.emptyVms].sort((a, b) => a.emptySinceMs - b.emptySinceMs)) {
         const pool = active.find(each => each.poolName === vm.poolName);
@@ -257,6 +254,9 @@
             addMove(vm, standby.poolName, "surplus VM has been empty for long");
         }
     }
+    // The moves count below 0 what they take from standby, which needs none.
+    const spareCounts = new Map(expectedSurplus);
+    addTo(spareCounts, standby.poolName, standby.vmCount + standby.incomingCount);
     return { moves, drainedVmIds, spareCounts };
 }
 
--- a/src/process/demandTracker.ts
+++ b/src/process/demandTracker.ts
@@ -26,7 +26,7 @@
 /** Shorter than a surge, but long enough to cover several large jobs. */
 const arrivalWindowMs = 1_000;
 /** The peak uses a longer window, since a few large jobs cause a high rate for a moment. */
-const peakWindowMs = 2_000;
+const peakWindowMs = 2 * arrivalWindowMs;
 /** Half-life of the decaying peak. */
 const peakHalfLifeMs = 60_000;
 
@@ -101,7 +101,6 @@
                 return noArrivals;
             }
             const arriving = rateWithin(history, arrivalWindowMs);
-            // The window of the peak is twice as long.
             const preceding = 2 * rateWithin(history, peakWindowMs) - arriving;
             return {
                 arrivingCpuMillicores: arriving,
