Log what tells apart how a worker that restarts under its id runs a task twice

The lines did not show whether a response came from another life of a worker, whether ends were forgotten without having been listed, or whether a run was listed when it was given up.

--- a/src/connection/workerClient.ts
+++ b/src/connection/workerClient.ts
@@ -36,13 +36,11 @@
     reason: string;
     /** Whether the worker has received an order with a higher token: another process now owns the scheduling. */
     isFenced: boolean;
+    /** The worker's clock when it responded. */
+    clockMs?: number | undefined;
 }
 
-export interface ListResponse {
-    outcome: CommandOutcome;
-    reason: string;
-    isFenced: boolean;
-    clockMs: number | undefined;
+export interface ListResponse extends OrderResponse {
     listing: Listing | undefined;
     /** Whether the worker's address refused the connection or ended it before it responded, rather than being silent. */
     isDisconnected?: boolean;
--- a/src/process/workerSession.ts
+++ b/src/process/workerSession.ts
@@ -7,13 +7,13 @@
 import type { Moment } from "../scheduling/reconcileListing.js";
 import type { Scheduler } from "../scheduling/scheduler.js";
 import { commandKinds, type SchedulerCommand } from "../scheduling/schedulerState.js";
+import { createWorkerClock, logClockDeviation } from "../scheduling/workerClock.js";
 import type { WorkerRecord } from "../scheduling/workerRecord.js";
+import { createWorkerStops } from "./workerStops.js";
 
 /** Scheduler commands that are sent to the worker. */
 export type WorkerCommand = Extract<SchedulerCommand, { kind: "start" | "stop" | "pace" | "list" }>;
 
-type StopCommand = Extract<WorkerCommand, { kind: "stop" }>;
-
 export interface WorkerSession {
     execute(command: WorkerCommand): void;
     /** Must be called when progress was saved: the ends that the worker keeps reporting may all be stored now. */
@@ -42,8 +42,6 @@
 }
 
 const retryDelayMs = 100;
-/** Further stops wait: more than the worker answers within a call's timeout would time out unsent and be repeated, and each takes memory. */
-const maxOpenStops = 64;
 /** Longest wait for ended runs to be saved before the next poll, which would otherwise return them again at once. */
 const maxSaveWaitMs = 40;
 
@@ -51,7 +49,7 @@
     const { workerId, client, scheduler, timers } = options;
     const lifetime = new AbortController();
     const { signal } = lifetime;
-    let clock: { clockMs: number; atMs: number } | undefined;
+    const clock = createWorkerClock();
     let wakeAfterSave: (() => void) | undefined;
     /** Ends the wait for the last poll's response. */
     let abandonPoll: (() => void) | undefined;
@@ -60,12 +58,10 @@
     let isImmediateListOpen = false;
     let wasLastListAccepted = false;
     let isListFailing = false;
-    let openStopsCount = 0;
-    const waitingStops = new Set<StopCommand>();
 
     const worker = (): WorkerRecord | undefined => scheduler.state.workers.get(workerId);
     const moment = (): Moment => ({ nowMs: timers.nowMs(), wallMs: timers.wallClockMs() });
-    const workerClockMs = (): number | undefined => clock && clock.clockMs + (timers.nowMs() - clock.atMs);
+    const workerClockMs = (): number | undefined => clock.estimateMs(timers.nowMs());
 
     /** Whether a refusal of this token shows a newer owner: after a term was continued, the newer token may be this process's own. */
     const isCurrentToken = (token: number): boolean => !signal.aborted && token === scheduler.state.term.token;
@@ -90,7 +86,9 @@
             scheduler.workerReplaced(workerId, now);
         }
         else if (answer.listing && answer.clockMs !== undefined) {
-            clock = { clockMs: answer.clockMs, atMs: now.nowMs };
+            const time = { sentAtMs, readAtMs: now.nowMs };
+            logClockDeviation(scheduler.state, clock.deviationMs(answer.clockMs, time), { workerId, call: "listing" });
+            clock.set(answer.clockMs, time);
             answeredSentAtMs = Math.max(answeredSentAtMs, sentAtMs);
             scheduler.listingReceived(workerId, answer.listing, sentAtMs, now, extendedByMs);
         }
@@ -161,7 +159,7 @@
 
     const poll = (): Promise<CommandOutcome> => {
         const abandoned = new Promise<CommandOutcome>(resolve => abandonPoll = () => resolve(commandOutcomes.accepted));
-        const listed = list(clock ? listingWaitMs(worker()?.runs.size ?? 0) : 0).then(({ outcome }) => outcome);
+        const listed = list(workerClockMs() !== undefined ? listingWaitMs(worker()?.runs.size ?? 0) : 0).then(({ outcome }) => outcome);
         return Promise.race([listed, abandoned]);
     };
     const pollLoop = async (): Promise<void> => {
@@ -191,6 +189,7 @@
             return;
         }
         const { token } = scheduler.state.term;
+        const sentAtMs = timers.nowMs();
         const answer = await client.start({
             taskName: targetRun.taskName,
             runId: targetRun.runId,
@@ -200,46 +199,19 @@
             validUntilClockMs: Math.round(clockMs + startValidityMs),
             mayStillSend: () => options.maySendOrders() && isCurrentToken(token),
         });
-        if (answer.isFenced && isCurrentToken(token)) {
-            options.onFenced();
-            return;
+        if (answer.clockMs !== undefined) {
+            const deviationMs = clock.deviationMs(answer.clockMs, { sentAtMs, readAtMs: timers.nowMs() });
+            logClockDeviation(scheduler.state, deviationMs, { workerId, call: "start", run: targetRun });
         }
-        scheduler.setOwnershipProven(options.isLeaseValid());
-        scheduler.startResponseReceived(targetRun, currentOutcome(answer.outcome), answer.reason, moment());
-        options.onSchedulerChanged();
-    };
-    const stop = async ({ run: targetRun }: StopCommand): Promise<void> => {
-        const { token } = scheduler.state.term;
-        const answer = await client.stop({ taskName: targetRun.taskName, runId: targetRun.runId, token });
         if (answer.isFenced && isCurrentToken(token)) {
             options.onFenced();
             return;
         }
         scheduler.setOwnershipProven(options.isLeaseValid());
-        const outcome = currentOutcome(answer.outcome);
-        if (outcome === commandOutcomes.otherWorker) {
-            scheduler.workerReplaced(workerId, moment());
-        }
-        if (outcome !== commandOutcomes.accepted) {
-            await delay(timers, retryDelayMs, signal);
-            scheduler.setOwnershipProven(options.isLeaseValid());
-        }
-        scheduler.stopResponseReceived(targetRun, outcome, moment());
+        scheduler.startResponseReceived(targetRun, currentOutcome(answer.outcome), answer.reason, moment());
         options.onSchedulerChanged();
     };
-    const sendWaitingStops = (): void => {
-        for (const command of waitingStops) {
-            if (openStopsCount >= maxOpenStops) {
-                return;
-            }
-            waitingStops.delete(command);
-            openStopsCount += 1;
-            void stop(command).finally(() => {
-                openStopsCount -= 1;
-                sendWaitingStops();
-            });
-        }
-    };
+    const stops = createWorkerStops({ ...options, signal, isCurrentToken, currentOutcome });
     const listImmediately = async (): Promise<void> => {
         if (!isImmediateListOpen && options.maySendOrders()) {
             isImmediateListOpen = true;
@@ -259,8 +231,7 @@
                     void start(command);
                     return;
                 case commandKinds.stop:
-                    waitingStops.add(command);
-                    sendWaitingStops();
+                    stops.send(command);
                     return;
                 case commandKinds.list:
                     void listImmediately();
@@ -286,8 +257,7 @@
             client.close();
             // The next session with the worker sends them.
             scheduler.setOwnershipProven(options.isLeaseValid());
-            waitingStops.forEach(({ run }) => scheduler.stopResponseReceived(run, commandOutcomes.unknown, moment()));
-            waitingStops.clear();
+            stops.abandon();
         },
     };
 }
--- a/src/scheduling/reconcileListing.ts
+++ b/src/scheduling/reconcileListing.ts
@@ -1,5 +1,5 @@
 /** Reconciles a worker's listing of its runs with the scheduler's state. */
-import { paceFillers } from "../decisions/paceFillers.js";
+import { adjustPace } from "./adjustPace.js";
 import { suspicions } from "./crashCounts.js";
 import { isFinalState, type JobRecord } from "./jobRecord.js";
 import { jobStates, noResources } from "./jobTypes.js";
@@ -21,9 +21,6 @@
 import { beginIncarnation } from "./workerEnds.js";
 import { createRun, type Run, runKey, type RunNeeds, runPhases, type WorkerRecord } from "./workerRecord.js";
 
-/** Each measurement covers half a second, so the effect of a new pace shows only after that. */
-const paceIntervalMs = 500;
-
 /** A run in a worker's listing. */
 export interface ListedRun {
     taskName: string;
@@ -92,6 +89,11 @@
         if (listed.endNumber <= worker.lastEndNumber) {
             continue;
         }
+        if (listed.endNumber > worker.lastEndNumber + 1) {
+            // The worker forgets ends when they are acknowledged; these were acknowledged although no listing has shown them.
+            const detail = `${worker.lastEndNumber + 1} to ${listed.endNumber - 1}, incarnation of ${worker.entry.bornWallMs}`;
+            state.onDecision({ what: "ends missing", workerId: worker.entry.workerId, detail });
+        }
         worker.lastEndNumber = listed.endNumber;
         const task = parseTaskName(listed.taskName);
         const run = worker.runs.get(runKey(listed.taskName, listed.runId));
@@ -205,37 +207,6 @@
     }
 }
 
-/** Adjusts the pace of the fillers to the latency of the serving tasks on the same worker. */
-function adjustPace(state: SchedulerState, worker: WorkerRecord, nowMs: number): void {
-    if (nowMs - worker.pacedAtMs < paceIntervalMs) {
-        return;
-    }
-    const running = [...worker.runs.values()].filter(run => run.phase === runPhases.running);
-    // The run of a job that is over has no step; it is about to be stopped.
-    const fillers = running.filter(run => run.isFiller && findStep(state, run));
-    if (fillers.length === 0) {
-        return;
-    }
-    worker.pacedAtMs = nowMs;
-    const serving = running.flatMap(run => {
-        const targetMs = findStep(state, run)?.spec.latencyTargetMs;
-        return run.isServing && targetMs !== undefined ? [{ tailLatencyMs: run.measured, targetMs }] : [];
-    });
-    const percent = paceFillers(Math.min(...fillers.map(run => run.pacePercent)), serving);
-    for (const run of fillers.filter(each => each.pacePercent !== percent)) {
-        run.pacePercent = percent;
-        state.commands.push({ kind: commandKinds.pace, run, percent });
-        state.onDecision({
-            what: "pace",
-            jobId: run.jobId,
-            taskName: run.taskName,
-            runId: run.runId,
-            workerId: run.workerId,
-            detail: `${percent} %`,
-        });
-    }
-}
-
 /** Applies a listing that was requested at `sentAtMs`. */
 export function reconcileListing(state: SchedulerState, worker: WorkerRecord, listing: Listing, sentAtMs: number, moment: Moment): void {
     if (listing.bornWallMs > worker.entry.bornWallMs) {
@@ -254,6 +225,10 @@
             adoptOrStop(state, worker, listed, moment);
             continue;
         }
+        if (!run.isStartConfirmed && run.phase !== runPhases.starting && !run.isStartAccepted) {
+            const { jobId, taskName, runId, workerId } = run;
+            state.onDecision({ what: "start carried out late", jobId, taskName, runId, workerId, detail: `phase ${run.phase}` });
+        }
         run.isStartConfirmed = true;
         run.suspectOfRestart = undefined;
         if (run.isPresumed) {
--- a/src/scheduling/workerEnds.ts
+++ b/src/scheduling/workerEnds.ts
@@ -19,7 +19,9 @@
 
 function markLost(state: SchedulerState, runs: readonly Run[], reason: string, moment: Moment): void {
     for (const run of runs) {
-        state.onDecision({ what: "run lost", jobId: run.jobId, taskName: run.taskName, runId: run.runId, workerId: run.workerId, reason });
+        const { jobId, taskName, runId, workerId, phase } = run;
+        const detail = `phase ${phase}, ${run.isStartConfirmed ? "listed" : "not listed yet"}`;
+        state.onDecision({ what: "run lost", jobId, taskName, runId, workerId, reason, detail });
         applyEnd(state, { ...run, end: runEnds.lost }, moment.nowMs, moment.wallMs);
         detachRun(state, run);
     }
@@ -42,7 +44,8 @@
         run.respondedAtMs = undefined;
         state.commands.push({ kind: commandKinds.stop, run, reason: "the worker restarted" });
     }
-    const detail = `started at ${bornWallMs}, the former incarnation at ${worker.entry.bornWallMs}`;
+    const detail = `started at ${bornWallMs}, the former incarnation at ${worker.entry.bornWallMs}; ` +
+        `${lost.length} runs lost, ${runs.length - lost.length} may run on it`;
     state.onDecision({ what: "worker restarted", workerId: worker.entry.workerId, detail });
     worker.entry = { ...worker.entry, bornWallMs };
     worker.lastContactAtMs = undefined;
