--- a/bench/jobSize.ts
+++ b/bench/jobSize.ts
@@ -33,6 +33,7 @@
         policy,
         term: { token: 1, unknownWorkersUntilMs: 0 },
         workerLeaseMs: 6_000,
+        maxWorkerLeaseMs: 6_000,
         taskStopMs: 900,
         onDecision: () => undefined,
     });
--- a/bench/schedulingPass.ts
+++ b/bench/schedulingPass.ts
@@ -83,6 +83,7 @@
     policy: load.policy,
     term: { token: 1, unknownWorkersUntilMs: 0 },
     workerLeaseMs,
+    maxWorkerLeaseMs: workerLeaseMs,
     taskStopMs: 900,
     onDecision: decision => parts.measure("log", () => logger.log(logEvents.schedulingDecided, { ...decision })),
 });
--- a/src/process/knownWorkers.ts
+++ b/src/process/knownWorkers.ts
@@ -24,6 +24,8 @@
 interface KnownWorker {
     /** The latest entry that could be read. */
     entry: WorkerEntry;
+    /** When the first entry of the incarnation was seen. */
+    seenAtMs: number;
     isReadable: boolean;
     /** `undefined` while the store holds an entry. */
     removedAtMs: number | undefined;
@@ -45,7 +47,11 @@
         !isRegistered(worker) && nowMs() - (worker.removedAtMs ?? nowMs()) < maxUnregisteredMs;
 
     return {
-        register: entry => void workers.set(entry.workerId, { entry, isReadable: true, removedAtMs: undefined }),
+        register: entry => {
+            const known = workers.get(entry.workerId);
+            const seenAtMs = known?.entry.bornWallMs === entry.bornWallMs ? known.seenAtMs : nowMs();
+            workers.set(entry.workerId, { entry, seenAtMs, isReadable: true, removedAtMs: undefined });
+        },
         remove: workerId => {
             const worker = findPresent(workerId);
             if (worker) {
@@ -62,9 +68,9 @@
         },
         isRegistered: workerId => isRegistered(workers.get(workerId)),
         passTo: (scheduler, moment) => {
-            [...workers.values()].filter(isRegistered).forEach(({ entry }) => scheduler.registerWorker(entry, moment));
-            for (const { entry } of [...workers.values()].filter(isUnregistered)) {
-                scheduler.registerWorker(entry, moment);
+            [...workers.values()].filter(isRegistered).forEach(({ entry, seenAtMs }) => scheduler.registerWorker(entry, moment, seenAtMs));
+            for (const { entry, seenAtMs } of [...workers.values()].filter(isUnregistered)) {
+                scheduler.registerWorker(entry, moment, seenAtMs);
                 scheduler.unregisterWorker(entry.workerId);
             }
         },
--- a/src/process/schedulingService.ts
+++ b/src/process/schedulingService.ts
@@ -223,8 +223,9 @@
         const scheduler = createScheduler({
             policy,
             retained: policies.retained(),
-            term: { token, unknownWorkersUntilMs },
+            term: { token, unknownWorkersUntilMs, formerOwnersEndAtMs: hasPriorProgress ? formerOwnersEndAtMs : undefined },
             workerLeaseMs,
+            maxWorkerLeaseMs: options.workerLeaseMs,
             taskStopMs: options.taskStopMs,
             onDecision: decision => {
                 // A late response may still change the state of an ended term, but what follows from that is not carried out.
--- a/src/process/schedulingSummary.ts
+++ b/src/process/schedulingSummary.ts
@@ -3,7 +3,7 @@
 import { jobLateness } from "../scheduling/jobLateness.js";
 import { isFinalState, readyStepsOf } from "../scheduling/jobRecord.js";
 import type { SchedulerState } from "../scheduling/schedulerState.js";
-import { freeResources } from "../scheduling/workerRecord.js";
+import { freeResources } from "../scheduling/workerRoom.js";
 import { logEvents } from "./logEvents.js";
 import type { LogFields, Logger } from "./logger.js";
 
--- a/src/process/waitingDemand.ts
+++ b/src/process/waitingDemand.ts
@@ -3,7 +3,8 @@
 import { isFinalState, readyStepsOf } from "../scheduling/jobRecord.js";
 import { fitsInto, type Resources } from "../scheduling/jobTypes.js";
 import type { SchedulerState } from "../scheduling/schedulerState.js";
-import { freeResources, type WorkerRecord } from "../scheduling/workerRecord.js";
+import type { WorkerRecord } from "../scheduling/workerRecord.js";
+import { freeResources } from "../scheduling/workerRoom.js";
 
 /** CPU that ready waiting tasks request in a pool. */
 export interface WaitingDemand {
--- a/src/process/waveRunner.ts
+++ b/src/process/waveRunner.ts
@@ -8,7 +8,8 @@
 import { jobKeys } from "../scheduling/jobDocuments.js";
 import { stopRun } from "../scheduling/schedulerState.js";
 import { endIncarnation } from "../scheduling/workerLifecycle.js";
-import { freeResources, runPhases, type WorkerIncarnation } from "../scheduling/workerRecord.js";
+import { runPhases, type WorkerIncarnation } from "../scheduling/workerRecord.js";
+import { freeResources } from "../scheduling/workerRoom.js";
 import { logEvents } from "./logEvents.js";
 import type { Logger } from "./logger.js";
 import type { VmInventory } from "./vmInventory.js";
--- a/src/process/workerSession.ts
+++ b/src/process/workerSession.ts
@@ -1,4 +1,4 @@
-/** The owner's session with one worker: long polls that extend leases and return ended runs, and commands in parallel to them. */
+/** The owner's session with one incarnation of a worker: long polls that extend leases and return ended runs, and commands in parallel to them. */
 import { delay, type TimerService } from "../common/timerService.js";
 import type { ListResponse, WorkerClient } from "../connection/workerClient.js";
 import { listingPauseMs, listingWaitMs } from "../decisions/paceListings.js";
@@ -23,6 +23,7 @@
 
 export interface WorkerSessionOptions {
     workerId: string;
+    bornWallMs: number;
     client: WorkerClient;
     scheduler: Scheduler;
     timers: TimerService;
@@ -46,7 +47,7 @@
 const maxSaveWaitMs = 40;
 
 export function createWorkerSession(options: WorkerSessionOptions): WorkerSession {
-    const { workerId, client, scheduler, timers } = options;
+    const { workerId, bornWallMs, client, scheduler, timers } = options;
     const lifetime = new AbortController();
     const { signal } = lifetime;
     const clock = createWorkerClock();
@@ -63,8 +64,11 @@
     const moment = (): Moment => ({ nowMs: timers.nowMs(), wallMs: timers.wallClockMs() });
     const workerClockMs = (): number | undefined => clock.estimateMs(timers.nowMs());
 
-    /** Whether a refusal of this token shows a newer owner: after a term was continued, the newer token may be this process's own. */
-    const isCurrentToken = (token: number): boolean => !signal.aborted && token === scheduler.state.term.token;
+    /** Whether the scheduler still knows the worker as this incarnation; nothing is sent to it by the clock of the former one. */
+    const isCurrent = (): boolean => !signal.aborted && worker()?.entry.bornWallMs === bornWallMs;
+    const maySendOrders = (): boolean => isCurrent() && options.maySendOrders();
+    /** Whether a refusal of this token shows a newer owner: a newer token may also be of this process's continued term, or of a newer incarnation. */
+    const isCurrentToken = (token: number): boolean => isCurrent() && token === scheduler.commandToken(workerId);
 
     /** Once the session is closed, its worker may be at another address; of the late responses, only a refusal still holds there. */
     const currentOutcome = (outcome: CommandOutcome): CommandOutcome =>
@@ -88,7 +92,9 @@
         else if (answer.listing && answer.clockMs !== undefined) {
             const time = { sentAtMs, readAtMs: now.nowMs };
             logClockDeviation(scheduler.state, clock.deviationMs(answer.clockMs, time), { workerId, call: "listing" });
-            clock.set(answer.clockMs, time);
+            if (answer.listing.bornWallMs === bornWallMs) {
+                clock.set(answer.clockMs, time);
+            }
             answeredSentAtMs = Math.max(answeredSentAtMs, sentAtMs);
             scheduler.listingReceived(workerId, answer.listing, sentAtMs, now, extendedByMs);
         }
@@ -119,11 +125,12 @@
         if (clockMs !== undefined) {
             scheduler.leaseExtensionSent(workerId, options.leaseMs, sentAtMs);
         }
-        const { token } = scheduler.state.term;
+        const token = scheduler.commandToken(workerId);
         try {
             const answer = await client.list({
                 token,
-                acknowledgedEndNumber: scheduler.acknowledgedEndNumber(workerId),
+                // After a listing without a response, the worker may have restarted: then this number would make it forget ends that nobody has seen.
+                acknowledgedEndNumber: wasLastListAccepted ? scheduler.acknowledgedEndNumber(workerId) : 0,
                 leaseUntilClockMs: clockMs === undefined ? undefined : Math.round(clockMs + options.leaseMs),
                 waitMs,
             });
@@ -159,12 +166,12 @@
 
     const poll = (): Promise<CommandOutcome> => {
         const abandoned = new Promise<CommandOutcome>(resolve => abandonPoll = () => resolve(commandOutcomes.accepted));
-        const listed = list(workerClockMs() !== undefined ? listingWaitMs(worker()?.runs.size ?? 0) : 0).then(({ outcome }) => outcome);
+        const listed = list(wasLastListAccepted ? listingWaitMs(worker()?.runs.size ?? 0) : 0).then(({ outcome }) => outcome);
         return Promise.race([listed, abandoned]);
     };
     const pollLoop = async (): Promise<void> => {
         while (!signal.aborted) {
-            if (!options.maySendOrders()) {
+            if (!maySendOrders()) {
                 await delay(timers, retryDelayMs, signal);
                 continue;
             }
@@ -183,12 +190,12 @@
         const { run: targetRun } = command;
         const clockMs = workerClockMs();
         // The store's response that releases a start may be read late, after a pause, when another process already owns the scheduling.
-        if (clockMs === undefined || !options.maySendOrders()) {
+        if (clockMs === undefined || !maySendOrders()) {
             const reason = clockMs === undefined ? "the worker's clock is unknown" : "this process may no longer send commands";
             scheduler.startResponseReceived(targetRun, commandOutcomes.refused, reason, moment());
             return;
         }
-        const { token } = scheduler.state.term;
+        const token = scheduler.commandToken(workerId);
         const sentAtMs = timers.nowMs();
         const answer = await client.start({
             taskName: targetRun.taskName,
@@ -197,11 +204,15 @@
             checkpoint: command.checkpoint,
             token,
             validUntilClockMs: Math.round(clockMs + startValidityMs),
-            mayStillSend: () => options.maySendOrders() && isCurrentToken(token),
+            mayStillSend: () => maySendOrders() && isCurrentToken(token),
         });
         if (answer.clockMs !== undefined) {
             const deviationMs = clock.deviationMs(answer.clockMs, { sentAtMs, readAtMs: timers.nowMs() });
             logClockDeviation(scheduler.state, deviationMs, { workerId, call: "start", run: targetRun });
+            if (deviationMs !== 0 && isCurrent()) {
+                wasLastListAccepted = false;
+                scheduler.incarnationDoubted(workerId, timers.nowMs());
+            }
         }
         if (answer.isFenced && isCurrentToken(token)) {
             options.onFenced();
@@ -211,9 +222,9 @@
         scheduler.startResponseReceived(targetRun, currentOutcome(answer.outcome), answer.reason, moment());
         options.onSchedulerChanged();
     };
-    const stops = createWorkerStops({ ...options, signal, isCurrentToken, currentOutcome });
+    const stops = createWorkerStops({ ...options, signal, isCurrent, isCurrentToken, currentOutcome });
     const listImmediately = async (): Promise<void> => {
-        if (!isImmediateListOpen && options.maySendOrders()) {
+        if (!isImmediateListOpen && maySendOrders()) {
             isImmediateListOpen = true;
             const { hasNewEnds } = await list(0);
             isImmediateListOpen = false;
@@ -237,13 +248,8 @@
                     void listImmediately();
                     return;
                 case commandKinds.pace: {
-                    const { run: targetRun, percent } = command;
-                    void client.setPace({
-                        taskName: targetRun.taskName,
-                        runId: targetRun.runId,
-                        token: scheduler.state.term.token,
-                        percent,
-                    });
+                    const { run: { taskName, runId }, percent } = command;
+                    void client.setPace({ taskName, runId, token: scheduler.commandToken(workerId), percent });
                 }
             }
         },
--- a/src/process/workerSessions.ts
+++ b/src/process/workerSessions.ts
@@ -11,8 +11,8 @@
 
 export interface WorkerSessions {
     /**
-     * Opens and closes sessions so that there is one with each worker of the scheduler that has not ended, at its current address, and lists workers
-     * again whose ends may be hidden by a listing without a response. Must be called often.
+     * Opens and closes sessions so that there is one with the present incarnation of each worker of the scheduler that has not ended, at its current address, and
+     * lists workers again whose ends may be hidden by a listing without a response. Must be called often.
      */
     sync(scheduler: Scheduler): void;
     /** Sends the command, if there is a session with its worker. */
@@ -27,7 +27,8 @@
     close(): void;
 }
 
-export interface WorkerSessionsOptions extends Omit<WorkerSessionOptions, "workerId" | "client" | "scheduler" | "onListFailed"> {
+export interface WorkerSessionsOptions
+    extends Omit<WorkerSessionOptions, "workerId" | "bornWallMs" | "client" | "scheduler" | "onListFailed"> {
     connectWorker: ConnectWorker;
     /** A listing of the worker could not be read or applied, or no session with it could be opened at its address. */
     onFailed(workerId: string, where: string, reason: string): void;
@@ -41,15 +42,16 @@
     const overdueEnds = createOverdueEnds();
     let overdueCheckedAtMs = Number.NEGATIVE_INFINITY;
     /** The session is `undefined` if none could be opened; it is tried again at another address only. */
-    const sessions = new Map<string, { address: string; session: WorkerSession | undefined }>();
+    const sessions = new Map<string, { address: string; bornWallMs: number; session: WorkerSession | undefined }>();
 
     /** A worker that cannot be connected must not hold up the others. */
     const open = (entry: WorkerEntry, scheduler: Scheduler): WorkerSession | undefined => {
-        const { workerId } = entry;
+        const { workerId, bornWallMs } = entry;
         try {
             return createWorkerSession({
                 ...options,
                 workerId,
+                bornWallMs,
                 client: calls.connectWorker(entry),
                 scheduler,
                 onListFailed: reason => options.onFailed(workerId, "worker listing", reason),
@@ -73,16 +75,17 @@
     return {
         sync: scheduler => {
             const { workers } = scheduler.state;
-            for (const [workerId, { address, session }] of sessions) {
+            for (const [workerId, { address, bornWallMs, session }] of sessions) {
                 const worker = workers.get(workerId);
-                if (worker?.entry.address !== address || worker.hasEnded) {
+                if (worker?.entry.address !== address || worker.entry.bornWallMs !== bornWallMs || worker.hasEnded) {
                     session?.close();
                     sessions.delete(workerId);
                 }
             }
             for (const [workerId, { entry, hasEnded }] of workers) {
                 if (!sessions.has(workerId) && !hasEnded) {
-                    sessions.set(workerId, { address: entry.address, session: open(entry, scheduler) });
+                    const { address, bornWallMs } = entry;
+                    sessions.set(workerId, { address, bornWallMs, session: open(entry, scheduler) });
                 }
             }
             listOverdueWorkers(scheduler);
--- a/src/process/workerSnapshotWriter.ts
+++ b/src/process/workerSnapshotWriter.ts
@@ -61,8 +61,11 @@
         capacity: z.object({ cpuMillicores: z.number(), memoryMb: z.number(), accelerators: z.number() }),
         isDraining: z.boolean(),
     }),
-    // JSON has `null` for an age that is unknown.
-    runs: z.array(z.tuple([z.string(), z.number(), z.number().nullish().transform(ageMs => ageMs ?? undefined)])),
+    // JSON has `null` for an age that is unknown. An earlier build does not tell whether a run was listed.
+    runs: z.array(z.union([
+        z.tuple([z.string(), z.number(), z.number().nullish().transform(ageMs => ageMs ?? undefined)]),
+        z.tuple([z.string(), z.number(), z.number().nullish().transform(ageMs => ageMs ?? undefined), z.boolean()]),
+    ])),
     leaseLeftMs: z.number(),
 });
 
--- a/src/process/workerStops.ts
+++ b/src/process/workerStops.ts
@@ -18,6 +18,8 @@
         Pick<WorkerSessionOptions, "workerId" | "client" | "scheduler" | "timers" | "isLeaseValid" | "onFenced" | "onSchedulerChanged"> {
     /** Aborts when the session is closed. */
     signal: AbortSignal;
+    /** Whether the worker is still known as the incarnation of the session. */
+    isCurrent(): boolean;
     isCurrentToken(token: number): boolean;
     currentOutcome(outcome: CommandOutcome): CommandOutcome;
 }
@@ -33,7 +35,11 @@
 
     const moment = (): Moment => ({ nowMs: timers.nowMs(), wallMs: timers.wallClockMs() });
     const stop = async ({ run: targetRun }: StopCommand): Promise<void> => {
-        const { token } = scheduler.state.term;
+        if (!options.isCurrent()) {
+            scheduler.stopResponseReceived(targetRun, commandOutcomes.unknown, moment());
+            return;
+        }
+        const token = scheduler.commandToken(workerId);
         const answer = await client.stop({ taskName: targetRun.taskName, runId: targetRun.runId, token });
         if (answer.isFenced && options.isCurrentToken(token)) {
             options.onFenced();
--- a/src/scheduling/commandResponses.ts
+++ b/src/scheduling/commandResponses.ts
@@ -5,7 +5,7 @@
 import { holdLease, startHeldUntilMs } from "./leases.js";
 import type { Moment } from "./reconcileListing.js";
 import { applyEnd, commandKinds, detachRun, markChanged, runEnds, type SchedulerState, stopRun } from "./schedulerState.js";
-import { markUnresponsive, type Run, runKey, runPhases, type WorkerRecord } from "./workerRecord.js";
+import { isOfFormerIncarnation, markUnresponsive, type Run, runKey, runPhases, type WorkerRecord } from "./workerRecord.js";
 
 /** How long a worker that refused a start gets no new runs; its next listing may show why it refused. */
 const refusalBackoffMs = 300;
@@ -46,7 +46,10 @@
         reason,
     });
     if (outcome === commandOutcomes.unknown) {
-        markUnresponsive(worker, moment.nowMs);
+        // The silence of a former incarnation says nothing about this one.
+        if (!isOfFormerIncarnation(worker, run)) {
+            markUnresponsive(worker, moment.nowMs);
+        }
         if (run.phase === runPhases.starting || run.phase === runPhases.running) {
             run.phase = runPhases.unsettled;
             stopRun(state, run, "the start got no response");
--- a/src/scheduling/leases.ts
+++ b/src/scheduling/leases.ts
@@ -4,6 +4,10 @@
 const maxClockDriftRatio = 0.02;
 /** Upper bound on the time between estimating a worker's clock and sending the command that uses the estimate. */
 const clockEstimateSlackMs = 200;
+/** An owner that is in touch with a worker learns within this time that the worker has restarted. */
+const restartNoticeMs = 2_500;
+/** Upper bound on how far the wall clocks of two machines differ. */
+const maxWallClockDifferenceMs = 5_000;
 /** Upper bound of the clock difference and delivery delay by which a lease of an earlier owner may outlast its nominal duration. */
 const formerLeaseSlackMs = 400;
 /**
@@ -28,6 +32,28 @@
     return ownersEndAtMs + leaseMs + formerLeaseSlackMs;
 }
 
+/**
+ * When the leases end that commands sent until `sentUntilMs` may have been granted by an incarnation of the worker for which they were not meant. Their
+ * time limits are read by a clock that is not known, so such a lease may last as long as the worker grants at most.
+ */
+export function strayLeasesEndMs(sentUntilMs: number, maxGrantedMs: number): number {
+    return sentUntilMs + maxLeaseMs(maxGrantedMs);
+}
+
+/**
+ * Until when earlier owners, which send no commands after `ownersEndAtMs`, may have taken an incarnation for the one before. Both `seenAtMs`, when this process
+ * learned of the incarnation, and its own start on the wall clock bound how long ago it began.
+ */
+export function formerOwnersUnawareUntilMs(
+    ownersEndAtMs: number,
+    seenAtMs: number,
+    bornWallMs: number,
+    { nowMs, wallMs }: { nowMs: number; wallMs: number },
+): number {
+    const latestBeginMs = Math.min(seenAtMs, nowMs - (wallMs - bornWallMs) + maxWallClockDifferenceMs);
+    return Math.min(ownersEndAtMs, latestBeginMs + restartNoticeMs);
+}
+
 /** How long a lease of `durationMs` that is granted now may last at most. */
 export function maxLeaseMs(durationMs: number): number {
     return durationMs * (1 + maxClockDriftRatio) + clockEstimateSlackMs;
--- a/src/scheduling/plannedStarts.ts
+++ b/src/scheduling/plannedStarts.ts
@@ -6,7 +6,8 @@
 import { type JobRecord, type StepRecord, stepsOf } from "./jobRecord.js";
 import { commandKinds, detachRun, findStep, markChanged, type SchedulerState } from "./schedulerState.js";
 import { isSuspectStartPersisted, recordSuspectStart } from "./suspectStarts.js";
-import { isOvercommitted, type Run, runPhases, type WorkerRecord } from "./workerRecord.js";
+import { type Run, runPhases, type WorkerRecord } from "./workerRecord.js";
+import { isOvercommitted } from "./workerRoom.js";
 
 /** Whether the current owner knows which runs the worker has. */
 function isWorkerStateKnown(state: SchedulerState, workerId: string, nowMs: number): boolean {
@@ -75,6 +76,7 @@
     state.plannedRuns.delete(run);
     run.startedAtMs = nowMs;
     if (worker) {
+        run.sentToBornWallMs = worker.entry.bornWallMs;
         worker.leaseEndsAtMs = Math.max(worker.leaseEndsAtMs, nowMs + state.startLeaseMs);
     }
     state.commands.push({ kind: commandKinds.start, run, payload: job.submission.payload, checkpoint: startCheckpoint(step, run) });
--- a/src/scheduling/poolCandidates.ts
+++ b/src/scheduling/poolCandidates.ts
@@ -7,7 +7,8 @@
 import { fitsInto, noResources, type Resources } from "./jobTypes.js";
 import { isWorkerPersisted } from "./plannedStarts.js";
 import { currentSuspects } from "./workerCrashes.js";
-import { freeResources, type Run, runPhases, type WorkerRecord } from "./workerRecord.js";
+import { type Run, runPhases, type WorkerRecord } from "./workerRecord.js";
+import { freeResources } from "./workerRoom.js";
 
 /** A worker of the pool with its free resources, which are updated during the pass. */
 export interface Candidate extends PlacementCandidate {
--- a/src/scheduling/reconcileListing.ts
+++ b/src/scheduling/reconcileListing.ts
@@ -19,7 +19,7 @@
 import { parseTaskName } from "./taskNames.js";
 import { clearUnprovenCrashes, recordCrash, withdrawCrash } from "./workerCrashes.js";
 import { beginIncarnation } from "./workerEnds.js";
-import { createRun, type Run, runKey, type RunNeeds, runPhases, type WorkerRecord } from "./workerRecord.js";
+import { createRun, isOfFormerIncarnation, type Run, runKey, type RunNeeds, runPhases, type WorkerRecord } from "./workerRecord.js";
 
 /** A run in a worker's listing. */
 export interface ListedRun {
@@ -177,7 +177,10 @@
     }
 }
 
-/** Removes runs that are missing from a listing requested after their command was answered: they never started or are gone. */
+/**
+ * Removes runs that are missing from a listing requested after their command was answered: they never started or are gone. The first listing of an incarnation settles
+ * all of them, since the worker refuses commands to the former one from then on.
+ */
 function removeAbsentRuns(
     state: SchedulerState,
     worker: WorkerRecord,
@@ -186,8 +189,9 @@
     moment: Moment,
 ): void {
     for (const [key, run] of worker.runs) {
-        const hasResponded = run.respondedAtMs !== undefined && run.respondedAtMs < sentAtMs;
-        if (hasResponded && run.phase !== runPhases.starting && !listedKeys.has(key)) {
+        const hasResponded = run.respondedAtMs !== undefined && run.respondedAtMs < sentAtMs && run.phase !== runPhases.starting;
+        const isRefused = isOfFormerIncarnation(worker, run) && !worker.hasListed;
+        if ((hasResponded || isRefused) && !listedKeys.has(key)) {
             if (run.phase === runPhases.running) {
                 applyEnd(state, { ...run, end: runEnds.lost }, moment.nowMs, moment.wallMs);
             }
@@ -210,9 +214,11 @@
 /** Applies a listing that was requested at `sentAtMs`. */
 export function reconcileListing(state: SchedulerState, worker: WorkerRecord, listing: Listing, sentAtMs: number, moment: Moment): void {
     if (listing.bornWallMs > worker.entry.bornWallMs) {
+        // It was requested with the fencing token of the former incarnation, whose commands may still take effect.
         beginIncarnation(state, worker, listing.bornWallMs, moment);
+        return;
     }
-    else if (listing.bornWallMs < worker.entry.bornWallMs) {
+    if (listing.bornWallMs < worker.entry.bornWallMs) {
         return;
     }
     applyListedEnds(state, worker, listing, moment);
@@ -246,7 +252,9 @@
     if (!listing.hasMoreEnds) {
         removeAbsentRuns(state, worker, listedKeys, sentAtMs, moment);
         worker.isRunStateKnown = true;
+        worker.hasListed = true;
     }
+    worker.isIncarnationDoubted = false;
     adjustPace(state, worker, moment.nowMs);
     if (worker.unresponsiveSinceMs !== undefined) {
         const detail = `after ${
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -5,14 +5,15 @@
 import { chargeTeamShare } from "./chargeTeamShare.js";
 import type { CommandOutcome } from "./commandOutcomes.js";
 import { handleStartResponse, handleStopResponse } from "./commandResponses.js";
+import { commandToken } from "./commandToken.js";
 import { dispatchWaitingTasks } from "./dispatchWaitingTasks.js";
 import { decodeProgress, decodeSubmission, type JobProgress } from "./jobDocuments.js";
 import { changePolicy, releaseUnusedPolicies, retainPolicies, retainPolicyOf } from "./jobPolicies.js";
 import { createJobRecord, isFinalState, progressOf } from "./jobRecord.js";
 import { jobStates, type SchedulingPolicy } from "./jobTypes.js";
-import { holdLease, maxLeaseMs, minLeaseMs, startValidityMs } from "./leases.js";
+import { maxLeaseMs, startValidityMs } from "./leases.js";
 import { possibleWorkerIds, sendPersistedStarts, settleWorkerIdsWrite } from "./plannedStarts.js";
-import { forgetSavedEnds, type Listing, type Moment, reconcileListing } from "./reconcileListing.js";
+import { forgetSavedEnds, type Listing, type Moment } from "./reconcileListing.js";
 import { noRetainedPolicies, type RetainedPolicies } from "./retainedPolicies.js";
 import {
     commandKinds,
@@ -21,9 +22,9 @@
     releaseHeldBack,
     type SchedulerCommand,
     type SchedulerState,
-    type Term,
 } from "./schedulerState.js";
 import { restoreSuspectStarts } from "./suspectStarts.js";
+import type { Term } from "./term.js";
 import {
     adoptSnapshot,
     recordSnapshotCrash,
@@ -33,6 +34,7 @@
     updateSnapshots,
     type WorkerSnapshot,
 } from "./unresponsiveWorkers.js";
+import { applyListing, doubtIncarnation } from "./workerContact.js";
 import { beginIncarnation, endWorker } from "./workerEnds.js";
 import { addWorker, evacuateDrainingWorkers, expireLeases, removeEntry } from "./workerLifecycle.js";
 import { acknowledgedEndNumber, type Run, type WorkerEntry } from "./workerRecord.js";
@@ -43,8 +45,10 @@
     /** What that configuration lacks and unfinished jobs may need. */
     retained?: RetainedPolicies;
     term: Term;
-    /** Maximum duration of a lease that a worker grants. */
+    /** Longest lease that commands to workers ask for. */
     workerLeaseMs: number;
+    /** Longest lease that a worker grants, whatever a command asks for. */
+    maxWorkerLeaseMs: number;
     /** Maximum time that a worker takes to stop a task. */
     taskStopMs: number;
     onDecision(decision: Decision): void;
@@ -71,6 +75,8 @@
         teamUsed: new Map(),
         possibleTeamUsage: new Map(),
         teamShareBuckets: new Map(),
+        requestedLeaseMs: options.workerLeaseMs,
+        maxGrantedLeaseMs: options.maxWorkerLeaseMs,
         startLeaseMs: maxLeaseMs(startValidityMs),
         taskStopMs: options.taskStopMs,
         isOwnershipProven: true,
@@ -138,11 +144,11 @@
                 endJob(state, job, jobStates.cancelled, wallMs);
             }
         },
-        /** Adds or updates a worker from its entry in the store. */
-        registerWorker: (entry: WorkerEntry, moment: Moment): void => {
+        /** Adds or updates a worker from its entry in the store; `seenAtMs` is when this process first saw an entry of the incarnation. */
+        registerWorker: (entry: WorkerEntry, moment: Moment, seenAtMs = moment.nowMs): void => {
             const worker = state.workers.get(entry.workerId);
             if (!worker) {
-                addWorker(state, entry, moment);
+                addWorker(state, entry, moment, seenAtMs);
                 return;
             }
             if (entry.bornWallMs > worker.entry.bornWallMs) {
@@ -159,6 +165,8 @@
          * while it may run anything.
          */
         unregisterWorker: (workerId: string): void => removeEntry(state, workerId),
+        /** Fencing token of commands to the present incarnation of the worker. */
+        commandToken: (workerId: string): number => commandToken(state.term.token, state.workers.get(workerId)),
         /**
          * Whether a listing request may extend the leases of a worker. Those of a worker with a snapshot must not be extended: the next
          * owner relies on the leases as they were when the snapshot was taken.
@@ -175,18 +183,11 @@
         listingReceived: (workerId: string, listing: Listing, sentAtMs: number, moment: Moment, extendedByMs?: number): void => {
             const worker = state.workers.get(workerId);
             if (worker) {
-                const wasRunStateKnown = worker.isRunStateKnown;
-                const { bornWallMs } = worker.entry;
-                reconcileListing(state, worker, listing, sentAtMs, moment);
-                if (extendedByMs !== undefined && listing.bornWallMs === bornWallMs) {
-                    holdLease(worker, sentAtMs + minLeaseMs(extendedByMs));
-                }
-                if (!wasRunStateKnown && worker.isRunStateKnown) {
-                    // From now on, only requests of this term extend the leases.
-                    worker.leaseEndsAtMs = moment.nowMs + maxLeaseMs(options.workerLeaseMs);
-                }
+                applyListing(state, worker, listing, sentAtMs, moment, extendedByMs);
             }
         },
+        /** A response from the worker's address shows the clock of another incarnation; the worker gets no new runs until it has listed those that it has. */
+        incarnationDoubted: (workerId: string, nowMs: number): void => doubtIncarnation(state, workerId, nowMs),
         /** The worker did not respond; it gets no new runs until it does. `isDisconnected`: its address refused or ended the connection. */
         workerUnresponsive: (workerId: string, nowMs: number, reason = "", isDisconnected = false): void => {
             const worker = state.workers.get(workerId);
--- a/src/scheduling/schedulerState.ts
+++ b/src/scheduling/schedulerState.ts
@@ -20,6 +20,7 @@
 } from "./jobTypes.js";
 import type { RetainedPolicies } from "./retainedPolicies.js";
 import { teamUsage } from "./teamUsage.js";
+import type { Term } from "./term.js";
 import type { WorkerSnapshot } from "./unresponsiveWorkers.js";
 import { addRun, removeRun, type Run, type RunIdentity, runKey, runPhases, type WorkerRecord } from "./workerRecord.js";
 
@@ -50,17 +51,6 @@
     | { kind: typeof commandKinds.writeSnapshot; workerId: string; snapshot: WorkerSnapshot }
     | { kind: typeof commandKinds.removeSnapshot; workerId: string };
 
-/** A period during which this process owns the scheduling. */
-export interface Term {
-    /** Fencing token of every command; higher than that of any earlier owner. */
-    token: number;
-    /**
-     * Until then, workers that have not responded in this term may still run tasks of an earlier owner, so jobs that may run on such a
-     * worker start nothing.
-     */
-    unknownWorkersUntilMs: number;
-}
-
 /** A scheduling decision, for the log. */
 export interface Decision {
     what: string;
@@ -89,6 +79,9 @@
     possibleTeamUsage: Map<string, Resources>;
     /** Token bucket of each team, by which its submissions are within its share or not. */
     teamShareBuckets: Map<string, ShareTokenBucket>;
+    /** Longest lease that commands ask for, and longest that a worker grants whatever they ask for. */
+    requestedLeaseMs: number;
+    maxGrantedLeaseMs: number;
     /** How long, on this process's clock, a start may still be executed and hold a lease of its own. */
     startLeaseMs: number;
     /** Maximum time that a worker takes to stop a task. */
--- a/src/scheduling/suspectStarts.ts
+++ b/src/scheduling/suspectStarts.ts
@@ -55,6 +55,7 @@
     const taskName = formatTaskName(job.jobId, step.occurrence, step.index, taskIndex);
     return {
         ...createRun({ ...place, taskName, runId, workerId: worker.entry.workerId }, runNeeds(job, step, taskIndex), nowMs),
+        sentToBornWallMs: worker.entry.bornWallMs,
         phase: runPhases.running,
         isPresumed: true,
         isStartConfirmed: true,
--- a/src/scheduling/unresponsiveWorkers.ts
+++ b/src/scheduling/unresponsiveWorkers.ts
@@ -11,6 +11,7 @@
 import { parseTaskName } from "./taskNames.js";
 import { crashSuspects, recordCrash } from "./workerCrashes.js";
 import {
+    allLeasesEndAtMs,
     createRun,
     createWorkerRecord,
     markUnresponsive,
@@ -23,8 +24,11 @@
 /** What the store holds of an unresponsive worker. */
 export interface WorkerSnapshot {
     entry: WorkerEntry;
-    /** Task names, run ids, and the runs' ages in milliseconds when the worker was last in touch; missing ages are unknown. */
-    runs: (readonly [string, number, number?])[];
+    /**
+     * Task names, run ids, the runs' ages in milliseconds when the worker was last in touch, and whether it had listed them. Missing ages are unknown; a run that it
+     * had not listed may run on a later incarnation.
+     */
+    runs: (readonly [string, number, number?, boolean?])[];
     /** How long after the snapshot was taken the leases of the runs may last; no lease is extended until the snapshot is removed. */
     leaseLeftMs: number;
 }
@@ -43,13 +47,14 @@
 
 function createSnapshot(worker: WorkerRecord, nowMs: number): WorkerSnapshot {
     const sent = [...worker.runs.values()].filter(run => run.phase !== runPhases.planned);
+    const isAllListed = sent.every(run => run.isStartConfirmed);
     // An end of the worker that was ordered must not count as a crash under the next owner either.
     const ageMs = (run: Run): number | undefined =>
         worker.isVmStopping ? undefined : Math.max(0, Math.round(ageAtLastContactMs(worker, run)));
     return {
         entry: worker.entry,
-        runs: sent.map(run => [run.taskName, run.runId, ageMs(run)] as const),
-        leaseLeftMs: Math.max(0, Math.ceil(worker.leaseEndsAtMs - nowMs)),
+        runs: sent.map(run => [run.taskName, run.runId, ageMs(run), run.isStartConfirmed] as const),
+        leaseLeftMs: Math.max(0, Math.ceil((isAllListed ? worker.leaseEndsAtMs : allLeasesEndAtMs(worker)) - nowMs)),
     };
 }
 
@@ -92,7 +97,7 @@
 
 /** The runs of a snapshot that may have been running when the worker was last in touch, and the steps that still need them. */
 function snapshotRuns(state: SchedulerState, snapshot: WorkerSnapshot, lastContactAtMs: number): { run: Run; step: StepRecord }[] {
-    return snapshot.runs.flatMap(([taskName, runId, ageMs]) => {
+    return snapshot.runs.flatMap(([taskName, runId, ageMs, isListed = true]) => {
         const task = parseTaskName(taskName);
         const step = task && findStep(state, task);
         const job = task && state.jobs.get(task.jobId);
@@ -105,10 +110,11 @@
                 runNeeds(job, step, task.taskIndex),
                 lastContactAtMs,
             ),
+            sentToBornWallMs: snapshot.entry.bornWallMs,
             startedAtMs: lastContactAtMs - (ageMs ?? Number.POSITIVE_INFINITY),
             phase: runPhases.running,
             isPresumed: true,
-            isStartConfirmed: true,
+            isStartConfirmed: isListed,
             respondedAtMs: lastContactAtMs,
         };
         return [{ run, step }];
@@ -124,6 +130,7 @@
     nowMs: number,
 ): void {
     worker.leaseEndsAtMs = receivedAtMs + snapshot.leaseLeftMs;
+    worker.strayLeasesEndAtMs = worker.leaseEndsAtMs;
     worker.snapshotState = snapshotStates.written;
     worker.unresponsiveSinceMs = nowMs;
     worker.lastContactAtMs = nowMs;
--- a/src/scheduling/workerEnds.ts
+++ b/src/scheduling/workerEnds.ts
@@ -1,4 +1,5 @@
 /** What follows when a worker has ended or restarted, or its leases have ended: its runs are lost. */
+import { strayLeasesEndMs } from "./leases.js";
 import type { Moment } from "./reconcileListing.js";
 import { applyEnd, commandKinds, detachRun, runEnds, type SchedulerState } from "./schedulerState.js";
 import { crashSuspects, recordCrash } from "./workerCrashes.js";
@@ -17,7 +18,8 @@
     recordCrash(state, suspects, reason, moment);
 }
 
-function markLost(state: SchedulerState, runs: readonly Run[], reason: string, moment: Moment): void {
+/** Marks the runs as lost: they have certainly ended, and no end of theirs will be listed. */
+export function markLost(state: SchedulerState, runs: readonly Run[], reason: string, moment: Moment): void {
     for (const run of runs) {
         const { jobId, taskName, runId, workerId, phase } = run;
         const detail = `phase ${phase}, ${run.isStartConfirmed ? "listed" : "not listed yet"}`;
@@ -30,7 +32,10 @@
     recordCrash(state, suspects, `the worker had restarted; ${reason}`, moment);
 }
 
-/** Resets the record of a worker that has restarted. */
+/**
+ * Resets the record of a worker that has restarted. Until the new incarnation has listed its runs, commands that were meant for the former one may take effect on it,
+ * so nothing is known of its runs and leases.
+ */
 export function beginIncarnation(state: SchedulerState, worker: WorkerRecord, bornWallMs: number, moment: Moment): void {
     const runs = [...worker.runs.values()];
     const suspects = crashSuspects(worker, runs, moment.nowMs);
@@ -48,6 +53,13 @@
         `${lost.length} runs lost, ${runs.length - lost.length} may run on it`;
     state.onDecision({ what: "worker restarted", workerId: worker.entry.workerId, detail });
     worker.entry = { ...worker.entry, bornWallMs };
+    worker.formerIncarnationsCount += 1;
+    worker.hasListed = false;
+    worker.isIncarnationDoubted = false;
+    worker.isRunStateKnown = false;
+    worker.strayLeasesEndAtMs = strayLeasesEndMs(moment.nowMs, state.maxGrantedLeaseMs);
+    worker.lastResponseAtMs = undefined;
+    worker.fencedSinceMs = undefined;
     worker.lastContactAtMs = undefined;
     worker.disconnectedAtMs = undefined;
     worker.addressTakenAtMs = undefined;
--- a/src/scheduling/workerLifecycle.ts
+++ b/src/scheduling/workerLifecycle.ts
@@ -1,18 +1,31 @@
 /** Adds, drains and removes workers, and bounds how long their runs may keep their leases. */
+import { formerOwnersUnawareUntilMs, strayLeasesEndMs } from "./leases.js";
 import { forgetWorker } from "./plannedStarts.js";
 import type { Moment } from "./reconcileListing.js";
 import { commandKinds, type SchedulerState, stopRun } from "./schedulerState.js";
 import { snapshotStates } from "./unresponsiveWorkers.js";
 import { crashSuspects, recordCrash } from "./workerCrashes.js";
-import { markRunsLost } from "./workerEnds.js";
-import { createWorkerRecord, runPhases, type WorkerEntry, type WorkerIncarnation, type WorkerRecord } from "./workerRecord.js";
+import { markLost, markRunsLost } from "./workerEnds.js";
+import {
+    allLeasesEndAtMs,
+    createWorkerRecord,
+    runPhases,
+    type WorkerEntry,
+    type WorkerIncarnation,
+    type WorkerRecord,
+} from "./workerRecord.js";
 
 /** A worker that comes to an address later than this says nothing about how the earlier one there ended. */
 const maxDepartureAgeMs = 600_000;
 
 /** Adds a worker that may hold runs of an earlier owner until it has responded or their leases have ended. */
-export function addWorker(state: SchedulerState, entry: WorkerEntry, moment: Moment): WorkerRecord {
-    const worker = createWorkerRecord(entry, state.term.unknownWorkersUntilMs);
+export function addWorker(state: SchedulerState, entry: WorkerEntry, moment: Moment, seenAtMs = moment.nowMs): WorkerRecord {
+    const { unknownWorkersUntilMs, formerOwnersEndAtMs } = state.term;
+    const worker = createWorkerRecord(entry, unknownWorkersUntilMs);
+    if (formerOwnersEndAtMs !== undefined) {
+        const unawareUntilMs = formerOwnersUnawareUntilMs(formerOwnersEndAtMs, seenAtMs, entry.bornWallMs, moment);
+        worker.strayLeasesEndAtMs = strayLeasesEndMs(unawareUntilMs, state.maxGrantedLeaseMs);
+    }
     state.workers.set(entry.workerId, worker);
     state.onDecision({ what: "worker joined", workerId: entry.workerId, detail: `${entry.poolName} ${entry.rack} ${entry.address}` });
     explainDeparture(state, entry, moment);
@@ -76,12 +89,17 @@
 /** Gives up the runs of workers whose leases have certainly ended, and removes such workers if the store has no entry for them. */
 export function expireLeases(state: SchedulerState, moment: Moment): void {
     for (const worker of state.workers.values()) {
-        if (moment.nowMs <= worker.leaseEndsAtMs && !worker.hasEnded) {
+        const haveAllEnded = worker.hasEnded || moment.nowMs > allLeasesEndAtMs(worker);
+        if (!haveAllEnded && moment.nowMs <= worker.leaseEndsAtMs) {
             continue;
         }
-        if (worker.runs.size > 0) {
-            worker.unexplainedRuns.push(...crashSuspects(worker, worker.runs.values(), moment.nowMs));
-            markRunsLost(state, worker, "its lease has ended", moment);
+        const lost = [...worker.runs.values()].filter(run => haveAllEnded || run.isStartConfirmed);
+        if (lost.length > 0) {
+            worker.unexplainedRuns.push(...crashSuspects(worker, lost, moment.nowMs));
+            markLost(state, lost, "its lease has ended", moment);
+        }
+        if (!haveAllEnded && (worker.runs.size > 0 || !worker.isRunStateKnown)) {
+            continue;
         }
         worker.isRunStateKnown = true;
         if (!worker.isRegistered && worker.snapshotState !== snapshotStates.changing) {
--- a/src/scheduling/workerRecord.ts
+++ b/src/scheduling/workerRecord.ts
@@ -1,7 +1,7 @@
 /** The scheduler's state of one worker: its resources, its runs, and which of its reported ends are stored. */
 import { type Suspicion, suspicions } from "./crashCounts.js";
 import type { CrashSuspect } from "./crashSuspect.js";
-import { addResources, fitsInto, noResources, type Resources } from "./jobTypes.js";
+import { addResources, type Resources } from "./jobTypes.js";
 
 /** A worker's entry in the store. */
 export interface WorkerEntry {
@@ -54,6 +54,8 @@
     reserved: Resources;
     /** Whether the run may take anything up to the whole worker, because its job is not known. */
     isSizeUnknown: boolean;
+    /** The incarnation of the worker that the start was meant for; `undefined` before it is sent. */
+    sentToBornWallMs: number | undefined;
     /** When the start was sent; long ago for a run whose age is unknown, because an earlier owner started it. */
     startedAtMs: number;
     /** What the crashes under earlier runs of the task say about it. */
@@ -97,6 +99,15 @@
     isRegistered: boolean;
     /** Whether the entry was removed while the worker responded, as one does that leaves in order. */
     hasLeft: boolean;
+    /** Number of earlier incarnations that this owner has known; part of the fencing token of commands to this one. */
+    formerIncarnationsCount: number;
+    /**
+     * Whether this incarnation has listed its runs in response to a command with its own fencing token. Since then, it refuses all commands that were sent to
+     * earlier incarnations, or by earlier owners.
+     */
+    hasListed: boolean;
+    /** Whether a response with another clock has come from the worker's address since the last listing: it may have restarted. */
+    isIncarnationDoubted: boolean;
     /** Whether the runs on the worker are known, usually because it has responded to this owner, which fences earlier ones. */
     isRunStateKnown: boolean;
     used: Resources;
@@ -128,8 +139,13 @@
      * has responded only since then may obey this process although a newer owner has contacted its previous incarnation.
      */
     hasRespondedToProvenOwner: boolean;
-    /** After this time, all runs on the worker have lost their leases, unless it responds in the meantime. */
+    /** After this time, all listed runs on the worker have lost their leases, unless it responds in the meantime. */
     leaseEndsAtMs: number;
+    /**
+     * After this time, runs that no listing has shown have lost their leases too: an incarnation may have granted them by commands that were meant for another
+     * one.
+     */
+    strayLeasesEndAtMs: number;
     /** Until this time, no run on this incarnation can have lost its lease: the worker has confirmed it. */
     leaseHeldUntilMs: number;
     /** Jobs with a failed run on this worker since a run last succeeded here. */
@@ -155,6 +171,9 @@
         entry,
         isRegistered: true,
         hasLeft: false,
+        formerIncarnationsCount: 0,
+        hasListed: false,
+        isIncarnationDoubted: false,
         isRunStateKnown: false,
         used: { cpuMillicores: 0, memoryMb: 0, accelerators: 0 },
         unknownSizeCount: 0,
@@ -172,6 +191,7 @@
         fencedSinceMs: undefined,
         hasRespondedToProvenOwner: false,
         leaseEndsAtMs,
+        strayLeasesEndAtMs: Number.NEGATIVE_INFINITY,
         leaseHeldUntilMs: Number.NEGATIVE_INFINITY,
         failedJobIds: new Set(),
         avoidedUntilMs: 0,
@@ -211,6 +231,7 @@
         reserved: needs.reserved,
         isSizeUnknown: needs.isSizeUnknown,
         phase: runPhases.planned,
+        sentToBornWallMs: undefined,
         startedAtMs: nowMs,
         suspicion: needs.suspicion,
         recordedVersion: undefined,
@@ -255,21 +276,14 @@
     }
 }
 
-/** What the worker has left. It is below zero where its runs take more than its capacity, which may shrink at any time. */
-export function freeResources({ entry: { capacity }, used, unknownSizeCount }: WorkerRecord): Resources {
-    if (unknownSizeCount > 0) {
-        return { cpuMillicores: -1, memoryMb: -1, accelerators: -1 };
-    }
-    return {
-        cpuMillicores: capacity.cpuMillicores - used.cpuMillicores,
-        memoryMb: capacity.memoryMb - used.memoryMb,
-        accelerators: capacity.accelerators - used.accelerators,
-    };
+/** Whether the start was meant for a former incarnation of the worker; it may have begun on this one all the same. */
+export function isOfFormerIncarnation({ entry }: WorkerRecord, run: Run): boolean {
+    return run.sentToBornWallMs !== undefined && run.sentToBornWallMs < entry.bornWallMs;
 }
 
-/** Whether the worker's runs, planned ones included, take more than its capacity. */
-export function isOvercommitted(worker: WorkerRecord): boolean {
-    return !fitsInto(noResources, freeResources(worker));
+/** When no run on the worker can have a lease any more, whether or not a listing has shown it. */
+export function allLeasesEndAtMs({ leaseEndsAtMs, strayLeasesEndAtMs }: WorkerRecord): number {
+    return Math.max(leaseEndsAtMs, strayLeasesEndAtMs);
 }
 
 /** The highest end number up to which every end is stored. */
--- a/tests/process/fleetSimulation.ts
+++ b/tests/process/fleetSimulation.ts
@@ -76,6 +76,7 @@
         policy: load.policy,
         term: { token: 1, unknownWorkersUntilMs: 0 },
         workerLeaseMs,
+        maxWorkerLeaseMs: workerLeaseMs,
         taskStopMs: 900,
         onDecision: decision => {
             if (decision.what === "job completed") {
--- a/tests/process/oddDocuments.spec.ts
+++ b/tests/process/oddDocuments.spec.ts
@@ -99,6 +99,7 @@
                     policy: modelPolicy,
                     term: { token: 1, unknownWorkersUntilMs: 0 },
                     workerLeaseMs: 1,
+                    maxWorkerLeaseMs: 1,
                     taskStopMs: 1,
                     onDecision: () => undefined,
                 });
--- a/tests/process/sessionDefaults.ts
+++ b/tests/process/sessionDefaults.ts
@@ -7,6 +7,7 @@
 /** What most of them leave alone: a process that is in time, owns the scheduling, and meets no failure. */
 export const sessionDefaults = {
     workerId: "w1",
+    bornWallMs: 0,
     leaseMs: 6_000,
     maySendOrders: () => true,
     latenessMs: () => 0,
--- a/tests/scheduling/crashIsolation.spec.ts
+++ b/tests/scheduling/crashIsolation.spec.ts
@@ -4,7 +4,7 @@
 import { commandOutcomes } from "../../src/scheduling/commandOutcomes.js";
 import type { JobProgress } from "../../src/scheduling/jobDocuments.js";
 import { commandKinds, type Decision } from "../../src/scheduling/schedulerState.js";
-import type { Run } from "../../src/scheduling/workerRecord.js";
+import { isOfFormerIncarnation, type Run } from "../../src/scheduling/workerRecord.js";
 import { createSchedulerHarness, type SchedulerHarness } from "./schedulerHarness.js";
 
 const workerRestartMs = 1_000;
@@ -21,10 +21,14 @@
     return harness;
 }
 
-/** All workers list what was started on them. */
+/** All workers list what their present incarnations have started. */
 function listAll(harness: SchedulerHarness): void {
-    for (const { entry, runs } of [...harness.scheduler.state.workers.values()].filter(worker => worker.isRegistered)) {
-        const running = [...runs.values()].map(({ taskName, runId }) => ({ taskName, runId }));
+    for (const worker of [...harness.scheduler.state.workers.values()].filter(each => each.isRegistered)) {
+        const { entry, runs } = worker;
+        const running = [...runs.values()].filter(run => !isOfFormerIncarnation(worker, run)).map(({ taskName, runId }) => ({
+            taskName,
+            runId,
+        }));
         harness.extendLease(entry.workerId);
         harness.list(entry.workerId, { running, sentAtMs: harness.nowMs() });
     }
--- a/tests/scheduling/restartedWorkers.spec.ts
+++ b/tests/scheduling/restartedWorkers.spec.ts
@@ -2,11 +2,16 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { commandOutcomes } from "../../src/scheduling/commandOutcomes.js";
-import { createSchedulerHarness, type SchedulerHarness } from "./schedulerHarness.js";
+import { commandKinds, type SchedulerCommand } from "../../src/scheduling/schedulerState.js";
+import { createSchedulerHarness, type SchedulerHarness, workerLeaseMs } from "./schedulerHarness.js";
+
+const maxWorkerLeaseMs = 10_000;
+/** More than the allowances for slow clocks. */
+const slackMs = 500;
 
 /** A pool of two workers that have listed their runs, of which the first starts the only task. */
 function createPool(): SchedulerHarness {
-    const harness = createSchedulerHarness({ workers: 2 });
+    const harness = createSchedulerHarness({ workers: 2, maxWorkerLeaseMs });
     harness.list("w1", { sentAtMs: 0 });
     harness.submit("job", { taskCount: 1, isLongRunning: true });
     harness.list("w2", { sentAtMs: 0 });
@@ -24,6 +29,32 @@
         assert.deepEqual(harness.startedTasks(), ["job.0.0.0"]);
     });
 
+    it("should get commands with a higher fencing token than before, and the next term's should be higher still", () => {
+        const { scheduler, restartWorker } = createSchedulerHarness({ workers: 1, token: 10 });
+        const tokens = [scheduler.commandToken("w1")];
+        restartWorker("w1");
+        tokens.push(scheduler.commandToken("w1"));
+        restartWorker("w1");
+        tokens.push(scheduler.commandToken("w1"));
+        scheduler.renewTerm(11);
+        tokens.push(scheduler.commandToken("w1"));
+        assert.deepEqual(tokens, [...tokens].sort((a, b) => a - b));
+        assert.equal(new Set(tokens).size, tokens.length);
+    });
+
+    it("should keep a run that it may have accepted by another clock until the longest lease that it grants has ended", () => {
+        const harness = createPool();
+        harness.answerStarts(commandOutcomes.accepted);
+        harness.restartWorker("w1");
+        harness.scheduler.workerUnresponsive("w1", harness.nowMs());
+        harness.advance(maxWorkerLeaseMs);
+        assert.equal(harness.startedTasks().length, 1);
+        harness.list("w2", {});
+        harness.advance(slackMs);
+        harness.list("w2", {});
+        assert.equal(harness.startedTasks().length, 2);
+    });
+
     it("should lose at once what its former incarnation had listed", () => {
         const harness = createPool();
         harness.answerStarts(commandOutcomes.accepted);
@@ -48,3 +79,71 @@
         assert.equal(harness.scheduler.state.workers.get("w1")!.entry.bornWallMs, 1);
     });
 });
+
+describe("a worker whose response shows another clock", () => {
+    it("should get no start before it has listed its runs again", () => {
+        const harness = createSchedulerHarness({ workers: 1 });
+        harness.list("w1", {});
+        harness.scheduler.incarnationDoubted("w1", harness.nowMs());
+        harness.submit("job", { taskCount: 1 });
+        assert.deepEqual(harness.startedTasks(), []);
+        assert.ok(harness.scheduler.takeCommands().every(({ kind }) => kind === commandKinds.list));
+        harness.list("w1", {});
+        assert.deepEqual(harness.startedTasks(), ["job.0.0.0"]);
+    });
+
+    it("should keep the runs that it has not listed until the longest lease that it grants has ended", () => {
+        const harness = createPool();
+        harness.answerStarts(commandOutcomes.accepted);
+        harness.scheduler.incarnationDoubted("w1", harness.nowMs());
+        harness.scheduler.workerUnresponsive("w1", harness.nowMs());
+        harness.advance(maxWorkerLeaseMs);
+        harness.list("w2", {});
+        assert.equal(harness.startedTasks().length, 1);
+    });
+});
+
+describe("the snapshot of a worker that has restarted", () => {
+    it("should tell the next owner which runs no listing has shown, so that it keeps them if the worker restarts again", () => {
+        const harness = createPool();
+        harness.answerStarts(commandOutcomes.accepted);
+        harness.scheduler.workerUnresponsive("w1", harness.nowMs());
+        harness.advance(10);
+        const isSnapshot = (command: SchedulerCommand): boolean => command.kind === commandKinds.writeSnapshot;
+        const snapshot = harness.sent().find(isSnapshot);
+        assert.ok(snapshot?.kind === commandKinds.writeSnapshot);
+        const next = createSchedulerHarness({ workers: 2, token: 20, maxWorkerLeaseMs });
+        next.submit("job", { taskCount: 1, isLongRunning: true, formerWorkerIds: ["w1"] });
+        next.restoreSnapshot("w1", snapshot.snapshot.runs, snapshot.snapshot.leaseLeftMs);
+        next.restartWorker("w1");
+        next.list("w2", {});
+        assert.deepEqual(next.startedTasks(), []);
+        next.list("w1", {});
+        assert.deepEqual(next.startedTasks(), ["job.0.0.0"]);
+    });
+});
+
+describe("an owner that follows another one", () => {
+    /** How long the task of the former owner waits for a worker that does not respond, after the former owners have ended. */
+    const waitMs = (bornWallMs: number, seenAtMs: number): number => {
+        const nowMs = 60_000;
+        const harness = createSchedulerHarness({ workers: 1, maxWorkerLeaseMs, formerOwnersEndAtMs: nowMs, nowMs });
+        const [worker] = harness.scheduler.state.workers.values();
+        harness.scheduler.registerWorker({ ...worker!.entry, workerId: "silent", bornWallMs }, { nowMs, wallMs: nowMs }, seenAtMs);
+        harness.submit("job", { taskCount: 1, formerWorkerIds: ["silent"] });
+        for (; harness.startedTasks().length === 0; harness.advance(100)) {
+            harness.list("w1", {});
+        }
+        return harness.nowMs() - nowMs;
+    };
+
+    it("should wait for the longest lease that workers grant if a worker has just restarted, since the former owner may not have known", () => {
+        assert.ok(waitMs(59_000, 59_000) >= maxWorkerLeaseMs);
+    });
+
+    it("should wait for no longer than what was asked for if the worker started long ago", () => {
+        const longestMs = workerLeaseMs + 2 * slackMs;
+        assert.ok(waitMs(10_000, 11_000) <= longestMs);
+        assert.ok(waitMs(10_000, 60_000) <= longestMs, "an owner that has started itself goes by the start of the worker");
+    });
+});
--- a/tests/scheduling/schedulerHarness.ts
+++ b/tests/scheduling/schedulerHarness.ts
@@ -10,7 +10,7 @@
     type StepSpec,
     type TeamPolicy,
 } from "../../src/scheduling/jobTypes.js";
-import { maxLeaseMs } from "../../src/scheduling/leases.js";
+import { formerLeasesEndMs, maxLeaseMs } from "../../src/scheduling/leases.js";
 import type { Moment } from "../../src/scheduling/reconcileListing.js";
 import { createScheduler, type Scheduler } from "../../src/scheduling/scheduler.js";
 import { commandKinds, type Decision, type RunEnd, type SchedulerCommand } from "../../src/scheduling/schedulerState.js";
@@ -23,6 +23,11 @@
     cpuMillicores?: number;
     token?: number;
     teams?: readonly TeamPolicy[];
+    /** Longest lease that workers grant, if that is more than what is asked for. */
+    maxWorkerLeaseMs?: number;
+    /** When the earlier owners have ended, if there were any; and the time at the beginning. */
+    formerOwnersEndAtMs?: number;
+    nowMs?: number;
     /** Progress is saved only by `saveAll`; otherwise also whenever a start waits for it. */
     isSavedManually?: boolean;
     onDecision?(decision: Decision): void;
@@ -72,6 +77,8 @@
     /** Names of the started tasks, in order. */
     startedTasks(): string[];
     commands(kind: "start" | "stop" | "pace"): Run[];
+    /** All commands so far. */
+    sent(): readonly SchedulerCommand[];
 }
 
 export const workerLeaseMs = 6_000;
@@ -83,12 +90,19 @@
         ...modelPolicy,
         teams: new Map((options.teams ?? []).map(team => [team.name, team])),
     };
-    let nowMs = 0;
+    let nowMs = options.nowMs ?? 0;
     const now = (): Moment => ({ nowMs, wallMs: nowMs });
     const scheduler = createScheduler({
         policy,
-        term: { token, unknownWorkersUntilMs: 10_000 },
+        term: {
+            token,
+            unknownWorkersUntilMs: options.formerOwnersEndAtMs === undefined ?
+                10_000 :
+                formerLeasesEndMs(options.formerOwnersEndAtMs, workerLeaseMs),
+            formerOwnersEndAtMs: options.formerOwnersEndAtMs,
+        },
         workerLeaseMs,
+        maxWorkerLeaseMs: options.maxWorkerLeaseMs ?? workerLeaseMs,
         taskStopMs,
         onDecision: options.onDecision ?? (() => undefined),
     });
@@ -215,6 +229,7 @@
                 now(),
             ),
         startedTasks: () => sentCommands.flatMap(command => command.kind === commandKinds.start ? [command.run.taskName] : []),
+        sent: () => sentCommands,
         commands: kind => sentCommands.flatMap(command => command.kind === kind && "run" in command ? [command.run] : []),
     };
 }
--- a/tests/scheduling/schedulingModel.ts
+++ b/tests/scheduling/schedulingModel.ts
@@ -104,7 +104,8 @@
         for (const command of owner.scheduler.takeCommands()) {
             changeSnapshot(owner, command);
             if (maySendCommands && (command.kind === commandKinds.start || command.kind === commandKinds.stop)) {
-                pendingCommands.push({ owner: index, token: owner.token, command, sentAtMs: nowMs, isLate: false });
+                const token = owner.scheduler.commandToken(command.run.workerId);
+                pendingCommands.push({ owner: index, token, command, sentAtMs: nowMs, isLate: false });
             }
         }
     };
@@ -115,7 +116,7 @@
         const scheduler = createScheduler({
             policy: modelPolicy,
             term: { token, unknownWorkersUntilMs: nowMs + unknownForMs },
-            workerLeaseMs,
+            ...{ workerLeaseMs, maxWorkerLeaseMs: workerLeaseMs },
             taskStopMs: tickMs,
             onDecision: () => undefined,
         });
@@ -163,15 +164,15 @@
     const list = (index: number, workerId: string): void => {
         const owner = owners[index]!;
         const worker = workerOf(workerId);
-        if (owner.token < worker.highestToken) {
+        const token = owner.scheduler.commandToken(workerId);
+        if (token < worker.highestToken) {
             return;
         }
-        worker.highestToken = owner.token;
+        worker.highestToken = token;
         const record = owner.scheduler.state.workers.get(workerId);
         const acknowledged = faults.acknowledgesBeforeSaving ? record?.lastEndNumber ?? 0 : owner.scheduler.acknowledgedEndNumber(workerId);
-        for (const end of worker.ends.filter(each => each.endNumber <= acknowledged && each.end === runEnds.done)) {
-            acknowledgedDone.add(end.taskName);
-        }
+        const acknowledgedEnds = worker.ends.filter(each => each.endNumber <= acknowledged && each.end === runEnds.done);
+        acknowledgedEnds.forEach(end => acknowledgedDone.add(end.taskName));
         worker.ends = worker.ends.filter(end => end.endNumber > acknowledged);
         if (owner.scheduler.mayExtendLeases(workerId)) {
             owner.scheduler.leaseExtensionSent(workerId, workerLeaseMs, nowMs);
@@ -192,7 +193,6 @@
         owner.isProven = isProven;
         owner.scheduler.setOwnershipProven(isProven);
     };
-
     const tick = (): void => {
         nowMs += tickMs;
         for (const worker of workers) {
