--- a/tests/process/schedulingSimulation.ts
+++ b/tests/process/schedulingSimulation.ts
@@ -96,7 +96,7 @@
             policy,
             workerEntries: workers.map(entryOf),
             workerLeaseMs,
-            connectWorker: entry => connectWorker(workers.find(worker => worker.id === entry.workerId)!),
+            connectWorker: entry => connectWorker(workers.find(worker => worker.id === entry.workerId)!, nodeName),
             onUnreadable: (key, reason) => violations.push(`${key}: ${reason}`),
             onTermStarted: () => termsCount += 1,
         });
