Show that an owner acknowledges ends of a former life although the response to a start told of the restart

Cause: an acknowledgement of a former life makes the next one forget ends that nobody has seen.

Change: two more tests of restartedWorkers.spec: all that shows the restart is a start without a response, or the clock in the response to one.

--- a/tests/process/restartSimulation.ts
+++ b/tests/process/restartSimulation.ts
@@ -58,8 +58,8 @@
     cut(worker: ModelWorker, durationMs: number): void;
     /** Ends the process that owns the scheduling; another one starts on its node after a while. */
     killOwner(returnsAfterMs: number): void;
-    /** The next call of this kind to the worker gets no response, and is carried out after this time. */
-    hold(kind: CallKind, worker: ModelWorker, carriedOutAfterMs: number): void;
+    /** The next call of this kind to the worker gets no response, and is carried out after this time, if at all. */
+    hold(kind: CallKind, worker: ModelWorker, carriedOutAfterMs: number | undefined): void;
     /** How many of the held calls have been made. */
     heldCount(): number;
     /** How many commands were not carried out late because no owner could have prevented their effect. */
@@ -93,7 +93,7 @@
     const durationsMs = new Map<string, number>();
     const startedAtMs = new Map<string, number>();
     const startsByTask = new Map<string, number>();
-    const heldCalls: { kind: CallKind; worker: ModelWorker; carriedOutAfterMs: number }[] = [];
+    const heldCalls: { kind: CallKind; worker: ModelWorker; carriedOutAfterMs: number | undefined }[] = [];
     let heldCount = 0;
     let leftOutCount = 0;
     let termsCount = 0;
--- a/tests/process/restartedWorkers.spec.ts
+++ b/tests/process/restartedWorkers.spec.ts
@@ -157,6 +157,40 @@
         assertNoViolations(simulations);
     });
 
+    it("should not forget an end for an acknowledgement if all that shows the restart is a start without a response", async () => {
+        const simulations = await playPhases(async phaseMs => {
+            const simulation = createSimulation([3]);
+            const [restarted] = simulation.workers as [ModelWorker];
+            await acknowledgeEnds(simulation, restarted);
+            await simulation.run(phaseMs);
+            simulation.restart(restarted, { clockMs: behindMs, entryDelayMs: 3_000 });
+            await simulation.run(darkMs + 40);
+            simulation.submit("after", { durationMs: 200 });
+            await simulation.run(100);
+            simulation.hold(callKinds.start, restarted, undefined);
+            simulation.submit("later", { durationMs: 200 });
+            await simulation.run(8_000);
+            return simulation;
+        });
+        assertNoViolations(simulations);
+    });
+
+    it("should not forget an end for an acknowledgement if all that shows the restart is the clock in the response to a start", async () => {
+        const simulations = await playPhases(async phaseMs => {
+            const simulation = createSimulation([3]);
+            const [restarted] = simulation.workers as [ModelWorker];
+            await acknowledgeEnds(simulation, restarted);
+            await simulation.run(phaseMs);
+            simulation.restart(restarted, { clockMs: behindMs, entryDelayMs: 3_000 });
+            await simulation.run(darkMs + 40);
+            // Its end is overdue, and asked for, before the listing that is open since before the restart times out.
+            simulation.submit("after", { durationMs: 200, estimatedDurationMs: 200 });
+            await simulation.run(8_000);
+            return simulation;
+        });
+        assertNoViolations(simulations);
+    });
+
     it("should not carry out a start that was meant for a former life, once the owner has reached them", async () => {
         const simulation = createSimulation([1, 0]);
         const [restarted, other] = simulation.workers as [ModelWorker, ModelWorker];
