Take a worker for possibly restarted after any command without a response, and a listed run for one with a lease

After a start or a stop without a response, or a response by another clock, the next listing still acknowledged ends by numbers that may be of the former incarnation: now any silence has the next listing acknowledge nothing and extend nothing. And a run that a listing showed after its lease had been counted as ended was adopted, lost again in the same pass by the bound that had passed, and started a second time on the same worker while it ran: a listing that shows runs raises that bound.

--- a/src/process/workerSession.ts
+++ b/src/process/workerSession.ts
@@ -57,7 +57,8 @@
     /** When the last of the listings with a response was sent. */
     let answeredSentAtMs = Number.NEGATIVE_INFINITY;
     let isImmediateListOpen = false;
-    let wasLastListAccepted = false;
+    /** Whether a listing has shown this incarnation since the last command without a response: the worker may restart at any time. */
+    let isIncarnationConfirmed = false;
     let isListFailing = false;
 
     const worker = (): WorkerRecord | undefined => scheduler.state.workers.get(workerId);
@@ -74,6 +75,10 @@
     const currentOutcome = (outcome: CommandOutcome): CommandOutcome =>
         signal.aborted && outcome !== commandOutcomes.refused ? commandOutcomes.unknown : outcome;
 
+    const recordSilence = (outcome: CommandOutcome): void => {
+        isIncarnationConfirmed &&= outcome !== commandOutcomes.unknown;
+    };
+
     const handleListResponse = (answer: ListResponse, token: number, sentAtMs: number, extendedByMs: number | undefined): void => {
         if (signal.aborted) {
             return;
@@ -121,7 +126,7 @@
     const list = async (waitMs: number): Promise<{ outcome: CommandOutcome; hasNewEnds: boolean }> => {
         const sentAtMs = timers.nowMs();
         // The leases of an unresponsive worker are not extended, so that its runs can eventually be considered lost.
-        const clockMs = wasLastListAccepted && scheduler.mayExtendLeases(workerId) ? workerClockMs() : undefined;
+        const clockMs = isIncarnationConfirmed && scheduler.mayExtendLeases(workerId) ? workerClockMs() : undefined;
         if (clockMs !== undefined) {
             scheduler.leaseExtensionSent(workerId, options.leaseMs, sentAtMs);
         }
@@ -129,13 +134,13 @@
         try {
             const answer = await client.list({
                 token,
-                // After a listing without a response, the worker may have restarted: then this number would make it forget ends that nobody has seen.
-                acknowledgedEndNumber: wasLastListAccepted ? scheduler.acknowledgedEndNumber(workerId) : 0,
+                // If the worker has restarted, this number would make it forget ends that nobody has seen.
+                acknowledgedEndNumber: isIncarnationConfirmed ? scheduler.acknowledgedEndNumber(workerId) : 0,
                 leaseUntilClockMs: clockMs === undefined ? undefined : Math.round(clockMs + options.leaseMs),
                 waitMs,
             });
             if (answer.outcome === commandOutcomes.accepted || sentAtMs >= answeredSentAtMs) {
-                wasLastListAccepted = answer.outcome === commandOutcomes.accepted;
+                isIncarnationConfirmed = answer.outcome === commandOutcomes.accepted;
             }
             // By the worker's clock in the response, which was written after `sentAtMs`, however late it is read.
             const extendedByMs = clockMs === undefined || answer.clockMs === undefined ?
@@ -147,7 +152,7 @@
             return { outcome: answer.outcome, hasNewEnds: (worker()?.lastEndNumber ?? 0) > lastEndNumber };
         }
         catch (error) {
-            wasLastListAccepted = false;
+            isIncarnationConfirmed = false;
             handleListFailure(String(error));
             return { outcome: commandOutcomes.unknown, hasNewEnds: false };
         }
@@ -166,7 +171,7 @@
 
     const poll = (): Promise<CommandOutcome> => {
         const abandoned = new Promise<CommandOutcome>(resolve => abandonPoll = () => resolve(commandOutcomes.accepted));
-        const listed = list(wasLastListAccepted ? listingWaitMs(worker()?.runs.size ?? 0) : 0).then(({ outcome }) => outcome);
+        const listed = list(isIncarnationConfirmed ? listingWaitMs(worker()?.runs.size ?? 0) : 0).then(({ outcome }) => outcome);
         return Promise.race([listed, abandoned]);
     };
     const pollLoop = async (): Promise<void> => {
@@ -210,10 +215,11 @@
             const deviationMs = clock.deviationMs(answer.clockMs, { sentAtMs, readAtMs: timers.nowMs() });
             logClockDeviation(scheduler.state, deviationMs, { workerId, call: "start", run: targetRun });
             if (deviationMs !== 0 && isCurrent()) {
-                wasLastListAccepted = false;
+                isIncarnationConfirmed = false;
                 scheduler.incarnationDoubted(workerId, timers.nowMs());
             }
         }
+        recordSilence(answer.outcome);
         if (answer.isFenced && isCurrentToken(token)) {
             options.onFenced();
             return;
@@ -222,7 +228,7 @@
         scheduler.startResponseReceived(targetRun, currentOutcome(answer.outcome), answer.reason, moment());
         options.onSchedulerChanged();
     };
-    const stops = createWorkerStops({ ...options, signal, isCurrent, isCurrentToken, currentOutcome });
+    const stops = createWorkerStops({ ...options, signal, isCurrent, isCurrentToken, currentOutcome, recordSilence });
     const listImmediately = async (): Promise<void> => {
         if (!isImmediateListOpen && maySendOrders()) {
             isImmediateListOpen = true;
--- a/src/process/workerStops.ts
+++ b/src/process/workerStops.ts
@@ -22,6 +22,7 @@
     isCurrent(): boolean;
     isCurrentToken(token: number): boolean;
     currentOutcome(outcome: CommandOutcome): CommandOutcome;
+    recordSilence(outcome: CommandOutcome): void;
 }
 
 const retryDelayMs = 100;
@@ -45,6 +46,7 @@
             options.onFenced();
             return;
         }
+        options.recordSilence(answer.outcome);
         scheduler.setOwnershipProven(options.isLeaseValid());
         const outcome = options.currentOutcome(answer.outcome);
         if (outcome === commandOutcomes.otherWorker) {
--- a/src/scheduling/workerContact.ts
+++ b/src/scheduling/workerContact.ts
@@ -19,6 +19,10 @@
     if (extendedByMs !== undefined && listing.bornWallMs === bornWallMs) {
         holdLease(worker, sentAtMs + minLeaseMs(extendedByMs));
     }
+    if (worker.runs.size > 0 && worker.leaseEndsAtMs < moment.nowMs && worker.lastResponseAtMs === moment.nowMs) {
+        // What the worker lists has a lease, whatever was concluded before.
+        worker.leaseEndsAtMs = moment.nowMs + maxLeaseMs(state.maxGrantedLeaseMs);
+    }
     if (!wasRunStateKnown && worker.isRunStateKnown) {
         // From now on, only commands that are meant for this incarnation, and of this term, extend the leases.
         worker.leaseEndsAtMs = Math.max(
