--- a/tests/platform/documents.spec.ts
+++ b/tests/platform/documents.spec.ts
@@ -79,10 +79,14 @@
         service: "pool",
         address: "10.0.0.1:80",
         zone: "z",
+        version: "v1",
+        slots: 8,
         state: "ready",
+        coldRemainingMs: 900,
         capacity: { cpu: 16_000, memMb: 1 },
         labels: ["a", "r1"],
         born: 5,
+        seq: 4,
     };
 
     it("should decode pool, rack, start time and state", () => {
@@ -96,7 +100,20 @@
         ]);
     });
 
+    it("should decode an entry whose counts are 0 and left out", () => {
+        const text = JSON.stringify({ ...entry, coldRemainingMs: undefined, seq: undefined });
+        assert.ok("entry" in decodeWorkerEntry("w", text, nowWallMs));
+    });
+
     const foreign = [
+        ...["service", "address", "zone", "version", "slots", "state", "capacity", "labels", "born"].map(field => ({
+            title: `no ${field}`,
+            text: JSON.stringify({ ...entry, [field]: undefined }),
+        })),
+        ...["version", "slots", "coldRemainingMs", "labels", "seq"].map(field => ({
+            title: `${field} of another type`,
+            text: JSON.stringify({ ...entry, [field]: { value: 1 } }),
+        })),
         { title: "invalid JSON", text: "\u0000" },
         { title: "an unknown state", text: JSON.stringify({ ...entry, state: "resting" }) },
         { title: "a field of another type", text: JSON.stringify({ ...entry, capacity: "large" }) },
--- a/tests/platform/oddEntries.spec.ts
+++ b/tests/platform/oddEntries.spec.ts
@@ -57,6 +57,7 @@
     "invalid-utf8": Uint8Array.from([0xff, 0xfe, 0x00, 0xc3, 0x28]),
     "lone-surrogate": '{"service":"\\ud800"}',
     "empty": "",
+    "without-fields": JSON.stringify({ ...usable, address, version: undefined, slots: undefined, labels: undefined, seq: undefined }),
     "one-megabyte": JSON.stringify({ ...usable, address, labels: Array.from({ length: 100_000 }, () => "0123456") }),
 };
 
@@ -190,7 +191,7 @@
         const [workerId] = startsOf("000000000000000c");
         const worker = workers.get(workerId!)!;
         for (let seq = 0; seq < 16; seq++) {
-            await putUsable(workerId!, { born: 9e15, seq });
+            await putUsable(workerId!, seq % 2 === 0 ? { born: 9e15, seq } : { born: Date.now(), version: undefined, slots: undefined });
             await delay(createTimerService(), 500);
         }
         assert.deepEqual(startsOf("000000000000000c"), [workerId]);
--- a/tests/process/oddDocuments.spec.ts
+++ b/tests/process/oddDocuments.spec.ts
@@ -26,9 +26,13 @@
     service: "pool",
     address: "10.0.0.1:80",
     zone: "zone",
+    version: "v1",
+    slots: 8,
     state: "ready",
+    coldRemainingMs: 0,
     capacity: { cpu: 16_000, memMb: 64_000 },
     labels: ["kind", "rack"],
+    seq: 1,
     born: nowWallMs - 1_000,
 };
 const submission = { ...modelSubmission, repeat: { firstDueWallMs: 0, intervalMs: 1_000, count: 2 } };
