Store the start of a suspected task anew if its worker restarts before it is sent

The store holds the life of the worker for which such a start was planned. A worker that restarted between the plan and the start got the start in its next life, while the store still named the former one, so that the next owner counted a crash for a run that goes on; with two crashes before, the job was given up. The start is now recorded again for the life that gets it, before it is sent.

--- a/src/scheduling/suspectStarts.ts
+++ b/src/scheduling/suspectStarts.ts
@@ -13,12 +13,21 @@
 import { recordCrash } from "./workerCrashes.js";
 import { createRun, type Run, runPhases, type WorkerRecord } from "./workerRecord.js";
 
-/** Adds a planned start to the job's progress, if the next crash may give up its task. */
+/**
+ * Adds a planned start to the job's progress, if the next crash may give up its task; again if the worker has restarted since, or the next
+ * owner would take the life that gets the start for one that crashed under it.
+ */
 export function recordSuspectStart(state: SchedulerState, job: JobRecord, step: StepRecord, run: Run): void {
     const worker = state.workers.get(run.workerId);
-    if (worker && run.suspicion === suspicions.nextCrashMayBeLast && run.recordedVersion === undefined) {
-        const { workerId, bornWallMs } = worker.entry;
-        taskProgress(step, run.taskIndex).suspectStart = { runId: run.runId, workerId, bornWallMs };
+    if (!worker || run.suspicion !== suspicions.nextCrashMayBeLast) {
+        return;
+    }
+    const progress = taskProgress(step, run.taskIndex);
+    const { workerId, bornWallMs } = worker.entry;
+    const recorded = progress.suspectStart;
+    const isOfFormerLife = recorded?.runId === run.runId && recorded.bornWallMs !== bornWallMs;
+    if (run.recordedVersion === undefined || isOfFormerLife) {
+        progress.suspectStart = { runId: run.runId, workerId, bornWallMs };
         markChanged(state, job);
         run.recordedVersion = job.version;
     }
--- a/tests/scheduling/suspectStarts.spec.ts
+++ b/tests/scheduling/suspectStarts.spec.ts
@@ -3,6 +3,7 @@
 import { describe, it } from "node:test";
 import { commandOutcomes } from "../../src/scheduling/commandOutcomes.js";
 import type { JobProgress } from "../../src/scheduling/jobDocuments.js";
+import { progressOf } from "../../src/scheduling/jobRecord.js";
 import { commandKinds } from "../../src/scheduling/schedulerState.js";
 import { countedCrashes, jobState } from "./crashPool.js";
 import { createSchedulerHarness, type SchedulerHarness } from "./schedulerHarness.js";
@@ -92,6 +93,25 @@
         }
     });
 
+    it("should be stored anew if its worker restarts before it is sent, and not count as a crash of the worker's new life", () => {
+        const harness = createSchedulerHarness({ workers: 1, token: 10, isSavedManually: true });
+        harness.submit("job", { progress });
+        harness.list("w1", { sentAtMs: 0 });
+        harness.restartWorker("w1");
+        harness.saveAll();
+        harness.saveAll();
+        assert.deepEqual(harness.startedTasks(), ["job.0.0.0"]);
+        const { bornWallMs } = harness.scheduler.state.workers.get("w1")!.entry;
+        const stored = progressOf(harness.scheduler.state.jobs.get("job")!);
+
+        const next = createSchedulerHarness({ workers: 1, token: 20 });
+        next.submit("job", { progress: JSON.parse(JSON.stringify(stored)) as JobProgress });
+        next.updateEntry("w1", { bornWallMs });
+        next.scheduler.restoreSuspectStarts({ nowMs: 0, wallMs: 0 });
+        assert.equal(countedCrashes(next), 2);
+        assert.equal(jobState(next), "running");
+    });
+
     it("should not be sent while the store takes no writes, and not be planned again and again", () => {
         const harness = createSchedulerHarness({ workers: 1, isSavedManually: true });
         harness.submit("job", { progress });
