Take another lease for key claims once the store does not accept a claim

A gateway's claims of 10 minutes share a lease. A store that was restored to a state from before the lease does not know it, so that each claim was refused for up to 10 minutes. A claim that fails now drops the lease; its next attempt takes another one.

Before, npm test -- process/keyClaims (new): should be made under another lease once the store has lost the shared one: actual { isOwnerKnown: false, reason: 'the claim could not be written' }, expected { isOwnerKnown: true, ownerId: 'own' } After: 1 passed.

--- a/src/process/keyClaims.ts
+++ b/src/process/keyClaims.ts
@@ -87,6 +87,8 @@
         const guards = claims.map(claim => ({ key: claim.key, expectedRevision: 0 }));
         const swapped = await store.swap(guards, claims.map(claim => ({ key: claim.key, value, leaseId })));
         if (swapped.err) {
+            // A store that was restored may not know the lease.
+            lease = undefined;
             // The claims may have been written although the response was lost, so the store is read.
             return resolveFromStore(claims);
         }
