Keep a late answer to a read from bringing back a deleted key in the mirror

A read of a job's progress that is answered late could be learned after the feed had shown the key's deletion: the entry came back and stayed, and a job submitted again under the id was shown in the state of the former one. A change up to the revision that the feed has reached is not learned any more; the feed has shown what became of it.

Before, npm test -- platform/storeMirror: should not learn a value that the feed has shown to be deleted since: actual 'first', expected undefined After: 9 passed.

--- a/src/process/storeMirror.ts
+++ b/src/process/storeMirror.ts
@@ -93,6 +93,11 @@
         values: prefix => [...entries].filter(([key]) => key.startsWith(prefix)).map(([key, each]) => ({ key, ...each })),
         valueOf: key => entries.get(key)?.value,
         revisionOf: key => entries.get(key)?.revision ?? 0,
-        learn: apply,
+        learn: change => {
+            // The feed has shown what has become of an earlier one, which may be deleted by now.
+            if (change.revision > revision) {
+                apply(change);
+            }
+        },
     };
 }
--- a/tests/platform/storeMirror.spec.ts
+++ b/tests/platform/storeMirror.spec.ts
@@ -76,6 +76,23 @@
         following.abort();
     });
 
+    // Guards against a late answer to a read that brings back a key, with the state of a former job under its id.
+    it("should not learn a value that the feed has shown to be deleted since", async () => {
+        const following = new AbortController();
+        const learned: (string | undefined)[] = [];
+        const mirror = fixture.openMirror("d/", following.signal, { onChange: ({ value }) => void learned.push(value) });
+        await put("d/1", "first");
+        await waitUntil("the value is visible", () => mirror.valueOf("d/1") === "first");
+        const read = (await store.read("d/1")).unwrap()!;
+        (await store.swap([], [{ key: "d/1", value: undefined }])).unwrap();
+        await waitUntil("the deletion is visible", () => mirror.valueOf("d/1") === undefined);
+        mirror.learn(read);
+        assert.equal(mirror.valueOf("d/1"), undefined);
+        assert.equal(mirror.revisionOf("d/1"), 0);
+        assert.deepEqual(learned, ["first", undefined]);
+        following.abort();
+    });
+
     it("should tell that it is confirmed without any change too", async () => {
         const following = new AbortController();
         let confirmedCount = 0;
