Keep a cordoned VM's next worker from getting new runs

The cordon of a VM was a flag of the worker that was on it when the cordon began. Where another worker followed on that VM, it got new runs, though a move had been ordered that may still be carried out and ends them, or the VM was being drained for its restart. Each list now applies the cordon to the worker that it shows. While a restart is pending the wave decides, as before: only it knows whether the worker follows the restart.

--- a/src/process/vmInventory.ts
+++ b/src/process/vmInventory.ts
@@ -72,11 +72,14 @@
             worker.isCordoned = getsNoWork(vmId);
         }
     };
-    /** The list may not have shown the worker of a VM when its cordon or its restart ended. */
-    const applyEnded = (vmId: string): void => {
+    /**
+     * The list may not have shown the worker of a VM when its cordon or its restart ended, and a cordon holds for the next worker too. Whether
+     * that one follows a restart that was ordered is for the wave to tell.
+     */
+    const updateFlags = (vmId: string): void => {
         const worker = workerOn(vmId);
         if (worker) {
-            worker.isCordoned &&= getsNoWork(vmId);
+            worker.isCordoned = getsNoWork(vmId) && (worker.isCordoned || !pendingRestarts.has(vmId));
             worker.isVmStopping &&= pendingRestarts.has(vmId);
         }
     };
@@ -114,7 +117,7 @@
             vms = new Map(listed.val.map(vm => [vm.vmId, vm]));
             listedAtMs = requestedAtMs;
             vms.forEach(updateLastWorkerId);
-            vms.forEach((_, vmId) => applyEnded(vmId));
+            vms.forEach((_, vmId) => updateFlags(vmId));
             return true;
         },
         cordon: vmId => {
--- a/tests/process/vmInventory.spec.ts
+++ b/tests/process/vmInventory.spec.ts
@@ -41,6 +41,31 @@
     });
 });
 
+describe("the worker that follows another one on a cordoned VM", () => {
+    // Guards against runs on a VM whose move was ordered and may still be carried out, or that is to be restarted.
+    it("should get no new runs until the VM is released", async () => {
+        const harness = createSchedulerHarness({ workers: 2 });
+        let listedWorkerId = "w1";
+        const inventory = createVmInventory({
+            scheduler: harness.scheduler,
+            vmService: { list: () => Promise.resolve(Ok([describeVm({ vmId: "vm1", workerId: listedWorkerId })])) } as unknown as VmService,
+            timers: { nowMs: harness.nowMs } as TimerService,
+            logger: createSilentLogger(),
+        });
+        await inventory.refresh();
+        inventory.cordon("vm1");
+        harness.scheduler.unregisterWorker("w1");
+        listedWorkerId = "w2";
+        await inventory.refresh();
+        harness.list("w2", {});
+        harness.submit("job", { taskCount: 1 });
+        assert.deepEqual(harness.startedTasks(), []);
+        inventory.uncordon("vm1");
+        harness.advance(1);
+        assert.deepEqual(harness.startedTasks(), ["job.0.0.0"]);
+    });
+});
+
 describe("a VM list", () => {
     it("should be dropped if one that was requested later has arrived before", async () => {
         const harness = createSchedulerHarness({ workers: 1 });
