Eject a backend server once for the requests that it took with it

Each failure after the ejection counted as that of a probe and doubled its time, also failures of requests that were sent before it. A server that crashed under ten requests and was back after a second stayed ejected for 30 s. A failure of a request from before the end of the ejection tells nothing of the server's present life and is ignored then; probes are sent later.

--- a/src/decisions/outlierEjection.ts
+++ b/src/decisions/outlierEjection.ts
@@ -26,8 +26,14 @@
     return ejectedCount + 1 <= poolServersCount * maximumEjectedFraction;
 }
 
-/** Returns the health after a failed request. `canBeEjected` tells whether the pool can do without the server. */
-export function recordFailure(health: ServerHealth, nowMs: number, canBeEjected: boolean): ServerHealth {
+/**
+ * Returns the health after the failure of a request that was sent at `sentAtMs`. `canBeEjected` tells whether the pool can do without the
+ * server. A request from before the end of the ejection is no probe: a server that has crashed under many may be back by then.
+ */
+export function recordFailure(health: ServerHealth, sentAtMs: number, nowMs: number, canBeEjected: boolean): ServerHealth {
+    if (health.ejectionsCount > 0 && sentAtMs < health.ejectedUntilMs) {
+        return health;
+    }
     const consecutiveFailures = health.consecutiveFailures + 1;
     const isProbeFailure = health.ejectionsCount > 0;
     if (!canBeEjected || (consecutiveFailures < failuresBeforeEjection && !isProbeFailure)) {
--- a/src/process/serverTable.ts
+++ b/src/process/serverTable.ts
@@ -38,7 +38,8 @@
     setLeaving(server: ServerState, reason: LeavingReason, isLeaving: boolean): void;
     recordStart(server: ServerState): void;
     recordEnd(server: ServerState): void;
-    recordOutcome(server: ServerState, isSuccess: boolean): void;
+    /** Records how a request ended that was sent at `sentAtMs`. */
+    recordOutcome(server: ServerState, isSuccess: boolean, sentAtMs: number): void;
     /** Sets the running requests that a peer reports by server; `undefined` removes the peer. */
     setPeerCounts(peerId: string, counts: ReadonlyMap<string, number> | undefined): void;
     /** Registers a callback for when a server may have a free slot. */
@@ -138,7 +139,7 @@
             server.localCount--;
             notifySlotFreed();
         },
-        recordOutcome: (server, isSuccess) => {
+        recordOutcome: (server, isSuccess, sentAtMs) => {
             if (isSuccess) {
                 server.health = healthyServer;
                 return;
@@ -146,7 +147,7 @@
             const pool = pools.get(server.configuration.pool) ?? [];
             const ejectedCount = pool.filter(other => other !== server && other.health.ejectionsCount > 0).length;
             const before = server.health;
-            server.health = recordFailure(before, timers.nowMs(), canEject(pool.length, ejectedCount));
+            server.health = recordFailure(before, sentAtMs, timers.nowMs(), canEject(pool.length, ejectedCount));
             if (server.health.ejectionsCount > before.ejectionsCount) {
                 const forMs = Math.round(server.health.ejectedUntilMs - timers.nowMs());
                 logger.log(logEvents.serverEjected, { serverId: server.serverId, failuresCount: server.health.consecutiveFailures, forMs });
--- a/src/request/runRequest.ts
+++ b/src/request/runRequest.ts
@@ -170,11 +170,11 @@
             const result = await sendOnce(request, grant, sink);
             releaseSlots(request, grant, startedMs, result);
             if (result.isDelivered) {
-                servers.recordOutcome(grant.server, result.statusCode < 500);
+                servers.recordOutcome(grant.server, result.statusCode < 500, startedMs);
                 return result;
             }
             if (result.stage !== attemptStages.refusedByServer) {
-                servers.recordOutcome(grant.server, false);
+                servers.recordOutcome(grant.server, false, startedMs);
             }
             mayHaveRun ||= result.stage === attemptStages.maybeRun;
             if (!canRetry(request, result, attemptsCount)) {
