Keep a VM list that arrives late from replacing a later one

The list is requested each second and may take two, so that an earlier list could arrive after a later one and take back for a second that a VM is leaving or gone; servers on it got requests again. An answer to an earlier request is dropped now.

Before, npm test -- process/vmListPoller (new): should drop a list if one that was requested later has arrived before: actual [], expected [ 'vm' ] After: 1 passed.

--- a/src/process/vmListPoller.ts
+++ b/src/process/vmListPoller.ts
@@ -29,12 +29,19 @@
     let leavingVmIds = new Set<string>();
     let goneVmIds = new Set<string>();
     let isAvailable = true;
+    let requestsCount = 0;
+    /** Number of the request whose answer was last applied. */
+    let appliedRequest = 0;
 
     const read = async (listAddress: string): Promise<void> => {
+        requestsCount += 1;
+        const request = requestsCount;
         const list = await readVmList(listAddress, signal);
-        if (signal.aborted) {
+        // An answer that arrives after that of a later request is out of date.
+        if (signal.aborted || request < appliedRequest) {
             return;
         }
+        appliedRequest = request;
         if (list.err) {
             if (isAvailable) {
                 logger.log(logEvents.vmListUnavailable, { reason: list.val });
