Register a process again once a restored store lacks its member record

A process compared its record with the one that it had written last. After the store was restored to a state from before that, the record was missing until the process applied another configuration: meanwhile an acceptance didn't wait for the process, and what it held could not be reclaimed after a crash. A record that the watch has shown and then lacks is written again, and until then the process doesn't count as registered.

--- a/src/process/membership.ts
+++ b/src/process/membership.ts
@@ -49,6 +49,10 @@
     let replacedMemberIds: string[] | undefined;
     let hasLeft = false;
     let isRegistered = false;
+    /** Whether the watch showed this process's record last. */
+    let isListed = false;
+    /** Whether the watch has shown the record and lacked it later, as it does after the store was restored. */
+    let isLost = false;
 
     /** Finds the other members registered at this address: this process listens there now, so they are gone. */
     const findReplacedMembers = async (): Promise<string[] | undefined> => {
@@ -63,7 +67,7 @@
     const write = async (written: WrittenRecord): Promise<WrittenRecord> => {
         const record: MemberRecord = { ...own, replacedMemberIds: replacedMemberIds ?? [], heldVersion: options.heldVersion() };
         const text = JSON.stringify(record);
-        if (text === written.text) {
+        if (text === written.text && !isLost) {
             return written;
         }
         const swapped = await store.swap([{ key, expectedRevision: written.revision }], [{ key, value: text }]);
@@ -72,9 +76,11 @@
         }
         if (swapped.val.isSwapped) {
             isRegistered = true;
+            isLost = false;
             return { revision: swapped.val.revision, text };
         }
         // Only this process writes the key, so another revision means that a response was lost or the store was restored.
+        isRegistered &&= swapped.val.current.length > 0;
         return { revision: swapped.val.current[0]?.revision ?? 0, text: "" };
     };
 
@@ -102,6 +108,9 @@
 
     const updateMembers = (values: StoredValue[]): void => {
         members = parseMembers(values);
+        const wasListed = isListed;
+        isListed = values.some(value => value.key === key);
+        isLost = !isListed && (wasListed || isLost);
         callbacks.forEach(callback => callback(members));
     };
     store.watchPrefix(storeKeys.membersPrefix, options.signal, updateMembers);
