--- a/tests/proofs/soak.spec.ts
+++ b/tests/proofs/soak.spec.ts
@@ -3,6 +3,7 @@
 import { describe, it } from "node:test";
 import { runSoak } from "../platform/soak.js";
 
+/** Together they draw each kind of fault in which workers restart under their ids or leave commands unanswered. */
 const seeds = [3, 17];
 const processesCount = 5;
 const faultsMs = 18_000;
--- a/tests/proofs/soakJobs.spec.ts
+++ b/tests/proofs/soakJobs.spec.ts
@@ -1,8 +1,8 @@
 /** The checks of the fault soak find each rule broken on purpose. */
 import assert from "node:assert/strict";
 import { beforeEach, describe, it } from "node:test";
-import type { WorkerRun } from "../platform/leasedWorker.js";
 import { createSoakJobs, encodeSpec, type SoakJob, type SoakJobs } from "../platform/soakJobs.js";
+import type { WorkerRun } from "../platform/workerLife.js";
 
 const jobId = "00000000000000a1";
 const firstTask = `${jobId}.0.0.0`;
@@ -72,6 +72,33 @@
         assert.deepEqual(rules, []);
     });
 
+    let isLifeReached: boolean;
+    const lateStart = (ruledOutAtMs: number | undefined, wasStopAccepted = false): Partial<WorkerRun> => {
+        isLifeReached = false;
+        return { lateStart: { ruledOutAtMs, wasStopAccepted, isLifeReached: () => isLifeReached } };
+    };
+
+    it("should accept a late start, by a life that no owner has reached, of a task that had to be started again before", () => {
+        start(firstTask);
+        start(firstTask, lateStart(performance.now() - 1_000));
+        assert.deepEqual(rules, []);
+    });
+
+    it("should accept a late start, by a life that no owner has reached, after the run that replaced it was done", () => {
+        end(start(firstTask), "done");
+        start(firstTask, lateStart(performance.now() - 1_000));
+        assert.deepEqual(rules, []);
+    });
+
+    it("should accept a start beside a late one that was stopped before and that no owner can have seen", () => {
+        const late = start(firstTask, lateStart(performance.now(), true));
+        const next = start(firstTask);
+        end(next, "failed");
+        end(late, "done");
+        start(firstTask);
+        assert.deepEqual(rules, []);
+    });
+
     const breaks: { name: string; rule: string; play(): void }[] = [
         { name: "two runs of a task at once", rule: "TWICE", play: () => [start(firstTask), start(firstTask)] },
         { name: "a start after an acknowledged end", rule: "TWICE", play: () => [end(start(firstTask), "done"), start(firstTask)] },
@@ -85,6 +112,45 @@
                 jobs.onAcknowledged(run);
             },
         },
+        {
+            name: "a late start of a task that was started again before the start was ruled out",
+            rule: "TWICE",
+            play: () => [start(firstTask), start(firstTask, lateStart(performance.now() + 1_000))],
+        },
+        {
+            name: "a late start by the life that has received it",
+            rule: "TWICE",
+            play: () => [start(firstTask), start(firstTask, lateStart(undefined))],
+        },
+        {
+            name: "a late start by a life that an owner has reached",
+            rule: "TWICE",
+            play: () => {
+                start(firstTask);
+                const late = lateStart(performance.now() - 1_000);
+                isLifeReached = true;
+                start(firstTask, late);
+            },
+        },
+        {
+            name: "a late start after an end that was acknowledged before the start was ruled out",
+            rule: "TWICE",
+            play: () => [end(start(firstTask), "done"), start(firstTask, lateStart(performance.now() + 1_000))],
+        },
+        {
+            name: "a start beside a late one of a life that an owner has reached",
+            rule: "TWICE",
+            play: () => {
+                start(firstTask, lateStart(performance.now(), true));
+                isLifeReached = true;
+                start(firstTask);
+            },
+        },
+        {
+            name: "a start beside a late one that was not ruled out by a stop or by an earlier start of the task",
+            rule: "TWICE",
+            play: () => [start(firstTask, lateStart(performance.now())), start(firstTask)],
+        },
         { name: "a start before the earlier step is done", rule: "ORDER", play: () => start(secondTask) },
         {
             name: "a start beyond the worker's capacity",
