--- a/scripts/soak.ts
+++ b/scripts/soak.ts
@@ -1,7 +1,7 @@
 /**
  * Runs the fault soak for a range of seeds, and keeps the events and logs of each seed that breaks a rule.
  *
- * Usage: `npm run soak -- --seeds 1-50 [--processes N] [--faults-s N] [--script FILE] [--keep FOLDER]`.
+ * Usage: `npm run soak -- --seeds 1-50 [--processes N] [--faults-s N] [--faults-per-s N] [--script FILE] [--keep FOLDER]`.
  */
 import { mkdirSync, writeFileSync } from "node:fs";
 import path from "node:path";
@@ -15,6 +15,7 @@
         "processes": { type: "string", default: "6" },
         "script": { type: "string" },
         "faults-s": { type: "string", default: "25" },
+        "faults-per-s": { type: "string" },
         "keep": { type: "string", default: path.join("target", "soak") },
     },
 });
@@ -25,9 +26,14 @@
 let failedCount = 0;
 for (let seed = firstSeed; seed <= lastSeed; seed++) {
     const faultsMs = Number(values["faults-s"]) * 1_000;
-    const result = await runSoak({ seed, processesCount: Number(values.processes), script: values.script, faultsMs, addressPrefix }).catch(
-        describeError,
-    );
+    const result = await runSoak({
+        seed,
+        processesCount: Number(values.processes),
+        script: values.script,
+        faultsMs,
+        faultsPerS: values["faults-per-s"] === undefined ? undefined : Number(values["faults-per-s"]),
+        addressPrefix,
+    }).catch(describeError);
     if (typeof result === "string") {
         failedCount += 1;
         console.log(`seed ${seed} could not run: ${result}`);
--- a/tests/platform/leasedWorker.ts
+++ b/tests/platform/leasedWorker.ts
@@ -142,6 +142,7 @@
         },
         cutOff: (isDark = false) => {
             isCut = true;
+            record("worker cut off", { worker: name, runs: life.runs().length, leaseLeftMs: life.leaseUntilMs() - life.clockMs() });
             if (!isDark) {
                 server.closeAllConnections();
             }
--- a/tests/platform/soak.ts
+++ b/tests/platform/soak.ts
@@ -5,7 +5,7 @@
 import { createPlatformProcesses, platformBounds } from "./platformProcesses.js";
 import { type SoakCallers, startSoakCallers } from "./soakCallers.js";
 import { createSoakOperator, maxAttempts } from "./soakConfigurations.js";
-import { drawFaults, drawLifeFaults, playFaults } from "./soakFaults.js";
+import { defaultFaultsPerS, drawFaults, drawLifeFaults, playFaults } from "./soakFaults.js";
 import { createSoakJobs } from "./soakJobs.js";
 import { startStoreStandIn } from "./storeStandIn.js";
 
@@ -16,6 +16,8 @@
     script?: string;
     /** Time in which faults begin. */
     faultsMs: number;
+    /** Faults other than those of the workers' lives, which show less while few tasks run. */
+    faultsPerS?: number;
     /** First two bytes of the loopback addresses; runs at the same time need different ones. */
     addressPrefix: string;
 }
@@ -159,7 +161,7 @@
         });
         const targets = { processes, workers, store, operator, disturbStore, record };
         const faults = [
-            ...drawFaults(targets, random, options.faultsMs),
+            ...drawFaults(targets, random, options.faultsMs, options.faultsPerS ?? defaultFaultsPerS),
             ...drawLifeFaults(targets, createSeededRandom(options.seed + lifeSeedOffset), options.faultsMs),
         ];
         await playFaults(faults, record);
--- a/tests/platform/soakCallers.ts
+++ b/tests/platform/soakCallers.ts
@@ -45,7 +45,9 @@
 const callsPerS = 60;
 const retryPauseMs = 300;
 const maxSubmitAttempts = 30;
-const maxLastingJobs = 6;
+const maxLastingJobs = 8;
+/** Jobs whose tasks can outlast a lease; they have one step. */
+const longShare = 0.2;
 /** A caller asks for the latest jobs only. */
 const recentJobsCount = 60;
 const weights = { submit: 0.1, state: 0.75, cancel: 0.78 } as const;
@@ -53,8 +55,9 @@
 
 function drawJob(random: SeededRandom, isLasting: boolean): SoakJob {
     const jobId = Array.from({ length: 16 }, () => random.between(0, 15).toString(16)).join("");
-    const durationMs = random.between(30, 1_200);
-    const failuresCount = !isLasting && random.unit() < 0.1 ? random.between(1, 2) : 0;
+    const isLong = !isLasting && random.unit() < longShare;
+    const durationMs = isLong ? random.between(1_500, 6_000) : random.between(30, 1_200);
+    const failuresCount = !isLasting && !isLong && random.unit() < 0.1 ? random.between(1, 2) : 0;
     const makeStep = (index: number) => ({
         count: random.between(1, 6),
         cpu: random.between(500, 2_000),
@@ -67,7 +70,7 @@
         jobId,
         queueName: isLasting ? lastingQueueName : queueNames[0],
         spec: encodeSpec({ durationMs, isLongRunning: isLasting, failuresCount }),
-        steps: Array.from({ length: isLasting ? 1 : random.between(1, 3) }, (_, index) => makeStep(index)),
+        steps: Array.from({ length: isLasting || isLong ? 1 : random.between(1, 3) }, (_, index) => makeStep(index)),
         submitStatuses: [],
     };
 }
--- a/tests/platform/soakFaults.ts
+++ b/tests/platform/soakFaults.ts
@@ -26,24 +26,28 @@
     kind: string;
 }
 
-const faultsPerS = 0.8;
+/** Faults of all kinds but those of the workers' lives, unless a run asks for fewer. */
+export const defaultFaultsPerS = 0.8;
 const ownerShare = 0.35;
 const compactionPauseMs = 700;
 const configurationPauseMs = 300;
 const reloadPauseMs = 50;
-const lifeFaultsPerS = 0.16;
+const lifeFaultsPerS = 0.2;
 const restartedShare = 0.5;
 const unansweredShare = 0.4;
-const maxSilentMs = 1_500;
+const maxSilentMs = 2_500;
+/** Within the times that commands wait for responses. */
+const maxRestartedDelayMs = 450;
 const darkMs = 600;
 const restartToCutMs = 2_000;
-const minCutMs = 4_000;
+/** The owner asks for leases of 6 s; in shorter cuts, it does not give them up. */
+const minCutMs = 7_000;
 const maxCutMs = 9_000;
 
 const sleep = (durationMs: number): Promise<void> => new Promise(resolve => setTimeout(resolve, durationMs));
 
 /** Draws the faults of `windowMs`. Each ends what it has disturbed. */
-export function drawFaults(targets: SoakTargets, random: SeededRandom, windowMs: number): Fault[] {
+export function drawFaults(targets: SoakTargets, random: SeededRandom, windowMs: number, faultsPerS: number): Fault[] {
     const { processes, workers, store, operator } = targets;
     const calmStore = { errorStatus: undefined, ...store.faults };
 
@@ -186,29 +190,43 @@
 
 /** Draws the faults in which workers restart under their ids, are cut off soon after, and carry commands out late. */
 export function drawLifeFaults({ processes, workers }: SoakTargets, random: SeededRandom, windowMs: number): Fault[] {
+    /** Workers in such a fault; another restart or reconnection would hide what it shows. */
+    const disturbed = new Set<LeasedWorker>();
     const restartAndCut = (share: number, killsOwner: boolean) => (): Draw => {
         const chosen = workers.filter(() => random.unit() < restartedShare);
         const cutMs = random.between(minCutMs, maxCutMs);
         const silentMs = random.between(0, maxSilentMs);
         const killAfterMs = random.between(0, restartToCutMs);
+        const responseDelayMs = random.unit() < 0.5 ? 0 : random.between(50, maxRestartedDelayMs);
         const play = async (): Promise<void> => {
-            chosen.forEach(each => each.unansweredShare = share);
+            const free = chosen.filter(each => !disturbed.has(each));
+            free.forEach(each => {
+                disturbed.add(each);
+                each.unansweredShare = share;
+            });
             await sleep(share > 0 ? silentMs : 0);
-            const restarted = chosen.filter(each => each.isUp());
+            const restarted = free.filter(each => each.isUp());
             restarted.forEach(each => each.crash(true));
             await sleep(darkMs);
             await Promise.all(restarted.map(each => each.restart(true)));
+            free.forEach(each => each.responseDelayMs = responseDelayMs);
             const owner = killsOwner ? processes.find(each => each.isRunning() && each.isOwner()) : undefined;
             await sleep(killAfterMs);
             const restartOwner = owner?.kill().then(() => owner.start());
             await sleep(restartToCutMs - killAfterMs);
-            chosen.forEach(each => each.unansweredShare = 0);
-            chosen.forEach(each => each.cutOff(true));
+            free.forEach(each => {
+                each.unansweredShare = 0;
+                each.responseDelayMs = 0;
+                each.cutOff(true);
+            });
             await sleep(cutMs);
-            chosen.forEach(each => each.reconnect());
+            free.forEach(each => {
+                each.reconnect();
+                disturbed.delete(each);
+            });
             await restartOwner;
         };
-        return { fields: { workers: chosen.map(each => each.name), silentMs, cutMs, killAfterMs }, play };
+        return { fields: { workers: chosen.map(each => each.name), silentMs, cutMs, killAfterMs, responseDelayMs }, play };
     };
     const leaveUnanswered = (): Draw => {
         const chosen = workers.filter(() => random.unit() < restartedShare);
