Give a restarted worker no start by the resources and labels of its former incarnation

A restart that only a listing has shown left the former entry in force: a new incarnation may be of a different kind, so that a start could exceed its capacity or lack its label. It gets none before its own entry is known. Before: the new test of scheduling/restartedWorkers started the task. The test of a stored start lists the worker after its restart, since it gets no start before.

--- a/src/scheduling/collectWaiting.ts
+++ b/src/scheduling/collectWaiting.ts
@@ -36,7 +36,8 @@
 
 /** Whether new runs may start on the worker now. */
 export function isSchedulable(state: SchedulerState, worker: WorkerRecord, nowMs: number): boolean {
-    return worker.isRegistered && isFencedByNewerOwner(state, worker) && worker.snapshotState === snapshotStates.none &&
+    return worker.isRegistered && worker.isEntryCurrent && isFencedByNewerOwner(state, worker) &&
+        worker.snapshotState === snapshotStates.none &&
         !worker.entry.isDraining && !worker.hasEnded && worker.hasListed && !worker.isIncarnationDoubted &&
         !worker.isCordoned &&
         worker.avoidedUntilMs <= nowMs && worker.lastResponseAtMs !== undefined && nowMs - worker.lastResponseAtMs < responseTimeoutMs;
--- a/src/scheduling/commandResponses.ts
+++ b/src/scheduling/commandResponses.ts
@@ -5,7 +5,8 @@
 import { holdLease, startHeldUntilMs } from "./leases.js";
 import type { Moment } from "./reconcileListing.js";
 import { applyEnd, commandKinds, detachRun, markChanged, runEnds, type SchedulerState, stopRun } from "./schedulerState.js";
-import { isOfFormerIncarnation, markUnresponsive, type Run, runKey, runPhases, type WorkerRecord } from "./workerRecord.js";
+import { markUnresponsive } from "./unresponsiveWorkers.js";
+import { isOfFormerIncarnation, type Run, runKey, runPhases, type WorkerRecord } from "./workerRecord.js";
 
 /** How long a worker that refused a start gets no new runs; its next listing may show why it refused. */
 const refusalBackoffMs = 300;
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -157,6 +157,7 @@
             if (entry.bornWallMs >= worker.entry.bornWallMs) {
                 worker.entry = entry;
                 worker.isRegistered = true;
+                worker.isEntryCurrent = true;
                 worker.hasLeft = false;
             }
         },
--- a/src/scheduling/unresponsiveWorkers.ts
+++ b/src/scheduling/unresponsiveWorkers.ts
@@ -14,7 +14,6 @@
     allLeasesEndAtMs,
     createRun,
     createWorkerRecord,
-    markUnresponsive,
     type Run,
     runPhases,
     type WorkerEntry,
@@ -58,6 +57,13 @@
     };
 }
 
+/** The worker did not respond; nothing is expected of one that has ended. */
+export function markUnresponsive(worker: WorkerRecord, nowMs: number): void {
+    if (!worker.hasEnded) {
+        worker.unresponsiveSinceMs ??= nowMs;
+    }
+}
+
 /** A call to the worker got no response. */
 export function reportUnresponsive(
     state: SchedulerState,
--- a/src/scheduling/workerEnds.ts
+++ b/src/scheduling/workerEnds.ts
@@ -53,6 +53,7 @@
         `${lost.length} runs lost, ${runs.length - lost.length} may run on it`;
     state.onDecision({ what: "worker restarted", workerId: worker.entry.workerId, detail });
     worker.entry = { ...worker.entry, bornWallMs };
+    worker.isEntryCurrent = false;
     worker.formerIncarnationsCount += 1;
     worker.hasListed = false;
     worker.isIncarnationDoubted = false;
--- a/src/scheduling/workerRecord.ts
+++ b/src/scheduling/workerRecord.ts
@@ -97,6 +97,8 @@
     entry: WorkerEntry;
     /** Whether the store holds the entry now. */
     isRegistered: boolean;
+    /** Whether the entry describes the present incarnation; the former one may have been of another kind. */
+    isEntryCurrent: boolean;
     /** Whether the entry was removed while the worker responded, as one does that leaves in order. */
     hasLeft: boolean;
     /** Number of earlier incarnations that this owner has known; part of the fencing token of commands to this one. */
@@ -170,6 +172,7 @@
     return {
         entry,
         isRegistered: true,
+        isEntryCurrent: true,
         hasLeft: false,
         formerIncarnationsCount: 0,
         hasListed: false,
@@ -290,10 +293,3 @@
 export function acknowledgedEndNumber(worker: WorkerRecord): number {
     return worker.unsavedEnds.reduce((lowest, end) => Math.min(lowest, end.endNumber - 1), worker.lastEndNumber);
 }
-
-/** The worker did not respond; nothing is expected of one that has ended. */
-export function markUnresponsive(worker: WorkerRecord, nowMs: number): void {
-    if (!worker.hasEnded) {
-        worker.unresponsiveSinceMs ??= nowMs;
-    }
-}
--- a/tests/scheduling/restartedWorkers.spec.ts
+++ b/tests/scheduling/restartedWorkers.spec.ts
@@ -71,6 +71,22 @@
         assert.equal(harness.startedTasks().length, 2, "the start without a response is refused from now on");
     });
 
+    it("should get no start by the resources and labels of its former incarnation if only a listing has shown the restart", () => {
+        const harness = createSchedulerHarness({ workers: 1 });
+        harness.list("w1", {});
+        const list = (): void => {
+            const nowMs = harness.nowMs();
+            harness.scheduler.listingReceived("w1", { bornWallMs: 1, running: [], ended: [] }, nowMs, { nowMs, wallMs: nowMs });
+            harness.advance(10);
+        };
+        list();
+        list();
+        harness.submit("job", { taskCount: 1 });
+        assert.deepEqual(harness.startedTasks(), []);
+        harness.updateEntry("w1", { bornWallMs: 1 });
+        assert.deepEqual(harness.startedTasks(), ["job.0.0.0"]);
+    });
+
     it("should not be taken at its word by a listing that was requested from its former incarnation", () => {
         const harness = createPool();
         harness.scheduler.listingReceived("w1", { bornWallMs: 1, running: [], ended: [] }, 5, { nowMs: 10, wallMs: 10 });
--- a/tests/scheduling/suspectStarts.spec.ts
+++ b/tests/scheduling/suspectStarts.spec.ts
@@ -98,6 +98,7 @@
         harness.submit("job", { progress });
         harness.list("w1", { sentAtMs: 0 });
         harness.restartWorker("w1");
+        harness.list("w1", {});
         harness.saveAll();
         harness.saveAll();
         assert.deepEqual(harness.startedTasks(), ["job.0.0.0"]);
