Keep the count of a worker's incarnations while its entry is away

The record of a worker that had restarted and then left was removed with its count of incarnations; when it came back in the same life, its commands carried a lower fencing token than it had received, so that it refused them and the owner gave up the ownership, as if a newer one existed. The count outlasts the record now. The new test of scheduling/restartedWorkers failed before.

--- a/src/scheduling/plannedStarts.ts
+++ b/src/scheduling/plannedStarts.ts
@@ -12,7 +12,7 @@
 /** Whether the current owner knows which runs the worker has. */
 function isWorkerStateKnown(state: SchedulerState, workerId: string, nowMs: number): boolean {
     const worker = state.workers.get(workerId);
-    return worker?.isRunStateKnown ?? (state.departedWorkerIds.has(workerId) || nowMs >= state.term.unknownWorkersUntilMs);
+    return worker?.isRunStateKnown ?? (state.departedWorkers.has(workerId) || nowMs >= state.term.unknownWorkersUntilMs);
 }
 
 /**
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -71,7 +71,7 @@
         term: options.term,
         jobs: new Map(),
         workers: new Map(),
-        departedWorkerIds: new Set(),
+        departedWorkers: new Map(),
         teamUsed: new Map(),
         possibleTeamUsage: new Map(),
         teamShareBuckets: new Map(),
--- a/src/scheduling/workerLifecycle.ts
+++ b/src/scheduling/workerLifecycle.ts
@@ -22,6 +22,8 @@
 export function addWorker(state: SchedulerState, entry: WorkerEntry, moment: Moment, seenAtMs = moment.nowMs): WorkerRecord {
     const { unknownWorkersUntilMs, formerOwnersEndAtMs } = state.term;
     const worker = createWorkerRecord(entry, unknownWorkersUntilMs);
+    // One that returns may have received the tokens of all its incarnations so far.
+    worker.formerIncarnationsCount = state.departedWorkers.get(entry.workerId) ?? 0;
     if (formerOwnersEndAtMs !== undefined) {
         const unawareUntilMs = formerOwnersUnawareUntilMs(formerOwnersEndAtMs, seenAtMs, entry.bornWallMs, moment);
         worker.strayLeasesEndAtMs = strayLeasesEndMs(unawareUntilMs, state.maxGrantedLeaseMs);
@@ -113,7 +115,7 @@
             else {
                 recordCrash(state, worker.unexplainedRuns, "another worker registered at its address", moment);
             }
-            state.departedWorkerIds.add(worker.entry.workerId);
+            state.departedWorkers.set(worker.entry.workerId, worker.formerIncarnationsCount + 1);
             forgetWorker(state, worker.entry.workerId);
             state.onDecision({ what: "worker left", workerId: worker.entry.workerId });
         }
--- a/tests/scheduling/describeScheduler.ts
+++ b/tests/scheduling/describeScheduler.ts
@@ -48,7 +48,7 @@
 }
 
 export function describeScheduler({ state }: Scheduler): unknown {
-    return [[...state.workers.values()].map(describeWorker), [...state.jobs.values()].map(describeJob), [...state.departedWorkerIds]];
+    return [[...state.workers.values()].map(describeWorker), [...state.jobs.values()].map(describeJob), [...state.departedWorkers]];
 }
 
 export function describePendingCommand(pending: PendingCommand): unknown {
--- a/tests/scheduling/restartedWorkers.spec.ts
+++ b/tests/scheduling/restartedWorkers.spec.ts
@@ -42,6 +42,19 @@
         assert.equal(new Set(tokens).size, tokens.length);
     });
 
+    it("should not get commands with a lower fencing token after its entry was away", () => {
+        const harness = createSchedulerHarness({ workers: 1 });
+        harness.restartWorker("w1");
+        harness.list("w1", {});
+        const { entry } = harness.scheduler.state.workers.get("w1")!;
+        const token = harness.scheduler.commandToken("w1");
+        harness.scheduler.unregisterWorker("w1");
+        harness.advance(20_000);
+        assert.equal(harness.scheduler.state.workers.has("w1"), false);
+        harness.scheduler.registerWorker(entry, { nowMs: harness.nowMs(), wallMs: harness.nowMs() });
+        assert.ok(harness.scheduler.commandToken("w1") > token);
+    });
+
     it("should keep a run that it may have accepted by another clock until the longest lease that it grants has ended", () => {
         const harness = createPool();
         harness.answerStarts(commandOutcomes.accepted);
