Model workers whose next incarnation carries out commands for the former one

The model dropped late commands when a worker restarted, measured leases by one clock for all incarnations, and granted at most what was asked for, so it could not show two runs of one task after a restart.

Late commands now survive a crash and may reach the next incarnation. Listings may get no answer and carry token, acknowledgement and deadline as the owner knew the worker. A restart may stay unknown to the store for a time. The model's session acknowledges and extends nothing after a listing without an answer and reports another incarnation's response, as the real one does. Left out, as no owner can prevent it: a start for a former incarnation that reaches one which the newest owner has not reached, if that owner had ceased to wait for it when the worker's then incarnation refused it, or when it was over and the present one unreached; and starts and listings that reach such an incarnation over 1 s after they were sent.

--- a/tests/model/schedulingLiveness.spec.ts
+++ b/tests/model/schedulingLiveness.spec.ts
@@ -67,7 +67,9 @@
 
 const longLimits: ModelLimits = {
     crashes: 2,
+    unnoticedCrashes: 0,
     losses: 4,
+    unansweredListings: 0,
     unansweredSaves: 4,
     partitions: 3,
     departures: 1,
--- a/tests/scheduling/describeScheduler.ts
+++ b/tests/scheduling/describeScheduler.ts
@@ -9,6 +9,10 @@
     return [
         worker.isRegistered,
         worker.isRunStateKnown,
+        worker.hasListed,
+        worker.isIncarnationDoubted,
+        worker.formerIncarnationsCount,
+        worker.strayLeasesEndAtMs,
         worker.hasRespondedToProvenOwner,
         worker.entry.bornWallMs,
         worker.entry.capacity.cpuMillicores,
@@ -63,6 +67,8 @@
         run.workerId,
         pending.sentAtMs,
         pending.isLate,
+        pending.bornWallMs,
+        pending.isSettled,
     ];
 }
 
@@ -73,5 +79,6 @@
 }
 
 export function describeOwner(owner: ModelOwner): unknown {
-    return [owner.token, owner.isProven, [...owner.partitionedFrom], describeScheduler(owner.scheduler)];
+    const incarnations = [[...owner.unansweredListings], [...owner.reachedIncarnations]];
+    return [owner.token, owner.isProven, [...owner.partitionedFrom], incarnations, describeScheduler(owner.scheduler)];
 }
--- a/tests/scheduling/faultInjection.ts
+++ b/tests/scheduling/faultInjection.ts
@@ -1,4 +1,5 @@
 import type { JobProgress } from "../../src/scheduling/jobDocuments.js";
+import type { WorkerRecord } from "../../src/scheduling/workerRecord.js";
 
 /** Faults injected into the protocol, which the checks must detect. */
 export interface FaultInjection {
@@ -18,6 +19,14 @@
     countsListedFailuresAgain?: boolean;
     /** The next owner does not know under which runs workers have crashed. */
     forgetsCrashes?: boolean;
+    /** Commands to all incarnations of a worker carry the same token. */
+    usesOneTokenPerTerm?: boolean;
+    /** No lease is taken to last longer than what commands ask for. */
+    trustsRequestedLeases?: boolean;
+    /** Starts are sent to an incarnation before its first listing. */
+    startsBeforeFirstListing?: boolean;
+    /** The owner does not notice that a start was answered by another incarnation. */
+    ignoresOtherClocks?: boolean;
     /** The owners are not told that a worker's capacity has shrunk. */
     ignoresShrinkage?: boolean;
 }
@@ -42,3 +51,12 @@
     const known = faults.forgetsCrashes ? forgetCrashes(progress) : progress;
     return faults.countsListedFailuresAgain ? forgetRunIds(known) : known;
 }
+
+/** Makes a new incarnation of a worker count as one that has listed its runs. */
+export function assumeListed(worker: WorkerRecord): void {
+    if (worker.formerIncarnationsCount > 0 && !worker.hasListed) {
+        worker.hasListed = true;
+        worker.isRunStateKnown = true;
+        worker.lastResponseAtMs = worker.lastContactAtMs ?? 0;
+    }
+}
--- a/tests/scheduling/modelLimits.ts
+++ b/tests/scheduling/modelLimits.ts
@@ -1,8 +1,12 @@
 /** How often each event may happen in a history of the model. */
 export interface ModelLimits {
     crashes: number;
+    /** Crashes that the store shows only later. */
+    unnoticedCrashes: number;
     /** Commands that are executed but whose responses are lost. */
     losses: number;
+    /** Listings without an answer, which may be carried out late. */
+    unansweredListings: number;
     unansweredSaves: number;
     partitions: number;
     /** Workers that end for good. */
@@ -20,7 +24,9 @@
 
 export const defaultLimits: ModelLimits = {
     crashes: 1,
+    unnoticedCrashes: 0,
     losses: 2,
+    unansweredListings: 0,
     unansweredSaves: 1,
     partitions: 1,
     departures: 0,
--- a/tests/scheduling/modelWorkerActions.ts
+++ b/tests/scheduling/modelWorkerActions.ts
@@ -5,48 +5,52 @@
 import { entryOf } from "./modelJob.js";
 import type { ModelLimits } from "./modelLimits.js";
 import type { ModelOwner, PendingCommand } from "./modelOwner.js";
-import type { ModelStore } from "./modelStore.js";
 import type { ModelWorker } from "./modelWorker.js";
 
 export interface WorkerActionsContext {
     workers: readonly ModelWorker[];
     owners: readonly ModelOwner[];
-    store: ModelStore;
+    /** Former incarnations of the workers whose restart the store does not show yet. */
+    unnoticed: Map<string, number>;
     left: ModelLimits;
     faults: FaultInjection;
     moment(): Moment;
     stepOwner(index: number): void;
     endFirstRun(worker: ModelWorker, end: RunEnd): void;
     commands(): readonly PendingCommand[];
-    setCommands(commands: PendingCommand[]): void;
 }
 
 export interface WorkerActions {
     /** The worker ends and begins another incarnation. */
     crash(worker: ModelWorker): void;
-    handlers: Record<"finish" | "fail" | "leave" | "crash" | "shrink" | "grow", (workerId: string) => void>;
+    handlers: Record<"finish" | "fail" | "leave" | "crash" | "crashUnnoticed" | "notice" | "shrink" | "grow", (workerId: string) => void>;
 }
 
 export function createWorkerActions(context: WorkerActionsContext): WorkerActions {
-    const { workers, owners, store, left, faults, stepOwner, endFirstRun } = context;
+    const { workers, owners, unnoticed, left, faults, stepOwner, endFirstRun } = context;
     const workerOf = (id: string): ModelWorker => workers.find(worker => worker.id === id)!;
     const stepOwners = (): void => owners.forEach((_, index) => stepOwner(index));
     const register = (worker: ModelWorker, informed: readonly ModelOwner[]): void =>
         informed.forEach(owner => owner.scheduler.registerWorker(entryOf(worker), context.moment()));
 
-    const crash = (worker: ModelWorker): void => {
-        worker.restart();
-        // Pending commands end with the connections to the old incarnation. Only the current owner, while it still waits for
-        // the response, may reach the new incarnation with a command that waited for a connection.
-        context.setCommands(
-            context.commands().filter(pending =>
-                pending.command.run.workerId !== worker.id || (!pending.isLate && owners[pending.owner]!.token === store.highestTerm)
-            ),
-        );
+    /** The owners that reach the worker learn of its newest incarnation. */
+    const notice = (worker: ModelWorker): void => {
+        unnoticed.delete(worker.id);
         register(worker, owners.filter(owner => !owner.partitionedFrom.has(worker.id)));
         stepOwners();
     };
 
+    const restart = (worker: ModelWorker): void => {
+        worker.restart();
+        worker.bornWallMs = Math.max(worker.bornWallMs, context.moment().wallMs);
+    };
+
+    /** Pending commands may still be carried out, by the next incarnation. */
+    const crash = (worker: ModelWorker): void => {
+        restart(worker);
+        notice(worker);
+    };
+
     const setCapacity = (worker: ModelWorker, capacity: number): void => {
         worker.capacity = capacity;
         for (const pending of context.commands().filter(each => each.command.run.workerId === worker.id)) {
@@ -76,6 +80,13 @@
                 left.crashes -= 1;
                 crash(workerOf(workerId));
             },
+            crashUnnoticed: workerId => {
+                left.unnoticedCrashes -= 1;
+                const worker = workerOf(workerId);
+                unnoticed.set(workerId, worker.bornWallMs);
+                restart(worker);
+            },
+            notice: workerId => notice(workerOf(workerId)),
             shrink: workerId => {
                 left.shrinkages -= 1;
                 setCapacity(workerOf(workerId), 0);
--- a/tests/scheduling/schedulingModel.ts
+++ b/tests/scheduling/schedulingModel.ts
@@ -2,7 +2,6 @@
  * A model around the real scheduler: two successive owners, two workers, a store, and commands that are answered, lost or
  * executed late. A run of the model is a list of actions, so that an explorer can try all of them.
  */
-import { commandOutcomes } from "../../src/scheduling/commandOutcomes.js";
 import { encodeProgress, encodeSubmission, type JobProgress } from "../../src/scheduling/jobDocuments.js";
 import { jobStates } from "../../src/scheduling/jobTypes.js";
 import { possibleWorkerIds, sendPersistedStarts } from "../../src/scheduling/plannedStarts.js";
@@ -11,16 +10,20 @@
 import { commandKinds, runEnds, type SchedulerCommand } from "../../src/scheduling/schedulerState.js";
 import { snapshotStates, type WorkerSnapshot } from "../../src/scheduling/unresponsiveWorkers.js";
 import { describeModelWorker, describeOwner, describePendingCommand } from "./describeScheduler.js";
-import { type FaultInjection, injectIntoProgress } from "./faultInjection.js";
+import { assumeListed, type FaultInjection, injectIntoProgress } from "./faultInjection.js";
 import { possibleActions } from "./modelActions.js";
+import { createAnswers } from "./modelAnswers.js";
 import { createModelGuarantees } from "./modelGuarantees.js";
 import { modelPolicy, modelSubmission } from "./modelJob.js";
+import { grantedUntilMs, maxGrantedLeaseMs } from "./modelLeases.js";
 import { defaultLimits, type ModelLimits } from "./modelLimits.js";
-import { type ModelOwner, type PendingCommand, registerWorkers } from "./modelOwner.js";
+import { createModelListings } from "./modelListings.js";
+import { type ModelOwner, type PendingCommand, registerWorkers, sentWith } from "./modelOwner.js";
 import { createSaveActions } from "./modelSaves.js";
 import { createModelStore, describePendingSave } from "./modelStore.js";
 import { createModelWorker, type ModelWorker } from "./modelWorker.js";
 import { createWorkerActions } from "./modelWorkerActions.js";
+import { isUnpreventable, markSettledStarts } from "./settledStarts.js";
 
 const tickMs = 1_000;
 const workerLeaseMs = 2_000;
@@ -63,7 +66,9 @@
     const guarantees = createModelGuarantees(deadlyTask);
     const { doneTasks, acknowledgedDone, failedRuns, endFirstRun } = guarantees;
     const snapshots = new Map<string, { snapshot: WorkerSnapshot; writtenAtMs: number }>();
-    let pendingCommands: PendingCommand[] = [];
+    const pendingCommands: PendingCommand[] = [];
+    /** Former incarnations of the workers whose restart the store does not show yet. */
+    const unnoticed = new Map<string, number>();
     const workers: ModelWorker[] = ["w1", "w2"].map(id =>
         createModelWorker(id, taskName => guarantees.checkStart(taskName, workers), taskName => doneTasks.add(taskName))
     );
@@ -94,6 +99,9 @@
         if (maySendCommands) {
             owner.scheduler.step(moment());
         }
+        if (faults.startsBeforeFirstListing) {
+            owner.scheduler.state.workers.forEach(assumeListed);
+        }
         if (faults.startsBeforeSaving) {
             const { state } = owner.scheduler;
             for (const job of state.jobs.values()) {
@@ -104,8 +112,13 @@
         for (const command of owner.scheduler.takeCommands()) {
             changeSnapshot(owner, command);
             if (maySendCommands && (command.kind === commandKinds.start || command.kind === commandKinds.stop)) {
-                const token = owner.scheduler.commandToken(command.run.workerId);
-                pendingCommands.push({ owner: index, token, command, sentAtMs: nowMs, isLate: false });
+                pendingCommands.push({
+                    owner: index,
+                    command,
+                    isLate: false,
+                    isSettled: false,
+                    ...sentWith(owner, workerOf(command.run.workerId), nowMs, faults),
+                });
             }
         }
     };
@@ -115,19 +128,27 @@
         store.highestTerm = token;
         const scheduler = createScheduler({
             policy: modelPolicy,
-            term: { token, unknownWorkersUntilMs: nowMs + unknownForMs },
-            ...{ workerLeaseMs, maxWorkerLeaseMs: workerLeaseMs },
+            term: {
+                token,
+                unknownWorkersUntilMs: nowMs + unknownForMs,
+                formerOwnersEndAtMs: owners.length > 0 && !faults.takesOverWithoutWaiting ? nowMs + ownershipGracePeriodMs : undefined,
+            },
+            workerLeaseMs,
+            maxWorkerLeaseMs: faults.trustsRequestedLeases ? workerLeaseMs : maxGrantedLeaseMs,
             taskStopMs: tickMs,
             onDecision: () => undefined,
         });
         const stored = injectIntoProgress(faults, store.progress());
         scheduler.addJob(encodeSubmission(modelSubmission), stored && encodeProgress(stored), false, nowMs);
-        registerWorkers(scheduler, workers.filter(({ leftAtMs }) => nowMs - (leftAtMs ?? nowMs) < unknownLeaseMs), moment());
+        const known = workers.filter(({ leftAtMs }) => nowMs - (leftAtMs ?? nowMs) < unknownLeaseMs);
+        registerWorkers(scheduler, known, unnoticed, moment());
         snapshots.forEach(({ snapshot, writtenAtMs }, workerId) =>
             scheduler.restoreSnapshot(snapshot, workerOf(workerId).leftAtMs === undefined, writtenAtMs, moment())
         );
         scheduler.restoreSuspectStarts(moment());
-        owners.push({ token, scheduler, isProven: true, startedAtMs: nowMs, lostAtMs: undefined, partitionedFrom: new Set() });
+        const listings = { unansweredListings: new Map<string, "open" | "failed">(), reachedIncarnations: new Map<string, number>() };
+        const partitionedFrom = new Set<string>();
+        owners.push({ token, scheduler, isProven: true, startedAtMs: nowMs, lostAtMs: undefined, partitionedFrom, ...listings });
     };
 
     const execute = (pending: PendingCommand): boolean => {
@@ -137,7 +158,9 @@
             return worker.stop({ taskName, runId, token });
         }
         const runsBefore = new Map(worker.running);
-        const isAccepted = worker.start({ taskName, runId, token, untilMs: pending.sentAtMs + startValidityMs }, nowMs);
+        const { sentAtMs, bornWallMs } = pending;
+        const untilMs = grantedUntilMs(worker, { untilMs: sentAtMs + startValidityMs, bornWallMs }, nowMs);
+        const isAccepted = worker.start({ taskName, runId, token, untilMs }, nowMs);
         if (isAccepted && runsBefore.get(taskName) !== runId && !pending.isSentBeforeShrinkage) {
             guarantees.checkRoom(worker, runsBefore.size);
         }
@@ -146,53 +169,15 @@
         }
         return isAccepted;
     };
-    const answer = (pending: PendingCommand, outcome: "accepted" | "refused" | "unknown"): void => {
-        const { scheduler } = owners[pending.owner]!;
-        const { run, kind } = pending.command;
-        if (kind === commandKinds.start) {
-            const reportedOutcome = faults.retriesUnansweredStarts && outcome === "unknown" ?
-                commandOutcomes.refused :
-                commandOutcomes[outcome];
-            scheduler.startResponseReceived(run, reportedOutcome, "", moment());
-        }
-        else {
-            scheduler.stopResponseReceived(run, commandOutcomes[outcome], moment());
-        }
-        stepOwner(pending.owner);
-    };
+    const answer = createAnswers({ owners, faults, moment, workerOf, stepOwner });
 
-    const list = (index: number, workerId: string): void => {
-        const owner = owners[index]!;
-        const worker = workerOf(workerId);
-        const token = owner.scheduler.commandToken(workerId);
-        if (token < worker.highestToken) {
-            return;
-        }
-        worker.highestToken = token;
-        const record = owner.scheduler.state.workers.get(workerId);
-        const acknowledged = faults.acknowledgesBeforeSaving ? record?.lastEndNumber ?? 0 : owner.scheduler.acknowledgedEndNumber(workerId);
-        const acknowledgedEnds = worker.ends.filter(each => each.endNumber <= acknowledged && each.end === runEnds.done);
-        acknowledgedEnds.forEach(end => acknowledgedDone.add(end.taskName));
-        worker.ends = worker.ends.filter(end => end.endNumber > acknowledged);
-        if (owner.scheduler.mayExtendLeases(workerId)) {
-            owner.scheduler.leaseExtensionSent(workerId, workerLeaseMs, nowMs);
-            worker.leaseEndsAtMs = Math.max(worker.leaseEndsAtMs, nowMs + workerLeaseMs);
-        }
-        const running = [...worker.running].map(([taskName, runId]) => ({ taskName, runId, checkpoint: "", percent: 100, measured: 0 }));
-        // The listing was requested after all responses so far.
-        owner.scheduler.listingReceived(
-            workerId,
-            { bornWallMs: worker.bornWallMs, running, ended: [...worker.ends] },
-            nowMs + 0.5,
-            moment(),
-        );
-        stepOwner(index);
-    };
+    const listings = createModelListings({ owners, left, faults, workerLeaseMs, acknowledgedDone, moment, workerOf, stepOwner });
 
     const setProven = (owner: ModelOwner, isProven: boolean): void => {
         owner.isProven = isProven;
         owner.scheduler.setOwnershipProven(isProven);
     };
+
     const tick = (): void => {
         nowMs += tickMs;
         for (const worker of workers) {
@@ -204,13 +189,13 @@
             pending.isLate = true;
             answer(pending, "unknown");
         });
+        owners.forEach(({ unansweredListings }) => [...unansweredListings.keys()].forEach(id => unansweredListings.set(id, "failed")));
         owners.forEach((_, index) => stepOwner(index));
     };
 
     const { crash, handlers: workerHandlers } = createWorkerActions({
-        ...{ workers, owners, store, left, faults, moment, stepOwner, endFirstRun },
+        ...{ workers, owners, unnoticed, left, faults, moment, stepOwner, endFirstRun },
         commands: () => pendingCommands,
-        setCommands: commands => pendingCommands = commands,
     });
 
     addOwner();
@@ -227,7 +212,7 @@
             answer(pending!, "unknown");
         },
         late: index => void execute(pendingCommands.splice(Number(index), 1)[0]!),
-        list: (index, workerId) => list(Number(index), workerId),
+        ...listings.handlers,
         ...createSaveActions({ store, owners, left, faults, nowMs: () => nowMs, stepOwner }),
         ...workerHandlers,
         partition: (index, workerId) => {
@@ -258,6 +243,7 @@
             owner.partitionedFrom.clear();
             setProven(owner, true);
             workers.filter(worker => worker.capacity === 0).forEach(worker => workerHandlers.grow(worker.id));
+            [...unnoticed.keys()].forEach(workerHandlers.notice);
         },
         tick,
     };
@@ -272,15 +258,18 @@
             possibleActions({
                 nowMs,
                 pendingCommands,
-                owners,
-                workers,
-                ownershipGracePeriodMs,
+                isUnpreventable: pending => isUnpreventable(pending, owners.at(-1)!, workerOf(pending.command.run.workerId), nowMs),
+                pendingListings: listings.pending,
+                mayCarryOut: listings.mayCarryOut,
+                unnoticed,
+                ...{ owners, workers, ownershipGracePeriodMs },
                 left,
                 pendingSaves: store.pendingSaves,
             }),
         perform: action => {
             const [name, first, second] = action.split(" ");
             handlers[name!]!(first ?? "", second ?? "");
+            markSettledStarts(pendingCommands, owners.at(-1)!, workerOf, ({ sentAtMs }) => nowMs > sentAtMs + startValidityMs);
         },
         key: () =>
             JSON.stringify([
@@ -294,6 +283,8 @@
                 [...failedRuns],
                 guarantees.deadlyStartsCount(),
                 pendingCommands.map(describePendingCommand),
+                listings.pending,
+                [...unnoticed],
             ]) +
             JSON.stringify([workers.map(describeModelWorker), owners.map(describeOwner), [...snapshots]]),
     };
