--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -2,6 +2,7 @@
  * The scheduler takes events and returns commands. It does no I/O and reads no clock, so that tests and a state-space explorer
  * can drive it. One process at a time owns the scheduling; every command carries the fencing token of that process's term.
  */
+import { acknowledgedEndNumber } from "./acknowledgedEnds.js";
 import { chargeTeamShare } from "./chargeTeamShare.js";
 import type { CommandOutcome } from "./commandOutcomes.js";
 import { handleStartResponse, handleStopResponse } from "./commandResponses.js";
@@ -37,7 +38,7 @@
 import { applyListing, doubtIncarnation } from "./workerContact.js";
 import { beginIncarnation, endWorker } from "./workerEnds.js";
 import { addWorker, evacuateDrainingWorkers, expireLeases, removeEntry } from "./workerLifecycle.js";
-import { acknowledgedEndNumber, type Run, type WorkerEntry } from "./workerRecord.js";
+import type { Run, WorkerEntry } from "./workerRecord.js";
 
 export interface SchedulerOptions {
     /** The policy of the newest configuration. */
--- a/src/scheduling/workerCrashes.ts
+++ b/src/scheduling/workerCrashes.ts
@@ -10,7 +10,7 @@
 import type { Moment } from "./reconcileListing.js";
 import { endJob, findStep, markChanged, type SchedulerState } from "./schedulerState.js";
 import type { TaskIdentity } from "./taskNames.js";
-import { type Run, runPhases, type WorkerRecord } from "./workerRecord.js";
+import { isOfFormerIncarnation, type Run, runPhases, type WorkerRecord } from "./workerRecord.js";
 
 /** Whether the worker's end, if it has ended, is a crash. */
 function endsUnexpectedly({ entry, isVmStopping, hasEnded }: WorkerRecord): boolean {
@@ -19,8 +19,10 @@
 
 /** The runs that may have crashed the worker, if it has ended without an order; call it before they are detached. */
 export function crashSuspects(worker: WorkerRecord, runs: Iterable<Run>, nowMs: number): CrashSuspect[] {
+    // What was started before an incarnation that has not responded is judged by the end of the incarnation before it.
+    const isJudged = (run: Run): boolean => worker.lastContactAtMs === undefined && isOfFormerIncarnation(worker, run);
     return endsUnexpectedly(worker) ?
-        [...runs].filter(run => run.phase !== runPhases.planned && ageAtLastContactMs(worker, run) < maxSuspectAgeMs)
+        [...runs].filter(run => run.phase !== runPhases.planned && !isJudged(run) && ageAtLastContactMs(worker, run) < maxSuspectAgeMs)
             .map(run => createSuspect(worker, run, nowMs)) :
         [];
 }
--- a/src/scheduling/workerRecord.ts
+++ b/src/scheduling/workerRecord.ts
@@ -288,8 +288,3 @@
 export function allLeasesEndAtMs({ leaseEndsAtMs, strayLeasesEndAtMs }: WorkerRecord): number {
     return Math.max(leaseEndsAtMs, strayLeasesEndAtMs);
 }
-
-/** The highest end number up to which every end is stored. */
-export function acknowledgedEndNumber(worker: WorkerRecord): number {
-    return worker.unsavedEnds.reduce((lowest, end) => Math.min(lowest, end.endNumber - 1), worker.lastEndNumber);
-}
