--- a/tests/platform/soak.ts
+++ b/tests/platform/soak.ts
@@ -217,6 +217,7 @@
                 accepted: all.filter(job => job.acceptedAtMs !== undefined).length,
                 owed: jobs.owedJobs().length,
                 loopDelays: loopDelaysCount,
+                excusedStarts: jobs.excusedStartsCount(),
                 durationS: Math.round((performance.now() - startedAtMs) / 1_000),
                 calls: Object.fromEntries([...callers.counts].sort()),
             },
--- a/tests/platform/soakJobs.ts
+++ b/tests/platform/soakJobs.ts
@@ -33,6 +33,8 @@
     onState(job: SoakJob, state: unknown): void;
     /** Tasks of a job that have not been done, or are not running if they are long-running. */
     missingTasks(job: SoakJob): string[];
+    /** Late starts that nothing could have prevented. */
+    excusedStartsCount(): number;
     checkEnd(): void;
 }
 
@@ -192,6 +194,7 @@
             job.steps.flatMap((step, stepIndex) =>
                 namesOf(job, stepIndex).filter(task => step.longRunning ? !historyOf(task).runs.some(isRunning) : !isDone(task))
             ),
+        excusedStartsCount: () => [...tasks.values()].reduce((sum, { excusedRuns }) => sum + excusedRuns.size, 0),
         checkEnd: () => {
             for (const job of jobs.values()) {
                 const runs = allNamesOf(job).flatMap(task => historyOf(task).runs);
