--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -91,7 +91,6 @@
         onDecision: options.onDecision,
     };
     retainPolicies(state, options.retained ?? noRetainedPolicies);
-
     return {
         state,
         /** Begins another term of the same process; no other process owned the scheduling in between. */
