Take nothing for a listing of the present incarnation that was requested before it, or before a sign of it, was seen

A poll with the fencing token of the former incarnation that the next one answered after the store had shown it counted as that one's first listing, although it refused no earlier command yet. A listing that was requested before a response by another clock, or before a stop without a response, lifted the doubt that these raise.

--- a/src/process/workerSession.ts
+++ b/src/process/workerSession.ts
@@ -58,8 +58,9 @@
     let answeredSentAtMs = Number.NEGATIVE_INFINITY;
     let isImmediateListOpen = false;
     let wasLastListAccepted = false;
-    /** Whether a listing has shown this incarnation since the last command without a response: the worker may have restarted. */
+    /** Whether a listing that was sent after the last command without a response has shown this incarnation: the worker may have restarted. */
     let isIncarnationConfirmed = false;
+    let silentAtMs = Number.NEGATIVE_INFINITY;
     let isListFailing = false;
 
     const worker = (): WorkerRecord | undefined => scheduler.state.workers.get(workerId);
@@ -77,11 +78,15 @@
         signal.aborted && outcome !== commandOutcomes.refused ? commandOutcomes.unknown : outcome;
 
     const recordSilence = (outcome: CommandOutcome): void => {
-        isIncarnationConfirmed &&= outcome !== commandOutcomes.unknown;
+        if (outcome === commandOutcomes.unknown) {
+            isIncarnationConfirmed = false;
+            silentAtMs = timers.nowMs();
+        }
     };
 
     const handleListResponse = (answer: ListResponse, token: number, sentAtMs: number, extendedByMs: number | undefined): void => {
-        if (signal.aborted) {
+        // The fencing token of a former incarnation's session does not show that the present one refuses earlier commands.
+        if (!isCurrent()) {
             return;
         }
         const now = moment();
@@ -141,8 +146,8 @@
                 waitMs,
             });
             if (answer.outcome === commandOutcomes.accepted || sentAtMs >= answeredSentAtMs) {
-                wasLastListAccepted = answer.outcome === commandOutcomes.accepted;
-                isIncarnationConfirmed = wasLastListAccepted;
+                wasLastListAccepted = answer.outcome === commandOutcomes.accepted && sentAtMs >= (worker()?.doubtedAtMs ?? sentAtMs);
+                isIncarnationConfirmed = wasLastListAccepted && sentAtMs >= silentAtMs;
             }
             // By the worker's clock in the response, which was written after `sentAtMs`, however late it is read.
             const extendedByMs = clockMs === undefined || answer.clockMs === undefined ?
@@ -219,7 +224,7 @@
             logClockDeviation(scheduler.state, deviationMs, { workerId, call: "start", run: targetRun });
             if (deviationMs !== 0 && isCurrent()) {
                 wasLastListAccepted = false;
-                isIncarnationConfirmed = false;
+                recordSilence(commandOutcomes.unknown);
                 scheduler.incarnationDoubted(workerId, timers.nowMs());
             }
         }
--- a/src/scheduling/collectWaiting.ts
+++ b/src/scheduling/collectWaiting.ts
@@ -38,7 +38,7 @@
 export function isSchedulable(state: SchedulerState, worker: WorkerRecord, nowMs: number): boolean {
     return worker.isRegistered && worker.isEntryCurrent && isFencedByNewerOwner(state, worker) &&
         worker.snapshotState === snapshotStates.none &&
-        !worker.entry.isDraining && !worker.hasEnded && worker.hasListed && !worker.isIncarnationDoubted &&
+        !worker.entry.isDraining && !worker.hasEnded && worker.hasListed && worker.doubtedAtMs === undefined &&
         !worker.isCordoned &&
         worker.avoidedUntilMs <= nowMs && worker.lastResponseAtMs !== undefined && nowMs - worker.lastResponseAtMs < responseTimeoutMs;
 }
--- a/src/scheduling/reconcileListing.ts
+++ b/src/scheduling/reconcileListing.ts
@@ -256,7 +256,9 @@
         worker.isRunStateKnown = true;
         worker.hasListed = true;
     }
-    worker.isIncarnationDoubted = false;
+    if (worker.doubtedAtMs !== undefined && sentAtMs >= worker.doubtedAtMs) {
+        worker.doubtedAtMs = undefined;
+    }
     adjustPace(state, worker, moment.nowMs);
     if (worker.unresponsiveSinceMs !== undefined) {
         const detail = `after ${
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -36,7 +36,7 @@
     type WorkerSnapshot,
 } from "./unresponsiveWorkers.js";
 import { applyListing, doubtIncarnation } from "./workerContact.js";
-import { beginIncarnation, endWorker } from "./workerEnds.js";
+import { adoptIncarnation, endWorker } from "./workerEnds.js";
 import { addWorker, evacuateDrainingWorkers, expireLeases, removeEntry } from "./workerLifecycle.js";
 import type { Run, WorkerEntry } from "./workerRecord.js";
 
@@ -151,9 +151,7 @@
                 addWorker(state, entry, moment, seenAtMs);
                 return;
             }
-            if (entry.bornWallMs > worker.entry.bornWallMs) {
-                beginIncarnation(state, worker, entry.bornWallMs, moment);
-            }
+            adoptIncarnation(state, worker, entry, moment);
             if (entry.bornWallMs >= worker.entry.bornWallMs) {
                 worker.entry = entry;
                 worker.isRegistered = true;
@@ -204,6 +202,7 @@
             const { workerId, bornWallMs } = snapshot.entry;
             const worker = state.workers.get(workerId) ?? addWorker(state, snapshot.entry, moment);
             worker.isRegistered = isRegistered;
+            adoptIncarnation(state, worker, snapshot.entry, moment);
             if (worker.entry.bornWallMs === bornWallMs) {
                 adoptSnapshot(state, worker, snapshot, receivedAtMs, moment.nowMs);
             }
--- a/src/scheduling/workerContact.ts
+++ b/src/scheduling/workerContact.ts
@@ -36,7 +36,7 @@
 export function doubtIncarnation(state: SchedulerState, workerId: string, nowMs: number): void {
     const worker = state.workers.get(workerId);
     if (worker) {
-        worker.isIncarnationDoubted = true;
+        worker.doubtedAtMs = nowMs;
         worker.strayLeasesEndAtMs = strayLeasesEndMs(nowMs, state.maxGrantedLeaseMs);
         state.commands.push({ kind: commandKinds.list, workerId });
     }
--- a/src/scheduling/workerEnds.ts
+++ b/src/scheduling/workerEnds.ts
@@ -3,7 +3,7 @@
 import type { Moment } from "./reconcileListing.js";
 import { applyEnd, commandKinds, detachRun, runEnds, type SchedulerState } from "./schedulerState.js";
 import { crashSuspects, recordCrash } from "./workerCrashes.js";
-import { type Run, runPhases, type WorkerRecord } from "./workerRecord.js";
+import { type Run, runPhases, type WorkerEntry, type WorkerRecord } from "./workerRecord.js";
 
 /** Marks all runs of a worker as lost, because its incarnation or its leases have ended. */
 export function markRunsLost(state: SchedulerState, worker: WorkerRecord, reason: string, moment: Moment): void {
@@ -56,7 +56,7 @@
     worker.isEntryCurrent = false;
     worker.formerIncarnationsCount += 1;
     worker.hasListed = false;
-    worker.isIncarnationDoubted = false;
+    worker.doubtedAtMs = undefined;
     worker.isRunStateKnown = false;
     worker.strayLeasesEndAtMs = strayLeasesEndMs(moment.nowMs, state.maxGrantedLeaseMs);
     worker.lastResponseAtMs = undefined;
@@ -73,3 +73,12 @@
     worker.unsavedEnds = [];
     worker.failedJobIds.clear();
 }
+
+/** Takes over the entry if it describes a later incarnation of the worker. */
+export function adoptIncarnation(state: SchedulerState, worker: WorkerRecord, entry: WorkerEntry, moment: Moment): void {
+    if (entry.bornWallMs > worker.entry.bornWallMs) {
+        beginIncarnation(state, worker, entry.bornWallMs, moment);
+        worker.entry = entry;
+        worker.isEntryCurrent = true;
+    }
+}
--- a/src/scheduling/workerRecord.ts
+++ b/src/scheduling/workerRecord.ts
@@ -108,8 +108,8 @@
      * earlier incarnations, or by earlier owners.
      */
     hasListed: boolean;
-    /** Whether a response with another clock has come from the worker's address since the last listing: it may have restarted. */
-    isIncarnationDoubted: boolean;
+    /** When a response with another clock came from the worker's address: it may have restarted. `undefined` once a later listing has shown this incarnation. */
+    doubtedAtMs: number | undefined;
     /** Whether the runs on the worker are known, usually because it has responded to this owner, which fences earlier ones. */
     isRunStateKnown: boolean;
     used: Resources;
@@ -176,7 +176,7 @@
         hasLeft: false,
         formerIncarnationsCount: 0,
         hasListed: false,
-        isIncarnationDoubted: false,
+        doubtedAtMs: undefined,
         isRunStateKnown: false,
         used: { cpuMillicores: 0, memoryMb: 0, accelerators: 0 },
         unknownSizeCount: 0,
--- a/tests/process/restartedWorkerSession.spec.ts
+++ b/tests/process/restartedWorkerSession.spec.ts
@@ -111,7 +111,7 @@
         session.execute({ kind: commandKinds.start, run: run!, payload: "", checkpoint: "" });
         fixture.timers.advance(300);
         await fixture.respondToStart({ clockMs: 50_150 });
-        assert.equal(fixture.harness.scheduler.state.workers.get("w1")!.isIncarnationDoubted, false);
+        assert.equal(fixture.harness.scheduler.state.workers.get("w1")!.doubtedAtMs, undefined);
     });
 });
 
--- a/tests/scheduling/describeScheduler.ts
+++ b/tests/scheduling/describeScheduler.ts
@@ -10,7 +10,7 @@
         worker.isRegistered,
         worker.isRunStateKnown,
         worker.hasListed,
-        worker.isIncarnationDoubted,
+        worker.doubtedAtMs,
         worker.formerIncarnationsCount,
         worker.strayLeasesEndAtMs,
         worker.hasRespondedToProvenOwner,
--- a/tests/scheduling/restartedWorkers.spec.ts
+++ b/tests/scheduling/restartedWorkers.spec.ts
@@ -176,3 +176,38 @@
         assert.ok(waitMs(10_000, 60_000) <= longestMs, "an owner that has started itself goes by the start of the worker");
     });
 });
+
+describe("what an owner knows only in part of a restarted worker", () => {
+    it("should keep a start without a response until the longest lease that a restarted worker grants has ended", () => {
+        const harness = createSchedulerHarness({ workers: 2, maxWorkerLeaseMs });
+        harness.list("w1", { sentAtMs: 0 });
+        harness.submit("job", { taskCount: 1, isLongRunning: true });
+        harness.list("w2", { sentAtMs: 0 });
+        harness.answerStarts(commandOutcomes.unknown);
+        harness.scheduler.workerUnresponsive("w1", harness.nowMs());
+        const startedAtMs = harness.nowMs();
+        while (harness.startedTasks().length === 1 && harness.nowMs() < 12_000) {
+            harness.advance(100);
+            harness.list("w2", {});
+        }
+        assert.ok(harness.nowMs() - startedAtMs >= maxWorkerLeaseMs, `second start after ${harness.nowMs() - startedAtMs} ms`);
+    });
+
+    it("should keep the snapshot of an incarnation that is newer than the entry", () => {
+        const harness = createSchedulerHarness({ workers: 2, maxWorkerLeaseMs, formerOwnersEndAtMs: 60_000, nowMs: 60_000 });
+        const { scheduler } = harness;
+        harness.submit("job", { taskCount: 1, formerWorkerIds: ["w1"] });
+        const { entry } = scheduler.state.workers.get("w1")!;
+        scheduler.restoreSnapshot(
+            { entry: { ...entry, bornWallMs: 59_000 }, runs: [["job.0.0.0", 5, 100, true]], leaseLeftMs: 10_400 },
+            true,
+            60_000,
+            { nowMs: 60_000, wallMs: 60_000 },
+        );
+        while (harness.startedTasks().length === 0 && harness.nowMs() < 75_000) {
+            harness.advance(100);
+            harness.list("w2", {});
+        }
+        assert.ok(harness.nowMs() >= 70_400, `started after ${harness.nowMs() - 60_000} ms`);
+    });
+});
