--- a/src/process/workerSession.ts
+++ b/src/process/workerSession.ts
@@ -146,7 +146,8 @@
                 waitMs,
             });
             if (answer.outcome === commandOutcomes.accepted || sentAtMs >= answeredSentAtMs) {
-                wasLastListAccepted = answer.outcome === commandOutcomes.accepted && sentAtMs >= (worker()?.doubtedAtMs ?? sentAtMs);
+                const isPresent = answer.outcome === commandOutcomes.accepted && answer.listing?.bornWallMs === bornWallMs;
+                wasLastListAccepted = isPresent && sentAtMs >= (worker()?.doubtedAtMs ?? sentAtMs);
                 isIncarnationConfirmed = wasLastListAccepted && sentAtMs >= silentAtMs;
             }
             // By the worker's clock in the response, which was written after `sentAtMs`, however late it is read.
--- a/tests/process/formerSessionResponses.spec.ts
+++ b/tests/process/formerSessionResponses.spec.ts
@@ -103,6 +103,16 @@
         assert.deepEqual([worker.hasListed, worker.isRunStateKnown, worker.runs.size], [false, false, 1]);
     });
 
+    it("should acknowledge no ends and extend no lease after a listing of another incarnation, whatever the order of their starts", async context => {
+        const { lists, respondToList } = createFixture(context);
+        await respondToList({ clockMs: 50_000, listing: emptyListing });
+        const ended = [{ endNumber: 1, taskName: "other.0.0.0", runId: 1, end: "done" as const, checkpoint: "" }];
+        await respondToList({ clockMs: 50_000, listing: { ...emptyListing, ended } });
+        await respondToList({ clockMs: 1_000, listing: { ...emptyListing, bornWallMs: -1 } });
+        const { acknowledgedEndNumber, leaseUntilClockMs } = lists.at(-1)!;
+        assert.deepEqual([acknowledgedEndNumber, leaseUntilClockMs], [0, undefined]);
+    });
+
     it("should not trust a listing that was requested before a stop without a response", async context => {
         const { harness, session, lists, timers, stopResponses, respondToList, respondToStart } = createFixture(context);
         await respondToList({ clockMs: 50_000, listing: emptyListing });
