Let the model's owner see the entries of all workers once its faults have ended

In the model, an owner that is cut off from a worker is not told of the worker's restart either, and never was told later. Since a worker whose entry is of its former incarnation gets no starts, the histories of the recovery ended there, although the store shows each owner all entries in the end.

--- a/tests/scheduling/schedulingModel.ts
+++ b/tests/scheduling/schedulingModel.ts
@@ -237,13 +237,13 @@
             setProven(owner, true);
             stepOwner(owners.length - 1);
         },
-        /** Ends all faults: the current owner holds its lease and reaches every worker. */
+        /** Ends all faults: the current owner holds its lease, reaches every worker, and sees their entries. */
         recover: () => {
             const owner = owners.at(-1)!;
             owner.partitionedFrom.clear();
             setProven(owner, true);
             workers.filter(worker => worker.capacity === 0).forEach(worker => workerHandlers.grow(worker.id));
-            [...unnoticed.keys()].forEach(workerHandlers.notice);
+            workers.filter(worker => worker.leftAtMs === undefined).forEach(worker => workerHandlers.notice(worker.id));
         },
         tick,
     };
