Keep responses to the former incarnation's session off the record of the next one

An accepted start and a refusal by another worker, read by a session whose incarnation was over, counted as contact with the next one, held its leases, or settled its runs. The new test of scheduling/restartedWorkers ("should not count as in touch …") guards the first. Comments are wrapped to the width of the code.

--- a/src/process/vmInventory.ts
+++ b/src/process/vmInventory.ts
@@ -73,8 +73,8 @@
         }
     };
     /**
-     * The list may not have shown the worker of a VM when its cordon or its restart ended, and a cordon holds for the next worker too. Whether
-     * that one follows a restart that was ordered is for the wave to tell.
+     * The list may not have shown the worker of a VM when its cordon or its restart ended, and a cordon holds for the next worker too.
+     * Whether that one follows a restart that was ordered is for the wave to tell.
      */
     const updateFlags = (vmId: string): void => {
         const worker = workerOn(vmId);
--- a/src/process/waveRunner.ts
+++ b/src/process/waveRunner.ts
@@ -69,7 +69,9 @@
 /** Key prefix under which the progress of waves is stored. */
 export const waveProgressPrefix = `${jobKeys.prefix}wave/`;
 
-/** Time after which an order without an answer is repeated: the platform restarts a VM once a wave, and the repetition's answer shows that. */
+/**
+ * Time after which an order without an answer is repeated: the platform restarts a VM once a wave, and the repetition's answer shows that.
+ */
 const restartRepeatMs = 2_000;
 /** A VM that all lists have lacked for this long has been taken away; a single list without it says nothing. */
 const removedAfterMs = 5_000;
--- a/src/process/workerSession.ts
+++ b/src/process/workerSession.ts
@@ -1,4 +1,7 @@
-/** The owner's session with one incarnation of a worker: long polls that extend leases and return ended runs, and commands in parallel to them. */
+/**
+ * The owner's session with one incarnation of a worker: long polls that extend leases and return ended runs, and commands in parallel to
+ * them.
+ */
 import { delay, type TimerService } from "../common/timerService.js";
 import type { ListResponse, WorkerClient } from "../connection/workerClient.js";
 import { listingPauseMs, listingWaitMs } from "../decisions/paceListings.js";
@@ -58,7 +61,9 @@
     let answeredSentAtMs = Number.NEGATIVE_INFINITY;
     let isImmediateListOpen = false;
     let wasLastListAccepted = false;
-    /** Whether a listing that was sent after the last command without a response has shown this incarnation: the worker may have restarted. */
+    /**
+     * Whether a listing that was sent after the last command without a response has shown this incarnation: the worker may have restarted.
+     */
     let isIncarnationConfirmed = false;
     let silentAtMs = Number.NEGATIVE_INFINITY;
     let isListFailing = false;
@@ -70,7 +75,10 @@
     /** Whether the scheduler still knows the worker as this incarnation; nothing is sent to it by the clock of the former one. */
     const isCurrent = (): boolean => !signal.aborted && worker()?.entry.bornWallMs === bornWallMs;
     const maySendOrders = (): boolean => isCurrent() && options.maySendOrders();
-    /** Whether a refusal of this token shows a newer owner: a newer token may also be of this process's continued term, or of a newer incarnation. */
+    /**
+     * Whether a refusal of this token shows a newer owner: a newer token may also be of this process's continued term, or of a newer
+     * incarnation.
+     */
     const isCurrentToken = (token: number): boolean => isCurrent() && token === scheduler.commandToken(workerId);
 
     /** Once the session is closed, its worker may be at another address; of the late responses, only a refusal still holds there. */
--- a/src/process/workerSessions.ts
+++ b/src/process/workerSessions.ts
@@ -11,8 +11,8 @@
 
 export interface WorkerSessions {
     /**
-     * Opens and closes sessions so that there is one with the present incarnation of each worker of the scheduler that has not ended, at its current address, and
-     * lists workers again whose ends may be hidden by a listing without a response. Must be called often.
+     * Opens and closes sessions so that there is one with the present incarnation of each worker of the scheduler that has not ended, at
+     * its current address, and lists workers again whose ends may be hidden by a listing without a response. Must be called often.
      */
     sync(scheduler: Scheduler): void;
     /** Sends the command, if there is a session with its worker. */
--- a/src/process/workerStops.ts
+++ b/src/process/workerStops.ts
@@ -26,7 +26,9 @@
 }
 
 const retryDelayMs = 100;
-/** Further stops wait: more than the worker answers within a call's timeout would time out unsent and be repeated, and each takes memory. */
+/**
+ * Further stops wait: more than the worker answers within a call's timeout would time out unsent and be repeated, and each takes memory.
+ */
 const maxOpenStops = 64;
 
 export function createWorkerStops(options: WorkerStopsOptions): WorkerStops {
@@ -49,7 +51,7 @@
         options.recordSilence(answer.outcome);
         scheduler.setOwnershipProven(options.isLeaseValid());
         const outcome = options.currentOutcome(answer.outcome);
-        if (outcome === commandOutcomes.otherWorker) {
+        if (outcome === commandOutcomes.otherWorker && options.isCurrent()) {
             scheduler.workerReplaced(workerId, moment());
         }
         if (outcome !== commandOutcomes.accepted) {
--- a/src/scheduling/acknowledgedEnds.ts
+++ b/src/scheduling/acknowledgedEnds.ts
@@ -9,8 +9,8 @@
 }
 
 /**
- * The highest end number up to which every end is stored. 0 after a start without a response: the worker may have restarted, and would forget ends that nobody has
- * seen.
+ * The highest end number up to which every end is stored. 0 after a start without a response: the worker may have restarted, and would
+ * forget ends that nobody has seen.
  */
 export function acknowledgedEndNumber(worker: WorkerRecord): number {
     return hasUnansweredStart(worker) ?
--- a/src/scheduling/commandResponses.ts
+++ b/src/scheduling/commandResponses.ts
@@ -24,9 +24,11 @@
     }
     run.respondedAtMs = moment.nowMs;
     if (outcome === commandOutcomes.accepted) {
-        worker.lastContactAtMs = moment.nowMs;
         run.isStartAccepted = true;
-        holdLease(worker, startHeldUntilMs(run));
+        if (!isOfFormerIncarnation(worker, run)) {
+            worker.lastContactAtMs = moment.nowMs;
+            holdLease(worker, startHeldUntilMs(run));
+        }
         if (run.phase === runPhases.starting) {
             run.phase = runPhases.running;
         }
--- a/src/scheduling/commandToken.ts
+++ b/src/scheduling/commandToken.ts
@@ -1,6 +1,6 @@
 /**
- * Fencing tokens of commands to workers. A worker that restarts under its id cannot tell which of its incarnations a command was meant for, so each has a token of its own: once
- * the new one has received a command, it refuses those that were sent to the former one.
+ * Fencing tokens of commands to workers. A worker that restarts under its id cannot tell which of its incarnations a command was meant for,
+ * so each has a token of its own: once the new one has received a command, it refuses those that were sent to the former one.
  */
 import type { WorkerRecord } from "./workerRecord.js";
 
--- a/src/scheduling/leases.ts
+++ b/src/scheduling/leases.ts
@@ -33,16 +33,16 @@
 }
 
 /**
- * When the leases end that commands sent until `sentUntilMs` may have been granted by an incarnation of the worker for which they were not meant. Their
- * time limits are read by a clock that is not known, so such a lease may last as long as the worker grants at most.
+ * When the leases end that commands sent until `sentUntilMs` may have been granted by an incarnation of the worker for which they were not
+ * meant. Their time limits are read by a clock that is not known, so such a lease may last as long as the worker grants at most.
  */
 export function strayLeasesEndMs(sentUntilMs: number, maxGrantedMs: number): number {
     return sentUntilMs + maxLeaseMs(maxGrantedMs);
 }
 
 /**
- * Until when earlier owners, which send no commands after `ownersEndAtMs`, may have taken an incarnation for the one before. Both `seenAtMs`, when this process
- * learned of the incarnation, and its own start on the wall clock bound how long ago it began.
+ * Until when earlier owners, which send no commands after `ownersEndAtMs`, may have taken an incarnation for the one before. Both
+ * `seenAtMs`, when this process learned of the incarnation, and its own start on the wall clock bound how long ago it began.
  */
 export function formerOwnersUnawareUntilMs(
     ownersEndAtMs: number,
--- a/src/scheduling/poolCandidates.ts
+++ b/src/scheduling/poolCandidates.ts
@@ -38,8 +38,8 @@
 const maxMisfits = 16;
 
 /**
- * A worker gets no further starts while so many have no response. More than it answers within the time for which a start is valid would only
- * expire and be planned again, and each that waits takes memory.
+ * A worker gets no further starts while so many have no response. More than it answers within the time for which a start is valid would
+ * only expire and be planned again, and each that waits takes memory.
  */
 export const maxUnansweredStarts = 64;
 
--- a/src/scheduling/reconcileListing.ts
+++ b/src/scheduling/reconcileListing.ts
@@ -180,8 +180,8 @@
 }
 
 /**
- * Removes runs that are missing from a listing requested after their command was answered: they never started or are gone. The first listing of an incarnation settles
- * all of them, since the worker refuses commands to the former one from then on.
+ * Removes runs that are missing from a listing requested after their command was answered: they never started or are gone. The first
+ * listing of an incarnation settles all of them, since the worker refuses commands to the former one from then on.
  */
 function removeAbsentRuns(
     state: SchedulerState,
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -160,8 +160,8 @@
             }
         },
         /**
-         * The entry is gone or cannot be read: the worker has left, cannot reach the store, or its entry was overwritten. Its record is kept
-         * while it may run anything.
+         * The entry is gone or cannot be read: the worker has left, cannot reach the store, or its entry was overwritten. Its record is
+         * kept while it may run anything.
          */
         unregisterWorker: (workerId: string): void => removeEntry(state, workerId),
         /** Fencing token of commands to the present incarnation of the worker. */
@@ -185,7 +185,7 @@
                 applyListing(state, worker, listing, sentAtMs, moment, extendedByMs);
             }
         },
-        /** A response from the worker's address shows the clock of another incarnation; the worker gets no new runs until it has listed those that it has. */
+        /** A response from the worker's address shows the clock of another incarnation. */
         incarnationDoubted: (workerId: string, nowMs: number): void => doubtIncarnation(state, workerId, nowMs),
         /** The worker did not respond; it gets no new runs until it does. `isDisconnected`: its address refused or ended the connection. */
         workerUnresponsive: (workerId: string, nowMs: number, reason = "", isDisconnected = false): void => {
--- a/src/scheduling/schedulerState.ts
+++ b/src/scheduling/schedulerState.ts
@@ -72,7 +72,9 @@
     term: Term;
     jobs: Map<string, JobRecord>;
     workers: Map<string, WorkerRecord>;
-    /** The number of incarnations known of workers whose records were removed: nothing that an earlier owner started runs there any more. */
+    /**
+     * The number of incarnations known of workers whose records were removed: nothing that an earlier owner started runs there any more.
+     */
     departedWorkers: Map<string, number>;
     teamUsed: Map<string, Resources>;
     /** What each team may be using on workers that have not been listed in this term. */
--- a/src/scheduling/unresponsiveWorkers.ts
+++ b/src/scheduling/unresponsiveWorkers.ts
@@ -24,8 +24,8 @@
 export interface WorkerSnapshot {
     entry: WorkerEntry;
     /**
-     * Task names, run ids, the runs' ages in milliseconds when the worker was last in touch, and whether it had listed them. Missing ages are unknown; a run that it
-     * had not listed may run on a later incarnation.
+     * Task names, run ids, the runs' ages in milliseconds when the worker was last in touch, and whether it had listed them. Missing ages
+     * are unknown; a run that it had not listed may run on a later incarnation.
      */
     runs: (readonly [string, number, number?, boolean?])[];
     /** How long after the snapshot was taken the leases of the runs may last; no lease is extended until the snapshot is removed. */
--- a/src/scheduling/workerClock.ts
+++ b/src/scheduling/workerClock.ts
@@ -16,8 +16,8 @@
     /** `undefined` before the first reading. */
     estimateMs(nowMs: number): number | undefined;
     /**
-     * Returns by how much the reading certainly differs from the estimated clock: above 0 if the worker's clock is ahead of it, 0 if both may
-     * be the same clock.
+     * Returns by how much the reading certainly differs from the estimated clock: above 0 if the worker's clock is ahead of it, 0 if both
+     * may be the same clock.
      */
     deviationMs(clockMs: number, time: ReadingTime): number;
     /** Bases the estimate on this reading. */
--- a/src/scheduling/workerEnds.ts
+++ b/src/scheduling/workerEnds.ts
@@ -33,8 +33,8 @@
 }
 
 /**
- * Resets the record of a worker that has restarted. Until the new incarnation has listed its runs, commands that were meant for the former one may take effect on it,
- * so nothing is known of its runs and leases.
+ * Resets the record of a worker that has restarted. Until the new incarnation has listed its runs, commands that were meant for the former
+ * one may take effect on it, so nothing is known of its runs and leases.
  */
 export function beginIncarnation(state: SchedulerState, worker: WorkerRecord, bornWallMs: number, moment: Moment): void {
     const runs = [...worker.runs.values()];
--- a/src/scheduling/workerRecord.ts
+++ b/src/scheduling/workerRecord.ts
@@ -104,11 +104,14 @@
     /** Number of earlier incarnations that this owner has known; part of the fencing token of commands to this one. */
     formerIncarnationsCount: number;
     /**
-     * Whether this incarnation has listed its runs in response to a command with its own fencing token. Since then, it refuses all commands that were sent to
-     * earlier incarnations, or by earlier owners.
+     * Whether this incarnation has listed its runs in response to a command with its own fencing token. Since then, it refuses all commands
+     * that were sent to earlier incarnations, or by earlier owners.
      */
     hasListed: boolean;
-    /** When a response with another clock came from the worker's address: it may have restarted. `undefined` once a later listing has shown this incarnation. */
+    /**
+     * When a response with another clock came from the worker's address: it may have restarted. `undefined` once a later listing has shown
+     * this incarnation.
+     */
     doubtedAtMs: number | undefined;
     /** Whether the runs on the worker are known, usually because it has responded to this owner, which fences earlier ones. */
     isRunStateKnown: boolean;
@@ -144,8 +147,8 @@
     /** After this time, all listed runs on the worker have lost their leases, unless it responds in the meantime. */
     leaseEndsAtMs: number;
     /**
-     * After this time, runs that no listing has shown have lost their leases too: an incarnation may have granted them by commands that were meant for another
-     * one.
+     * After this time, runs that no listing has shown have lost their leases too: an incarnation may have granted them by commands that
+     * were meant for another one.
      */
     strayLeasesEndAtMs: number;
     /** Until this time, no run on this incarnation can have lost its lease: the worker has confirmed it. */
--- a/tests/platform/leasedWorker.ts
+++ b/tests/platform/leasedWorker.ts
@@ -1,4 +1,6 @@
-/** Stand-in of a worker that can crash, restart under its id, be cut off, answer late, or carry commands out late and without a response. */
+/**
+ * Stand-in of a worker that can crash, restart under its id, be cut off, answer late, or carry commands out late and without a response.
+ */
 import http from "node:http";
 import type { SeededRandom } from "../../harness/random.js";
 import { type Command, type CommandBody, createWorkerLife, type WorkerLife, type WorkerObserver, type WorkerRun } from "./workerLife.js";
--- a/tests/platform/soakJobs.ts
+++ b/tests/platform/soakJobs.ts
@@ -86,7 +86,8 @@
         return { job, step: job?.steps[Number(stepIndex)] };
     };
 
-    // No owner can prevent a late start by a life that none has reached, once the run was ruled out on the life to which the start was sent.
+    // No owner can prevent a late start by a life that none has reached, once the run was ruled out on the life to which the start was
+    // sent.
     const excuse = ({ runs, excusedRuns }: TaskHistory, run: WorkerRun): void => {
         const { ruledOutAtMs, wasStopAccepted, isLifeReached } = run.lateStart ?? {};
         if (ruledOutAtMs !== undefined && !isLifeReached?.() && (wasStopAccepted || runs.some(other => other.startedAtMs > ruledOutAtMs))) {
--- a/tests/process/formerSessionResponses.spec.ts
+++ b/tests/process/formerSessionResponses.spec.ts
@@ -1,4 +1,6 @@
-/** Guards against responses that were requested before a restart, or before a sign of one, and that show nothing of the present incarnation. */
+/**
+ * Guards against responses that were requested before a restart, or before a sign of one, and that show nothing of the present incarnation.
+ */
 import assert from "node:assert/strict";
 import { describe, it, type TestContext } from "node:test";
 import { createManualTimerService } from "../../src/common/timerService.js";
--- a/tests/process/lateCommands.ts
+++ b/tests/process/lateCommands.ts
@@ -1,7 +1,7 @@
 /**
- * Commands that a worker carries out long after they were sent, at times in another life than the one they were meant for. Tells apart those
- * whose effects no owner can prevent: a life that no owner has reached yet knows neither the stops of former lives nor a fencing token, so it
- * obeys whatever was sent to a former one.
+ * Commands that a worker carries out long after they were sent, at times in another life than the one they were meant for. Tells apart
+ * those whose effects no owner can prevent: a life that no owner has reached yet knows neither the stops of former lives nor a fencing
+ * token, so it obeys whatever was sent to a former one.
  */
 import type { ModelWorker } from "../scheduling/modelWorker.js";
 
--- a/tests/process/membership.spec.ts
+++ b/tests/process/membership.spec.ts
@@ -1,4 +1,6 @@
-/** Guards against a process that the others do not know any more, because the store was restored to a state from before its registration. */
+/**
+ * Guards against a process that the others do not know any more, because the store was restored to a state from before its registration.
+ */
 import assert from "node:assert/strict";
 import { after, describe, it } from "node:test";
 import { waitUntil } from "../../harness/waitUntil.js";
--- a/tests/process/restartSimulation.ts
+++ b/tests/process/restartSimulation.ts
@@ -1,7 +1,7 @@
 /**
- * Tasks on workers that restart under their ids and are cut off soon after, on a simulated clock, while the owner of the scheduling is killed and
- * commands are carried out late. Each life of a worker has its own clock, and grants leases of up to 10 s. Records runs of a task that overlap,
- * and starts after an end as done that was acknowledged.
+ * Tasks on workers that restart under their ids and are cut off soon after, on a simulated clock, while the owner of the scheduling is
+ * killed and commands are carried out late. Each life of a worker has its own clock, and grants leases of up to 10 s. Records runs of a
+ * task that overlap, and starts after an end as done that was acknowledged.
  */
 import { defaultStep } from "../../harness/defaultStep.js";
 import type { SeededRandom } from "../../harness/random.js";
--- a/tests/process/restartedWorkers.spec.ts
+++ b/tests/process/restartedWorkers.spec.ts
@@ -1,10 +1,10 @@
 /**
- * Workers that start again under their ids and are cut off soon after. A life of a worker has its own clock, numbers its ends from 1, and has seen
- * no fencing token and no stop. Whichever life carries out a command: no task runs twice at once, and none starts after an end as done that was
- * acknowledged.
+ * Workers that start again under their ids and are cut off soon after. A life of a worker has its own clock, numbers its ends from 1, and
+ * has seen no fencing token and no stop. Whichever life carries out a command: no task runs twice at once, and none starts after an end as
+ * done that was acknowledged.
  *
- * Left out are late commands that no owner can prevent, since no owner that knows of the life has reached it: a start whose stop a former life
- * had accepted, or whose task has been started again since; and an acknowledgement for a life that such a start has given an end.
+ * Left out are late commands that no owner can prevent, since no owner that knows of the life has reached it: a start whose stop a former
+ * life had accepted, or whose task has been started again since; and an acknowledgement for a life that such a start has given an end.
  */
 import assert from "node:assert/strict";
 import { before, describe, it } from "node:test";
--- a/tests/process/simulatedWorkerClient.ts
+++ b/tests/process/simulatedWorkerClient.ts
@@ -1,6 +1,6 @@
 /**
- * Connections to the workers of a simulation, whose commands are late, lost, or executed without a response, some of them seconds later and by
- * the next life of the worker. A command that is sent after a restart reaches the new life, whether or not its sender knows of it.
+ * Connections to the workers of a simulation, whose commands are late, lost, or executed without a response, some of them seconds later and
+ * by the next life of the worker. A command that is sent after a restart reaches the new life, whether or not its sender knows of it.
  */
 import type { SeededRandom } from "../../harness/random.js";
 import type { TimerService } from "../../src/common/timerService.js";
--- a/tests/process/unseenIncarnations.spec.ts
+++ b/tests/process/unseenIncarnations.spec.ts
@@ -1,4 +1,6 @@
-/** Guards against giving up what an incarnation may have begun that no owner has seen, and against losing the ownership to one that returns. */
+/**
+ * Guards against giving up what an incarnation may have begun that no owner has seen, and against losing the ownership to one that returns.
+ */
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { createSeededRandom } from "../../harness/random.js";
--- a/tests/scheduling/restartedWorkers.spec.ts
+++ b/tests/scheduling/restartedWorkers.spec.ts
@@ -77,6 +77,14 @@
         assert.equal(harness.startedTasks().length, 2);
     });
 
+    it("should not count as in touch because a start for its former incarnation was accepted", () => {
+        const harness = createPool();
+        harness.restartWorker("w1");
+        harness.answerStarts(commandOutcomes.accepted);
+        const { lastContactAtMs, leaseHeldUntilMs } = harness.scheduler.state.workers.get("w1")!;
+        assert.deepEqual([lastContactAtMs, leaseHeldUntilMs], [undefined, Number.NEGATIVE_INFINITY]);
+    });
+
     it("should settle by its first listing the starts that were meant for its former incarnation", () => {
         const harness = createPool();
         harness.restartWorker("w1");
--- a/tests/scheduling/settledStarts.ts
+++ b/tests/scheduling/settledStarts.ts
@@ -47,7 +47,9 @@
     }
 }
 
-/** Whether what was sent to a former incarnation of the worker is too late to reach one that the owner of the newest term has not reached. */
+/**
+ * Whether what was sent to a former incarnation of the worker is too late to reach one that the owner of the newest term has not reached.
+ */
 export function isTooLate(
     { bornWallMs, sentAtMs }: { bornWallMs: number; sentAtMs: number },
     owner: ModelOwner,
