--- a/src/scheduling/suspectStarts.ts
+++ b/src/scheduling/suspectStarts.ts
@@ -15,7 +15,7 @@
 
 /**
  * Adds a planned start to the job's progress, if the next crash may give up its task; again if the worker has restarted since, or the next
- * owner would take the life that gets the start for one that crashed under it.
+ * owner would take the incarnation that gets the start for one that crashed under it.
  */
 export function recordSuspectStart(state: SchedulerState, job: JobRecord, step: StepRecord, run: Run): void {
     const worker = state.workers.get(run.workerId);
@@ -25,8 +25,8 @@
     const progress = taskProgress(step, run.taskIndex);
     const { workerId, bornWallMs } = worker.entry;
     const recorded = progress.suspectStart;
-    const isOfFormerLife = recorded?.runId === run.runId && recorded.bornWallMs !== bornWallMs;
-    if (run.recordedVersion === undefined || isOfFormerLife) {
+    const isOfFormerIncarnation = recorded?.runId === run.runId && recorded.bornWallMs !== bornWallMs;
+    if (run.recordedVersion === undefined || isOfFormerIncarnation) {
         progress.suspectStart = { runId: run.runId, workerId, bornWallMs };
         markChanged(state, job);
         run.recordedVersion = job.version;
--- a/src/scheduling/workerClock.ts
+++ b/src/scheduling/workerClock.ts
@@ -1,6 +1,6 @@
 /**
- * Estimate of a worker's clock, which starts anew with each life of the worker. A reading that cannot be of the estimated clock shows
- * another life.
+ * Estimate of a worker's clock, which starts anew with each incarnation of the worker. A reading that cannot be of the estimated clock
+ * shows another incarnation.
  */
 
 import type { SchedulerState } from "./schedulerState.js";
@@ -49,7 +49,7 @@
     };
 }
 
-/** Logs that a response came from a life of the worker with another clock. */
+/** Logs that a response came from an incarnation of the worker with another clock. */
 export function logClockDeviation(
     { onDecision }: SchedulerState,
     deviationMs: number,
