--- a/tests/process/oddDocuments.spec.ts
+++ b/tests/process/oddDocuments.spec.ts
@@ -29,7 +29,6 @@
     version: "v1",
     slots: 8,
     state: "ready",
-    coldRemainingMs: 0,
     capacity: { cpu: 16_000, memMb: 64_000 },
     labels: ["kind", "rack"],
     seq: 1,
