Never shorten the bound of leases that another incarnation may have granted

The bound was set in four places, in three of them without regard to what it was: a worker that restarted, or answered by another clock, just after a takeover lost the time that an earlier owner, which goes on for some seconds, may still use the former clock. It is raised in one place now, also for earlier owners when a worker restarts.

--- a/src/scheduling/commandResponses.ts
+++ b/src/scheduling/commandResponses.ts
@@ -2,7 +2,7 @@
 import { type CommandOutcome, commandOutcomes } from "./commandOutcomes.js";
 import { isFinalState } from "./jobRecord.js";
 import { jobStates } from "./jobTypes.js";
-import { holdLease, startHeldUntilMs, strayLeasesEndMs } from "./leases.js";
+import { holdLease, holdStrayLeases, startHeldUntilMs } from "./leases.js";
 import type { Moment } from "./reconcileListing.js";
 import { applyEnd, commandKinds, detachRun, markChanged, runEnds, type SchedulerState, stopRun } from "./schedulerState.js";
 import { markUnresponsive } from "./unresponsiveWorkers.js";
@@ -50,7 +50,7 @@
     });
     if (outcome === commandOutcomes.unknown) {
         // An incarnation that is not known yet may have carried it out.
-        worker.strayLeasesEndAtMs = Math.max(worker.strayLeasesEndAtMs, strayLeasesEndMs(moment.nowMs, state.maxGrantedLeaseMs));
+        holdStrayLeases(worker, moment.nowMs, state.maxGrantedLeaseMs);
         // The silence of a former incarnation says nothing about this one.
         if (!isOfFormerIncarnation(worker, run)) {
             markUnresponsive(worker, moment.nowMs);
--- a/src/scheduling/leases.ts
+++ b/src/scheduling/leases.ts
@@ -33,11 +33,11 @@
 }
 
 /**
- * When the leases end that commands sent until `sentUntilMs` may have been granted by an incarnation of the worker for which they were not
- * meant. Their time limits are read by a clock that is not known, so such a lease may last as long as the worker grants at most.
+ * Commands that were sent until `sentUntilMs` may have reached an incarnation of the worker for which they were not meant. Their time limits
+ * are read by a clock that is not known, so their leases may last as long as the worker grants at most.
  */
-export function strayLeasesEndMs(sentUntilMs: number, maxGrantedMs: number): number {
-    return sentUntilMs + maxLeaseMs(maxGrantedMs);
+export function holdStrayLeases(worker: { strayLeasesEndAtMs: number }, sentUntilMs: number, maxGrantedMs: number): void {
+    worker.strayLeasesEndAtMs = Math.max(worker.strayLeasesEndAtMs, sentUntilMs + maxLeaseMs(maxGrantedMs));
 }
 
 /**
--- a/src/scheduling/workerContact.ts
+++ b/src/scheduling/workerContact.ts
@@ -1,5 +1,5 @@
 /** What a response from a worker's address shows of its present incarnation, of the leases of its runs, and of the runs themselves. */
-import { holdLease, maxLeaseMs, minLeaseMs, strayLeasesEndMs } from "./leases.js";
+import { holdLease, holdStrayLeases, maxLeaseMs, minLeaseMs } from "./leases.js";
 import { type Listing, type Moment, reconcileListing } from "./reconcileListing.js";
 import { commandKinds, type SchedulerState } from "./schedulerState.js";
 import type { WorkerRecord } from "./workerRecord.js";
@@ -37,7 +37,7 @@
     const worker = state.workers.get(workerId);
     if (worker) {
         worker.doubtedAtMs = nowMs;
-        worker.strayLeasesEndAtMs = strayLeasesEndMs(nowMs, state.maxGrantedLeaseMs);
+        holdStrayLeases(worker, nowMs, state.maxGrantedLeaseMs);
         state.commands.push({ kind: commandKinds.list, workerId });
     }
 }
--- a/src/scheduling/workerEnds.ts
+++ b/src/scheduling/workerEnds.ts
@@ -1,5 +1,5 @@
 /** What follows when a worker has ended or restarted, or its leases have ended: its runs are lost. */
-import { strayLeasesEndMs } from "./leases.js";
+import { formerOwnersUnawareUntilMs, holdStrayLeases } from "./leases.js";
 import type { Moment } from "./reconcileListing.js";
 import { applyEnd, commandKinds, detachRun, runEnds, type SchedulerState } from "./schedulerState.js";
 import { crashSuspects, recordCrash } from "./workerCrashes.js";
@@ -32,6 +32,15 @@
     recordCrash(state, suspects, `the worker had restarted; ${reason}`, moment);
 }
 
+/** An earlier owner that goes on for a while may not know of the worker's incarnation yet; `seenAtMs` is when this process learned of it. */
+export function holdFormerOwnersLeases(state: SchedulerState, worker: WorkerRecord, seenAtMs: number, moment: Moment): void {
+    const { formerOwnersEndAtMs } = state.term;
+    if (formerOwnersEndAtMs !== undefined) {
+        const unawareUntilMs = formerOwnersUnawareUntilMs(formerOwnersEndAtMs, seenAtMs, worker.entry.bornWallMs, moment);
+        holdStrayLeases(worker, unawareUntilMs, state.maxGrantedLeaseMs);
+    }
+}
+
 /**
  * Resets the record of a worker that has restarted. Until the new incarnation has listed its runs, commands that were meant for the former
  * one may take effect on it, so nothing is known of its runs and leases.
@@ -58,7 +67,8 @@
     worker.hasListed = false;
     worker.doubtedAtMs = undefined;
     worker.isRunStateKnown = false;
-    worker.strayLeasesEndAtMs = strayLeasesEndMs(moment.nowMs, state.maxGrantedLeaseMs);
+    holdStrayLeases(worker, moment.nowMs, state.maxGrantedLeaseMs);
+    holdFormerOwnersLeases(state, worker, moment.nowMs, moment);
     worker.lastResponseAtMs = undefined;
     worker.fencedSinceMs = undefined;
     worker.lastContactAtMs = undefined;
--- a/src/scheduling/workerLifecycle.ts
+++ b/src/scheduling/workerLifecycle.ts
@@ -1,11 +1,10 @@
 /** Adds, drains and removes workers, and bounds how long their runs may keep their leases. */
-import { formerOwnersUnawareUntilMs, strayLeasesEndMs } from "./leases.js";
 import { forgetWorker } from "./plannedStarts.js";
 import type { Moment } from "./reconcileListing.js";
 import { commandKinds, type SchedulerState, stopRun } from "./schedulerState.js";
 import { snapshotStates } from "./unresponsiveWorkers.js";
 import { crashSuspects, recordCrash } from "./workerCrashes.js";
-import { markLost, markRunsLost } from "./workerEnds.js";
+import { holdFormerOwnersLeases, markLost, markRunsLost } from "./workerEnds.js";
 import {
     allLeasesEndAtMs,
     createWorkerRecord,
@@ -20,14 +19,10 @@
 
 /** Adds a worker that may hold runs of an earlier owner until it has responded or their leases have ended. */
 export function addWorker(state: SchedulerState, entry: WorkerEntry, moment: Moment, seenAtMs = moment.nowMs): WorkerRecord {
-    const { unknownWorkersUntilMs, formerOwnersEndAtMs } = state.term;
-    const worker = createWorkerRecord(entry, unknownWorkersUntilMs);
+    const worker = createWorkerRecord(entry, state.term.unknownWorkersUntilMs);
     // One that returns may have received the tokens of all its incarnations so far.
     worker.formerIncarnationsCount = state.departedWorkers.get(entry.workerId) ?? 0;
-    if (formerOwnersEndAtMs !== undefined) {
-        const unawareUntilMs = formerOwnersUnawareUntilMs(formerOwnersEndAtMs, seenAtMs, entry.bornWallMs, moment);
-        worker.strayLeasesEndAtMs = strayLeasesEndMs(unawareUntilMs, state.maxGrantedLeaseMs);
-    }
+    holdFormerOwnersLeases(state, worker, seenAtMs, moment);
     state.workers.set(entry.workerId, worker);
     state.onDecision({ what: "worker joined", workerId: entry.workerId, detail: `${entry.poolName} ${entry.rack} ${entry.address}` });
     explainDeparture(state, entry, moment);
--- a/tests/scheduling/restartedWorkers.spec.ts
+++ b/tests/scheduling/restartedWorkers.spec.ts
@@ -178,6 +178,19 @@
         assert.ok(waitMs(59_000, 59_000) >= maxWorkerLeaseMs);
     });
 
+    it("should wait as long from the end of the former owner on if a worker restarts before that", () => {
+        const formerOwnersEndAtMs = 2_000;
+        const harness = createSchedulerHarness({ workers: 2, maxWorkerLeaseMs, formerOwnersEndAtMs });
+        harness.list("w1", {});
+        harness.restartWorker("w1");
+        harness.scheduler.workerUnresponsive("w1", harness.nowMs());
+        harness.submit("job", { taskCount: 1, formerWorkerIds: ["w1"] });
+        for (; harness.startedTasks().length === 0; harness.advance(100)) {
+            harness.list("w2", {});
+        }
+        assert.ok(harness.nowMs() >= formerOwnersEndAtMs + maxWorkerLeaseMs, `started after ${harness.nowMs()} ms`);
+    });
+
     it("should wait for no longer than what was asked for if the worker started long ago", () => {
         const longestMs = workerLeaseMs + 2 * slackMs;
         assert.ok(waitMs(10_000, 11_000) <= longestMs);
