Derive whether a worker's incarnation is confirmed, and list sixteen odd starts again

The session kept a flag beside the times that it follows from, and counted a start without a response although the scheduler acknowledges nothing while one is unsettled.

--- a/src/process/workerSession.ts
+++ b/src/process/workerSession.ts
@@ -61,11 +61,8 @@
     let answeredSentAtMs = Number.NEGATIVE_INFINITY;
     let isImmediateListOpen = false;
     let wasLastListAccepted = false;
-    /**
-     * Whether a listing that was sent after the last command without a response has shown this incarnation: the worker may have restarted.
-     */
-    let isIncarnationConfirmed = false;
-    let silentAtMs = Number.NEGATIVE_INFINITY;
+    /** Since then, only a listing that is sent later confirms that the worker has not restarted. */
+    let unconfirmedSinceMs = Number.NEGATIVE_INFINITY;
     let isListFailing = false;
 
     const worker = (): WorkerRecord | undefined => scheduler.state.workers.get(workerId);
@@ -85,12 +82,10 @@
     const currentOutcome = (outcome: CommandOutcome): CommandOutcome =>
         signal.aborted && outcome !== commandOutcomes.refused ? commandOutcomes.unknown : outcome;
 
-    const recordSilence = (outcome: CommandOutcome): void => {
-        if (outcome === commandOutcomes.unknown) {
-            isIncarnationConfirmed = false;
-            silentAtMs = timers.nowMs();
-        }
+    const unconfirm = (): void => {
+        unconfirmedSinceMs = timers.nowMs();
     };
+    const isConfirmed = (): boolean => wasLastListAccepted && answeredSentAtMs >= unconfirmedSinceMs;
 
     const handleListResponse = (answer: ListResponse, token: number, sentAtMs: number, extendedByMs: number | undefined): void => {
         // The fencing token of a former incarnation's session does not show that the present one refuses earlier commands.
@@ -149,14 +144,13 @@
             const answer = await client.list({
                 token,
                 // If the worker has restarted, this number would make it forget ends that nobody has seen.
-                acknowledgedEndNumber: isIncarnationConfirmed ? scheduler.acknowledgedEndNumber(workerId) : 0,
+                acknowledgedEndNumber: isConfirmed() ? scheduler.acknowledgedEndNumber(workerId) : 0,
                 leaseUntilClockMs: clockMs === undefined ? undefined : Math.round(clockMs + options.leaseMs),
                 waitMs,
             });
             if (answer.outcome === commandOutcomes.accepted || sentAtMs >= answeredSentAtMs) {
                 const isPresent = answer.outcome === commandOutcomes.accepted && answer.listing?.bornWallMs === bornWallMs;
                 wasLastListAccepted = isPresent && sentAtMs >= (worker()?.doubtedAtMs ?? sentAtMs);
-                isIncarnationConfirmed = wasLastListAccepted && sentAtMs >= silentAtMs;
             }
             // By the worker's clock in the response, which was written after `sentAtMs`, however late it is read.
             const extendedByMs = clockMs === undefined || answer.clockMs === undefined ?
@@ -169,7 +163,6 @@
         }
         catch (error) {
             wasLastListAccepted = false;
-            isIncarnationConfirmed = false;
             handleListFailure(String(error));
             return { outcome: commandOutcomes.unknown, hasNewEnds: false };
         }
@@ -233,11 +226,10 @@
             logClockDeviation(scheduler.state, deviationMs, { workerId, call: "start", run: targetRun });
             if (deviationMs !== 0 && isCurrent()) {
                 wasLastListAccepted = false;
-                recordSilence(commandOutcomes.unknown);
+                unconfirm();
                 scheduler.incarnationDoubted(workerId, timers.nowMs());
             }
         }
-        recordSilence(answer.outcome);
         if (answer.isFenced && isCurrentToken(token)) {
             options.onFenced();
             return;
@@ -246,7 +238,7 @@
         scheduler.startResponseReceived(targetRun, currentOutcome(answer.outcome), answer.reason, moment());
         options.onSchedulerChanged();
     };
-    const stops = createWorkerStops({ ...options, signal, isCurrent, isCurrentToken, currentOutcome, recordSilence });
+    const stops = createWorkerStops({ ...options, signal, isCurrent, isCurrentToken, currentOutcome, unconfirm });
     const listImmediately = async (): Promise<void> => {
         if (!isImmediateListOpen && maySendOrders()) {
             isImmediateListOpen = true;
--- a/src/process/workerStops.ts
+++ b/src/process/workerStops.ts
@@ -22,7 +22,8 @@
     isCurrent(): boolean;
     isCurrentToken(token: number): boolean;
     currentOutcome(outcome: CommandOutcome): CommandOutcome;
-    recordSilence(outcome: CommandOutcome): void;
+    /** Must be called when a stop got no response: the worker may have restarted. */
+    unconfirm(): void;
 }
 
 const retryDelayMs = 100;
@@ -48,7 +49,9 @@
             options.onFenced();
             return;
         }
-        options.recordSilence(answer.outcome);
+        if (answer.outcome === commandOutcomes.unknown) {
+            options.unconfirm();
+        }
         scheduler.setOwnershipProven(options.isLeaseValid());
         const outcome = options.currentOutcome(answer.outcome);
         if (outcome === commandOutcomes.otherWorker && options.isCurrent()) {
--- a/src/scheduling/suspectStarts.ts
+++ b/src/scheduling/suspectStarts.ts
@@ -25,8 +25,8 @@
     const progress = taskProgress(step, run.taskIndex);
     const { workerId, bornWallMs } = worker.entry;
     const recorded = progress.suspectStart;
-    const isOfFormerIncarnation = recorded?.runId === run.runId && recorded.bornWallMs !== bornWallMs;
-    if (run.recordedVersion === undefined || isOfFormerIncarnation) {
+    const isOfAnotherIncarnation = recorded?.runId === run.runId && recorded.bornWallMs !== bornWallMs;
+    if (run.recordedVersion === undefined || isOfAnotherIncarnation) {
         progress.suspectStart = { runId: run.runId, workerId, bornWallMs };
         markChanged(state, job);
         run.recordedVersion = job.version;
--- a/tests/platform/oddEntries.spec.ts
+++ b/tests/platform/oddEntries.spec.ts
@@ -191,7 +191,11 @@
         const [workerId] = startsOf("000000000000000c");
         const worker = workers.get(workerId!)!;
         for (let seq = 0; seq < 16; seq++) {
-            await putUsable(workerId!, seq % 2 === 0 ? { born: 9e15, seq } : { born: Date.now(), version: undefined, slots: undefined });
+            await putUsable(workerId!, { born: 9e15, seq });
+            await delay(createTimerService(), 500);
+        }
+        for (let seq = 0; seq < 8; seq++) {
+            await putUsable(workerId!, { born: Date.now(), version: undefined, slots: undefined });
             await delay(createTimerService(), 500);
         }
         assert.deepEqual(startsOf("000000000000000c"), [workerId]);
