--- a/tests/process/formerSessionResponses.spec.ts
+++ b/tests/process/formerSessionResponses.spec.ts
@@ -1,67 +1,23 @@
-/**
- * Guards against responses that were requested before a restart, or before a sign of one, and that show nothing of the present incarnation.
- */
+/** Guards against responses that were requested before a restart, or before a sign of one, and that show nothing of the present incarnation. */
 import assert from "node:assert/strict";
 import { describe, it, type TestContext } from "node:test";
-import { createManualTimerService } from "../../src/common/timerService.js";
-import type { ListOrder, ListResponse, OrderResponse, WorkerClient } from "../../src/connection/workerClient.js";
-import { createWorkerSession } from "../../src/process/workerSession.js";
-import { commandOutcomes } from "../../src/scheduling/commandOutcomes.js";
+import type { WorkerSession } from "../../src/process/workerSession.js";
 import { commandKinds } from "../../src/scheduling/schedulerState.js";
-import { createSchedulerHarness } from "../scheduling/schedulerHarness.js";
-import { sessionDefaults, settle } from "./sessionDefaults.js";
+import { settle } from "./sessionDefaults.js";
+import { createSessionFixture, emptyListing, listedEnd, noResponse, type SessionFixture } from "./sessionFixture.js";
 
-const accepted = { outcome: commandOutcomes.accepted, reason: "", isFenced: false };
-const emptyListing = { bornWallMs: 0, running: [], ended: [] };
-
-function createFixture(context: TestContext) {
-    const harness = createSchedulerHarness({ workers: 1, token: 10, maxWorkerLeaseMs: 10_000 });
-    const timers = createManualTimerService();
-    const lists: ListOrder[] = [];
-    const listResponses: ((response: ListResponse) => void)[] = [];
-    const startResponses: ((response: OrderResponse) => void)[] = [];
-    const stopResponses: ((response: OrderResponse) => void)[] = [];
-    const client = {
-        list: (order: ListOrder) => {
-            lists.push(order);
-            return new Promise(resolve => listResponses.push(resolve));
-        },
-        start: () => new Promise(resolve => startResponses.push(resolve)),
-        stop: () => new Promise(resolve => stopResponses.push(resolve)),
-        setPace: () => new Promise(() => undefined),
-        close: () => undefined,
-    } as unknown as WorkerClient;
-    const session = createWorkerSession({
-        client,
-        scheduler: harness.scheduler,
-        timers,
-        ...sessionDefaults,
-    });
-    context.after(() => session.close());
-    return {
-        harness,
-        timers,
-        session,
-        lists,
-        stopResponses,
-        respondToList: (response: Partial<ListResponse>, index = 0) => {
-            listResponses.splice(index, 1)[0]!({ ...accepted, clockMs: undefined, listing: undefined, ...response });
-            return settle();
-        },
-        respondToStart: (response: Partial<OrderResponse>) => {
-            startResponses.shift()!({ ...accepted, ...response });
-            return settle();
-        },
-    };
+/** A session whose worker has been listed once. */
+async function openListed(context: TestContext): Promise<SessionFixture & { session: WorkerSession }> {
+    const fixture = createSessionFixture();
+    const session = fixture.open(context);
+    await fixture.respondToList({ clockMs: 50_000, listing: emptyListing });
+    return { ...fixture, session };
 }
 
 describe("session with a worker that has restarted meanwhile", () => {
     it("should not take a listing with the former incarnation's token for the first listing of the next one", async context => {
-        const { harness, session, lists, respondToList } = createFixture(context);
-        await respondToList({ clockMs: 50_000, listing: emptyListing });
-        harness.submit("job", { taskCount: 1 });
-        const [run] = harness.commands(commandKinds.start);
-        session.execute({ kind: commandKinds.start, run: run!, payload: "", checkpoint: "" });
+        const { harness, session, start, lists, respondToList } = await openListed(context);
+        await start(session);
         // The entry of the next incarnation comes; the poll is open, and sessions are synchronised with the next step only.
         harness.restartWorker("w1");
         const worker = harness.scheduler.state.workers.get("w1")!;
@@ -71,14 +27,9 @@
     });
 
     it("should not trust a listing that was requested before the response by another clock", async context => {
-        const { harness, session, lists, timers, respondToList, respondToStart } = createFixture(context);
-        await respondToList({ clockMs: 50_000, listing: emptyListing });
-        const ended = [{ endNumber: 1, taskName: "other.0.0.0", runId: 1, end: "done" as const, checkpoint: "" }];
-        await respondToList({ clockMs: 50_000, listing: { ...emptyListing, ended } });
-        harness.submit("job", { taskCount: 1 });
-        const [run] = harness.commands(commandKinds.start);
-        session.execute({ kind: commandKinds.start, run: run!, payload: "", checkpoint: "" });
-        await settle();
+        const { harness, session, start, lists, timers, respondToList, respondToStart } = await openListed(context);
+        await respondToList({ clockMs: 50_000, listing: { ...emptyListing, ended: [listedEnd] } });
+        await start(session);
         timers.advance(50);
         await respondToStart({ clockMs: 1_000 });
         // The poll's response of the former incarnation, written before, is read after that of the start.
@@ -89,11 +40,8 @@
     });
 
     it("should not take a second response to the former incarnation's session for the first listing of the next one", async context => {
-        const { harness, session, lists, respondToList } = createFixture(context);
-        await respondToList({ clockMs: 50_000, listing: emptyListing });
-        harness.submit("job", { taskCount: 1 });
-        const [run] = harness.commands(commandKinds.start);
-        session.execute({ kind: commandKinds.start, run: run!, payload: "", checkpoint: "" });
+        const { harness, session, start, lists, respondToList } = await openListed(context);
+        await start(session);
         session.execute({ kind: commandKinds.list, workerId: "w1" });
         await settle();
         // The poll and the other listing are both open, and the next incarnation responds to both.
@@ -106,30 +54,22 @@
     });
 
     it("should acknowledge no ends and extend no lease after a listing of another incarnation, whatever the order of their starts", async context => {
-        const { lists, respondToList } = createFixture(context);
-        await respondToList({ clockMs: 50_000, listing: emptyListing });
-        const ended = [{ endNumber: 1, taskName: "other.0.0.0", runId: 1, end: "done" as const, checkpoint: "" }];
-        await respondToList({ clockMs: 50_000, listing: { ...emptyListing, ended } });
+        const { lists, respondToList } = await openListed(context);
+        await respondToList({ clockMs: 50_000, listing: { ...emptyListing, ended: [listedEnd] } });
         await respondToList({ clockMs: 1_000, listing: { ...emptyListing, bornWallMs: -1 } });
         const { acknowledgedEndNumber, leaseUntilClockMs } = lists.at(-1)!;
         assert.deepEqual([acknowledgedEndNumber, leaseUntilClockMs], [0, undefined]);
     });
 
     it("should not trust a listing that was requested before a stop without a response", async context => {
-        const { harness, session, lists, timers, stopResponses, respondToList, respondToStart } = createFixture(context);
-        await respondToList({ clockMs: 50_000, listing: emptyListing });
-        const ended = [{ endNumber: 1, taskName: "other.0.0.0", runId: 1, end: "done" as const, checkpoint: "" }];
-        await respondToList({ clockMs: 50_000, listing: { ...emptyListing, ended } });
-        harness.submit("job", { taskCount: 1 });
-        const [run] = harness.commands(commandKinds.start);
-        session.execute({ kind: commandKinds.start, run: run!, payload: "", checkpoint: "" });
-        await settle();
+        const { session, start, lists, timers, respondToList, respondToStart, respondToStop } = await openListed(context);
+        await respondToList({ clockMs: 50_000, listing: { ...emptyListing, ended: [listedEnd] } });
+        const run = await start(session);
         await respondToStart({ clockMs: 50_000 });
-        session.execute({ kind: commandKinds.stop, run: run!, reason: "" });
+        session.execute({ kind: commandKinds.stop, run, reason: "" });
         await settle();
         timers.advance(500);
-        stopResponses.shift()!({ outcome: commandOutcomes.unknown, reason: "no response", isFenced: false });
-        await settle();
+        await respondToStop(noResponse);
         // Written at 50,010, before the stop was lost.
         await respondToList({ clockMs: 50_010, listing: emptyListing });
         assert.equal(lists.at(-1)!.acknowledgedEndNumber, 0);
--- a/tests/process/restartedWorkers.spec.ts
+++ b/tests/process/restartedWorkers.spec.ts
@@ -80,6 +80,17 @@
     await simulation.run(cutMs + 8_000);
 }
 
+/** A worker whose ends were acknowledged restarts, and neither its entry nor a listing shows that yet. */
+async function restartUnseen(phaseMs: number): Promise<{ simulation: RestartSimulation; restarted: ModelWorker }> {
+    const simulation = createSimulation([3]);
+    const [restarted] = simulation.workers as [ModelWorker];
+    await acknowledgeEnds(simulation, restarted);
+    await simulation.run(phaseMs);
+    simulation.restart(restarted, { clockMs: behindMs, entryDelayMs: 3_000 });
+    await simulation.run(darkMs + 40);
+    return { simulation, restarted };
+}
+
 describe("workers that restart under their ids", () => {
     const histories: RestartHistory[] = [];
     before(async () => {
@@ -144,12 +155,7 @@
 
     it("should not forget an end for an acknowledgement of a former life whose end the owner has not noticed", async () => {
         const simulations = await playPhases(async phaseMs => {
-            const simulation = createSimulation([3]);
-            const [restarted] = simulation.workers as [ModelWorker];
-            await acknowledgeEnds(simulation, restarted);
-            await simulation.run(phaseMs);
-            simulation.restart(restarted, { clockMs: behindMs, entryDelayMs: 3_000 });
-            await simulation.run(darkMs + 40);
+            const { simulation } = await restartUnseen(phaseMs);
             simulation.submit("after", { durationMs: 300 });
             await simulation.run(8_000);
             return simulation;
@@ -159,12 +165,7 @@
 
     it("should not forget an end for an acknowledgement if all that shows the restart is a start without a response", async () => {
         const simulations = await playPhases(async phaseMs => {
-            const simulation = createSimulation([3]);
-            const [restarted] = simulation.workers as [ModelWorker];
-            await acknowledgeEnds(simulation, restarted);
-            await simulation.run(phaseMs);
-            simulation.restart(restarted, { clockMs: behindMs, entryDelayMs: 3_000 });
-            await simulation.run(darkMs + 40);
+            const { simulation, restarted } = await restartUnseen(phaseMs);
             simulation.submit("after", { durationMs: 200 });
             await simulation.run(100);
             simulation.hold(callKinds.start, restarted, undefined);
@@ -177,12 +178,7 @@
 
     it("should not forget an end for an acknowledgement if all that shows the restart is the clock in the response to a start", async () => {
         const simulations = await playPhases(async phaseMs => {
-            const simulation = createSimulation([3]);
-            const [restarted] = simulation.workers as [ModelWorker];
-            await acknowledgeEnds(simulation, restarted);
-            await simulation.run(phaseMs);
-            simulation.restart(restarted, { clockMs: behindMs, entryDelayMs: 3_000 });
-            await simulation.run(darkMs + 40);
+            const { simulation } = await restartUnseen(phaseMs);
             // Its end is overdue, and asked for, before the listing that is open since before the restart times out.
             simulation.submit("after", { durationMs: 200, estimatedDurationMs: 200 });
             await simulation.run(8_000);
