--- a/review/rig/fleet.ts
+++ b/review/rig/fleet.ts
@@ -4,6 +4,7 @@
 import os from "node:os";
 import path from "node:path";
 import { fileURLToPath } from "node:url";
+import { createChildren, readLines } from "./children.js";
 import { type Answer, findFreeHost, send, startJsonServer, waitFor } from "./http.js";
 import type { CaseRecord } from "./record.js";
 import { bounds, heartbeatMs, ports, writeSettings } from "./settings.js";
@@ -94,15 +95,6 @@
 /** As the deploy file has it. */
 const entryArguments = ["--max-old-space-size=160", "--max-semi-space-size=4", "target/nutmegjunction.cjs"];
 
-function readLines(child: ChildProcess, onLine: (line: string) => void): void {
-    let rest = "";
-    child.stdout?.setEncoding("utf8").on("data", (chunk: string) => {
-        const lines = (rest + chunk).split("\n");
-        rest = lines.pop() ?? "";
-        lines.forEach(onLine);
-    });
-}
-
 /** Places the workers of a service in the zones by turns, with racks of four. */
 function placeOf(zones: readonly string[], index: number): Place {
     const zoneIndex = index % zones.length;
@@ -114,18 +106,12 @@
     const { record, zones } = options;
     const folder = mkdtempSync(path.join(os.tmpdir(), "review-case-"));
     const store = await startStore(options.firstRevision ?? 1_000);
-    const children = new Set<ChildProcess>();
+    const children = createChildren();
     const runs: RunRecord[] = [];
     const ownEnds = new Map<string, number>();
     let isEnding = false;
     const environment = { PATH: process.env["PATH"] ?? "", HOME: process.env["HOME"] ?? "" };
     const capacity = { cpu: options.cpuPerWorker, memMb, gpu: 0 };
-    const keep = (child: ChildProcess): ChildProcess => {
-        children.add(child);
-        child.on("exit", () => children.delete(child));
-        return child;
-    };
-
     const createWorker = async (service: string, index: number, host: string): Promise<Worker> => {
         const id = `i-${service}-${index}`;
         const { zone, labels } = placeOf(zones, index);
@@ -173,7 +159,7 @@
             place,
             isUp: () => child !== undefined,
             start: () => {
-                child = keep(spawn(process.execPath, [workerProgram, JSON.stringify(own)], {
+                child = children.keep(spawn(process.execPath, [workerProgram, JSON.stringify(own)], {
                     stdio: ["ignore", "pipe", "inherit"],
                     env: environment,
                 }));
@@ -231,7 +217,7 @@
             front: `${ip}:${ports.front}`,
             start: () => {
                 const log = openSync(logFile, "a");
-                child = keep(spawn(process.execPath, entryArguments, {
+                child = children.keep(spawn(process.execPath, entryArguments, {
                     cwd: rootFolder,
                     stdio: ["ignore", log, log],
                     env: {
@@ -283,8 +269,7 @@
         },
         end: async () => {
             isEnding = true;
-            [...children].forEach(child => child.kill("SIGKILL"));
-            await waitFor(() => children.size === 0, 5_000);
+            await children.end();
             store.close();
             cloud.close();
             if (process.env["KEEP_LOGS"] === undefined) {
