--- a/review/9/run.ts
+++ b/review/9/run.ts
@@ -22,11 +22,11 @@
     record,
     zones: ["keflavik", "hafnarfjordur", "grindavik"],
     services: { crews: 6 },
-    entryCount: 6,
+    entryCount: 10,
     configuration: createConfiguration([{ name: "warranty", service: "crews", maxAttempts: 3 }], ["crews"]),
     cpuPerWorker: 16_000,
 });
-const [frozen, other] = [fleet.entries[5]!, fleet.entries[0]!];
+const [frozen, other] = [fleet.entries[9]!, fleet.entries[0]!];
 
 async function runCase(): Promise<number> {
     const jobId = newJobId();
