--- a/src/process/workerSession.ts
+++ b/src/process/workerSession.ts
@@ -140,14 +140,18 @@
             scheduler.leaseExtensionSent(workerId, options.leaseMs, sentAtMs);
         }
         const token = scheduler.commandToken(workerId);
+        // If the worker has restarted, this number would make it forget ends that nobody has seen.
+        const acknowledgedEndNumber = isConfirmed() ? scheduler.acknowledgedEndNumber(workerId) : 0;
         try {
             const answer = await client.list({
                 token,
-                // If the worker has restarted, this number would make it forget ends that nobody has seen.
-                acknowledgedEndNumber: isConfirmed() ? scheduler.acknowledgedEndNumber(workerId) : 0,
+                acknowledgedEndNumber,
                 leaseUntilClockMs: clockMs === undefined ? undefined : Math.round(clockMs + options.leaseMs),
                 waitMs,
             });
+            if (answer.outcome === commandOutcomes.unknown && acknowledgedEndNumber > 0) {
+                scheduler.acknowledgementUnanswered(workerId, { endNumber: acknowledgedEndNumber, token, sentAtMs }, timers.nowMs());
+            }
             if (answer.outcome === commandOutcomes.accepted || sentAtMs >= answeredSentAtMs) {
                 const isPresent = answer.outcome === commandOutcomes.accepted && answer.listing?.bornWallMs === bornWallMs;
                 wasLastListAccepted = isPresent && sentAtMs >= (worker()?.doubtedAtMs ?? sentAtMs);
--- a/src/scheduling/acknowledgedEnds.ts
+++ b/src/scheduling/acknowledgedEnds.ts
@@ -17,3 +17,17 @@
         0 :
         worker.unsavedEnds.reduce((lowest, end) => Math.min(lowest, end.endNumber - 1), worker.lastEndNumber);
 }
+
+/** A listing that told the worker to forget ends. */
+export interface SentAcknowledgement {
+    endNumber: number;
+    token: number;
+    sentAtMs: number;
+}
+
+/** Tells, for the log, which starts without a response the listing may overtake or follow. */
+export function describeAcknowledgement(worker: WorkerRecord, { endNumber, token, sentAtMs }: SentAcknowledgement, nowMs: number): string {
+    const starts = [...worker.runs.values()].filter(run => run.startedAtMs > sentAtMs && !run.isStartConfirmed && !run.isStartAccepted);
+    const later = starts.map(({ taskName, runId }) => `${taskName}#${runId}`).join(", ");
+    return `up to ${endNumber}, token ${token}, sent ${Math.round(nowMs - sentAtMs)} ms ago; unanswered starts since: ${later || "none"}`;
+}
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -2,7 +2,7 @@
  * The scheduler takes events and returns commands. It does no I/O and reads no clock, so that tests and a state-space explorer
  * can drive it. One process at a time owns the scheduling; every command carries the fencing token of that process's term.
  */
-import { acknowledgedEndNumber } from "./acknowledgedEnds.js";
+import { acknowledgedEndNumber, describeAcknowledgement, type SentAcknowledgement } from "./acknowledgedEnds.js";
 import { chargeTeamShare } from "./chargeTeamShare.js";
 import type { CommandOutcome } from "./commandOutcomes.js";
 import { handleStartResponse, handleStopResponse } from "./commandResponses.js";
@@ -251,6 +251,13 @@
             const worker = state.workers.get(workerId);
             return worker ? acknowledgedEndNumber(worker) : 0;
         },
+        /** A listing that acknowledged ends got no response; a later incarnation of the worker may take the number for its own. */
+        acknowledgementUnanswered: (workerId: string, sent: SentAcknowledgement, nowMs: number): void => {
+            const worker = state.workers.get(workerId);
+            if (worker) {
+                state.onDecision({ what: "acknowledgement unanswered", workerId, detail: describeAcknowledgement(worker, sent, nowMs) });
+            }
+        },
         /**
          * Starts the tasks that can start now and gives up runs whose leases have ended. Only an owner with proven ownership may
          * conclude that the leases of an unresponsive worker have ended: another owner may have extended them. At most `maxStarts`
