Keep the next life of a worker from forgetting an end that nobody has seen

Its worker had restarted while a start and a listing to it had no response. The new life carried out both, ended the run as its number 1, and was told by the listing to forget number 1, which no owner had seen.

Cause: end numbers begin anew with each life, and all commands to one life carried one fencing token, so the new life took the start and then the number. Only a start whose time-out had passed held the number back.

Change: a listing acknowledges nothing while a start has no response, and a start that follows a listing which did begins the next token, so that a life which has carried out the start refuses the listing. Of a start and an acknowledgement, the later one can then not follow the earlier one on another life. The opposite: the next listing waits up to 40 ms for the responses to starts, and a worker with ends held up for 2 s or with 100 such ends gets no new starts until it has acknowledged. Listings and paces that a start has overtaken are repeated. A term ends before a worker runs out of tokens.

The simulation of restarts now carries out late acknowledgements for lives that no owner has reached; it leaves out only their leases.

--- a/bench/schedulingPass.ts
+++ b/bench/schedulingPass.ts
@@ -100,7 +100,7 @@
 /** The scheduler, with the time of each part of its work measured. */
 const measuredScheduler: Scheduler = {
     ...scheduler,
-    acknowledgedEndNumber: workerId => parts.measure("acknowledgement", () => scheduler.acknowledgedEndNumber(workerId)),
+    takeAcknowledgement: (workerId, nowMs) => parts.measure("acknowledgement", () => scheduler.takeAcknowledgement(workerId, nowMs)),
     listingReceived: (workerId, listing, sentAtMs, now) => {
         endsCount += listing.ended.length;
         parts.measure("listing", () => scheduler.listingReceived(workerId, listing, sentAtMs, now));
--- a/src/process/schedulingService.ts
+++ b/src/process/schedulingService.ts
@@ -103,6 +103,10 @@
         }
         const startedAtMs = timers.nowMs();
         const { scheduler, progressWriter } = activeTerm;
+        if (scheduler.state.areTokensUsedUp) {
+            void options.ownership().abandon("a worker's fencing tokens of the term are used up");
+            return;
+        }
         sessions.sync(scheduler);
         scheduler.setOwnershipProven(options.ownership().isLeaseValid());
         updateStartPermission(scheduler);
--- a/src/process/workerSession.ts
+++ b/src/process/workerSession.ts
@@ -4,13 +4,14 @@
  */
 import { delay, type TimerService } from "../common/timerService.js";
 import type { ListResponse, WorkerClient } from "../connection/workerClient.js";
-import { listingPauseMs, listingWaitMs } from "../decisions/paceListings.js";
+import { listingWaitMs } from "../decisions/paceListings.js";
 import { type CommandOutcome, commandOutcomes } from "../scheduling/commandOutcomes.js";
 import type { Moment } from "../scheduling/reconcileListing.js";
 import type { Scheduler } from "../scheduling/scheduler.js";
 import { commandKinds, type SchedulerCommand } from "../scheduling/schedulerState.js";
 import { createWorkerClock, logClockDeviation } from "../scheduling/workerClock.js";
 import type { WorkerRecord } from "../scheduling/workerRecord.js";
+import { createListingPauses } from "./listingPauses.js";
 import { createShortLeaseExtender } from "./shortLeases.js";
 import { createWorkerStops } from "./workerStops.js";
 
@@ -46,15 +47,12 @@
 }
 
 const retryDelayMs = 100;
-/** Longest wait for ended runs to be saved before the next poll, which would otherwise return them again at once. */
-const maxSaveWaitMs = 40;
 
 export function createWorkerSession(options: WorkerSessionOptions): WorkerSession {
     const { workerId, bornWallMs, client, scheduler, timers } = options;
     const lifetime = new AbortController();
     const { signal } = lifetime;
     const clock = createWorkerClock();
-    let wakeAfterSave: (() => void) | undefined;
     /** Ends the wait for the last poll's response. */
     let abandonPoll: (() => void) | undefined;
     /** When the last of the listings with a response was sent. */
@@ -141,7 +139,7 @@
         }
         const token = scheduler.commandToken(workerId);
         // If the worker has restarted, this number would make it forget ends that nobody has seen.
-        const acknowledgedEndNumber = isConfirmed() ? scheduler.acknowledgedEndNumber(workerId) : 0;
+        const acknowledgedEndNumber = isConfirmed() ? scheduler.takeAcknowledgement(workerId, sentAtMs) : 0;
         try {
             const answer = await client.list({
                 token,
@@ -149,6 +147,10 @@
                 leaseUntilClockMs: clockMs === undefined ? undefined : Math.round(clockMs + options.leaseMs),
                 waitMs,
             });
+            if (answer.isFenced && isCurrent() && !isCurrentToken(token)) {
+                // A start that was sent later has overtaken this listing.
+                return { outcome: commandOutcomes.accepted, hasNewEnds: false };
+            }
             if (answer.outcome === commandOutcomes.unknown && acknowledgedEndNumber > 0) {
                 scheduler.acknowledgementUnanswered(workerId, { endNumber: acknowledgedEndNumber, token, sentAtMs }, timers.nowMs());
             }
@@ -172,17 +174,11 @@
         }
     };
 
-    const hasUnsavedEnds = (): boolean => (worker()?.unsavedEnds.length ?? 0) > 0;
-    const waitForSave = async (): Promise<void> => {
-        await Promise.race([delay(timers, maxSaveWaitMs, signal), new Promise<void>(resolve => wakeAfterSave = resolve)]);
-        wakeAfterSave = undefined;
-    };
-    /** Waits after a listing with ended runs until these are saved, and longer if this process is late. */
-    const pauseAfterEnds = async (): Promise<void> => {
-        const pauseMs = listingPauseMs(options.latenessMs());
-        await (pauseMs > 0 ? Promise.all([waitForSave(), delay(timers, pauseMs, signal)]) : waitForSave());
-    };
-
+    const pauses = createListingPauses({
+        ...{ timers, signal, latenessMs: options.latenessMs },
+        hasUnsavedEnds: () => (worker()?.unsavedEnds.length ?? 0) > 0,
+        isAcknowledgementHeldUp: () => isConfirmed() && scheduler.isAcknowledgementHeldUp(workerId),
+    });
     const poll = (): Promise<CommandOutcome> => {
         const abandoned = new Promise<CommandOutcome>(resolve => abandonPoll = () => resolve(commandOutcomes.accepted));
         const listed = list(wasLastListAccepted ? listingWaitMs(worker()?.runs.size ?? 0) : 0).then(({ outcome }) => outcome);
@@ -198,8 +194,8 @@
             if (outcome !== commandOutcomes.accepted) {
                 await delay(timers, retryDelayMs, signal);
             }
-            else if (hasUnsavedEnds()) {
-                await pauseAfterEnds();
+            else {
+                await pauses.afterListing();
             }
         }
     };
@@ -216,7 +212,7 @@
             scheduler.startResponseReceived(targetRun, commandOutcomes.refused, reason, moment());
             return;
         }
-        const token = scheduler.commandToken(workerId);
+        const token = scheduler.takeStartToken(workerId);
         const sentAtMs = timers.nowMs();
         const answer = await client.start({
             taskName: targetRun.taskName,
@@ -242,11 +238,20 @@
         }
         scheduler.setOwnershipProven(options.isLeaseValid());
         scheduler.startResponseReceived(targetRun, currentOutcome(answer.outcome), answer.reason, moment());
+        pauses.onChanged();
         options.onSchedulerChanged();
         if (answer.outcome === commandOutcomes.accepted) {
             await extendShortLease(targetRun);
         }
     };
+    const setPace = async ({ run: { taskName, runId }, percent }: Extract<SchedulerCommand, { kind: "pace" }>): Promise<void> => {
+        const token = scheduler.commandToken(workerId);
+        const answer = await client.setPace({ taskName, runId, token, percent });
+        if (answer.isFenced && maySendOrders() && !isCurrentToken(token)) {
+            // A start that was sent later has overtaken the command.
+            await client.setPace({ taskName, runId, token: scheduler.commandToken(workerId), percent });
+        }
+    };
     const stops = createWorkerStops({ ...options, signal, isCurrent, isCurrentToken, currentOutcome, unconfirm });
     const listImmediately = async (): Promise<void> => {
         if (!isImmediateListOpen && maySendOrders()) {
@@ -272,17 +277,11 @@
                 case commandKinds.list:
                     void listImmediately();
                     return;
-                case commandKinds.pace: {
-                    const { run: { taskName, runId }, percent } = command;
-                    void client.setPace({ taskName, runId, token: scheduler.commandToken(workerId), percent });
-                }
-            }
-        },
-        onProgressSaved: () => {
-            if (wakeAfterSave && !hasUnsavedEnds()) {
-                wakeAfterSave();
+                case commandKinds.pace:
+                    void setPace(command);
             }
         },
+        onProgressSaved: pauses.onChanged,
         close: () => {
             lifetime.abort();
             client.close();
--- a/src/scheduling/acknowledgedEnds.ts
+++ b/src/scheduling/acknowledgedEnds.ts
@@ -1,21 +1,65 @@
-/** Up to which number the ends that a worker lists may be acknowledged; it forgets them then. */
+/**
+ * Up to which number the ends that a worker lists may be acknowledged; it forgets them then. A worker that restarts under its id counts its
+ * ends anew, and the next incarnation may carry out a start and a listing that were sent to the former one, in any order. Its end of such a
+ * run must not be forgotten unseen: no listing acknowledges ends while a start has no response, and starts that follow a listing which did
+ * have a higher fencing token, so that whoever has carried out one of them refuses that listing.
+ */
+import { commandToken, raiseToken } from "./commandToken.js";
+import type { SchedulerState } from "./schedulerState.js";
 import { runPhases, type WorkerRecord } from "./workerRecord.js";
 
-/** Whether a start got no response, and nothing else has shown what became of it. */
-function hasUnansweredStart({ runs }: WorkerRecord): boolean {
+/**
+ * A worker whose acknowledgements were held up by starts for this long, or that has so many ends to forget, gets no new starts until those
+ * under way have responses. An owner that is late has starts under way all the time. Platforms expect acknowledgements within 4 s or more.
+ */
+const maxHeldUpMs = 2_000;
+const maxHeldUpEnds = 100;
+
+/** Whether a start has no response, and nothing else has shown what became of it. */
+export function hasOpenStart({ runs }: WorkerRecord): boolean {
+    const { starting, unsettled, stopping } = runPhases;
     return [...runs.values()].some(({ phase, isStartAccepted, isStartConfirmed }) =>
-        (phase === runPhases.unsettled || phase === runPhases.stopping) && !isStartAccepted && !isStartConfirmed
+        (phase === starting || phase === unsettled || phase === stopping) && !isStartAccepted && !isStartConfirmed
     );
 }
 
-/**
- * The highest end number up to which every end is stored. 0 after a start without a response: the worker may have restarted, and would
- * forget ends that nobody has seen.
- */
-export function acknowledgedEndNumber(worker: WorkerRecord): number {
-    return hasUnansweredStart(worker) ?
-        0 :
-        worker.unsavedEnds.reduce((lowest, end) => Math.min(lowest, end.endNumber - 1), worker.lastEndNumber);
+/** The highest end number up to which every end is stored. */
+function storedEndNumber(worker: WorkerRecord): number {
+    return worker.unsavedEnds.reduce((lowest, end) => Math.min(lowest, end.endNumber - 1), worker.lastEndNumber);
+}
+
+/** Whether ends that are stored wait for the responses to starts before they can be acknowledged. */
+export function isAcknowledgementHeldUp(worker: WorkerRecord): boolean {
+    return storedEndNumber(worker) > worker.acknowledgedEndNumber && hasOpenStart(worker);
+}
+
+/** Whether new starts would hold up the acknowledgements of the worker's ends for longer than they may. */
+export function mustWaitForAcknowledgement(worker: WorkerRecord, nowMs: number): boolean {
+    const { acknowledgementHeldUpSinceMs: sinceMs, lastEndNumber, acknowledgedEndNumber } = worker;
+    return sinceMs !== undefined && (nowMs - sinceMs >= maxHeldUpMs || lastEndNumber - acknowledgedEndNumber >= maxHeldUpEnds);
+}
+
+/** Returns the end number for a listing that is sent now; 0 acknowledges nothing. */
+export function takeAcknowledgement(worker: WorkerRecord, nowMs: number): number {
+    if (hasOpenStart(worker)) {
+        if (isAcknowledgementHeldUp(worker)) {
+            worker.acknowledgementHeldUpSinceMs ??= nowMs;
+        }
+        return 0;
+    }
+    worker.acknowledgementHeldUpSinceMs = undefined;
+    const endNumber = storedEndNumber(worker);
+    worker.acknowledgedEndNumber = endNumber;
+    worker.hasTokenAcknowledged ||= endNumber > 0;
+    return endNumber;
+}
+
+/** The token of a start that is sent now: above that of each listing that has acknowledged ends. */
+export function takeStartToken(state: SchedulerState, worker: WorkerRecord): number {
+    if (worker.hasTokenAcknowledged) {
+        raiseToken(state, worker);
+    }
+    return commandToken(state.term.token, worker);
 }
 
 /** A listing that told the worker to forget ends. */
@@ -25,8 +69,9 @@
     sentAtMs: number;
 }
 
-/** Tells, for the log, which starts without a response the listing may overtake or follow. */
-export function describeAcknowledgement(worker: WorkerRecord, { endNumber, token, sentAtMs }: SentAcknowledgement, nowMs: number): string {
+/** The listing got no response: a later one acknowledges the ends again. Returns, for the log, which starts it may overtake. */
+export function repeatAcknowledgement(worker: WorkerRecord, { endNumber, token, sentAtMs }: SentAcknowledgement, nowMs: number): string {
+    worker.acknowledgedEndNumber = 0;
     const starts = [...worker.runs.values()].filter(run => run.startedAtMs > sentAtMs && !run.isStartConfirmed && !run.isStartAccepted);
     const later = starts.map(({ taskName, runId }) => `${taskName}#${runId}`).join(", ");
     return `up to ${endNumber}, token ${token}, sent ${Math.round(nowMs - sentAtMs)} ms ago; unanswered starts since: ${later || "none"}`;
--- a/src/scheduling/collectWaiting.ts
+++ b/src/scheduling/collectWaiting.ts
@@ -1,6 +1,7 @@
 /** Collects the steps that wait and may fit on a worker, by pool, for one pass. */
 import { isLargeNeed } from "../decisions/chooseReservations.js";
 import type { StepOrderInput } from "../decisions/orderSteps.js";
+import { mustWaitForAcknowledgement } from "./acknowledgedEnds.js";
 import { deadlineWallMs } from "./jobLateness.js";
 import { isFinalState, isStepReady, type JobRecord, type OccurrenceRecord, type StepRecord } from "./jobRecord.js";
 import { isServing, noResources, type QueuePolicy, reservedResources, type Resources, type StepSpec } from "./jobTypes.js";
@@ -129,7 +130,7 @@
 export function schedulableWorkersByPool(state: SchedulerState, nowMs: number): Map<string, WorkerRecord[]> {
     const byPool = new Map<string, WorkerRecord[]>();
     for (const worker of state.workers.values()) {
-        if (!isSchedulable(state, worker, nowMs)) {
+        if (!isSchedulable(state, worker, nowMs) || mustWaitForAcknowledgement(worker, nowMs)) {
             continue;
         }
         const workers = byPool.get(worker.entry.poolName);
--- a/src/scheduling/initialState.ts
+++ b/src/scheduling/initialState.ts
@@ -53,6 +53,7 @@
         workersWithUnsavedEnds: new Map(),
         unsavedJobs: new Set(),
         nextRunNumber: 1,
+        areTokensUsedUp: false,
         onDecision: options.onDecision,
     };
 }
--- a/src/scheduling/leases.ts
+++ b/src/scheduling/leases.ts
@@ -78,3 +78,8 @@
 export function holdLease(worker: { leaseHeldUntilMs: number }, untilMs: number): void {
     worker.leaseHeldUntilMs = Math.max(worker.leaseHeldUntilMs, untilMs);
 }
+
+/** When no run on the worker can have a lease any more, whether or not a listing has shown it. */
+export function allLeasesEndAtMs({ leaseEndsAtMs, strayLeasesEndAtMs }: { leaseEndsAtMs: number; strayLeasesEndAtMs: number }): number {
+    return Math.max(leaseEndsAtMs, strayLeasesEndAtMs);
+}
--- a/src/scheduling/reconcileListing.ts
+++ b/src/scheduling/reconcileListing.ts
@@ -91,7 +91,7 @@
             continue;
         }
         // Ends that an earlier owner acknowledged are missing to this one.
-        const isFirstOfTerm = !worker.hasListed && worker.formerIncarnationsCount === 0;
+        const isFirstOfTerm = !worker.hasListed && worker.formerTokensCount === 0;
         if (listed.endNumber > worker.lastEndNumber + 1 && !isFirstOfTerm) {
             // The worker forgets ends when they are acknowledged; these were acknowledged although no listing has shown them.
             const detail = `${worker.lastEndNumber + 1} to ${listed.endNumber - 1}, incarnation of ${worker.entry.bornWallMs}`;
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -2,7 +2,13 @@
  * The scheduler takes events and returns commands. It does no I/O and reads no clock, so that tests and a state-space explorer
  * can drive it. One process at a time owns the scheduling; every command carries the fencing token of that process's term.
  */
-import { acknowledgedEndNumber, describeAcknowledgement, type SentAcknowledgement } from "./acknowledgedEnds.js";
+import {
+    isAcknowledgementHeldUp,
+    repeatAcknowledgement,
+    type SentAcknowledgement,
+    takeAcknowledgement,
+    takeStartToken,
+} from "./acknowledgedEnds.js";
 import { chargeTeamShare } from "./chargeTeamShare.js";
 import type { CommandOutcome } from "./commandOutcomes.js";
 import { handleStartResponse, handleStopResponse } from "./commandResponses.js";
@@ -136,6 +142,11 @@
         unregisterWorker: (workerId: string): void => removeEntry(state, workerId),
         /** Fencing token of commands to the present incarnation of the worker. */
         commandToken: (workerId: string): number => commandToken(state.term.token, state.workers.get(workerId)),
+        /** Fencing token of a start that is sent now, which becomes that of all commands to the worker. */
+        takeStartToken: (workerId: string): number => {
+            const worker = state.workers.get(workerId);
+            return worker ? takeStartToken(state, worker) : commandToken(state.term.token, worker);
+        },
         /**
          * Whether a listing request may extend the leases of a worker. Those of a worker with a snapshot must not be extended: the next
          * owner relies on the leases as they were when the snapshot was taken.
@@ -247,15 +258,21 @@
                 state.unsavedJobs.add(jobId);
             }
         },
-        acknowledgedEndNumber: (workerId: string): number => {
+        /** Returns up to which number a listing that is sent now acknowledges the worker's ends. */
+        takeAcknowledgement: (workerId: string, nowMs: number): number => {
+            const worker = state.workers.get(workerId);
+            return worker ? takeAcknowledgement(worker, nowMs) : 0;
+        },
+        /** Whether the worker's ends could be acknowledged once the starts that were sent to it have responses. */
+        isAcknowledgementHeldUp: (workerId: string): boolean => {
             const worker = state.workers.get(workerId);
-            return worker ? acknowledgedEndNumber(worker) : 0;
+            return worker !== undefined && isAcknowledgementHeldUp(worker);
         },
         /** A listing that acknowledged ends got no response; a later incarnation of the worker may take the number for its own. */
         acknowledgementUnanswered: (workerId: string, sent: SentAcknowledgement, nowMs: number): void => {
             const worker = state.workers.get(workerId);
             if (worker) {
-                state.onDecision({ what: "acknowledgement unanswered", workerId, detail: describeAcknowledgement(worker, sent, nowMs) });
+                state.onDecision({ what: "acknowledgement unanswered", workerId, detail: repeatAcknowledgement(worker, sent, nowMs) });
             }
         },
         /**
--- a/src/scheduling/schedulerState.ts
+++ b/src/scheduling/schedulerState.ts
@@ -76,9 +76,7 @@
     term: Term;
     jobs: Map<string, JobRecord>;
     workers: Map<string, WorkerRecord>;
-    /**
-     * The number of incarnations known of workers whose records were removed: nothing that an earlier owner started runs there any more.
-     */
+    /** The number of tokens that workers had whose records were removed: nothing that an earlier owner started runs there any more. */
     departedWorkers: Map<string, number>;
     teamUsed: Map<string, Resources>;
     /** What each team may be using on workers that have not been listed in this term. */
@@ -110,6 +108,8 @@
     /** Jobs whose latest progress is not in the store yet. */
     unsavedJobs: Set<string>;
     nextRunNumber: number;
+    /** A worker has had so many fencing tokens that the term must end. */
+    areTokensUsedUp: boolean;
     onDecision(decision: Decision): void;
 }
 
--- a/src/scheduling/unresponsiveWorkers.ts
+++ b/src/scheduling/unresponsiveWorkers.ts
@@ -5,13 +5,13 @@
  */
 import { ageAtLastContactMs } from "./crashSuspect.js";
 import { isFinalState, type StepRecord } from "./jobRecord.js";
+import { allLeasesEndAtMs } from "./leases.js";
 import type { Moment } from "./reconcileListing.js";
 import { runNeeds } from "./runNeeds.js";
 import { attachRun, commandKinds, findStep, type SchedulerState } from "./schedulerState.js";
 import { parseTaskName } from "./taskNames.js";
 import { crashSuspects, recordCrash } from "./workerCrashes.js";
 import {
-    allLeasesEndAtMs,
     createRun,
     createWorkerRecord,
     type Run,
--- a/src/scheduling/workerEnds.ts
+++ b/src/scheduling/workerEnds.ts
@@ -1,4 +1,5 @@
 /** What follows when a worker has ended or restarted, or its leases have ended: its runs are lost. */
+import { raiseToken } from "./commandToken.js";
 import { formerOwnersUnawareUntilMs, holdStrayLeases } from "./leases.js";
 import type { Moment } from "./reconcileListing.js";
 import { applyEnd, commandKinds, detachRun, runEnds, type SchedulerState } from "./schedulerState.js";
@@ -63,7 +64,7 @@
     state.onDecision({ what: "worker restarted", workerId: worker.entry.workerId, detail });
     worker.entry = { ...worker.entry, bornWallMs };
     worker.isEntryCurrent = false;
-    worker.formerIncarnationsCount += 1;
+    raiseToken(state, worker);
     worker.hasListed = false;
     worker.doubtedAtMs = undefined;
     worker.isRunStateKnown = false;
@@ -81,6 +82,8 @@
     worker.hasLeft = false;
     worker.lastEndNumber = 0;
     worker.unsavedEnds = [];
+    worker.acknowledgedEndNumber = 0;
+    worker.acknowledgementHeldUpSinceMs = undefined;
     worker.failedJobIds.clear();
 }
 
--- a/src/scheduling/workerLifecycle.ts
+++ b/src/scheduling/workerLifecycle.ts
@@ -1,4 +1,5 @@
 /** Adds, drains and removes workers, and bounds how long their runs may keep their leases. */
+import { allLeasesEndAtMs } from "./leases.js";
 import { forgetWorker } from "./plannedStarts.js";
 import type { Moment } from "./reconcileListing.js";
 import { commandKinds, type SchedulerState, stopRun } from "./schedulerState.js";
@@ -6,7 +7,6 @@
 import { crashSuspects, recordCrash } from "./workerCrashes.js";
 import { holdFormerOwnersLeases, markLost, markRunsLost } from "./workerEnds.js";
 import {
-    allLeasesEndAtMs,
     createWorkerRecord,
     runPhases,
     type WorkerEntry,
@@ -20,8 +20,8 @@
 /** Adds a worker that may hold runs of an earlier owner until it has responded or their leases have ended. */
 export function addWorker(state: SchedulerState, entry: WorkerEntry, moment: Moment, seenAtMs = moment.nowMs): WorkerRecord {
     const worker = createWorkerRecord(entry, state.term.unknownWorkersUntilMs);
-    // One that returns may have received the tokens of all its incarnations so far.
-    worker.formerIncarnationsCount = state.departedWorkers.get(entry.workerId) ?? 0;
+    // One that returns may have received all its tokens so far.
+    worker.formerTokensCount = state.departedWorkers.get(entry.workerId) ?? 0;
     holdFormerOwnersLeases(state, worker, seenAtMs, moment);
     state.workers.set(entry.workerId, worker);
     state.onDecision({ what: "worker joined", workerId: entry.workerId, detail: `${entry.poolName} ${entry.rack} ${entry.address}` });
@@ -110,7 +110,7 @@
             else {
                 recordCrash(state, worker.unexplainedRuns, "another worker registered at its address", moment);
             }
-            state.departedWorkers.set(worker.entry.workerId, worker.formerIncarnationsCount + 1);
+            state.departedWorkers.set(worker.entry.workerId, worker.formerTokensCount + 1);
             forgetWorker(state, worker.entry.workerId);
             state.onDecision({ what: "worker left", workerId: worker.entry.workerId });
         }
--- a/src/scheduling/workerRecord.ts
+++ b/src/scheduling/workerRecord.ts
@@ -104,17 +104,16 @@
     isEntryCurrent: boolean;
     /** Whether the entry was removed while the worker responded, as one does that leaves in order. */
     hasLeft: boolean;
-    /** Number of earlier incarnations that this owner has known; part of the fencing token of commands to this one. */
-    formerIncarnationsCount: number;
+    /** Number of fencing tokens that the worker had before the present one, in this term; each incarnation has others. */
+    formerTokensCount: number;
+    /** Whether a listing with the present token has acknowledged ends. */
+    hasTokenAcknowledged: boolean;
     /**
      * Whether this incarnation has listed its runs in response to a command with its own fencing token. Since then, it refuses all commands
      * that were sent to earlier incarnations, or by earlier owners.
      */
     hasListed: boolean;
-    /**
-     * When a response with another clock came from the worker's address: it may have restarted. `undefined` once a later listing has shown
-     * this incarnation.
-     */
+    /** When a response came by another clock, so that it may have restarted; `undefined` once a later listing has shown this incarnation. */
     doubtedAtMs: number | undefined;
     /** Whether the runs on the worker are known, usually because it has responded to this owner, which fences earlier ones. */
     isRunStateKnown: boolean;
@@ -131,6 +130,10 @@
     /** Highest end number that was processed. */
     lastEndNumber: number;
     unsavedEnds: UnsavedEnd[];
+    /** Up to which number ends were acknowledged to this incarnation. */
+    acknowledgedEndNumber: number;
+    /** Since when starts under way have kept ends from being acknowledged; `undefined` if none are held up. */
+    acknowledgementHeldUpSinceMs: number | undefined;
     lastResponseAtMs: number | undefined;
     /** When the address of the worker first refused or ended a connection; all calls since then have ended so. */
     disconnectedAtMs: number | undefined;
@@ -180,7 +183,8 @@
         isRegistered: true,
         isEntryCurrent: true,
         hasLeft: false,
-        formerIncarnationsCount: 0,
+        formerTokensCount: 0,
+        hasTokenAcknowledged: false,
         hasListed: false,
         doubtedAtMs: undefined,
         isRunStateKnown: false,
@@ -192,6 +196,8 @@
         suspectRuns: new Set(),
         lastEndNumber: 0,
         unsavedEnds: [],
+        acknowledgedEndNumber: 0,
+        acknowledgementHeldUpSinceMs: undefined,
         lastResponseAtMs: undefined,
         disconnectedAtMs: undefined,
         addressTakenAtMs: undefined,
@@ -290,8 +296,3 @@
 export function isOfFormerIncarnation({ entry }: WorkerRecord, run: Run): boolean {
     return run.sentToBornWallMs !== undefined && run.sentToBornWallMs < entry.bornWallMs;
 }
-
-/** When no run on the worker can have a lease any more, whether or not a listing has shown it. */
-export function allLeasesEndAtMs({ leaseEndsAtMs, strayLeasesEndAtMs }: WorkerRecord): number {
-    return Math.max(leaseEndsAtMs, strayLeasesEndAtMs);
-}
--- a/tests/process/restartSimulation.ts
+++ b/tests/process/restartSimulation.ts
@@ -64,6 +64,8 @@
     heldCount(): number;
     /** How many commands were not carried out late because no owner could have prevented their effect. */
     leftOutCount(): number;
+    /** How many late listings extended no lease for that reason. */
+    leasesLeftOutCount(): number;
     violations: string[];
     /** What the owners decided, one line each. */
     decisions: string[];
@@ -96,6 +98,7 @@
     const heldCalls: { kind: CallKind; worker: ModelWorker; carriedOutAfterMs: number | undefined }[] = [];
     let heldCount = 0;
     let leftOutCount = 0;
+    let leasesLeftOutCount = 0;
     let termsCount = 0;
     let nextMemberId = 1;
 
@@ -143,6 +146,7 @@
         isUp: worker => !down.has(worker),
         waitsInFull: true,
         onLeftOut: () => leftOutCount += 1,
+        onLeaseLeftOut: () => leasesLeftOutCount += 1,
     });
 
     const endedMembers = new Set<string>();
@@ -286,6 +290,7 @@
         hold: (kind, worker, carriedOutAfterMs) => void heldCalls.push({ kind, worker, carriedOutAfterMs }),
         heldCount: () => heldCount,
         leftOutCount: () => leftOutCount,
+        leasesLeftOutCount: () => leasesLeftOutCount,
         violations,
         decisions,
         termsCount: () => termsCount,
--- a/tests/process/restartedWorkerSession.spec.ts
+++ b/tests/process/restartedWorkerSession.spec.ts
@@ -2,6 +2,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { createWorkerSessions } from "../../src/process/workerSessions.js";
+import { commandOutcomes } from "../../src/scheduling/commandOutcomes.js";
 import { commandKinds } from "../../src/scheduling/schedulerState.js";
 import { sessionDefaults, settle } from "./sessionDefaults.js";
 import { createSessionFixture, emptyListing, listedEnd, noResponse } from "./sessionFixture.js";
@@ -37,6 +38,45 @@
         });
     }
 
+    it("should send a start with a higher token than an open listing that acknowledges ends, and take its refusal for no newer owner's", async context => {
+        const fixture = createSessionFixture();
+        const session = fixture.open(context);
+        await fixture.respondToList({ clockMs: 50_000, listing: emptyListing });
+        await fixture.respondToList({ clockMs: 50_000, listing: { ...emptyListing, ended: [listedEnd] } });
+        await fixture.start(session);
+        const overtaken = fixture.lists.at(-1)!;
+        assert.equal(overtaken.acknowledgedEndNumber, 1);
+        assert.ok(fixture.starts[0]!.token > overtaken.token, `${fixture.starts[0]!.token} after ${overtaken.token}`);
+        await fixture.respondToStart({ clockMs: 50_000 });
+        await fixture.respondToList({ outcome: commandOutcomes.refused, isFenced: true });
+        assert.equal(fixture.fencedCount(), 0);
+        const repeated = fixture.lists.at(-1)!;
+        assert.deepEqual([repeated.token, repeated.acknowledgedEndNumber], [fixture.starts[0]!.token, 1]);
+        assert.notEqual(repeated.leaseUntilClockMs, undefined);
+    });
+
+    it("should acknowledge nothing beside a start under way, and acknowledge once it has a response", async context => {
+        const fixture = createSessionFixture();
+        const session = fixture.open(context);
+        await fixture.respondToList({ clockMs: 50_000, listing: emptyListing });
+        await fixture.start(session);
+        await fixture.respondToList({ clockMs: 50_000, listing: { ...emptyListing, ended: [listedEnd] } });
+        assert.deepEqual(fixture.lists.map(({ acknowledgedEndNumber }) => acknowledgedEndNumber), [0, 0], "the next listing waits");
+        await fixture.respondToStart({ clockMs: 50_000 });
+        assert.deepEqual(fixture.lists.map(({ acknowledgedEndNumber }) => acknowledgedEndNumber), [0, 0, 1]);
+    });
+
+    it("should list the worker without an acknowledgement if a start gets no response for some time", async context => {
+        const fixture = createSessionFixture();
+        const session = fixture.open(context);
+        await fixture.respondToList({ clockMs: 50_000, listing: emptyListing });
+        await fixture.start(session);
+        await fixture.respondToList({ clockMs: 50_000, listing: { ...emptyListing, ended: [listedEnd] } });
+        fixture.timers.advance(40);
+        await settle();
+        assert.deepEqual(fixture.lists.map(({ acknowledgedEndNumber }) => acknowledgedEndNumber), [0, 0, 0]);
+    });
+
     it("should not doubt a worker whose clock goes on as expected", async context => {
         const fixture = createSessionFixture();
         const session = fixture.open(context);
--- a/tests/process/schedulingTerms.spec.ts
+++ b/tests/process/schedulingTerms.spec.ts
@@ -8,6 +8,8 @@
 import { encodeSubmission, jobKeys } from "../../src/scheduling/jobDocuments.js";
 import { createTermFixture, saved, workerEntry } from "./schedulingTermFixture.js";
 
+const listedEnd = { endNumber: 1, taskName: "other.0.0.0", runId: 1, end: "done", checkpoint: "" } as const;
+
 describe("a later term of the same process", () => {
     it("should not acknowledge an end because a write of an earlier term is answered", async () => {
         const { swaps, lists, startedTasks, store, acquire, lose } = createTermFixture();
@@ -93,6 +95,24 @@
 });
 
 describe("a running term", () => {
+    it("should end before a worker has used up the fencing tokens of the term", async () => {
+        const { service, lists, acquire, pass } = createTermFixture();
+        await acquire(10);
+        await lists.shift()!.answer({ ended: [listedEnd] });
+        const scheduler = service.scheduler()!;
+        const tokens: number[] = [];
+        while (!scheduler.state.areTokensUsedUp) {
+            assert.equal(scheduler.takeAcknowledgement("w1", 0), listedEnd.endNumber);
+            tokens.push(scheduler.takeStartToken("w1"));
+        }
+        assert.ok(tokens.every((token, index) => index === 0 || token > tokens[index - 1]!), "tokens must rise");
+        assert.ok(tokens.length > 10_000, `only ${tokens.length} tokens`);
+        await pass();
+        assert.equal(service.scheduler(), undefined);
+        await acquire(11);
+        assert.ok(service.scheduler()!.commandToken("w1") > tokens.at(-1)!);
+    });
+
     it("should go on after a submitted job whose progress cannot be read", async () => {
         const { service, unreadableKeys, applyChange, acquire } = createTermFixture({ hasUnreadableDocuments: true });
         const submissionOf = (jobId: string): string =>
--- a/tests/scheduling/modelOwner.ts
+++ b/tests/scheduling/modelOwner.ts
@@ -41,6 +41,13 @@
     return usesOneTokenPerTerm ? token : scheduler.commandToken(workerId);
 }
 
+/** The fencing token of a start that the owner sends to the worker now. */
+export function startTokenOf(owner: ModelOwner, workerId: string, faults: FaultInjection): number {
+    return faults.usesOneTokenPerTerm || faults.startsWithAcknowledgingToken ?
+        tokenOf(owner, workerId, faults) :
+        owner.scheduler.takeStartToken(workerId);
+}
+
 export function recordOf(owner: ModelOwner, workerId: string): WorkerRecord | undefined {
     return owner.scheduler.state.workers.get(workerId);
 }
--- a/tests/scheduling/schedulingModel.ts
+++ b/tests/scheduling/schedulingModel.ts
@@ -18,7 +18,7 @@
 import { grantedUntilMs, maxGrantedLeaseMs } from "./modelLeases.js";
 import { defaultLimits, type ModelLimits } from "./modelLimits.js";
 import { createModelListings } from "./modelListings.js";
-import { type ModelOwner, type PendingCommand, registerWorkers, sentWith } from "./modelOwner.js";
+import { type ModelOwner, type PendingCommand, registerWorkers, sentWith, startTokenOf } from "./modelOwner.js";
 import { createSaveActions } from "./modelSaves.js";
 import { createModelStore, describePendingSave } from "./modelStore.js";
 import { createModelWorker, type ModelWorker } from "./modelWorker.js";
@@ -118,6 +118,7 @@
                     isLate: false,
                     isSettled: false,
                     ...sentWith(owner, workerOf(command.run.workerId), nowMs, faults),
+                    ...(command.kind === commandKinds.start ? { token: startTokenOf(owner, command.run.workerId, faults) } : {}),
                 });
             }
         }
