Store a cancel that is answered 410, so that no earlier submission is stored after it

Cause: the 410 rested on a read of the store, and nothing that was stored kept it true.

Change: such a cancel stores a withdrawal by caller and id, in a transaction that requires that there is no submission; the transaction of a submission requires that its caller has not withdrawn the job. That holds for writes that the store carries out late. A later call of the caller replaces the withdrawal: one received 0.3 s after it was known, whose caller is still connected 0.3 s after that; others are answered 504.

The spec of refusals expected a cancel of a refused job to leave nothing in the store. The answer 410 promises more than a refusal does, which a call from before the cancel may replace; the spec now names both keys.

--- a/src/process/groupCommit.ts
+++ b/src/process/groupCommit.ts
@@ -3,7 +3,7 @@
  * had before, usually "does not exist", so that a repeated or late write of the same key changes nothing.
  */
 import type { TimerService } from "../common/timerService.js";
-import type { PlatformStore, StoredValue, StoreGuard } from "../connection/platformStore.js";
+import type { PlatformStore, StoredValue, StoreGuard, StoreWrite } from "../connection/platformStore.js";
 
 export const commitOutcomes = {
     /** The store contains the key with another revision than the expected one, written by this call or another. */
@@ -12,6 +12,8 @@
     notStored: "notStored",
     /** The key that was to be replaced does not exist any more; this call has not written it, and never will. */
     removed: "removed",
+    /** The key beside has another revision than the expected one; this call has not written the key, and never will. */
+    blocked: "blocked",
     /** The shared guard no longer holds; nothing was written. */
     outdated: "outdated",
     /** The response was lost, and the write may still take effect. */
@@ -21,7 +23,7 @@
 
 export interface CommitResult {
     outcome: CommitOutcome;
-    /** If stored: revision of the last write of the key. */
+    /** If stored: revision of the last write of the key. If blocked: that of the key beside, 0 if that does not exist. */
     revision?: number;
     /** If stored: whether the key existed already, perhaps written by an attempt whose response was lost. */
     wasPresent?: boolean;
@@ -31,8 +33,14 @@
 
 export interface GroupCommit {
     create(key: string, value: string): Promise<CommitResult>;
-    /** Writes the key if it has the expected revision; 0 stands for a key that does not exist. */
-    write(key: string, value: string, expectedRevision: number): Promise<CommitResult>;
+    /** Writes the key if it has the expected revision, and the key beside too; 0 stands for a key that does not exist. */
+    write(key: string, value: string, expectedRevision: number, beside?: BesideKey): Promise<CommitResult>;
+}
+
+/** Another key on which a write depends. */
+export interface BesideKey extends StoreGuard {
+    /** Whether the write deletes it. */
+    isDeleted: boolean;
 }
 
 export interface GroupCommitOptions {
@@ -50,6 +58,7 @@
     key: string;
     value: string;
     expectedRevision: number;
+    beside: BesideKey | undefined;
     attemptsCount: number;
     /** An earlier attempt got no response, and may have been applied. */
     mayBeApplied: boolean;
@@ -58,8 +67,8 @@
 
 /** Writes within this time share a transaction; short compared with the store's response time. */
 const batchWindowMs = 3;
-/** A transaction may have 32 entries: the shared guard, and a guard and a write for each key. */
-const maxBatchSize = 15;
+/** A transaction may have 32 entries; one is the shared guard. */
+const maxBatchEntries = 31;
 /** Conflicting transactions after which a key is given up; each conflict settles at least one key of its batch. */
 const maxAttemptsCount = 4;
 
@@ -72,6 +81,18 @@
     return { outcome: commitOutcomes.stored, revision, wasPresent, value };
 }
 
+function guardsOf({ key, expectedRevision, beside }: WaitingKey): StoreGuard[] {
+    return [{ key, expectedRevision }, ...(beside ? [{ key: beside.key, expectedRevision: beside.expectedRevision }] : [])];
+}
+
+function writesOf({ key, value, beside }: WaitingKey): StoreWrite[] {
+    return [{ key, value }, ...(beside?.isDeleted ? [{ key: beside.key, value: undefined }] : [])];
+}
+
+const entriesCount = (each: WaitingKey): number => guardsOf(each).length + writesOf(each).length;
+const dependOnSame = ({ beside: first }: WaitingKey, { beside: second }: WaitingKey): boolean =>
+    first?.key === second?.key && first?.expectedRevision === second?.expectedRevision;
+
 export function createGroupCommit(options: GroupCommitOptions): GroupCommit {
     const { store, timers } = options;
     let waiting: WaitingKey[] = [];
@@ -99,8 +120,8 @@
 
     const writeBatch = async (batch: readonly WaitingKey[]): Promise<void> => {
         const shared = options.sharedGuard();
-        const guards = batch.map(({ key, expectedRevision }) => ({ key, expectedRevision }));
-        const swapped = await store.swap(shared ? [shared, ...guards] : guards, batch.map(({ key, value }) => ({ key, value })));
+        const guards = batch.flatMap(guardsOf);
+        const swapped = await store.swap(shared ? [shared, ...guards] : guards, batch.flatMap(writesOf));
         if (swapped.err) {
             const isKnownNotApplied = swapped.val.isKnownNotApplied === true;
             const known = batch.filter(each => isKnownNotApplied && !each.mayBeApplied);
@@ -122,6 +143,10 @@
             }
             return current && current.revision > 0 ? stored(current, true) : removed;
         };
+        const describeBeside = ({ beside }: WaitingKey): CommitResult | undefined => {
+            const revision = present.get(beside?.key ?? "")?.revision ?? 0;
+            return beside && revision !== beside.expectedRevision ? { outcome: commitOutcomes.blocked, revision } : undefined;
+        };
         if (shared && (present.get(shared.key)?.revision ?? 0) !== shared.expectedRevision) {
             const current = present.get(shared.key);
             if (current) {
@@ -132,7 +157,7 @@
             return;
         }
         for (const each of batch) {
-            const found = describePresent(each);
+            const found = describePresent(each) ?? describeBeside(each);
             if (found) {
                 each.settle(found);
             }
@@ -150,6 +175,9 @@
         while (waiting.length > 0) {
             const batch = new Map<string, WaitingKey>();
             const rest: WaitingKey[] = [];
+            // Writes of which one depends on the other's key exclude each other, and all of a batch take effect together.
+            const keys = new Set<string>();
+            let batchEntries = 0;
             for (const each of waiting) {
                 const same = batch.get(each.key);
                 if (same) {
@@ -159,8 +187,10 @@
                         settle: joinSettle(same, each),
                     });
                 }
-                else if (batch.size < maxBatchSize) {
+                else if (batchEntries + entriesCount(each) <= maxBatchEntries && !guardsOf(each).some(({ key }) => keys.has(key))) {
                     batch.set(each.key, each);
+                    batchEntries += entriesCount(each);
+                    guardsOf(each).forEach(({ key }) => keys.add(key));
                 }
                 else {
                     rest.push(each);
@@ -172,7 +202,12 @@
     };
     const joinSettle = (first: WaitingKey, second: WaitingKey) => (result: CommitResult): void => {
         first.settle(result);
-        second.settle(result);
+        if (result.outcome === commitOutcomes.blocked && !dependOnSame(first, second)) {
+            enqueue(second);
+        }
+        else {
+            second.settle(result);
+        }
     };
     const enqueue = (each: WaitingKey): void => {
         waiting.push(each);
@@ -182,7 +217,7 @@
         }
     };
 
-    const write = (key: string, value: string, expectedRevision: number): Promise<CommitResult> =>
-        new Promise(settle => enqueue({ key, value, expectedRevision, attemptsCount: 1, mayBeApplied: false, settle }));
+    const write: GroupCommit["write"] = (key, value, expectedRevision, beside) =>
+        new Promise(settle => enqueue({ key, value, expectedRevision, beside, attemptsCount: 1, mayBeApplied: false, settle }));
     return { create: (key, value) => write(key, value, 0), write };
 }
--- a/src/process/jobService.ts
+++ b/src/process/jobService.ts
@@ -10,12 +10,14 @@
 import { isFinalState } from "../scheduling/jobRecord.js";
 import { jobStates, type JobSubmission, type SchedulingPolicy } from "../scheduling/jobTypes.js";
 import { commitOutcomes, type CommitResult, createGroupCommit } from "./groupCommit.js";
+import { createJobCancellation, type SubmissionLookup } from "./jobCancellation.js";
 import { acceptanceOrigins, type JobResult, jobResultKinds, type NotFoundCause, notFoundCauses } from "./jobResults.js";
 import { isQueueKnown, isVisible, type JobCaller } from "./jobVisibility.js";
 import { logEvents } from "./logEvents.js";
 import type { LogFields, Logger } from "./logger.js";
 import { createSubmissionWriter, type JobAdmission, type SubmissionAttempt } from "./submissionWriter.js";
 import { createUnreadableDocumentLog } from "./unreadableDocuments.js";
+import { createWithdrawals } from "./withdrawals.js";
 
 export interface JobService {
     /** `attempt` is the call that makes the submission; by default one that was received now. */
@@ -26,15 +28,6 @@
     countQueued(queueName: string): number | undefined;
 }
 
-/** The read of a submission from the store. */
-interface SubmissionLookup {
-    key: string;
-    /** Queue that the call names. */
-    queueName: string;
-    submission: StoredValue | undefined;
-    answer: ReadAnswer | undefined;
-}
-
 export interface JobServiceOptions {
     store: ChangeFeedStore;
     directory: JobDirectory;
@@ -78,7 +71,8 @@
         onGuardChanged: options.onConfigurationChanged,
         isStoreReachable: () => isStoreReachable(),
     });
-    const writeSubmission = createSubmissionWriter({ ...options, commit, admission: options.admission });
+    const withdrawals = createWithdrawals({ ...options, commit });
+    const writeSubmission = createSubmissionWriter({ ...options, commit, withdrawals, admission: options.admission });
     const isStoreReachable = (): boolean => (options.store.unresponsiveForMs() ?? Number.POSITIVE_INFINITY) <= unreachableAfterMs;
     // Without the store, this process cannot know whether another process accepted an earlier attempt of the caller.
     const storeUnreachable: JobResult = {
@@ -147,6 +141,7 @@
             queueName,
             // The id of a refused job counts as unknown.
             submission: value && decodeRefusal(value.value) ? undefined : value,
+            storedRevision: value?.revision ?? 0,
             answer,
         }));
     };
@@ -240,6 +235,10 @@
                 const reason = "another attempt to submit the job has just been refused";
                 return { kind: jobResultKinds.unknown, reason, retryAfterMs: storeRetryAfterMs };
             }
+            if (written.outcome === commitOutcomes.blocked) {
+                const reason = "the caller has just cancelled the job, perhaps after this call was made";
+                return { kind: jobResultKinds.unknown, reason, retryAfterMs: storeRetryAfterMs };
+            }
             const answer = describeCommit(written, key, jobId);
             if (answer.kind !== jobResultKinds.ok) {
                 return answer;
@@ -262,36 +261,13 @@
             }
             return isStoreReachable() ? readState(caller, jobId) : refuse("the store is not reachable");
         },
-        cancel: async (caller, jobId) => {
-            const known = findVisibleJob(caller, jobId);
-            if (known?.isCancelled) {
-                return { kind: jobResultKinds.ok };
-            }
-            if (!isStoreReachable()) {
-                return storeUnreachable;
-            }
-            if (!known) {
-                const lookup = await lookUp(caller.queueName, jobId);
-                if (lookup.err) {
-                    return refuse("the store does not respond");
-                }
-                const { submission } = lookup.val;
-                if (!submission) {
-                    return describeNoSubmission(lookup.val);
-                }
-                const entry = decodeEntry(jobId, submission.value);
-                // A submission that cannot be read is cancelled for whoever asks: it never runs, and its team is not known.
-                if (entry && !isVisible(entry, caller, options.policy())) {
-                    return describeHidden(entry, lookup.val);
-                }
-            }
-            const key = jobKeys.cancellationPrefix + jobId;
-            const answer = describeCommit(await commit.create(key, JSON.stringify({ wallMs: options.timers.wallClockMs() })), key, jobId);
-            if (answer.kind === jobResultKinds.ok) {
-                logger.log(logEvents.jobCancelled, { jobId, queue: caller.queueName, ...answer.logFields });
-            }
-            return answer;
-        },
+        cancel: createJobCancellation({
+            ...{ commit, withdrawals, timers: options.timers, logger, policy: options.policy },
+            lookups: {
+                ...{ findVisibleJob, lookUp, decodeEntry, describeNoSubmission, describeHidden, describeCommit, refuse },
+                storeUnreachable: () => isStoreReachable() ? undefined : storeUnreachable,
+            },
+        }),
         countQueued: queueName => options.directoryAgeMs() <= maxCountAgeMs ? directory.countQueued(queueName) : undefined,
     };
 }
--- a/src/process/removeOldJobs.ts
+++ b/src/process/removeOldJobs.ts
@@ -1,31 +1,30 @@
-/** Removes ended jobs and refusals from the store after their retention time. */
+/** Removes ended jobs, refusals and withdrawals from the store after their retention time. */
 import type { PlatformStore, StoreGuard } from "../connection/platformStore.js";
 import type { JobDirectory } from "../scheduling/jobDirectory.js";
 import { jobKeys } from "../scheduling/jobDocuments.js";
 
 /** A transaction may have 32 entries: the guard of the term key, and up to three keys for each job. */
 const jobsPerTransaction = 8;
-/** As above; each refusal has a guard and a deletion. */
-const refusalsPerTransaction = 15;
+/** As above; each refusal or withdrawal has a guard and a deletion. */
+const replaceableKeysPerTransaction = 15;
 
 /**
- * Removes the refusals before `refusedBeforeWallMs`. Each is guarded by its revision, since a later attempt to submit the job may be accepted
- * in its place at any time.
+ * Removes the refusals and withdrawals before `beforeWallMs`. Each is guarded by its revision, since a later attempt to submit the job may be
+ * accepted in its place, and the job may be withdrawn again, at any time.
  */
-async function removeOldRefusals(
+async function removeOldReplaceableKeys(
     store: PlatformStore,
     directory: JobDirectory,
     termGuard: StoreGuard,
-    refusedBeforeWallMs: number,
+    beforeWallMs: number,
     revisionOf: (key: string) => number,
 ): Promise<void> {
-    const guards = [...directory.refusals].filter(([, { refusedWallMs }]) => refusedWallMs < refusedBeforeWallMs)
-        .map(([jobId]): StoreGuard => {
-            const key = jobKeys.submissionPrefix + jobId;
-            return { key, expectedRevision: revisionOf(key) };
-        });
-    for (let index = 0; index < guards.length; index += refusalsPerTransaction) {
-        const some = guards.slice(index, index + refusalsPerTransaction);
+    const refused = [...directory.refusals].filter(([, { refusedWallMs }]) => refusedWallMs < beforeWallMs)
+        .map(([jobId]) => jobKeys.submissionPrefix + jobId);
+    const withdrawn = [...directory.withdrawals].filter(([, { withdrawnWallMs }]) => withdrawnWallMs < beforeWallMs).map(([key]) => key);
+    const guards = [...refused, ...withdrawn].map((key): StoreGuard => ({ key, expectedRevision: revisionOf(key) }));
+    for (let index = 0; index < guards.length; index += replaceableKeysPerTransaction) {
+        const some = guards.slice(index, index + replaceableKeysPerTransaction);
         await store.swap([termGuard, ...some], some.map(({ key }) => ({ key, value: undefined })));
     }
 }
@@ -48,5 +47,5 @@
         ]);
         await store.swap([termGuard], keys.map(key => ({ key, value: undefined })));
     }
-    await removeOldRefusals(store, directory, termGuard, endedBeforeWallMs, revisionOf);
+    await removeOldReplaceableKeys(store, directory, termGuard, endedBeforeWallMs, revisionOf);
 }
--- a/src/process/submissionWriter.ts
+++ b/src/process/submissionWriter.ts
@@ -1,5 +1,5 @@
 /**
- * Stores a submission, or that it was refused because of load. A refusal takes the place of the submission in the store, so that an earlier
+ * Stores a submission, or that it was refused because of load. A submission depends on what its caller has withdrawn. A refusal takes the place of the submission in the store, so that an earlier
  * attempt's write that arrives late finds the key taken. Each refusal writes the key anew: a later attempt that replaces a refusal is guarded
  * by the refusal's revision, and may itself be in flight when the next one is refused.
  */
@@ -9,6 +9,7 @@
 import { decodeRefusal, encodeRefusal, encodeSubmission, jobKeys } from "../scheduling/jobDocuments.js";
 import { estimateCriticalPathMs, estimateWork, type JobSubmission } from "../scheduling/jobTypes.js";
 import { type CommitOutcome, commitOutcomes, type CommitResult, type GroupCommit } from "./groupCommit.js";
+import type { Withdrawals } from "./withdrawals.js";
 
 export const refusalCauses = {
     /** The team has submitted more than its share. */
@@ -62,23 +63,25 @@
     mirroredRevision(key: string): number;
     mirroredAtMs(key: string): number | undefined;
     admission: JobAdmission | undefined;
+    withdrawals: Withdrawals;
 }
 
 /** Further writes find that other processes have refused or accepted the job meanwhile. */
 const maxWritesCount = 4;
 /**
- * A refusal is replaced only by a call that was received so long after the refusal was known here, and whose caller still waits. Any other
- * call may be an earlier attempt, held up by a slow link or a paused process, for which the refusal was meant. It changes nothing in the store: a
+ * A refusal or a withdrawal is replaced only by a call that was received so long after it was known here, and whose caller still waits. Any
+ * other call may be an earlier attempt, held up by a slow link or a paused process, for which it was meant. It changes nothing in the store: a
  * caller that repeats its calls often would otherwise never find a refusal old enough.
  */
 const knownForMs = 300;
 
 const refusedElsewhere: WrittenSubmission = { outcome: commitOutcomes.unknown, isOfOtherCall: false, isRefusedElsewhere: true };
+const withdrawn: WrittenSubmission = { outcome: commitOutcomes.blocked, isOfOtherCall: false };
 
 export function createSubmissionWriter(options: SubmissionWriterOptions) {
-    const { commit, directory, timers } = options;
+    const { commit, directory, timers, withdrawals } = options;
 
-    const mayReplaceRefusal = (key: string, { receivedAtMs, isCallerConnected }: SubmissionAttempt): boolean => {
+    const isLaterThan = (key: string, { receivedAtMs, isCallerConnected }: SubmissionAttempt): boolean => {
         const knownSinceMs = options.mirroredAtMs(key);
         return knownSinceMs !== undefined && receivedAtMs - knownSinceMs >= knownForMs && isCallerConnected();
     };
@@ -94,20 +97,31 @@
         });
 
     return async (submission: JobSubmission, attempt: SubmissionAttempt): Promise<WrittenSubmission> => {
-        const key = jobKeys.submissionPrefix + submission.jobId;
-        const wasRefused = directory.refusals.has(submission.jobId);
+        const { jobId } = submission;
+        const key = jobKeys.submissionPrefix + jobId;
+        const wasRefused = directory.refusals.has(jobId);
         let expectedRevision = wasRefused ? options.mirroredRevision(key) : 0;
         const refusal = options.admission?.decide(submission);
-        if (!refusal && wasRefused && !mayReplaceRefusal(key, attempt)) {
+        if (!refusal && wasRefused && !isLaterThan(key, attempt)) {
             return refusedElsewhere;
         }
+        let beside = refusal ? undefined : withdrawals.keyBeside(submission, jobId);
+        const withdrawalToReplace = beside?.isDeleted ? beside.key : undefined;
+        if (withdrawalToReplace !== undefined && !await withdrawals.mayReplace(() => isLaterThan(withdrawalToReplace, attempt))) {
+            return withdrawn;
+        }
         for (let writesCount = 0; writesCount < maxWritesCount; writesCount++) {
             const value = refusal ? encodeDecision(submission, refusal) : encodeSubmission(submission);
-            const committed = await commit.write(key, value, expectedRevision);
+            const committed = await commit.write(key, value, expectedRevision, beside);
             if (committed.outcome === commitOutcomes.removed) {
                 expectedRevision = 0;
                 continue;
             }
+            if (beside?.isDeleted && committed.outcome === commitOutcomes.blocked && committed.revision === 0) {
+                // The withdrawal has been removed meanwhile, since it was old.
+                beside = { ...beside, expectedRevision: 0, isDeleted: false };
+                continue;
+            }
             if (committed.outcome !== commitOutcomes.stored || committed.value === value) {
                 const isRefused = refusal !== undefined && committed.outcome === commitOutcomes.stored;
                 if (isRefused) {
--- a/src/scheduling/jobDirectory.ts
+++ b/src/scheduling/jobDirectory.ts
@@ -1,5 +1,13 @@
 /** Index of the jobs in the store. Every process keeps one, to answer callers and to load the jobs when it becomes the owner. */
-import { decodeProgress, decodeRefusal, decodeSubmission, jobKeys, type StoredRefusal } from "./jobDocuments.js";
+import {
+    decodeProgress,
+    decodeRefusal,
+    decodeSubmission,
+    decodeWithdrawal,
+    jobKeys,
+    type StoredRefusal,
+    type StoredWithdrawal,
+} from "./jobDocuments.js";
 import { isFinalState } from "./jobRecord.js";
 import { estimateCriticalPathMs, estimateWork, type JobState, jobStates } from "./jobTypes.js";
 
@@ -34,6 +42,8 @@
     entries: ReadonlyMap<string, DirectoryEntry>;
     /** The refused ids; they have no entries. */
     refusals: ReadonlyMap<string, StoredRefusal>;
+    /** Cancels of jobs that the store had no submission of, by their keys. */
+    withdrawals: ReadonlyMap<string, StoredWithdrawal>;
     /** Applies a change of a stored key; returns `undefined` if the key belongs to no job or its document cannot be read. */
     apply(key: string, value: string | undefined): DirectoryEvent | undefined;
     find(jobId: string): DirectoryEntry | undefined;
@@ -51,6 +61,7 @@
 export function createJobDirectory(options: JobDirectoryOptions): JobDirectory {
     const entries = new Map<string, DirectoryEntry>();
     const refusals = new Map<string, StoredRefusal>();
+    const withdrawals = new Map<string, StoredWithdrawal>();
 
     const entryOf = (jobId: string): DirectoryEntry => {
         const known = entries.get(jobId) ?? {
@@ -124,9 +135,19 @@
         return value === undefined ? removeIfEmpty(entry) : { kind: "cancelled", entry };
     };
 
+    const applyWithdrawal = (key: string, value: string | undefined): void => {
+        if (value === undefined) {
+            withdrawals.delete(key);
+        }
+        else {
+            withdrawals.set(key, decodeWithdrawal(value));
+        }
+    };
+
     return {
         entries,
         refusals,
+        withdrawals,
         apply: (key, value) => {
             try {
                 if (key.startsWith(jobKeys.submissionPrefix)) {
@@ -135,6 +156,9 @@
                 if (key.startsWith(jobKeys.progressPrefix)) {
                     return applyProgress(key.slice(jobKeys.progressPrefix.length), value);
                 }
+                if (key.startsWith(jobKeys.withdrawalPrefix)) {
+                    applyWithdrawal(key, value);
+                }
                 if (key.startsWith(jobKeys.cancellationPrefix)) {
                     return applyCancellation(key.slice(jobKeys.cancellationPrefix.length), value);
                 }
--- a/src/scheduling/jobDocuments.ts
+++ b/src/scheduling/jobDocuments.ts
@@ -9,6 +9,8 @@
     submissionPrefix: "nutmegjunction/job/",
     progressPrefix: "nutmegjunction/progress/",
     cancellationPrefix: "nutmegjunction/cancel/",
+    /** Cancels of jobs that the store had no submission of, by caller and job. */
+    withdrawalPrefix: "nutmegjunction/withdrawn/",
     /** Names the process that schedules now; bound to its lease. */
     owner: "nutmegjunction/owner",
     /** Rewritten by each new owner; its revision is the fencing token of the owner's writes. */
@@ -151,6 +153,28 @@
     }
 }
 
+/**
+ * Stored when a cancel is answered that the job does not exist. Submissions of the same caller from before must not be stored any more: their
+ * calls may wait in a paused process, their writes in the store.
+ */
+export interface StoredWithdrawal {
+    /** Tells this write from other cancels of the same job by the same caller. */
+    changeId: string;
+    withdrawnWallMs: number;
+}
+
+export function encodeWithdrawal(withdrawal: StoredWithdrawal): string {
+    return JSON.stringify(withdrawal);
+}
+
+export function decodeWithdrawal(text: string): StoredWithdrawal {
+    const value = JSON.parse(text) as StoredWithdrawal;
+    if (!Number.isFinite(value.withdrawnWallMs)) {
+        throw new Error(`stored withdrawal has no time: ${text.slice(0, 80)}`);
+    }
+    return value;
+}
+
 export function encodeProgress(progress: JobProgress): string {
     return JSON.stringify(progress);
 }
--- a/tests/admission/refusedSubmissions.spec.ts
+++ b/tests/admission/refusedSubmissions.spec.ts
@@ -4,10 +4,11 @@
 import { addStoredJob } from "../../src/process/addStoredJob.js";
 import { jobResultKinds } from "../../src/process/jobResults.js";
 import { removeOldJobs } from "../../src/process/removeOldJobs.js";
+import { withdrawalKey } from "../../src/process/withdrawals.js";
 import { decodeRefusal, decodeSubmission, jobKeys } from "../../src/scheduling/jobDocuments.js";
+import { createRefusalFixture, type FixtureProcess, refusal, type RefusalFixture } from "../process/refusalFixture.js";
 import { modelSubmission } from "../scheduling/modelJob.js";
 import { createSchedulerHarness } from "../scheduling/schedulerHarness.js";
-import { createRefusalFixture, type FixtureProcess, refusal, type RefusalFixture } from "./refusalFixture.js";
 
 const { jobId } = modelSubmission;
 const caller = { queueName: "queue", teamName: undefined };
@@ -37,7 +38,7 @@
             assert.equal((await fixture.finish(known.jobs.cancel(caller, jobId))).kind, jobResultKinds.notFound);
             assert.equal(known.jobs.countQueued("queue"), 0);
         }
-        assert.equal(fixture.items.size, 1);
+        assert.deepEqual([...fixture.items.keys()], [key, withdrawalKey(caller, jobId)]);
         const { scheduler } = createSchedulerHarness({ workers: 1 });
         process.directory.unfinishedEntries().forEach(entry => addStoredJob(scheduler, entry, 0, unreadable => assert.fail(unreadable)));
         assert.equal(scheduler.state.jobs.size, 0);
--- a/tests/admission/refusalFixture.ts
+++ b/tests/process/refusalFixture.ts
@@ -6,7 +6,7 @@
 import { createSilentLogger } from "../../src/process/logger.js";
 import { refusalCauses, type RefusalDecision } from "../../src/process/submissionWriter.js";
 import { createJobDirectory, type JobDirectory } from "../../src/scheduling/jobDirectory.js";
-import { configuredPolicy } from "../process/jobServiceFixture.js";
+import { configuredPolicy } from "./jobServiceFixture.js";
 
 export const refusal: RefusalDecision = {
     cause: refusalCauses.withinShare,
