Count as unacknowledged only what the worker still lists after a lost listing

A listing that a start had overtaken was not counted as failed at all, and the next listings would have returned at once until the worker had no start under way.

Failed before: scheduling/acknowledgedEnds "should not keep a worker from starts because one listing had no response".

--- a/src/process/submissionWriter.ts
+++ b/src/process/submissionWriter.ts
@@ -1,7 +1,7 @@
 /**
- * Stores a submission, or that it was refused because of load. A submission depends on what its caller has withdrawn. A refusal takes the place of the submission in the store, so that an earlier
- * attempt's write that arrives late finds the key taken. Each refusal writes the key anew: a later attempt that replaces a refusal is guarded
- * by the refusal's revision, and may itself be in flight when the next one is refused.
+ * Stores a submission, unless its caller has withdrawn the job since, or that it was refused because of load. A refusal takes the place of the
+ * submission in the store, so that an earlier attempt's write that arrives late finds the key taken. Each refusal writes the key anew: a later
+ * attempt that replaces a refusal is guarded by the refusal's revision, and may itself be in flight when the next one is refused.
  */
 import { newChangeId } from "../common/ids.js";
 import type { TimerService } from "../common/timerService.js";
--- a/src/process/workerSession.ts
+++ b/src/process/workerSession.ts
@@ -147,12 +147,13 @@
                 leaseUntilClockMs: clockMs === undefined ? undefined : Math.round(clockMs + options.leaseMs),
                 waitMs,
             });
-            if (answer.isFenced && isCurrent() && !isCurrentToken(token)) {
-                // A start that was sent later has overtaken this listing.
-                return { outcome: commandOutcomes.accepted, hasNewEnds: false };
+            const isOvertaken = answer.isFenced && isCurrent() && !isCurrentToken(token);
+            if (acknowledgedEndNumber > 0 && (isOvertaken || answer.outcome === commandOutcomes.unknown)) {
+                const sent = { endNumber: acknowledgedEndNumber, token, sentAtMs };
+                scheduler.acknowledgementFailed(workerId, isOvertaken ? "overtaken" : "unanswered", sent, timers.nowMs());
             }
-            if (answer.outcome === commandOutcomes.unknown && acknowledgedEndNumber > 0) {
-                scheduler.acknowledgementUnanswered(workerId, { endNumber: acknowledgedEndNumber, token, sentAtMs }, timers.nowMs());
+            if (isOvertaken) {
+                return { outcome: commandOutcomes.accepted, hasNewEnds: false };
             }
             if (answer.outcome === commandOutcomes.accepted || sentAtMs >= answeredSentAtMs) {
                 const isPresent = answer.outcome === commandOutcomes.accepted && answer.listing?.bornWallMs === bornWallMs;
--- a/src/scheduling/acknowledgedEnds.ts
+++ b/src/scheduling/acknowledgedEnds.ts
@@ -16,7 +16,7 @@
 const maxHeldUpEnds = 100;
 
 /** Whether a start has no response, and nothing else has shown what became of it. */
-export function hasOpenStart({ runs }: WorkerRecord): boolean {
+function hasOpenStart({ runs }: WorkerRecord): boolean {
     const { starting, unsettled, stopping } = runPhases;
     return [...runs.values()].some(({ phase, isStartAccepted, isStartConfirmed }) =>
         (phase === starting || phase === unsettled || phase === stopping) && !isStartAccepted && !isStartConfirmed
@@ -42,9 +42,7 @@
 /** Returns the end number for a listing that is sent now; 0 acknowledges nothing. */
 export function takeAcknowledgement(worker: WorkerRecord, nowMs: number): number {
     if (hasOpenStart(worker)) {
-        if (isAcknowledgementHeldUp(worker)) {
-            worker.acknowledgementHeldUpSinceMs ??= nowMs;
-        }
+        worker.acknowledgementHeldUpSinceMs = isAcknowledgementHeldUp(worker) ? worker.acknowledgementHeldUpSinceMs ?? nowMs : undefined;
         return 0;
     }
     worker.acknowledgementHeldUpSinceMs = undefined;
@@ -69,9 +67,13 @@
     sentAtMs: number;
 }
 
-/** The listing got no response: a later one acknowledges the ends again. Returns, for the log, which starts it may overtake. */
-export function repeatAcknowledgement(worker: WorkerRecord, { endNumber, token, sentAtMs }: SentAcknowledgement, nowMs: number): string {
-    worker.acknowledgedEndNumber = 0;
+/** The listing was not seen to take effect: a later one acknowledges the ends again. */
+export function repeatAcknowledgement(worker: WorkerRecord): void {
+    worker.acknowledgedEndNumber = worker.forgottenEndNumber;
+}
+
+/** Tells, for the log, which starts without a response the listing may be carried out after. */
+export function describeAcknowledgement(worker: WorkerRecord, { endNumber, token, sentAtMs }: SentAcknowledgement, nowMs: number): string {
     const starts = [...worker.runs.values()].filter(run => run.startedAtMs > sentAtMs && !run.isStartConfirmed && !run.isStartAccepted);
     const later = starts.map(({ taskName, runId }) => `${taskName}#${runId}`).join(", ");
     return `up to ${endNumber}, token ${token}, sent ${Math.round(nowMs - sentAtMs)} ms ago; unanswered starts since: ${later || "none"}`;
--- a/src/scheduling/reconcileListing.ts
+++ b/src/scheduling/reconcileListing.ts
@@ -228,6 +228,7 @@
         return;
     }
     applyListedEnds(state, worker, listing, moment);
+    worker.forgottenEndNumber = Math.min(worker.lastEndNumber, ...listing.ended.map(({ endNumber }) => endNumber - 1));
     const listedKeys = new Set<string>();
     for (const listed of listing.running) {
         const key = runKey(listed.taskName, listed.runId);
--- a/src/scheduling/workerEnds.ts
+++ b/src/scheduling/workerEnds.ts
@@ -83,6 +83,7 @@
     worker.lastEndNumber = 0;
     worker.unsavedEnds = [];
     worker.acknowledgedEndNumber = 0;
+    worker.forgottenEndNumber = 0;
     worker.acknowledgementHeldUpSinceMs = undefined;
     worker.failedJobIds.clear();
 }
--- a/src/scheduling/workerRecord.ts
+++ b/src/scheduling/workerRecord.ts
@@ -130,8 +130,9 @@
     /** Highest end number that was processed. */
     lastEndNumber: number;
     unsavedEnds: UnsavedEnd[];
-    /** Up to which number ends were acknowledged to this incarnation. */
+    /** Up to which number ends were acknowledged to this incarnation, and are forgotten as its latest listing shows. */
     acknowledgedEndNumber: number;
+    forgottenEndNumber: number;
     /** Since when starts under way have kept ends from being acknowledged; `undefined` if none are held up. */
     acknowledgementHeldUpSinceMs: number | undefined;
     lastResponseAtMs: number | undefined;
@@ -197,6 +198,7 @@
         lastEndNumber: 0,
         unsavedEnds: [],
         acknowledgedEndNumber: 0,
+        forgottenEndNumber: 0,
         acknowledgementHeldUpSinceMs: undefined,
         lastResponseAtMs: undefined,
         disconnectedAtMs: undefined,
--- a/tests/scheduling/acknowledgedEnds.spec.ts
+++ b/tests/scheduling/acknowledgedEnds.spec.ts
@@ -83,6 +83,24 @@
         assert.equal(scheduler.commandToken("w1"), startToken, "stops and listings must not be refused because of the start");
     });
 
+    it("should not keep a worker from starts because one listing had no response", () => {
+        const harness = createPool();
+        const { scheduler } = harness;
+        for (let number = 0; number < 120; number++) {
+            harness.submit(`job${number}`, { taskCount: 1 });
+            harness.answerStarts(commandOutcomes.accepted);
+            harness.list("w1", { ended: [{ taskName: `job${number}.0.0.0`, end: "done" }] });
+            harness.saveAll();
+            acknowledge(harness);
+        }
+        harness.list("w1", {});
+        scheduler.acknowledgementFailed("w1", "unanswered", { endNumber: 121, token: 1, sentAtMs: harness.nowMs() }, harness.nowMs());
+        harness.submit("open", { taskCount: 1 });
+        assert.equal(acknowledge(harness), 0);
+        harness.submit("next", { taskCount: 1 });
+        assert.equal(harness.startedTasks().at(-1), "next.0.0.0");
+    });
+
     it("should not cost a token for each start", () => {
         const harness = createPool();
         const { scheduler } = harness;
--- a/tests/scheduling/describeScheduler.ts
+++ b/tests/scheduling/describeScheduler.ts
@@ -14,6 +14,7 @@
         worker.formerTokensCount,
         worker.hasTokenAcknowledged,
         worker.acknowledgedEndNumber,
+        worker.forgottenEndNumber,
         worker.acknowledgementHeldUpSinceMs,
         worker.strayLeasesEndAtMs,
         worker.hasRespondedToProvenOwner,
