Let callers of the fault soak cancel jobs whose submissions got no answer

They cancel at another process until that is acknowledged, by 200 or by 410; a task that starts later, or still runs at the end, is UNASKED.

--- a/tests/platform/soakCallers.ts
+++ b/tests/platform/soakCallers.ts
@@ -169,6 +169,21 @@
     };
     type Connection = ReturnType<typeof openConnection>;
 
+    const cancel = async (connection: Connection, job: SoakJob): Promise<void> => {
+        job.cancelSentAtMs ??= performance.now();
+        const result = await connection.call({ method: "DELETE", queueName: job.queueName, key: constantKey, jobId: job.jobId });
+        const status = result?.answer.status;
+        if (status === 200 || (status === 410 && job.acceptedAtMs === undefined)) {
+            job.cancelledAtMs ??= performance.now();
+        }
+    };
+    /** Cancels a job whose submission got no answer, and may still be on its way, until that is acknowledged. */
+    const cancelUnanswered = async (connection: Connection, job: SoakJob): Promise<void> => {
+        for (let attempt = 0; attempt < maxSubmitAttempts && job.cancelledAtMs === undefined && !isEnding; attempt++) {
+            await cancel(connection, job);
+            await sleep(retryPauseMs);
+        }
+    };
     const submit = async (connection: Connection): Promise<void> => {
         const isLasting = lastingJobsCount < maxLastingJobs && random.unit() < 0.15;
         lastingJobsCount += isLasting ? 1 : 0;
@@ -176,6 +191,7 @@
         const { jobId, queueName, spec, steps } = job;
         jobs.add(job);
         const givesUp = random.unit() < 0.3;
+        const cancelsUnanswered = random.unit() < 0.3;
         const body = JSON.stringify({ spec, steps });
         for (let attempt = 0; attempt < maxSubmitAttempts; attempt++) {
             const result = await connection.call({ method: "POST", queueName, key: constantKey, jobId, body });
@@ -189,6 +205,11 @@
             if (givesUp && (status === 429 || status === 503) || isEnding) {
                 return;
             }
+            if (cancelsUnanswered && (status === undefined || status === 504)) {
+                connection.leave();
+                await cancelUnanswered(connection, job);
+                return;
+            }
             await sleep(retryPauseMs);
         }
         if (random.unit() < 0.1) {
@@ -213,13 +234,6 @@
         }
         return undefined;
     };
-    const cancel = async (connection: Connection, job: SoakJob): Promise<void> => {
-        job.cancelSentAtMs ??= performance.now();
-        const result = await connection.call({ method: "DELETE", queueName: job.queueName, key: constantKey, jobId: job.jobId });
-        if (result?.answer.status === 200) {
-            job.cancelledAtMs ??= performance.now();
-        }
-    };
     const askCount = async (connection: Connection): Promise<void> => {
         await connection.call({ method: "GET", ...operator.drawCredentials(), jobId: "" });
     };
