Name the companion key of a write and the failures of an acknowledgement

Read as a newcomer: 'the key beside' is the companion key of a write, and the reasons for which an acknowledgement is not seen to take effect are constants with a line each.

--- a/src/process/groupCommit.ts
+++ b/src/process/groupCommit.ts
@@ -12,7 +12,7 @@
     notStored: "notStored",
     /** The key that was to be replaced does not exist any more; this call has not written it, and never will. */
     removed: "removed",
-    /** The key beside has another revision than the expected one; this call has not written the key, and never will. */
+    /** The companion key has another revision than the expected one; this call has not written the key, and never will. */
     blocked: "blocked",
     /** The shared guard no longer holds; nothing was written. */
     outdated: "outdated",
@@ -23,7 +23,7 @@
 
 export interface CommitResult {
     outcome: CommitOutcome;
-    /** If stored: revision of the last write of the key. If blocked: that of the key beside, 0 if that does not exist. */
+    /** If stored: revision of the last write of the key. If blocked: that of the companion key, 0 if that does not exist. */
     revision?: number;
     /** If stored: whether the key existed already, perhaps written by an attempt whose response was lost. */
     wasPresent?: boolean;
@@ -33,12 +33,12 @@
 
 export interface GroupCommit {
     create(key: string, value: string): Promise<CommitResult>;
-    /** Writes the key if it has the expected revision, and the key beside too; 0 stands for a key that does not exist. */
-    write(key: string, value: string, expectedRevision: number, beside?: BesideKey): Promise<CommitResult>;
+    /** Writes the key if it and its companion key have the expected revisions; 0 stands for a key that does not exist. */
+    write(key: string, value: string, expectedRevision: number, companion?: CompanionKey): Promise<CommitResult>;
 }
 
-/** Another key on which a write depends. */
-export interface BesideKey extends StoreGuard {
+/** Another key on which a write depends: a submission on the withdrawal of its job, and the other way round. */
+export interface CompanionKey extends StoreGuard {
     /** Whether the write deletes it. */
     isDeleted: boolean;
 }
@@ -58,7 +58,7 @@
     key: string;
     value: string;
     expectedRevision: number;
-    beside: BesideKey | undefined;
+    companion: CompanionKey | undefined;
     attemptsCount: number;
     /** An earlier attempt got no response, and may have been applied. */
     mayBeApplied: boolean;
@@ -81,16 +81,16 @@
     return { outcome: commitOutcomes.stored, revision, wasPresent, value };
 }
 
-function guardsOf({ key, expectedRevision, beside }: WaitingKey): StoreGuard[] {
-    return [{ key, expectedRevision }, ...(beside ? [{ key: beside.key, expectedRevision: beside.expectedRevision }] : [])];
+function guardsOf({ key, expectedRevision, companion }: WaitingKey): StoreGuard[] {
+    return [{ key, expectedRevision }, ...(companion ? [{ key: companion.key, expectedRevision: companion.expectedRevision }] : [])];
 }
 
-function writesOf({ key, value, beside }: WaitingKey): StoreWrite[] {
-    return [{ key, value }, ...(beside?.isDeleted ? [{ key: beside.key, value: undefined }] : [])];
+function writesOf({ key, value, companion }: WaitingKey): StoreWrite[] {
+    return [{ key, value }, ...(companion?.isDeleted ? [{ key: companion.key, value: undefined }] : [])];
 }
 
 const entriesCount = (each: WaitingKey): number => guardsOf(each).length + writesOf(each).length;
-const dependOnSame = ({ beside: first }: WaitingKey, { beside: second }: WaitingKey): boolean =>
+const dependOnSame = ({ companion: first }: WaitingKey, { companion: second }: WaitingKey): boolean =>
     first?.key === second?.key && first?.expectedRevision === second?.expectedRevision;
 
 export function createGroupCommit(options: GroupCommitOptions): GroupCommit {
@@ -143,9 +143,9 @@
             }
             return current && current.revision > 0 ? stored(current, true) : removed;
         };
-        const describeBeside = ({ beside }: WaitingKey): CommitResult | undefined => {
-            const revision = present.get(beside?.key ?? "")?.revision ?? 0;
-            return beside && revision !== beside.expectedRevision ? { outcome: commitOutcomes.blocked, revision } : undefined;
+        const describeCompanion = ({ companion }: WaitingKey): CommitResult | undefined => {
+            const revision = present.get(companion?.key ?? "")?.revision ?? 0;
+            return companion && revision !== companion.expectedRevision ? { outcome: commitOutcomes.blocked, revision } : undefined;
         };
         if (shared && (present.get(shared.key)?.revision ?? 0) !== shared.expectedRevision) {
             const current = present.get(shared.key);
@@ -157,7 +157,7 @@
             return;
         }
         for (const each of batch) {
-            const found = describePresent(each) ?? describeBeside(each);
+            const found = describePresent(each) ?? describeCompanion(each);
             if (found) {
                 each.settle(found);
             }
@@ -217,7 +217,7 @@
         }
     };
 
-    const write: GroupCommit["write"] = (key, value, expectedRevision, beside) =>
-        new Promise(settle => enqueue({ key, value, expectedRevision, beside, attemptsCount: 1, mayBeApplied: false, settle }));
+    const write: GroupCommit["write"] = (key, value, expectedRevision, companion) =>
+        new Promise(settle => enqueue({ key, value, expectedRevision, companion, attemptsCount: 1, mayBeApplied: false, settle }));
     return { create: (key, value) => write(key, value, 0), write };
 }
--- a/src/process/submissionWriter.ts
+++ b/src/process/submissionWriter.ts
@@ -105,21 +105,21 @@
         if (!refusal && wasRefused && !isLaterThan(key, attempt)) {
             return refusedElsewhere;
         }
-        let beside = refusal ? undefined : withdrawals.keyBeside(submission, jobId);
-        const withdrawalToReplace = beside?.isDeleted ? beside.key : undefined;
+        let companion = refusal ? undefined : withdrawals.companionKey(submission, jobId);
+        const withdrawalToReplace = companion?.isDeleted ? companion.key : undefined;
         if (withdrawalToReplace !== undefined && !await withdrawals.mayReplace(() => isLaterThan(withdrawalToReplace, attempt))) {
             return withdrawn;
         }
         for (let writesCount = 0; writesCount < maxWritesCount; writesCount++) {
             const value = refusal ? encodeDecision(submission, refusal) : encodeSubmission(submission);
-            const committed = await commit.write(key, value, expectedRevision, beside);
+            const committed = await commit.write(key, value, expectedRevision, companion);
             if (committed.outcome === commitOutcomes.removed) {
                 expectedRevision = 0;
                 continue;
             }
-            if (beside?.isDeleted && committed.outcome === commitOutcomes.blocked && committed.revision === 0) {
+            if (companion?.isDeleted && committed.outcome === commitOutcomes.blocked && committed.revision === 0) {
                 // The withdrawal has been removed meanwhile, since it was old.
-                beside = { ...beside, expectedRevision: 0, isDeleted: false };
+                companion = { ...companion, expectedRevision: 0, isDeleted: false };
                 continue;
             }
             if (committed.outcome !== commitOutcomes.stored || committed.value === value) {
--- a/src/process/withdrawals.ts
+++ b/src/process/withdrawals.ts
@@ -9,7 +9,7 @@
 import { createWithdrawalLimit } from "../decisions/limitWithdrawals.js";
 import type { JobDirectory } from "../scheduling/jobDirectory.js";
 import { encodeWithdrawal, jobKeys } from "../scheduling/jobDocuments.js";
-import { type BesideKey, commitOutcomes, type CommitResult, type GroupCommit } from "./groupCommit.js";
+import { commitOutcomes, type CommitResult, type CompanionKey, type GroupCommit } from "./groupCommit.js";
 import type { JobCaller } from "./jobVisibility.js";
 
 export const withdrawalOutcomes = {
@@ -32,7 +32,7 @@
         submissionRevision: number,
     ): Promise<(typeof withdrawalOutcomes)[keyof typeof withdrawalOutcomes] | CommitResult>;
     /** The key on which the write of a submission depends; it is that of a known withdrawal if it is to be deleted. */
-    keyBeside(caller: JobCaller, jobId: string): BesideKey;
+    companionKey(caller: JobCaller, jobId: string): CompanionKey;
     /**
      * Whether a submission may replace the withdrawal: its call was certainly made later. `isLater` tells whether the call was received a while
      * after the withdrawal was known, and its caller still waits.
@@ -103,7 +103,7 @@
                 expectedRevision = committed.revision ?? 0;
             }
         },
-        keyBeside: (caller, jobId) => {
+        companionKey: (caller, jobId) => {
             const key = withdrawalKey(caller, jobId);
             const isDeleted = directory.withdrawals.has(key);
             return { key, expectedRevision: isDeleted ? options.mirroredRevision(key) : 0, isDeleted };
--- a/src/process/workerSession.ts
+++ b/src/process/workerSession.ts
@@ -5,6 +5,7 @@
 import { delay, type TimerService } from "../common/timerService.js";
 import type { ListResponse, WorkerClient } from "../connection/workerClient.js";
 import { listingWaitMs } from "../decisions/paceListings.js";
+import { acknowledgementFailures } from "../scheduling/acknowledgedEnds.js";
 import { type CommandOutcome, commandOutcomes } from "../scheduling/commandOutcomes.js";
 import type { Moment } from "../scheduling/reconcileListing.js";
 import type { Scheduler } from "../scheduling/scheduler.js";
@@ -150,7 +151,8 @@
             const isOvertaken = answer.isFenced && isCurrent() && !isCurrentToken(token);
             if (acknowledgedEndNumber > 0 && (isOvertaken || answer.outcome === commandOutcomes.unknown)) {
                 const sent = { endNumber: acknowledgedEndNumber, token, sentAtMs };
-                scheduler.acknowledgementFailed(workerId, isOvertaken ? "overtaken" : "unanswered", sent, timers.nowMs());
+                const { overtaken, unanswered } = acknowledgementFailures;
+                scheduler.acknowledgementFailed(workerId, isOvertaken ? overtaken : unanswered, sent, timers.nowMs());
             }
             if (isOvertaken) {
                 return { outcome: commandOutcomes.accepted, hasNewEnds: false };
--- a/src/scheduling/acknowledgedEnds.ts
+++ b/src/scheduling/acknowledgedEnds.ts
@@ -60,6 +60,15 @@
     return commandToken(state.term.token, worker);
 }
 
+/** Why a listing that acknowledged ends was not seen to take effect. */
+export const acknowledgementFailures = {
+    /** It got no response, and a later incarnation of the worker may carry it out. */
+    unanswered: "unanswered",
+    /** A start that was sent later came before it, so that the worker refused it. */
+    overtaken: "overtaken",
+} as const;
+export type AcknowledgementFailure = (typeof acknowledgementFailures)[keyof typeof acknowledgementFailures];
+
 /** A listing that told the worker to forget ends. */
 export interface SentAcknowledgement {
     endNumber: number;
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -3,6 +3,7 @@
  * can drive it. One process at a time owns the scheduling; every command carries the fencing token of that process's term.
  */
 import {
+    type AcknowledgementFailure,
     describeAcknowledgement,
     isAcknowledgementHeldUp,
     repeatAcknowledgement,
@@ -269,15 +270,12 @@
             const worker = state.workers.get(workerId);
             return worker !== undefined && isAcknowledgementHeldUp(worker);
         },
-        /**
-         * A listing that acknowledged ends got no response, and a later incarnation of the worker may take the number for its own; or a start
-         * that was sent later has overtaken it.
-         */
-        acknowledgementFailed: (workerId: string, reason: "unanswered" | "overtaken", sent: SentAcknowledgement, nowMs: number): void => {
+        /** A listing that acknowledged ends was not seen to take effect. */
+        acknowledgementFailed: (workerId: string, failure: AcknowledgementFailure, sent: SentAcknowledgement, nowMs: number): void => {
             const worker = state.workers.get(workerId);
             if (worker) {
                 repeatAcknowledgement(worker);
-                state.onDecision({ what: `acknowledgement ${reason}`, workerId, detail: describeAcknowledgement(worker, sent, nowMs) });
+                state.onDecision({ what: `acknowledgement ${failure}`, workerId, detail: describeAcknowledgement(worker, sent, nowMs) });
             }
         },
         /**
--- a/tests/scheduling/acknowledgedEnds.spec.ts
+++ b/tests/scheduling/acknowledgedEnds.spec.ts
@@ -4,6 +4,7 @@
  */
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { acknowledgementFailures } from "../../src/scheduling/acknowledgedEnds.js";
 import { commandOutcomes } from "../../src/scheduling/commandOutcomes.js";
 import { createSchedulerHarness, type SchedulerHarness } from "./schedulerHarness.js";
 
@@ -94,7 +95,12 @@
             acknowledge(harness);
         }
         harness.list("w1", {});
-        scheduler.acknowledgementFailed("w1", "unanswered", { endNumber: 121, token: 1, sentAtMs: harness.nowMs() }, harness.nowMs());
+        scheduler.acknowledgementFailed(
+            "w1",
+            acknowledgementFailures.unanswered,
+            { endNumber: 121, token: 1, sentAtMs: harness.nowMs() },
+            harness.nowMs(),
+        );
         harness.submit("open", { taskCount: 1 });
         assert.equal(acknowledge(harness), 0);
         harness.submit("next", { taskCount: 1 });
