--- a/src/process/logEvents.ts
+++ b/src/process/logEvents.ts
@@ -97,6 +97,11 @@
         logLevels.warn,
         "No moves of VMs were planned for 'delayMs'; 'activeParts' lists the work on VMs that is waiting for responses, and 'leaseAgeMs' tells how long the lease has not been confirmed.",
     ),
+    schedulingTermStarted: defineEvent(
+        6111,
+        logLevels.info,
+        "The owner of the scheduling has loaded the jobs of the store up to 'revision' and schedules them; jobs that wait for workers of former owners are counted by 'jobsWithFormerWorkersCount', workers known from snapshots by 'snapshotsCount'. After 'unknownWorkersInMs' none is waited for.",
+    ),
     jobAccepted: defineEvent(
         2101,
         logLevels.info,
--- a/src/process/schedulingService.ts
+++ b/src/process/schedulingService.ts
@@ -216,6 +216,16 @@
         directory.unfinishedEntries().forEach(entry => addStoredJob(scheduler, entry, now.wallMs, logUnreadable));
         knownWorkers.passTo(scheduler, now);
         restoreEarlierRuns(scheduler, options.mirror(), knownWorkers.isRegistered, now, logUnreadable);
+        const { state } = scheduler;
+        logger.log(logEvents.schedulingTermStarted, {
+            token,
+            revision: options.mirror().revision(),
+            jobsCount: state.jobs.size,
+            jobsWithFormerWorkersCount: [...state.jobs.values()].filter(job => job.formerWorkerIds.size > 0).length,
+            workersCount: state.workers.size,
+            snapshotsCount: [...state.workers.values()].filter(worker => worker.isRunStateKnown).length,
+            unknownWorkersInMs: Math.max(0, Math.round(unknownWorkersUntilMs - now.nowMs)),
+        });
         options.onTermStarted(scheduler, signal);
         scheduleStep();
     };
--- a/src/scheduling/plannedStarts.ts
+++ b/src/scheduling/plannedStarts.ts
@@ -4,25 +4,20 @@
  * can start all others at once.
  */
 import { type JobRecord, type StepRecord, stepsOf } from "./jobRecord.js";
+import { areRunsKnown } from "./knownRuns.js";
 import { commandKinds, detachRun, findStep, markChanged, type SchedulerState } from "./schedulerState.js";
 import { isStartPermitted, startValidityAt } from "./startPermission.js";
 import { isSuspectStartPersisted, recordSuspectStart } from "./suspectStarts.js";
 import { type Run, runPhases, type WorkerRecord } from "./workerRecord.js";
 import { isOvercommitted } from "./workerRoom.js";
 
-/** Whether the current owner knows which runs the worker has. */
-function isWorkerStateKnown(state: SchedulerState, workerId: string, nowMs: number): boolean {
-    const worker = state.workers.get(workerId);
-    return worker?.isRunStateKnown ?? (state.departedWorkers.has(workerId) || nowMs >= state.term.unknownWorkersUntilMs);
-}
-
 /**
  * Whether an earlier owner may have started tasks of the job on a worker whose runs are not known yet. Only tasks with a run that has
  * been adopted in this term may then start.
  */
 export function isHeldBack(state: SchedulerState, job: JobRecord, nowMs: number): boolean {
     for (const workerId of job.formerWorkerIds) {
-        if (isWorkerStateKnown(state, workerId, nowMs)) {
+        if (areRunsKnown(state, workerId, nowMs)) {
             job.formerWorkerIds.delete(workerId);
         }
     }
--- a/src/scheduling/reconcileListing.ts
+++ b/src/scheduling/reconcileListing.ts
@@ -3,6 +3,7 @@
 import { suspicions } from "./crashCounts.js";
 import { isFinalState, type JobRecord } from "./jobRecord.js";
 import { jobStates, noResources } from "./jobTypes.js";
+import { markRunsKnown } from "./knownRuns.js";
 import { runNeeds } from "./runNeeds.js";
 import {
     applyEnd,
@@ -258,7 +259,7 @@
     // The end of an absent run may be among those that are not listed yet.
     if (!listing.hasMoreEnds) {
         removeAbsentRuns(state, worker, listedKeys, sentAtMs, moment);
-        worker.isRunStateKnown = true;
+        markRunsKnown(state, worker, "listing");
         worker.hasListed = true;
     }
     if (worker.doubtedAtMs !== undefined && sentAtMs >= worker.doubtedAtMs) {
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -22,6 +22,7 @@
 import { changePolicy, releaseUnusedPolicies, retainPolicies, retainPolicyOf } from "./jobPolicies.js";
 import { createJobRecord, isFinalState, progressOf } from "./jobRecord.js";
 import { jobStates, type SchedulingPolicy } from "./jobTypes.js";
+import { markRunsKnown } from "./knownRuns.js";
 import { maxLeaseMs } from "./leases.js";
 import { possibleWorkerIds, sendPersistedStarts, settleWorkerIdsWrite } from "./plannedStarts.js";
 import { forgetSavedEnds, type Listing, type Moment } from "./reconcileListing.js";
@@ -212,7 +213,7 @@
             const worker = state.workers.get(workerId);
             if (worker) {
                 endWorker(state, worker, "another worker responds at its address", moment);
-                worker.isRunStateKnown = true;
+                markRunsKnown(state, worker, "another worker responds at its address");
             }
         },
         startResponseReceived: (run: Run, outcome: CommandOutcome, reason: string, moment: Moment): void =>
--- a/src/scheduling/unresponsiveWorkers.ts
+++ b/src/scheduling/unresponsiveWorkers.ts
@@ -5,6 +5,7 @@
  */
 import { ageAtLastContactMs } from "./crashSuspect.js";
 import { isFinalState, type StepRecord } from "./jobRecord.js";
+import { markRunsKnown } from "./knownRuns.js";
 import { allLeasesEndAtMs } from "./leases.js";
 import type { Moment } from "./reconcileListing.js";
 import { runNeeds } from "./runNeeds.js";
@@ -88,11 +89,12 @@
         const needsSnapshot = isUnresponsive && worker.snapshotState === snapshotStates.none && worker.isRunStateKnown;
         if (needsSnapshot && ![...worker.runs.values()].some(run => run.phase === runPhases.starting)) {
             worker.snapshotState = snapshotStates.changing;
-            state.commands.push({
-                kind: commandKinds.writeSnapshot,
-                workerId: worker.entry.workerId,
-                snapshot: createSnapshot(worker, nowMs),
-            });
+            const { workerId } = worker.entry;
+            const snapshot = createSnapshot(worker, nowMs);
+            state.commands.push({ kind: commandKinds.writeSnapshot, workerId, snapshot });
+            const detail =
+                `${snapshot.runs.length} runs, ${worker.unsavedEnds.length} ends not stored yet, leases for ${snapshot.leaseLeftMs} ms`;
+            state.onDecision({ what: "snapshot", workerId, detail });
         }
         else if (!isUnresponsive && worker.snapshotState === snapshotStates.written) {
             worker.snapshotState = snapshotStates.changing;
@@ -140,7 +142,7 @@
     worker.snapshotState = snapshotStates.written;
     worker.unresponsiveSinceMs = nowMs;
     worker.lastContactAtMs = nowMs;
-    worker.isRunStateKnown = true;
+    markRunsKnown(state, worker, "snapshot");
     snapshotRuns(state, snapshot, nowMs).forEach(({ run, step }) => attachRun(state, worker, step, run));
 }
 
--- a/src/scheduling/workerLifecycle.ts
+++ b/src/scheduling/workerLifecycle.ts
@@ -1,4 +1,5 @@
 /** Adds, drains and removes workers, and bounds how long their runs may keep their leases. */
+import { markRunsKnown } from "./knownRuns.js";
 import { allLeasesEndAtMs } from "./leases.js";
 import { forgetWorker } from "./plannedStarts.js";
 import type { Moment } from "./reconcileListing.js";
@@ -98,7 +99,7 @@
         if (!haveAllEnded && (worker.runs.size > 0 || !worker.isRunStateKnown)) {
             continue;
         }
-        worker.isRunStateKnown = true;
+        markRunsKnown(state, worker, "its leases have ended");
         if (!worker.isRegistered && worker.snapshotState !== snapshotStates.changing) {
             if (worker.snapshotState === snapshotStates.written) {
                 state.commands.push({ kind: commandKinds.removeSnapshot, workerId: worker.entry.workerId });
