--- a/src/scheduling/reconcileListing.ts
+++ b/src/scheduling/reconcileListing.ts
@@ -1,7 +1,7 @@
 /** Reconciles a worker's listing of its runs with the scheduler's state. */
 import { adjustPace } from "./adjustPace.js";
 import { suspicions } from "./crashCounts.js";
-import { isFinalState, type JobRecord } from "./jobRecord.js";
+import { isFinalState, type JobRecord, type StepRecord } from "./jobRecord.js";
 import { jobStates, noResources } from "./jobTypes.js";
 import { markRunsKnown } from "./knownRuns.js";
 import { runNeeds } from "./runNeeds.js";
@@ -56,8 +56,15 @@
     wallMs: number;
 }
 
-function addUnsavedEnd(state: SchedulerState, worker: WorkerRecord, endNumber: number, job: JobRecord): void {
-    worker.unsavedEnds.push({ endNumber, jobId: job.jobId, version: job.version });
+/** Whether the end completes the task or counts as one of its attempts. */
+function isDecisive({ end }: ListedEnd, step: StepRecord | undefined): boolean {
+    return (end === runEnds.done || end === runEnds.failed) && step?.spec.isLongRunning !== true;
+}
+
+function addUnsavedEnd(state: SchedulerState, worker: WorkerRecord, listed: ListedEnd, job: JobRecord, isDecisiveEnd: boolean): void {
+    const { endNumber, taskName, runId } = listed;
+    const decisiveRun = isDecisiveEnd ? { taskName, runId } : undefined;
+    worker.unsavedEnds.push({ endNumber, jobId: job.jobId, decisiveRun, version: job.version });
     const workers = state.workersWithUnsavedEnds.get(job.jobId);
     if (workers) {
         workers.add(worker);
@@ -101,6 +108,7 @@
         worker.lastEndNumber = listed.endNumber;
         const task = parseTaskName(listed.taskName);
         const run = worker.runs.get(runKey(listed.taskName, listed.runId));
+        const isDecisiveEnd = isDecisive(listed, task && findStep(state, task));
         if (run) {
             learnDuration(state, run, listed.end, moment.nowMs);
         }
@@ -126,7 +134,7 @@
             reason: listed.end,
         });
         if (job && job.version > job.persistedVersion) {
-            addUnsavedEnd(state, worker, listed.endNumber, job);
+            addUnsavedEnd(state, worker, listed, job, isDecisiveEnd);
         }
     }
 }
--- a/src/scheduling/unresponsiveWorkers.ts
+++ b/src/scheduling/unresponsiveWorkers.ts
@@ -1,7 +1,7 @@
 /**
- * Stored snapshots of unresponsive workers, with the runs that may exist on them. The owner starts nothing on such a worker
- * and extends no lease on it until its snapshot is removed. The next owner therefore knows from the snapshot which tasks to wait for,
- * and until when, and does not have to hold back all others.
+ * Stored snapshots of unresponsive workers, with the runs that may exist on them, and those whose ends only this owner has. The owner
+ * starts nothing on such a worker and extends no lease on it until its snapshot is removed. The next owner therefore knows from the snapshot
+ * which tasks to wait for, and until when, and does not have to hold back all others.
  */
 import { ageAtLastContactMs } from "./crashSuspect.js";
 import { isFinalState, type StepRecord } from "./jobRecord.js";
@@ -51,9 +51,14 @@
     // An end of the worker that was ordered must not count as a crash under the next owner either.
     const ageMs = (run: Run): number | undefined =>
         worker.isVmStopping ? undefined : Math.max(0, Math.round(ageAtLastContactMs(worker, run)));
+    // The next owner takes these for runs until the worker has listed their ends to it.
+    const ended = worker.unsavedEnds.flatMap(({ decisiveRun }) => decisiveRun ? [decisiveRun] : []);
     return {
         entry: worker.entry,
-        runs: sent.map(run => [run.taskName, run.runId, ageMs(run), run.isStartConfirmed] as const),
+        runs: [
+            ...sent.map(run => [run.taskName, run.runId, ageMs(run), run.isStartConfirmed] as const),
+            ...ended.map(({ taskName, runId }) => [taskName, runId, undefined, true] as const),
+        ],
         leaseLeftMs: Math.max(0, Math.ceil((isAllListed ? worker.leaseEndsAtMs : allLeasesEndAtMs(worker)) - nowMs)),
     };
 }
--- a/src/scheduling/workerRecord.ts
+++ b/src/scheduling/workerRecord.ts
@@ -94,6 +94,8 @@
     jobId: string;
     /** Version of the job's progress that includes the end. */
     version: number;
+    /** The run, if its task must not start again before the end is known. */
+    decisiveRun: Pick<Run, "taskName" | "runId"> | undefined;
 }
 
 export interface WorkerRecord {
@@ -153,10 +155,7 @@
     hasRespondedToProvenOwner: boolean;
     /** After this time, all listed runs on the worker have lost their leases, unless it responds in the meantime. */
     leaseEndsAtMs: number;
-    /**
-     * After this time, runs that no listing has shown have lost their leases too: an incarnation may have granted them by commands that
-     * were meant for another one.
-     */
+    /** When runs that no listing has shown have lost their leases too; commands for another incarnation may have granted them. */
     strayLeasesEndAtMs: number;
     /** Until this time, no run on this incarnation can have lost its lease: the worker has confirmed it. */
     leaseHeldUntilMs: number;
--- a/tests/scheduling/unstoredEnds.spec.ts
+++ b/tests/scheduling/unstoredEnds.spec.ts
@@ -2,12 +2,13 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { commandOutcomes } from "../../src/scheduling/commandOutcomes.js";
-import { commandKinds } from "../../src/scheduling/schedulerState.js";
-import { snapshotStates, type WorkerSnapshot } from "../../src/scheduling/unresponsiveWorkers.js";
-import { createSchedulerHarness, type SchedulerHarness } from "./schedulerHarness.js";
+import { maxLeaseMs } from "../../src/scheduling/leases.js";
+import { commandKinds, type RunEnd } from "../../src/scheduling/schedulerState.js";
+import type { WorkerSnapshot } from "../../src/scheduling/unresponsiveWorkers.js";
+import { createSchedulerHarness, type SchedulerHarness, workerLeaseMs } from "./schedulerHarness.js";
 
-/** An owner that has received the end of the job's only task from w1, and has not stored it. */
-function createOwnerWithUnstoredEnd(): SchedulerHarness {
+/** An owner that has received the end of the job's only task from w1, has not stored it, and has no other worker to start it on. */
+function createOwnerWithUnstoredEnd(end: RunEnd): SchedulerHarness {
     const owner = createSchedulerHarness({ workers: 2, isSavedManually: true });
     owner.list("w1", { sentAtMs: 0 });
     owner.submit("job", { taskCount: 1 });
@@ -15,8 +16,8 @@
     owner.answerStarts(commandOutcomes.accepted);
     owner.list("w1", { running: ["job.0.0.0"] });
     owner.saveAll();
-    owner.advance(10);
-    owner.list("w1", { ended: [{ taskName: "job.0.0.0", end: "done" }] });
+    owner.updateEntry("w1", { isDraining: true });
+    owner.list("w1", { ended: [{ taskName: "job.0.0.0", end }] });
     return owner;
 }
 
@@ -24,27 +25,65 @@
     return owner.sent().flatMap(command => command.kind === commandKinds.writeSnapshot ? [command.snapshot] : []);
 }
 
+function lastRunId(owner: SchedulerHarness): number {
+    return owner.commands(commandKinds.start).at(-1)!.runId;
+}
+
+/** The owner after `former`, which has not stored the end, once w2 has listed its runs. */
+function createNextOwner(former: SchedulerHarness): SchedulerHarness {
+    const next = createSchedulerHarness({ workers: 2, token: 100 });
+    next.submit("job", { taskCount: 1, formerWorkerIds: ["w1"] });
+    for (const { runs, leaseLeftMs } of writtenSnapshots(former)) {
+        next.restoreSnapshot("w1", runs, leaseLeftMs);
+    }
+    next.list("w2", {});
+    next.advance(10);
+    return next;
+}
+
 describe("an end that is not stored yet", () => {
     it("should keep the next owner from starting the task again if its worker has stopped responding", () => {
-        const former = createOwnerWithUnstoredEnd();
+        const former = createOwnerWithUnstoredEnd("done");
         former.scheduler.workerUnresponsive("w1", former.nowMs());
         former.advance(10);
-        const next = createSchedulerHarness({ workers: 2, token: 100 });
-        next.submit("job", { taskCount: 1, formerWorkerIds: ["w1"] });
-        for (const { runs, leaseLeftMs } of writtenSnapshots(former)) {
-            next.restoreSnapshot("w1", runs, leaseLeftMs);
-        }
-        next.list("w2", {});
-        next.advance(10);
+        const next = createNextOwner(former);
         assert.deepEqual(next.startedTasks(), [], "w1 has ended the task");
+        next.list("w1", { ended: [{ taskName: "job.0.0.0", runId: lastRunId(former), end: "done" }] });
+        assert.deepEqual(next.scheduler.state.jobs.get("job")?.state, "completed");
+        next.advance(10);
+        assert.deepEqual(next.startedTasks(), []);
+    });
+
+    it("should count once as an attempt under the next owner if its worker has stopped responding", () => {
+        const former = createOwnerWithUnstoredEnd("failed");
+        former.scheduler.workerUnresponsive("w1", former.nowMs());
+        former.advance(10);
+        const next = createNextOwner(former);
+        assert.deepEqual(next.startedTasks(), [], "another attempt may be one too many");
+        next.list("w1", { ended: [{ taskName: "job.0.0.0", runId: lastRunId(former), end: "failed" }] });
+        assert.deepEqual(next.startedTasks(), ["job.0.0.0"]);
+        const { steps } = next.scheduler.state.jobs.get("job")!.occurrences.get(0)!;
+        assert.deepEqual(steps[0]!.tasks.get(0)?.failedRunIds, [lastRunId(former)]);
     });
 
-    it("should not hold up the snapshot of its worker once it is stored", () => {
-        const owner = createOwnerWithUnstoredEnd();
+    it("should be waited for no longer than its worker's leases may last", () => {
+        const former = createOwnerWithUnstoredEnd("done");
+        former.scheduler.workerUnresponsive("w1", former.nowMs());
+        former.advance(10);
+        const next = createNextOwner(former);
+        next.scheduler.workerUnresponsive("w1", next.nowMs());
+        next.advance(maxLeaseMs(workerLeaseMs) - 100);
+        next.list("w2", {});
+        assert.deepEqual(next.startedTasks(), []);
+        next.advance(200);
+        assert.deepEqual(next.startedTasks(), ["job.0.0.0"]);
+    });
+
+    it("should not be among the runs of a snapshot once it is stored", () => {
+        const owner = createOwnerWithUnstoredEnd("done");
+        owner.saveAll();
         owner.scheduler.workerUnresponsive("w1", owner.nowMs());
         owner.advance(10);
-        owner.saveAll();
         assert.deepEqual(writtenSnapshots(owner).map(({ runs }) => runs), [[]]);
-        assert.equal(owner.scheduler.state.workers.get("w1")!.snapshotState, snapshotStates.changing);
     });
 });
