--- a/src/scheduling/initialState.ts
+++ b/src/scheduling/initialState.ts
@@ -34,6 +34,7 @@
         jobs: new Map(),
         workers: new Map(),
         departedWorkers: new Map(),
+        departedSnapshots: new Set(),
         teamUsed: new Map(),
         possibleTeamUsage: new Map(),
         teamShareBuckets: new Map(),
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -28,7 +28,6 @@
 import { forgetSavedEnds, type Listing, type Moment } from "./reconcileListing.js";
 import { noRetainedPolicies, type RetainedPolicies } from "./retainedPolicies.js";
 import {
-    commandKinds,
     endJob,
     releaseHeldBack,
     type SchedulerCommand,
@@ -37,6 +36,7 @@
 import { restoreSuspectStarts } from "./suspectStarts.js";
 import {
     adoptSnapshot,
+    changeSnapshotState,
     recordSnapshotCrash,
     reportUnresponsive,
     type SnapshotState,
@@ -198,16 +198,7 @@
         /** Restores the starts of suspected tasks that an earlier owner stored. Call it when the term begins, after the snapshots. */
         restoreSuspectStarts: (moment: Moment): void => restoreSuspectStarts(state, moment),
         /** The snapshot was written or removed, or its write must be retried. */
-        snapshotStateChanged: (workerId: string, snapshotState: SnapshotState): void => {
-            const worker = state.workers.get(workerId);
-            if (worker) {
-                worker.snapshotState = snapshotState;
-                if (snapshotState === snapshotStates.none) {
-                    // The leases may be extended again.
-                    state.commands.push({ kind: commandKinds.list, workerId });
-                }
-            }
-        },
+        snapshotStateChanged: (workerId: string, snapshotState: SnapshotState): void => changeSnapshotState(state, workerId, snapshotState),
         /** The worker's address belongs to another incarnation, so all its runs are lost. */
         workerReplaced: (workerId: string, moment: Moment): void => {
             const worker = state.workers.get(workerId);
--- a/src/scheduling/schedulerState.ts
+++ b/src/scheduling/schedulerState.ts
@@ -12,13 +12,7 @@
     stepsOf,
     taskProgress,
 } from "./jobRecord.js";
-import {
-    addResources,
-    type JobState,
-    jobStates,
-    type Resources,
-    type SchedulingPolicy,
-} from "./jobTypes.js";
+import { addResources, type JobState, jobStates, type Resources, type SchedulingPolicy } from "./jobTypes.js";
 import type { ReservationState } from "./reservationState.js";
 import type { RetainedPolicies } from "./retainedPolicies.js";
 import type { SchedulingFeatures } from "./schedulingFeatures.js";
@@ -78,6 +72,8 @@
     workers: Map<string, WorkerRecord>;
     /** The number of tokens that workers had whose records were removed: nothing that an earlier owner started runs there any more. */
     departedWorkers: Map<string, number>;
+    /** Workers without a record whose snapshot the store may still hold. */
+    departedSnapshots: Set<string>;
     teamUsed: Map<string, Resources>;
     /** What each team may be using on workers that have not been listed in this term. */
     possibleTeamUsage: Map<string, Resources>;
--- a/src/scheduling/unresponsiveWorkers.ts
+++ b/src/scheduling/unresponsiveWorkers.ts
@@ -108,6 +108,24 @@
     }
 }
 
+/** The snapshot was written or removed, or its write must be retried. */
+export function changeSnapshotState(state: SchedulerState, workerId: string, snapshotState: SnapshotState): void {
+    const worker = state.workers.get(workerId);
+    if (worker) {
+        worker.snapshotState = snapshotState;
+        if (snapshotState === snapshotStates.none) {
+            // The leases may be extended again.
+            state.commands.push({ kind: commandKinds.list, workerId });
+        }
+    }
+    else if (snapshotState === snapshotStates.none) {
+        state.departedSnapshots.delete(workerId);
+    }
+    else if (state.departedSnapshots.has(workerId)) {
+        state.commands.push({ kind: commandKinds.removeSnapshot, workerId });
+    }
+}
+
 /** The runs of a snapshot that may have been running when the worker was last in touch, and the steps that still need them. */
 function snapshotRuns(state: SchedulerState, snapshot: WorkerSnapshot, lastContactAtMs: number): { run: Run; step: StepRecord }[] {
     return snapshot.runs.flatMap(([taskName, runId, ageMs, isListed = true]) => {
--- a/src/scheduling/workerLifecycle.ts
+++ b/src/scheduling/workerLifecycle.ts
@@ -23,6 +23,9 @@
     const worker = createWorkerRecord(entry, state.term.unknownWorkersUntilMs);
     // One that returns may have received all its tokens so far.
     worker.formerTokensCount = state.departedWorkers.get(entry.workerId) ?? 0;
+    if (state.departedSnapshots.delete(entry.workerId)) {
+        worker.snapshotState = snapshotStates.changing;
+    }
     holdFormerOwnersLeases(state, worker, seenAtMs, moment);
     state.workers.set(entry.workerId, worker);
     state.onDecision({ what: "worker joined", workerId: entry.workerId, detail: `${entry.poolName} ${entry.rack} ${entry.address}` });
@@ -102,6 +105,7 @@
         markRunsKnown(state, worker, "its leases have ended");
         if (!worker.isRegistered && worker.snapshotState !== snapshotStates.changing) {
             if (worker.snapshotState === snapshotStates.written) {
+                state.departedSnapshots.add(worker.entry.workerId);
                 state.commands.push({ kind: commandKinds.removeSnapshot, workerId: worker.entry.workerId });
             }
             state.workers.delete(worker.entry.workerId);
