Cancel planned starts of a task that is known to have ended

Cause: a planned start waits for a write, and nothing looked again whether its task still needed it. Class: a decision that is carried out after what it rests on has changed. The planned starts of a task are cancelled when the task is done. Both tests failed before.

--- a/src/scheduling/schedulerState.ts
+++ b/src/scheduling/schedulerState.ts
@@ -247,6 +247,7 @@
         step.waiting.delete(index);
         step.heldBack.delete(index);
         step.tasks.delete(index);
+        step.runs.get(index)?.filter(run => run.phase === runPhases.planned).forEach(run => detachRun(state, run));
     }
     const occurrence = job.occurrences.get(step.occurrence)!;
     if (!isOccurrenceDone(occurrence)) {
--- a/tests/scheduling/unstoredEnds.spec.ts
+++ b/tests/scheduling/unstoredEnds.spec.ts
@@ -87,3 +87,27 @@
         assert.deepEqual(writtenSnapshots(owner).map(({ runs }) => runs), [[]]);
     });
 });
+
+describe("a planned start", () => {
+    it("should not be sent once an earlier run of its task is known to have ended as done", () => {
+        const owner = createSchedulerHarness({ workers: 2, token: 100, isSavedManually: true });
+        owner.list("w2", { sentAtMs: 0 });
+        owner.submit("job", { taskCount: 1, laterSteps: [{ taskCount: 1 }] });
+        assert.equal(owner.scheduler.hasPlannedStarts(), true);
+        owner.list("w1", { ended: [{ taskName: "job.0.0.0", runId: 7, end: "done" }] });
+        owner.saveAll();
+        owner.saveAll();
+        assert.deepEqual(owner.startedTasks(), ["job.0.1.0"]);
+    });
+
+    it("should not be sent for a gang that is known to have ended as done", () => {
+        const owner = createSchedulerHarness({ workers: 2, token: 100, isSavedManually: true });
+        owner.list("w2", { sentAtMs: 0 });
+        owner.submit("job", { taskCount: 2, isGang: true, laterSteps: [{ taskCount: 1 }] });
+        assert.equal(owner.scheduler.hasPlannedStarts(), true);
+        owner.list("w1", { ended: [{ taskName: "job.0.0.1", runId: 7, end: "done" }] });
+        owner.saveAll();
+        owner.saveAll();
+        assert.deepEqual(owner.startedTasks(), ["job.0.1.0"]);
+    });
+});
