--- a/tests/process/simulatedStore.ts
+++ b/tests/process/simulatedStore.ts
@@ -20,8 +20,19 @@
     valueOf(key: string): string | undefined;
     /** Writes without guards, as other writers do. */
     put(key: string, value: string): void;
-    /** The view of one process, whose calls have faults while `hasFaults` returns `true`. */
-    connect(hasFaults: () => boolean): ChangeFeedStore;
+    /**
+     * The view of one process, whose calls have faults while `hasFaults` returns `true`. With `chooseWriteFault`, it decides about the faults of
+     * writes instead, by the keys that they write.
+     */
+    connect(hasFaults: () => boolean, chooseWriteFault?: (keys: readonly string[]) => WriteFault | undefined): ChangeFeedStore;
+}
+
+/** What happens to a write whose response is late or lost. */
+export interface WriteFault {
+    /** After how long the store executes the write, if its guards still hold then; `undefined` if it never does. */
+    executedAfterMs: number | undefined;
+    /** After how long the response arrives; `undefined` if the call fails after its timeout. */
+    respondedAfterMs?: number | undefined;
 }
 
 const callTimeoutMs = 1_200;
@@ -94,6 +105,23 @@
             }
         });
 
+    const callWithFault = <T>(execute: () => T, { executedAfterMs, respondedAfterMs }: WriteFault): Promise<Result<T, StoreError>> =>
+        new Promise(resolve => {
+            const isAnswered = executedAfterMs !== undefined && respondedAfterMs !== undefined && respondedAfterMs < callTimeoutMs;
+            if (executedAfterMs !== undefined) {
+                timers.after(executedAfterMs, () => {
+                    expireLeases();
+                    const value = execute();
+                    if (isAnswered) {
+                        timers.after(Math.max(0, respondedAfterMs - executedAfterMs), () => resolve(Ok(value)));
+                    }
+                });
+            }
+            if (!isAnswered) {
+                timers.after(callTimeoutMs, () => resolve(Err({ call: "call", reason: "fault", isKnownNotApplied: false })));
+            }
+        });
+
     return {
         changes,
         revision: () => {
@@ -105,17 +133,21 @@
             revision += 1;
             apply({ key, value });
         },
-        connect: hasFaults =>
+        connect: (hasFaults, chooseWriteFault) =>
             ({
-                swap: (guards: StoreGuard[], writes: StoreWrite[]) =>
-                    call(
-                        hasFaults(),
-                        () => {
-                            const isLeaseEnded = writes.some(({ leaseId }) => leaseId !== undefined && !leases.has(leaseId));
-                            return isLeaseEnded ? { isSwapped: false, revision: 0, current: [] } : swap(guards, writes);
-                        },
-                        !leavesProgressUnanswered || !writes.some(({ key }) => key.startsWith(jobKeys.progressPrefix)),
-                    ),
+                swap: (guards: StoreGuard[], writes: StoreWrite[]) => {
+                    const execute = (): SwapOutcome => {
+                        const isLeaseEnded = writes.some(({ leaseId }) => leaseId !== undefined && !leases.has(leaseId));
+                        return isLeaseEnded ? { isSwapped: false, revision: 0, current: [] } : swap(guards, writes);
+                    };
+                    const fault = chooseWriteFault?.(writes.map(({ key }) => key));
+                    if (fault) {
+                        return callWithFault(execute, fault);
+                    }
+                    const isFailureReported = !leavesProgressUnanswered ||
+                        !writes.some(({ key }) => key.startsWith(jobKeys.progressPrefix));
+                    return call(hasFaults() && !chooseWriteFault, execute, isFailureReported);
+                },
                 grantLease: (durationS: number) =>
                     call(hasFaults(), () => {
                         const leaseId = String(nextLeaseId++);
--- a/tests/process/simulatedWorkerClient.ts
+++ b/tests/process/simulatedWorkerClient.ts
@@ -29,6 +29,8 @@
     isUp?(worker: ModelWorker): boolean;
     /** Listings wait as long as they ask for, and calls that are open when the worker restarts hang until they time out. */
     waitsInFull?: boolean;
+    /** How long the request for a listing takes to reach the worker; none if not set. */
+    listingDelayMs?(): number;
     /** A call is not carried out late because no owner can prevent its effect. */
     onLeftOut?(call: WorkerCall): void;
     /** A listing that is carried out late extends no lease, because no owner can prevent that. */
@@ -150,6 +152,13 @@
             carryOutLater(call, carryOut, fault, acknowledge);
             return timeOut();
         }
+        if (options.listingDelayMs) {
+            await wait(options.listingDelayMs());
+            if (hasRestarted(call) || !isReachable(call)) {
+                carryOutLater(call, carryOut, chooseLateness(), acknowledge);
+                return timeOut();
+            }
+        }
         if (!carryOut()) {
             return { outcome: commandOutcomes.refused, reason: "fence", ...noListing, isFenced: true };
         }
