--- a/tests/process/takeoverEndsSimulation.ts
+++ b/tests/process/takeoverEndsSimulation.ts
@@ -45,6 +45,7 @@
     silence(worker: ModelWorker, durationMs: number): void;
     /** The worker's entry is removed, and comes back with the same start time. */
     dropEntry(worker: ModelWorker, durationMs: number): void;
+    returnEntry(worker: ModelWorker): void;
     /** The worker ends without a sign, and starts again under its id. */
     restart(worker: ModelWorker, durationMs: number, entryDelayMs: number): void;
     /** The node of the process that has the newest term. */
@@ -245,10 +246,10 @@
         }
         timers.after(stopMs ?? 0, () => killProcess(process, returnsAfterMs));
     };
-
     const recordChanges = (): void => {
-        store.changes.slice(recordedChangesCount).forEach(({ key, value, revision }) => record("store", revision, key, value ?? "deleted"));
-        recordedChangesCount = store.changes.length;
+        const changes = store.changes.slice(recordedChangesCount);
+        changes.forEach(({ key, value, revision }) => record("store", revision, key, value ?? "deleted"));
+        recordedChangesCount += changes.length;
     };
     const submit = (jobId: string, steps: StepSpec[], durationMs: number): void => {
         fleet.setDuration(jobId, durationMs);
@@ -256,7 +257,6 @@
         const submission = { jobId, queueName: "queue", teamName: undefined, payload: "", steps, repeat: undefined, submittedWallMs };
         store.put(jobKeys.submissionPrefix + jobId, encodeSubmission(submission));
     };
-
     const run = async (durationMs: number, onTurn: () => void): Promise<void> => {
         const untilMs = timers.nowMs() + durationMs;
         while (timers.nowMs() < untilMs) {
@@ -285,6 +285,7 @@
         cut,
         silence,
         dropEntry,
+        returnEntry: publish,
         restart,
         ownerNode: () =>
             processes.filter(({ ownership }) => ownership.token() !== undefined)
