Check in the recovery histories what a new owner relies on

The histories of several processes now contain processes that are cut off from the store, one or all of them, and go on reaching the workers.

--- a/tests/process/schedulingRecovery.spec.ts
+++ b/tests/process/schedulingRecovery.spec.ts
@@ -9,14 +9,16 @@
 
 const historiesCount = 50;
 const faultsDurationMs = 8_000;
+/** Long enough for a lease to end while all processes are cut off, and for its owner to continue. */
+const cutsDurationMs = 15_000;
 /** The leases of a worker that a new owner does not know end after 10.4 s; the rest is for the tasks. */
 const recoveryDurationMs = 16_000;
 /** Starts after the faults have ended, even if no earlier crash was counted; a takeover may hide two more crashes. */
 const maxDeadlyStarts = 5;
 
-async function simulate(seed: number, options: SimulationOptions = {}): Promise<SchedulingSimulation> {
+async function simulate(seed: number, options: SimulationOptions = {}, faultsMs = faultsDurationMs): Promise<SchedulingSimulation> {
     const simulation = createSchedulingSimulation(createSeededRandom(seed), options);
-    await simulation.run(faultsDurationMs, { hasFaults: true });
+    await simulation.run(faultsMs, { hasFaults: true });
     await simulation.run(recoveryDurationMs, { hasFaults: false });
     simulation.close();
     return simulation;
@@ -34,6 +36,19 @@
         assert.ok(termsCount > 3 * historiesCount, `only ${termsCount} terms in ${historiesCount} histories`);
     });
 
+    it("should complete all jobs after processes have been cut off from the store, and start nothing again that is done", async () => {
+        let [termsCount, continuedTermsCount] = [0, 0];
+        for (let seed = 1; seed <= historiesCount; seed++) {
+            const simulation = await simulate(seed, { cutsProcesses: true, jobsCount: 12, arrivalsMs: cutsDurationMs }, cutsDurationMs);
+            assert.deepEqual(simulation.violations, [], `seed ${seed}`);
+            assert.deepEqual(simulation.unfinishedJobs(), [], `seed ${seed}`);
+            termsCount += simulation.termsCount();
+            continuedTermsCount += simulation.continuedTermsCount();
+        }
+        assert.ok(termsCount > 2 * historiesCount, `only ${termsCount} terms in ${historiesCount} histories`);
+        assert.ok(continuedTermsCount > 0, "no term was continued");
+    });
+
     it("should give up a job whose tasks crash each worker that starts them, and complete the others", async () => {
         for (let seed = 1; seed <= historiesCount; seed++) {
             const simulation = await simulate(seed, { hasDeadlyJob: true });
