Test that a term begins only with a mirror that is complete up to it

With the comparison of the mirror's revision and the term's token removed, the test fails: a task that the progress of a later revision shows as done is started again.

--- a/tests/process/schedulingTermFixture.ts
+++ b/tests/process/schedulingTermFixture.ts
@@ -7,8 +7,8 @@
 import type { ListOrder, ListResponse, StartOrder, WorkerClient } from "../../src/connection/workerClient.js";
 import { createDemandTracker } from "../../src/process/demandTracker.js";
 import { createLatenessMeter } from "../../src/process/latenessMeter.js";
-import { logEvents } from "../../src/process/logEvents.js";
-import { createSilentLogger, type Logger } from "../../src/process/logger.js";
+import { type LogEvent, logEvents } from "../../src/process/logEvents.js";
+import { createSilentLogger, type LogFields, type Logger } from "../../src/process/logger.js";
 import type { SchedulingOwnership } from "../../src/process/schedulingOwnership.js";
 import { createSchedulingService } from "../../src/process/schedulingService.js";
 import type { SchedulingService } from "../../src/process/schedulingServiceTypes.js";
@@ -51,6 +51,9 @@
     closedAddresses: string[];
     acquire(token: number): Promise<void>;
     setWorkersCurrent(isCurrent: boolean): void;
+    /** Up to which revision the mirror is complete; by default that of the term. */
+    setMirrorRevision(revision: number): void;
+    logged: { event: LogEvent; fields: LogFields }[];
     lose(): void;
     /** Lets the owner's timers run for a while. */
     pass(): Promise<void>;
@@ -80,14 +83,16 @@
     const lists: PendingList[] = [];
     const startedTasks: string[] = [];
     const directory = createJobDirectory({ onUnreadable: key => options?.hasUnreadableDocuments || assert.fail(key) });
+    const logged: TermFixture["logged"] = [];
     const unreadableKeys: string[] = [];
     const closedAddresses: string[] = [];
     const logger: Logger = {
         ...createSilentLogger(),
-        log: (event, fields) => {
+        log: (event, fields = {}) => {
+            logged.push({ event, fields });
             if (event === logEvents.documentUnreadable) {
-                assert.ok(options?.hasUnreadableDocuments, String(fields?.["key"]));
-                unreadableKeys.push(String(fields?.["key"]));
+                assert.ok(options?.hasUnreadableDocuments, String(fields["key"]));
+                unreadableKeys.push(String(fields["key"]));
             }
         },
     };
@@ -97,6 +102,7 @@
         revision: 1,
     }));
     let token: number | undefined;
+    let mirrorRevision: number | undefined;
     let areWorkersCurrent = true;
 
     const settle = async (): Promise<void> => {
@@ -141,7 +147,7 @@
         } as unknown as ChangeFeedStore,
         mirror: () =>
             ({
-                revision: () => token ?? 0,
+                revision: () => mirrorRevision ?? token ?? 0,
                 revisionOf: () => 0,
                 valueOf: () => undefined,
                 values: () => snapshots,
@@ -185,6 +191,7 @@
         startedTasks,
         unreadableKeys,
         closedAddresses,
+        logged,
         applyChange: (key, value) => {
             const event = directory.apply(key, value);
             if (event) {
@@ -215,6 +222,10 @@
             areWorkersCurrent = isCurrent;
             service.onWorkersConfirmed();
         },
+        setMirrorRevision: revision => {
+            mirrorRevision = revision;
+            service.onStoreChanged();
+        },
         lose,
         pass,
     };
--- a/tests/process/schedulingTerms.spec.ts
+++ b/tests/process/schedulingTerms.spec.ts
@@ -5,7 +5,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { defaultStep } from "../../harness/defaultStep.js";
-import { encodeSubmission, jobKeys } from "../../src/scheduling/jobDocuments.js";
+import { encodeProgress, encodeSubmission, jobKeys, type JobProgress } from "../../src/scheduling/jobDocuments.js";
 import { createTermFixture, saved, workerEntry } from "./schedulingTermFixture.js";
 
 const listedEnd = { endNumber: 1, taskName: "other.0.0.0", runId: 1, end: "done", checkpoint: "" } as const;
@@ -49,6 +49,21 @@
         assert.equal(lists.length, 1);
     });
 
+    it("should begin only when the mirror contains everything that was written before it", async () => {
+        const { service, lists, startedTasks, store, applyChange, acquire, setMirrorRevision, pass } = createTermFixture();
+        const progressWith = (done: number[]): JobProgress => ({ state: "running", occurrences: { 0: [{ done }] }, workerIds: ["w1"] });
+        store("job", progressWith([]));
+        setMirrorRevision(9);
+        await acquire(10);
+        assert.equal(service.scheduler(), undefined);
+        assert.equal(lists.length, 0);
+        applyChange(`${jobKeys.progressPrefix}job`, encodeProgress(progressWith([0])));
+        setMirrorRevision(10);
+        await pass();
+        await lists.shift()!.answer({});
+        assert.deepEqual(startedTasks, ["job.0.0.1"]);
+    });
+
     it("should load all jobs and workers that can be read, and log the documents that cannot", async () => {
         const { lists, swaps, startedTasks, unreadableKeys, store, applyChange, acquire } = createTermFixture({
             hasUnreadableDocuments: true,
