--- a/src/process/logEvents.ts
+++ b/src/process/logEvents.ts
@@ -100,7 +100,12 @@
     schedulingTermStarted: defineEvent(
         6111,
         logLevels.info,
-        "The owner of the scheduling has loaded the jobs of the store up to 'revision' and schedules them; jobs that wait for workers of former owners are counted by 'jobsWithFormerWorkersCount', workers known from snapshots by 'snapshotsCount'. After 'unknownWorkersInMs' none is waited for.",
+        "The scheduler of a term has started with the jobs and workers that this process knew at 'mirrorRevision'; 'heldBackJobsCount' jobs wait for workers of which it does not know yet what they run.",
+    ),
+    schedulingTermEnded: defineEvent(
+        6112,
+        logLevels.info,
+        "The scheduler of a term has ended; 'unsavedEndsCount' ends of runs were not known to be stored, of the jobs in 'unsavedEndJobIds'.",
     ),
     jobAccepted: defineEvent(
         2101,
--- a/src/process/schedulingService.ts
+++ b/src/process/schedulingService.ts
@@ -18,6 +18,7 @@
 import type { OwnershipTerm } from "./schedulingOwnership.js";
 import type { SchedulingService, SchedulingServiceOptions } from "./schedulingServiceTypes.js";
 import { createSchedulingSummary } from "./schedulingSummary.js";
+import { describeTermEnd, describeTermStart } from "./termReport.js";
 import { createUnreadableDocumentLog } from "./unreadableDocuments.js";
 import { createWorkerSessions } from "./workerSessions.js";
 import { createWorkerSnapshotWriter, restoreEarlierRuns } from "./workerSnapshotWriter.js";
@@ -156,6 +157,9 @@
     };
 
     const stopScheduler = (): void => {
+        if (activeTerm) {
+            logger.log(logEvents.schedulingTermEnded, describeTermEnd(activeTerm.scheduler.state));
+        }
         activeTerm?.lifetime.abort();
         activeTerm = undefined;
         sessions.close();
@@ -216,16 +220,7 @@
         directory.unfinishedEntries().forEach(entry => addStoredJob(scheduler, entry, now.wallMs, logUnreadable));
         knownWorkers.passTo(scheduler, now);
         restoreEarlierRuns(scheduler, options.mirror(), knownWorkers.isRegistered, now, logUnreadable);
-        const { state } = scheduler;
-        logger.log(logEvents.schedulingTermStarted, {
-            token,
-            revision: options.mirror().revision(),
-            jobsCount: state.jobs.size,
-            jobsWithFormerWorkersCount: [...state.jobs.values()].filter(job => job.formerWorkerIds.size > 0).length,
-            workersCount: state.workers.size,
-            snapshotsCount: [...state.workers.values()].filter(worker => worker.isRunStateKnown).length,
-            unknownWorkersInMs: Math.max(0, Math.round(unknownWorkersUntilMs - now.nowMs)),
-        });
+        logger.log(logEvents.schedulingTermStarted, describeTermStart(scheduler.state, options.mirror().revision(), now.nowMs));
         options.onTermStarted(scheduler, signal);
         scheduleStep();
     };
--- a/tests/process/schedulingTerms.spec.ts
+++ b/tests/process/schedulingTerms.spec.ts
@@ -5,6 +5,8 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { defaultStep } from "../../harness/defaultStep.js";
+import { type LogEvent, logEvents } from "../../src/process/logEvents.js";
+import type { LogFields } from "../../src/process/logger.js";
 import { encodeProgress, encodeSubmission, jobKeys, type JobProgress } from "../../src/scheduling/jobDocuments.js";
 import { createTermFixture, saved, workerEntry } from "./schedulingTermFixture.js";
 
@@ -64,6 +66,22 @@
         assert.deepEqual(startedTasks, ["job.0.0.1"]);
     });
 
+    it("should log what it begins with, and what it leaves unsaved", async () => {
+        const { lists, swaps, logged, store, acquire, lose } = createTermFixture();
+        const find = (event: LogEvent): LogFields => logged.find(each => each.event === event)?.fields ?? assert.fail(event.text);
+        store("job", { state: "running", occurrences: { 0: [{ done: [] }] }, workerIds: ["w1"] });
+        await acquire(10);
+        const started = find(logEvents.schedulingTermStarted);
+        assert.deepEqual([started["token"], started["mirrorRevision"], started["jobsCount"], started["heldBackJobsCount"]], [10, 10, 1, 1]);
+        await lists.shift()!.answer({ ended: [{ endNumber: 1, taskName: "job.0.0.0", runId: 1, end: "done", checkpoint: "" }] });
+        const known = logged.find(({ fields }) => fields["what"] === "runs known");
+        assert.deepEqual([known?.fields["workerId"], known?.fields["reason"]], ["w1", "listing"]);
+        assert.equal(swaps.length, 1, "the end is being written");
+        lose();
+        const ended = find(logEvents.schedulingTermEnded);
+        assert.deepEqual([ended["token"], ended["unsavedEndsCount"], ended["unsavedEndJobIds"]], [10, 1, ["job"]]);
+    });
+
     it("should load all jobs and workers that can be read, and log the documents that cannot", async () => {
         const { lists, swaps, startedTasks, unreadableKeys, store, applyChange, acquire } = createTermFixture({
             hasUnreadableDocuments: true,
