Hold a job back again when a worker restarts soon after a takeover

What callers would see: a task runs twice. A start of an earlier owner is on its way to a worker that the new owner lists without the run, so the job is no longer held back. The worker restarts; its next incarnation has seen no fencing token, carries out the start, and the new owner starts the task elsewhere before it has listed that incarnation.

Cause: that a worker is known was remembered for good, although it holds for one incarnation. Now the job waits for the next incarnation too, until leases of earlier owners would have ended on a worker that never responded. Found by reading; the test failed before. A start that arrives after the task has been started elsewhere can still not be prevented.

--- a/src/scheduling/jobRecord.ts
+++ b/src/scheduling/jobRecord.ts
@@ -56,6 +56,8 @@
     persistedVersion: number;
     /** Workers on which an earlier owner may have started tasks of the job; cleared once the runs there are known. */
     formerWorkerIds: Set<string>;
+    /** Those of them whose runs are known, while a start of an earlier owner may still reach a later incarnation. */
+    listedFormerWorkerIds: Set<string>;
     /** Workers on which tasks of the job may run according to the store; a start is sent to no other worker. */
     persistedWorkerIds: Set<string>;
     /** The worker ids in the write that is in flight. */
@@ -120,6 +122,7 @@
         version: 0,
         persistedVersion: 0,
         formerWorkerIds: new Set(progress?.workerIds),
+        listedFormerWorkerIds: new Set(),
         persistedWorkerIds: new Set(progress?.workerIds),
         workerIdsInFlight: undefined,
     };
--- a/src/scheduling/plannedStarts.ts
+++ b/src/scheduling/plannedStarts.ts
@@ -19,16 +19,32 @@
     for (const workerId of job.formerWorkerIds) {
         if (areRunsKnown(state, workerId, nowMs)) {
             job.formerWorkerIds.delete(workerId);
+            if (nowMs < state.term.unknownWorkersUntilMs) {
+                job.listedFormerWorkerIds.add(workerId);
+            }
         }
     }
     return job.formerWorkerIds.size > 0;
 }
 
+/** The worker has restarted: its new incarnation has seen no fencing token, and may carry out what an earlier owner sent to the former one. */
+export function holdBackAgain(state: SchedulerState, workerId: string, nowMs: number): void {
+    if (nowMs >= state.term.unknownWorkersUntilMs) {
+        return;
+    }
+    for (const job of state.jobs.values()) {
+        if (job.listedFormerWorkerIds.delete(workerId)) {
+            job.formerWorkerIds.add(workerId);
+        }
+    }
+}
+
 /** Lets the progress of the jobs that list a worker be written without it, since it has left: a next owner could not reach it. */
 export function forgetWorker(state: SchedulerState, workerId: string): void {
     for (const job of state.jobs.values()) {
         if (job.persistedWorkerIds.has(workerId)) {
             job.formerWorkerIds.delete(workerId);
+            job.listedFormerWorkerIds.delete(workerId);
             markChanged(state, job);
         }
     }
--- a/tests/scheduling/takeoverWaits.spec.ts
+++ b/tests/scheduling/takeoverWaits.spec.ts
@@ -22,6 +22,19 @@
         assert.deepEqual(harness.startedTasks(), ["job.0.0.0"]);
     });
 
+    it("should hold a job back again when a worker restarts that a start of an earlier owner may still reach", () => {
+        const harness = createSchedulerHarness({ workers: 2, token: 100, formerOwnersEndAtMs: 4_000, cpuMillicores: 0 });
+        harness.submit("job", { taskCount: 1, formerWorkerIds: ["w1"] });
+        harness.list("w1", { sentAtMs: 0 });
+        harness.advance(10);
+        harness.restartWorker("w1");
+        harness.updateEntry("w2", { capacity: { cpuMillicores: 16_000, memoryMb: 64_000, accelerators: 0 } });
+        harness.list("w2", {});
+        assert.deepEqual(harness.startedTasks(), [], "the new incarnation of w1 has seen no fencing token and may have begun the task");
+        harness.list("w1", { running: [{ taskName: "job.0.0.0", runId: 7 }] });
+        assert.deepEqual(harness.startedTasks(), []);
+    });
+
     it("should restart a task whose run it has adopted while other tasks of the job may run on an unreachable worker", () => {
         const harness = createSchedulerHarness({ workers: 2, token: 100 });
         harness.submit("job", { taskCount: 2, isLongRunning: true, formerWorkerIds: ["w1", "w2"] });
