Take a stored submission for unreadable if its limit of tasks per worker is no number

What callers would see: no task starts any more. A stored submission whose maxTasksPerWorker is an object that cannot be compared made each pass of the scheduler throw.

--- a/src/scheduling/jobDocuments.ts
+++ b/src/scheduling/jobDocuments.ts
@@ -88,9 +88,10 @@
         return "acceptedUnder";
     }
     for (const [index, step] of steps.entries()) {
-        const { taskCount, request, estimatedDurationMs, dependsOn } = step;
+        const { taskCount, request, estimatedDurationMs, dependsOn, maxTasksPerWorker } = step;
         const isReadable = Number.isSafeInteger(taskCount) && taskCount > 0 &&
             areAmounts(request) && isAmount(estimatedDurationMs) &&
+            (maxTasksPerWorker === undefined || Number.isFinite(maxTasksPerWorker)) &&
             dependsOn.every(before => Number.isSafeInteger(before) && before >= 0 && before < index);
         if (!isReadable) {
             return `steps.${index}`;
--- a/tests/process/schedulingTerms.spec.ts
+++ b/tests/process/schedulingTerms.spec.ts
@@ -8,6 +8,7 @@
 import { type LogEvent, logEvents } from "../../src/process/logEvents.js";
 import type { LogFields } from "../../src/process/logger.js";
 import { encodeProgress, encodeSubmission, jobKeys, type JobProgress } from "../../src/scheduling/jobDocuments.js";
+import type { StepSpec } from "../../src/scheduling/jobTypes.js";
 import { createTermFixture, saved, workerEntry } from "./schedulingTermFixture.js";
 
 const listedEnd = { endNumber: 1, taskName: "other.0.0.0", runId: 1, end: "done", checkpoint: "" } as const;
@@ -146,6 +147,28 @@
         assert.ok(service.scheduler()!.commandToken("w1") > tokens.at(-1)!);
     });
 
+    it("should go on after a submitted job whose limit of tasks per worker is no number", async () => {
+        const { service, lists, swaps, applyChange, acquire } = createTermFixture({ hasUnreadableDocuments: true });
+        const submit = (jobId: string, step: StepSpec): void => {
+            const submission = {
+                jobId,
+                queueName: "queue",
+                teamName: undefined,
+                payload: "",
+                steps: [step],
+                repeat: undefined,
+                submittedWallMs: 0,
+            };
+            applyChange(jobKeys.submissionPrefix + jobId, encodeSubmission(submission));
+        };
+        await acquire(10);
+        submit("odd", { ...defaultStep, maxTasksPerWorker: { toString: 0 } as unknown as number });
+        submit("good", defaultStep);
+        await lists.shift()!.answer({});
+        assert.deepEqual([...service.scheduler()!.state.jobs.keys()], ["good"]);
+        assert.deepEqual(swaps.flatMap(({ writes }) => writes.map(write => write.key)), [`${jobKeys.progressPrefix}good`]);
+    });
+
     it("should go on after a submitted job whose progress cannot be read", async () => {
         const { service, unreadableKeys, applyChange, acquire } = createTermFixture({ hasUnreadableDocuments: true });
         const submissionOf = (jobId: string): string =>
