Let requests that arrive byte by byte give way when a listener is full

What callers saw: a listener whose connections all sent a body byte by byte answered 503 to every other caller, for as long as the crowd went on. Such a body makes progress all the time, so that its rank for closing stayed 0, and the bound on its whole time is 300 s.

A request that has been arriving for more than 4 s at less than 8 KiB/s now counts like a silent one: it is closed when the listener is full and another connection comes. Clients within the configuration give up after some 3 s; the longest body at that rate takes 32 s; and nothing is closed while the listener has room. The same holds for a body that goes on after its response.

--- a/scripts/generateDocs.ts
+++ b/scripts/generateDocs.ts
@@ -43,6 +43,7 @@
         ["bytes of all bodies received or handled", "memory and heap", `${bodyMb} MB`, "503, then closed"],
         ["time within a body without a byte", "the configuration's `idleTimeoutMs` and 5 s", "20 s", "408, then closed"],
         ["bodies in chunks of a few bytes at the same time", "fixed", "8", "503, or closed"],
+        ["rate of a request that arrives for more than 4 s, while the listener is full", "fixed", "8 KiB/s", "closed"],
         ["time for which a client takes nothing of a response", "fixed", "20 s", "closed"],
     ];
     return [
--- a/src/decisions/listenerLimits.ts
+++ b/src/decisions/listenerLimits.ts
@@ -60,24 +60,33 @@
     hasOpenRequest: boolean;
     /** Whether the head or the body of a request is expected: no request was received yet, or one whose body is not whole. */
     isRequestIncomplete: boolean;
+    /** Time since that head or body was begun, and the bytes received of it. */
+    requestMs: number;
+    requestBytes: number;
     /** Whether the connection has become a link of another protocol, on which the other end sends or is asked all the time. */
     isUpgraded: boolean;
 }
 
 /** A client that keeps within the header timeout of 3 s, with a margin for a late process. */
 const incompleteMs = 4_000;
+/** The longest body takes half a minute at this rate; its sender gives up after a few seconds. */
+const slowBytesPerS = 8_192;
 const unreadMs = 2_000;
 const idleMs = 1_000;
 /** Watches on a link end within a few seconds each. */
 const idleLinkMs = 15_000;
 
+function isSlow({ requestMs, requestBytes }: ConnectionState): boolean {
+    return requestMs > incompleteMs && requestBytes * 1_000 < slowBytesPerS * requestMs;
+}
+
 /** How readily a connection is closed to make room for a new one: higher first, 0 for never. */
 export function rankForClosing(state: ConnectionState): number {
     if (state.unreadMs > unreadMs) {
         return 3;
     }
     if (state.isRequestIncomplete) {
-        return state.silentMs > incompleteMs ? 2 : 0;
+        return state.silentMs > incompleteMs || isSlow(state) ? 2 : 0;
     }
     // HTTP allows the server to close an idle connection at any time.
     return !state.hasOpenRequest && state.silentMs > (state.isUpgraded ? idleLinkMs : idleMs) ? 1 : 0;
--- a/src/listening/limitedServer.ts
+++ b/src/listening/limitedServer.ts
@@ -28,6 +28,9 @@
     /** Requests after the one that was refused; they get no answer. */
     ignoredCount: number;
     lastRequest: http.IncomingMessage | undefined;
+    /** When the head of the last request was received, and the bytes before it; before the first one, those of the connection. */
+    requestAtMs: number;
+    bytesBeforeRequest: number;
     /** Whether the connection speaks another protocol now. */
     isUpgraded: boolean;
     endSlicing(): void;
@@ -45,6 +48,8 @@
 /** Exceeds the configured header timeouts in use, so that a slow sender is not disconnected too early. */
 const headersTimeoutMs = 10_000;
 const connectionsCheckingIntervalMs = 1_000;
+/** What Node reads of a connection at a time: the head of a request, and a part of its body, may be in it. */
+const maxReadBytes = 65_536;
 /** Node counts the bytes between the headers too; callers may send 16,384 bytes of them. */
 const maxHeaderBytes = 20_480;
 
@@ -88,6 +93,8 @@
             unreadMs: nowMs - connection.takenAtMs,
             hasOpenRequest: connection.pendingCount > 0,
             isRequestIncomplete: !connection.isUpgraded && (connection.lastRequest === undefined || !connection.lastRequest.complete),
+            requestMs: nowMs - connection.requestAtMs,
+            requestBytes: connection.readBytes - connection.bytesBeforeRequest,
             isUpgraded: connection.isUpgraded,
         });
     };
@@ -127,6 +134,8 @@
             return false;
         }
         connection.lastRequest = request;
+        connection.requestAtMs = timers.nowMs();
+        connection.bytesBeforeRequest = Math.max(connection.readBytes, request.socket.bytesRead - maxReadBytes);
         connection.pendingCount += 1;
         response.once("close", () => connection.pendingCount -= 1);
         if (connection.pendingCount > limits.maxPendingRequests) {
@@ -160,6 +169,8 @@
             pendingCount: 0,
             ignoredCount: 0,
             lastRequest: undefined,
+            requestAtMs: nowMs,
+            bytesBeforeRequest: 0,
             isUpgraded: false,
             endSlicing: sliceInput(socket),
             isSurplus: connections.size >= limits.maxConnections,
