Bound the heap that requests hold by what the process leaves of it

What was seen: a process that holds 4,000 scheduled jobs (heap of 80 MB) ended by SIGABRT, heap exhausted, once some 600 connections had sent long headers and the start of a body.

Cause: the limit on connections follows from the memory and the descriptors, not from the heap, although the objects and header strings of requests live there (some 45 KB each with 14 KB of headers); and it was the same whatever the process held already.

Now each request counts by its headers until its response has ended and its body has arrived. Requests hold at most 15 % of the heap, less when less than that is left, and never less than 5 %, which is over 400 ordinary requests at a time with the heap of the deploy file. Beyond it, the connections that hold the most and whose request has not arrived whole are closed first; otherwise the request is answered 503, or its connection is closed while refusals hold an eighth more.

--- a/scripts/generateDocs.ts
+++ b/scripts/generateDocs.ts
@@ -1,7 +1,7 @@
 /** Generates docs/SETTINGS.md and docs/LOG-EVENTS.md with `--write`; otherwise checks that they are up to date. */
 import { readFileSync, writeFileSync } from "node:fs";
 import { maxPendingCalls, shares as platformShares } from "../platform/listeners.js";
-import { limitListener, maxBodyBytesInFlight } from "../src/decisions/listenerLimits.js";
+import { limitListener, maxBodyBytesInFlight, maxHeldHeapBytes } from "../src/decisions/listenerLimits.js";
 import { logEvents } from "../src/process/logEvents.js";
 import {
     environmentName,
@@ -32,6 +32,8 @@
 function limitSection(): string {
     const callers = limitListener(exampleResources, platformShares.callers, maxPendingCalls);
     const bodyMb = Math.floor(maxBodyBytesInFlight(exampleResources) / 1_048_576);
+    const heapMbBeside = (liveBytes: number): number =>
+        Math.floor(maxHeldHeapBytes({ heapLimitBytes: exampleResources.heapLimitBytes, liveBytes, heldBytes: 0 }) / 1_048_576);
     const rows = [
         [
             "connections of a listener",
@@ -39,6 +41,12 @@
             `${callers.maxConnections} of callers`,
             "503, or closed",
         ],
+        [
+            "heap that requests in progress hold (platform build)",
+            "heap that the process leaves",
+            `${heapMbBeside(exampleResources.heapLimitBytes)} to ${heapMbBeside(0)} MB`,
+            "503, or closed",
+        ],
         ["requests without a response, of one connection", "fixed", String(maxPendingCalls), "429, then closed"],
         ["bytes of all bodies received or handled", "memory and heap", `${bodyMb} MB`, "503, then closed"],
         ["time within a body without a byte", "the configuration's `idleTimeoutMs` and 5 s", "20 s", "408, then closed"],
--- a/src/decisions/listenerLimits.ts
+++ b/src/decisions/listenerLimits.ts
@@ -52,6 +52,38 @@
 /** Connections beyond the limit that are accepted and answered 503, as a share of the limit. */
 export const surplusShare = 0.125;
 
+export interface HeapState {
+    heapLimitBytes: number;
+    /** What was used when it was measured, almost without garbage. */
+    liveBytes: number;
+    /** The part of it that requests held. */
+    heldBytes: number;
+}
+
+/** The rest is for the young generation, garbage and the growth of the process itself. */
+const usableHeapShare = 0.75;
+/** Hundreds of ordinary requests, however much the process itself holds. */
+const minHeldHeapShare = 0.05;
+
+/** A process that takes over the scheduling loads all jobs at once, and cannot measure before it has. */
+const maxHeldHeapShare = 0.15;
+
+/** What requests may hold of the heap. */
+export function maxHeldHeapBytes({ heapLimitBytes, liveBytes, heldBytes }: HeapState): number {
+    const leftBytes = heldBytes + heapLimitBytes * usableHeapShare - liveBytes;
+    return heapLimitBytes * Math.min(maxHeldHeapShare, Math.max(minHeldHeapShare, leftBytes / heapLimitBytes));
+}
+
+/** What the parser, the socket, the request and the response of one connection hold of the heap. */
+const requestHeapBytes = 16_384;
+/** Names and values are strings of their own. */
+const headerHeapBytes = 128;
+
+/** What a request holds of the heap until its response is sent and its body has arrived. */
+export function heapBytesOfRequest(rawHeaders: readonly string[]): number {
+    return rawHeaders.reduce((sum, text) => sum + text.length, requestHeapBytes + rawHeaders.length / 2 * headerHeapBytes);
+}
+
 export interface ConnectionState {
     /** Time since the last byte was received, or since the connection was opened. */
     silentMs: number;
--- a/src/listening/limitReport.ts
+++ b/src/listening/limitReport.ts
@@ -10,6 +10,7 @@
     bodyBytes: "bodyBytes",
     bodyProgress: "bodyProgress",
     fragmentedBodies: "fragmentedBodies",
+    requestHeap: "requestHeap",
 } as const;
 export type ClientLimit = (typeof clientLimits)[keyof typeof clientLimits];
 export type LimitReport = (limit: ClientLimit) => void;
@@ -21,6 +22,7 @@
     bodyBytes: logEvents.bodyBytesLimited,
     bodyProgress: logEvents.bodyProgressLimited,
     fragmentedBodies: logEvents.fragmentedBodiesLimited,
+    requestHeap: logEvents.requestHeapLimited,
 };
 const logIntervalMs = 5_000;
 
--- a/src/listening/limitedServer.ts
+++ b/src/listening/limitedServer.ts
@@ -2,7 +2,8 @@
 import http from "node:http";
 import type net from "node:net";
 import type { TimerService } from "../common/timerService.js";
-import { type ListenerLimits, rankForClosing, surplusShare } from "../decisions/listenerLimits.js";
+import { heapBytesOfRequest, type ListenerLimits, rankForClosing, surplusShare } from "../decisions/listenerLimits.js";
+import type { HeapRoom } from "./heapRoom.js";
 import { clientLimits, type LimitReport } from "./limitReport.js";
 import { type DescribeRefusal, refuseRequest } from "./refuse.js";
 import { sliceInput } from "./sliceInput.js";
@@ -11,6 +12,8 @@
     limits: ListenerLimits;
     report: LimitReport;
     timers: TimerService;
+    /** Shared by the listeners of the process; without it, only the limits hold. */
+    heap?: HeapRoom;
     serverOptions?: http.ServerOptions;
     /** A JSON object with `error` if not given. */
     describeRefusal?: DescribeRefusal;
@@ -30,6 +33,8 @@
     lastRequest: http.IncomingMessage | undefined;
     /** When the head of the last request was received, and the bytes before it; before the first one, those of the connection. */
     requestAtMs: number;
+    /** What its requests hold of the heap. */
+    heldBytes: number;
     bytesBeforeRequest: number;
     /** Whether the connection speaks another protocol now. */
     isUpgraded: boolean;
@@ -123,6 +128,47 @@
         });
     };
 
+    const hold = (connection: Connection, bytes: number): void => {
+        connection.heldBytes += bytes;
+        options.heap?.hold(bytes);
+    };
+    /** A request that was received whole may have taken effect, so that its connection waits for the response. */
+    const mayGiveWay = (connection: Connection, nowMs: number): boolean =>
+        connection.lastRequest?.complete === false || rank(connection, nowMs) > 0;
+    /** Closes the connections that hold the most, if that is more than `leastBytes`, until there is room for so many bytes. */
+    const makeHeapRoom = (bytes: number, leastBytes: number): boolean => {
+        const { heap } = options;
+        if (!heap || heap.hasRoom(bytes)) {
+            return true;
+        }
+        const nowMs = timers.nowMs();
+        const largest = [...connections.values()].filter(each => each.heldBytes > leastBytes && mayGiveWay(each, nowMs))
+            .sort((a, b) => b.heldBytes - a.heldBytes);
+        for (const connection of largest) {
+            report(clientLimits.requestHeap);
+            hold(connection, -connection.heldBytes);
+            connection.socket.destroy();
+            if (heap.hasRoom(bytes)) {
+                return true;
+            }
+        }
+        return false;
+    };
+    options.heap?.onExceeded(() => void makeHeapRoom(0, 0));
+    /** The request counts until its response has ended and its body was received. */
+    const holdRequest = (connection: Connection, request: http.IncomingMessage, response: http.ServerResponse, bytes: number): void => {
+        hold(connection, bytes);
+        const release = (): void => {
+            if (response.closed && (request.complete || request.closed) && connections.has(connection.socket)) {
+                response.off("close", release);
+                request.off("close", release);
+                hold(connection, -Math.min(bytes, connection.heldBytes));
+            }
+        };
+        response.on("close", release);
+        request.on("close", release);
+    };
+
     const admit = (request: http.IncomingMessage, response: http.ServerResponse): boolean => {
         response.on("error", () => undefined);
         const connection = connections.get(request.socket);
@@ -150,6 +196,19 @@
             );
             return false;
         }
+        const heapBytes = heapBytesOfRequest(request.rawHeaders);
+        const hasHeap = makeHeapRoom(heapBytes, heapBytes);
+        if (!hasHeap && !options.heap!.hasRoomForRefusal(heapBytes)) {
+            report(clientLimits.requestHeap);
+            connection.socket.destroy();
+            return false;
+        }
+        holdRequest(connection, request, response, heapBytes);
+        if (!hasHeap) {
+            report(clientLimits.requestHeap);
+            refuseRequest(request, response, 503, "too many requests are in progress", options.describeRefusal);
+            return false;
+        }
         if (connection.isSurplus && connections.size > limits.maxConnections) {
             report(clientLimits.connections);
             refuseRequest(request, response, 503, "too many connections are open", options.describeRefusal);
@@ -160,7 +219,7 @@
 
     server.on("connection", socket => {
         const nowMs = timers.nowMs();
-        connections.set(socket, {
+        const connection: Connection = {
             socket,
             readBytes: 0,
             readAtMs: nowMs,
@@ -170,12 +229,17 @@
             ignoredCount: 0,
             lastRequest: undefined,
             requestAtMs: nowMs,
+            heldBytes: 0,
             bytesBeforeRequest: 0,
             isUpgraded: false,
             endSlicing: sliceInput(socket),
             isSurplus: connections.size >= limits.maxConnections,
+        };
+        connections.set(socket, connection);
+        socket.once("close", () => {
+            connections.delete(socket);
+            hold(connection, -connection.heldBytes);
         });
-        socket.once("close", () => connections.delete(socket));
         if (connections.size > limits.maxConnections) {
             makeRoom();
         }
--- a/src/process/logEvents.ts
+++ b/src/process/logEvents.ts
@@ -208,6 +208,11 @@
         logLevels.warn,
         "Several bodies arrive in chunks of a few bytes, which cost much time; further ones were refused and nothing of them was run.",
     ),
+    requestHeapLimited: defineEvent(
+        7147,
+        logLevels.warn,
+        "The requests in progress hold what the process leaves of its heap; the largest were disconnected, or answered 503 and not run.",
+    ),
     jobRefused: defineEvent(
         7121,
         logLevels.info,
--- a/tests/decisions/listenerLimits.spec.ts
+++ b/tests/decisions/listenerLimits.spec.ts
@@ -1,7 +1,7 @@
 /** Which connections give way when a listener is full: guards against requests that arrive without end, and against closing ordinary ones. */
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { type ConnectionState, rankForClosing } from "../../src/decisions/listenerLimits.js";
+import { type ConnectionState, heapBytesOfRequest, maxHeldHeapBytes, rankForClosing } from "../../src/decisions/listenerLimits.js";
 
 const receiving: ConnectionState = {
     silentMs: 0,
@@ -33,3 +33,37 @@
         }
     });
 });
+
+describe("the heap that requests may hold", () => {
+    const bytesPerMb = 1_048_576;
+    const heapLimitBytes = 160 * bytesPerMb;
+    const ordinaryHeaders = [
+        "host",
+        "queues.example",
+        "credential",
+        "k".repeat(40),
+        "content-type",
+        "application/json",
+        "content-length",
+        "900",
+    ];
+
+    it("should shrink with what the process itself holds", () => {
+        const roomBeside = (liveMb: number): number => maxHeldHeapBytes({ heapLimitBytes, liveBytes: liveMb * bytesPerMb, heldBytes: 0 });
+        assert.ok(roomBeside(100) > roomBeside(105));
+        assert.ok(roomBeside(105) + 105 * bytesPerMb < heapLimitBytes);
+    });
+
+    it("should count what requests hold already as theirs", () => {
+        const heldBytes = 10 * bytesPerMb;
+        assert.equal(
+            maxHeldHeapBytes({ heapLimitBytes, liveBytes: 100 * bytesPerMb + heldBytes, heldBytes }),
+            maxHeldHeapBytes({ heapLimitBytes, liveBytes: 100 * bytesPerMb, heldBytes: 0 }),
+        );
+    });
+
+    it("should have room for hundreds of ordinary requests in progress beside any process", () => {
+        const leastBytes = maxHeldHeapBytes({ heapLimitBytes, liveBytes: heapLimitBytes, heldBytes: 0 });
+        assert.ok(leastBytes > 400 * heapBytesOfRequest(ordinaryHeaders));
+    });
+});
