Count requests that Node's HTTP server answers by itself

Cause: Node answers a request without a Host header (400) or with an unknown expectation (417) before the handler of requests sees it, so that no limit on pending requests counted it, and a connection could send any number of them ahead. A connection of 10,000 requests with an unknown expectation got 10,000 answers (the new test failed before); those without Host were already cut off by the connection that Node closes.

Both are now refused as any other request: one answer that nothing was run, the connection is closed, and what was sent after it is not handled.

--- a/src/listening/limitedServer.ts
+++ b/src/listening/limitedServer.ts
@@ -69,16 +69,37 @@
             headersTimeout: headersTimeoutMs,
             connectionsCheckingInterval: connectionsCheckingIntervalMs,
             maxHeaderSize: maxHeaderBytes,
+            // Node answers such requests before anything counts them.
+            requireHostHeader: false,
             ...options.serverOptions,
         },
         (request, response) => {
-            if (admit(request, response)) {
-                listener(request, response);
+            if (!admit(request, response)) {
+                return;
+            }
+            if (request.headers.host === undefined && request.httpVersion === "1.1") {
+                refuseInvalid(request, response, 400, "the request has no Host header");
+                return;
             }
+            listener(request, response);
         },
     );
+    server.on("checkExpectation", (request: http.IncomingMessage, response: http.ServerResponse) => {
+        if (admit(request, response)) {
+            refuseInvalid(request, response, 417, "no such expectation can be met");
+        }
+    });
     server.maxConnections = Math.ceil(limits.maxConnections * (1 + surplusShare));
 
+    /** Refuses a request, and does not handle those that were sent after it. */
+    const refuseInvalid = (request: http.IncomingMessage, response: http.ServerResponse, status: number, reason: string): void => {
+        const connection = connections.get(request.socket);
+        if (connection) {
+            connection.ignoredCount = 1;
+        }
+        refuseRequest(request, response, status, reason, options.describeRefusal);
+    };
+
     const observe = (connection: Connection, nowMs: number): void => {
         const { socket } = connection;
         if (socket.bytesRead !== connection.readBytes) {
--- a/tests/contracts/limitedServer.spec.ts
+++ b/tests/contracts/limitedServer.spec.ts
@@ -108,4 +108,25 @@
         assert.match(text, /^HTTP\/1.1 503/);
         assert.match(text, /nothing was run/);
     });
+
+    // Guards against requests that the HTTP server answers by itself, which no limit counts.
+    for (
+        const [what, request, status] of [
+            ["without a Host header", "GET / HTTP/1.1\r\n\r\n", 400],
+            ["with an expectation that is not known", "GET / HTTP/1.1\r\nhost: a\r\nexpect: a\r\n\r\n", 417],
+        ] as const
+    ) {
+        it(`should refuse a request ${what}, and not answer those after it`, async () => {
+            serve = () => assert.fail("it was handled");
+            const answersTo = async (requestsCount: number): Promise<string[]> => {
+                const socket = connect();
+                socket.write(request.repeat(requestsCount));
+                return (await receive(socket)).match(/HTTP\/1.1 \d+/g) ?? [];
+            };
+            assert.deepEqual(await answersTo(6), [`HTTP/1.1 ${status}`]);
+            // A connection with many more is closed, which may discard the answer.
+            const answers = await answersTo(10_000);
+            assert.ok(answers.length <= 1, `${answers.length} answers`);
+        });
+    }
 });
