--- a/src/decisions/listenerLimits.ts
+++ b/src/decisions/listenerLimits.ts
@@ -52,6 +52,38 @@
 /** Connections beyond the limit that are accepted and answered 503, as a share of the limit. */
 export const surplusShare = 0.125;
 
+export interface HeapState {
+    heapLimitBytes: number;
+    /** What was used when it was measured, almost without garbage. */
+    liveBytes: number;
+    /** The part of it that requests held. */
+    heldBytes: number;
+}
+
+/** The rest is for the young generation, garbage and the growth of the process itself. */
+const usableHeapShare = 0.75;
+/** Hundreds of ordinary requests, however much the process itself holds. */
+const minHeldHeapShare = 0.05;
+
+/** A process that takes over the scheduling loads all jobs at once, and cannot measure before it has. */
+const maxHeldHeapShare = 0.15;
+
+/** What requests may hold of the heap. */
+export function maxHeldHeapBytes({ heapLimitBytes, liveBytes, heldBytes }: HeapState): number {
+    const leftBytes = heldBytes + heapLimitBytes * usableHeapShare - liveBytes;
+    return heapLimitBytes * Math.min(maxHeldHeapShare, Math.max(minHeldHeapShare, leftBytes / heapLimitBytes));
+}
+
+/** What the parser, the socket, the request and the response of one connection hold of the heap. */
+const requestHeapBytes = 16_384;
+/** Names and values are strings of their own. */
+const headerHeapBytes = 128;
+
+/** What a request holds of the heap until its response is sent and its body has arrived. */
+export function heapBytesOfRequest(rawHeaders: readonly string[]): number {
+    return rawHeaders.reduce((sum, text) => sum + text.length, requestHeapBytes + rawHeaders.length / 2 * headerHeapBytes);
+}
+
 export interface ConnectionState {
     /** Time since the last byte was received, or since the connection was opened. */
     silentMs: number;
@@ -60,24 +92,33 @@
     hasOpenRequest: boolean;
     /** Whether the head or the body of a request is expected: no request was received yet, or one whose body is not whole. */
     isRequestIncomplete: boolean;
+    /** Time since that head or body was begun, and the bytes received of it. */
+    requestMs: number;
+    requestBytes: number;
     /** Whether the connection has become a link of another protocol, on which the other end sends or is asked all the time. */
     isUpgraded: boolean;
 }
 
 /** A client that keeps within the header timeout of 3 s, with a margin for a late process. */
 const incompleteMs = 4_000;
+/** The longest body takes half a minute at this rate; its sender gives up after a few seconds. */
+const slowBytesPerS = 8_192;
 const unreadMs = 2_000;
 const idleMs = 1_000;
 /** Watches on a link end within a few seconds each. */
 const idleLinkMs = 15_000;
 
+function isSlow({ requestMs, requestBytes }: ConnectionState): boolean {
+    return requestMs > incompleteMs && requestBytes * 1_000 < slowBytesPerS * requestMs;
+}
+
 /** How readily a connection is closed to make room for a new one: higher first, 0 for never. */
 export function rankForClosing(state: ConnectionState): number {
     if (state.unreadMs > unreadMs) {
         return 3;
     }
     if (state.isRequestIncomplete) {
-        return state.silentMs > incompleteMs ? 2 : 0;
+        return state.silentMs > incompleteMs || isSlow(state) ? 2 : 0;
     }
     // HTTP allows the server to close an idle connection at any time.
     return !state.hasOpenRequest && state.silentMs > (state.isUpgraded ? idleLinkMs : idleMs) ? 1 : 0;
--- a/src/listening/limitedServer.ts
+++ b/src/listening/limitedServer.ts
@@ -2,7 +2,8 @@
 import http from "node:http";
 import type net from "node:net";
 import type { TimerService } from "../common/timerService.js";
-import { type ListenerLimits, rankForClosing, surplusShare } from "../decisions/listenerLimits.js";
+import { heapBytesOfRequest, type ListenerLimits, rankForClosing, surplusShare } from "../decisions/listenerLimits.js";
+import type { HeapRoom } from "./heapRoom.js";
 import { clientLimits, type LimitReport } from "./limitReport.js";
 import { type DescribeRefusal, refuseRequest } from "./refuse.js";
 import { sliceInput } from "./sliceInput.js";
@@ -11,6 +12,8 @@
     limits: ListenerLimits;
     report: LimitReport;
     timers: TimerService;
+    /** Shared by the listeners of the process; without it, only the limits hold. */
+    heap?: HeapRoom;
     serverOptions?: http.ServerOptions;
     /** A JSON object with `error` if not given. */
     describeRefusal?: DescribeRefusal;
@@ -28,6 +31,11 @@
     /** Requests after the one that was refused; they get no answer. */
     ignoredCount: number;
     lastRequest: http.IncomingMessage | undefined;
+    /** When the head of the last request was received, and the bytes before it; before the first one, those of the connection. */
+    requestAtMs: number;
+    /** What its requests hold of the heap. */
+    heldBytes: number;
+    bytesBeforeRequest: number;
     /** Whether the connection speaks another protocol now. */
     isUpgraded: boolean;
     endSlicing(): void;
@@ -45,6 +53,8 @@
 /** Exceeds the configured header timeouts in use, so that a slow sender is not disconnected too early. */
 const headersTimeoutMs = 10_000;
 const connectionsCheckingIntervalMs = 1_000;
+/** What Node reads of a connection at a time: the head of a request, and a part of its body, may be in it. */
+const maxReadBytes = 65_536;
 /** Node counts the bytes between the headers too; callers may send 16,384 bytes of them. */
 const maxHeaderBytes = 20_480;
 
@@ -59,16 +69,37 @@
             headersTimeout: headersTimeoutMs,
             connectionsCheckingInterval: connectionsCheckingIntervalMs,
             maxHeaderSize: maxHeaderBytes,
+            // Node answers such requests before anything counts them.
+            requireHostHeader: false,
             ...options.serverOptions,
         },
         (request, response) => {
-            if (admit(request, response)) {
-                listener(request, response);
+            if (!admit(request, response)) {
+                return;
+            }
+            if (request.headers.host === undefined && request.httpVersion === "1.1") {
+                refuseInvalid(request, response, 400, "the request has no Host header");
+                return;
             }
+            listener(request, response);
         },
     );
+    server.on("checkExpectation", (request: http.IncomingMessage, response: http.ServerResponse) => {
+        if (admit(request, response)) {
+            refuseInvalid(request, response, 417, "no such expectation can be met");
+        }
+    });
     server.maxConnections = Math.ceil(limits.maxConnections * (1 + surplusShare));
 
+    /** Refuses a request, and does not handle those that were sent after it. */
+    const refuseInvalid = (request: http.IncomingMessage, response: http.ServerResponse, status: number, reason: string): void => {
+        const connection = connections.get(request.socket);
+        if (connection) {
+            connection.ignoredCount = 1;
+        }
+        refuseRequest(request, response, status, reason, options.describeRefusal);
+    };
+
     const observe = (connection: Connection, nowMs: number): void => {
         const { socket } = connection;
         if (socket.bytesRead !== connection.readBytes) {
@@ -88,6 +119,8 @@
             unreadMs: nowMs - connection.takenAtMs,
             hasOpenRequest: connection.pendingCount > 0,
             isRequestIncomplete: !connection.isUpgraded && (connection.lastRequest === undefined || !connection.lastRequest.complete),
+            requestMs: nowMs - connection.requestAtMs,
+            requestBytes: connection.readBytes - connection.bytesBeforeRequest,
             isUpgraded: connection.isUpgraded,
         });
     };
@@ -116,6 +149,47 @@
         });
     };
 
+    const hold = (connection: Connection, bytes: number): void => {
+        connection.heldBytes += bytes;
+        options.heap?.hold(bytes);
+    };
+    /** A request that was received whole may have taken effect, so that its connection waits for the response. */
+    const mayGiveWay = (connection: Connection, nowMs: number): boolean =>
+        connection.lastRequest?.complete === false || rank(connection, nowMs) > 0;
+    /** Closes the connections that hold the most, if that is more than `leastBytes`, until there is room for so many bytes. */
+    const makeHeapRoom = (bytes: number, leastBytes: number): boolean => {
+        const { heap } = options;
+        if (!heap || heap.hasRoom(bytes)) {
+            return true;
+        }
+        const nowMs = timers.nowMs();
+        const largest = [...connections.values()].filter(each => each.heldBytes > leastBytes && mayGiveWay(each, nowMs))
+            .sort((a, b) => b.heldBytes - a.heldBytes);
+        for (const connection of largest) {
+            report(clientLimits.requestHeap);
+            hold(connection, -connection.heldBytes);
+            connection.socket.destroy();
+            if (heap.hasRoom(bytes)) {
+                return true;
+            }
+        }
+        return false;
+    };
+    options.heap?.onExceeded(() => void makeHeapRoom(0, 0));
+    /** The request counts until its response has ended and its body was received. */
+    const holdRequest = (connection: Connection, request: http.IncomingMessage, response: http.ServerResponse, bytes: number): void => {
+        hold(connection, bytes);
+        const release = (): void => {
+            if (response.closed && (request.complete || request.closed) && connections.has(connection.socket)) {
+                response.off("close", release);
+                request.off("close", release);
+                hold(connection, -Math.min(bytes, connection.heldBytes));
+            }
+        };
+        response.on("close", release);
+        request.on("close", release);
+    };
+
     const admit = (request: http.IncomingMessage, response: http.ServerResponse): boolean => {
         response.on("error", () => undefined);
         const connection = connections.get(request.socket);
@@ -127,6 +201,8 @@
             return false;
         }
         connection.lastRequest = request;
+        connection.requestAtMs = timers.nowMs();
+        connection.bytesBeforeRequest = Math.max(connection.readBytes, request.socket.bytesRead - maxReadBytes);
         connection.pendingCount += 1;
         response.once("close", () => connection.pendingCount -= 1);
         if (connection.pendingCount > limits.maxPendingRequests) {
@@ -141,6 +217,19 @@
             );
             return false;
         }
+        const heapBytes = heapBytesOfRequest(request.rawHeaders);
+        const hasHeap = makeHeapRoom(heapBytes, heapBytes);
+        if (!hasHeap && !options.heap!.hasRoomForRefusal(heapBytes)) {
+            report(clientLimits.requestHeap);
+            connection.socket.destroy();
+            return false;
+        }
+        holdRequest(connection, request, response, heapBytes);
+        if (!hasHeap) {
+            report(clientLimits.requestHeap);
+            refuseRequest(request, response, 503, "too many requests are in progress", options.describeRefusal);
+            return false;
+        }
         if (connection.isSurplus && connections.size > limits.maxConnections) {
             report(clientLimits.connections);
             refuseRequest(request, response, 503, "too many connections are open", options.describeRefusal);
@@ -151,7 +240,7 @@
 
     server.on("connection", socket => {
         const nowMs = timers.nowMs();
-        connections.set(socket, {
+        const connection: Connection = {
             socket,
             readBytes: 0,
             readAtMs: nowMs,
@@ -160,11 +249,18 @@
             pendingCount: 0,
             ignoredCount: 0,
             lastRequest: undefined,
+            requestAtMs: nowMs,
+            heldBytes: 0,
+            bytesBeforeRequest: 0,
             isUpgraded: false,
             endSlicing: sliceInput(socket),
             isSurplus: connections.size >= limits.maxConnections,
+        };
+        connections.set(socket, connection);
+        socket.once("close", () => {
+            connections.delete(socket);
+            hold(connection, -connection.heldBytes);
         });
-        socket.once("close", () => connections.delete(socket));
         if (connections.size > limits.maxConnections) {
             makeRoom();
         }
