Decode messages of other processes in memory bounded by their size

Cause: the MessagePack decoder allocates an array for as many elements as its head announces before it reads them, so that a message of five bytes takes 240 MB, and each byte of a message can become an object. Anything that reaches the listener for calls of other processes could end the process with one message; a gateway's peers could too, with the peer key.

Change: a frame is checked before it is decoded. It may not announce more than it has, has at most 100,000 values (a relayed response: as many as it has bytes) and no extensions.

--- a/src/connection/callRelayMessages.ts
+++ b/src/connection/callRelayMessages.ts
@@ -1,11 +1,14 @@
 /** Messages with which a process asks another one to make a call, encoded as MessagePack in WebSocket frames. */
-import { pack, unpack } from "msgpackr";
+import { pack } from "msgpackr";
 import * as z from "zod";
 import { Err, Ok, type Result } from "../common/results.js";
+import { unpackBounded } from "./boundedUnpack.js";
 
 /** Maximum size of an accepted frame: one value of the store as text, and its envelope. */
 export const maximumRelayFrameBytes = 2_000_000;
 const maximumTimeoutMs = 10_000;
+/** A transaction has some ten values for each of its writes. */
+const maximumRequestValues = 100_000;
 
 const relayRequest = z.object({
     callId: z.number().int(),
@@ -32,13 +35,14 @@
     return pack(message);
 }
 
-function decodeFrame<Message>(frame: Buffer, schema: z.ZodType<Message>): Result<Message, string> {
+function decodeFrame<Message>(frame: Buffer, schema: z.ZodType<Message>, maximumValues: number): Result<Message, string> {
     try {
-        return Ok(schema.parse(unpack(frame)));
+        return Ok(schema.parse(unpackBounded(frame, maximumValues)));
     }
     catch (error) {
         return Err(String(error).slice(0, 200));
     }
 }
-export const decodeRelayRequest = (frame: Buffer): Result<RelayRequest, string> => decodeFrame(frame, relayRequest);
-export const decodeRelayResponse = (frame: Buffer): Result<RelayResponse, string> => decodeFrame(frame, relayResponse);
+export const decodeRelayRequest = (frame: Buffer): Result<RelayRequest, string> => decodeFrame(frame, relayRequest, maximumRequestValues);
+export const decodeRelayResponse = (frame: Buffer): Result<RelayResponse, string> =>
+    decodeFrame(frame, relayResponse, maximumRelayFrameBytes);
--- a/src/connection/peerMessages.ts
+++ b/src/connection/peerMessages.ts
@@ -1,7 +1,8 @@
 /** Messages between the gateways of one zone, encoded as MessagePack in WebSocket frames. */
-import { pack, unpack } from "msgpackr";
+import { pack } from "msgpackr";
 import * as z from "zod";
 import { Err, Ok, type Result } from "../common/results.js";
+import { unpackBounded } from "./boundedUnpack.js";
 
 /** Version of the peer protocol; connections to peers with another version are closed. */
 export const peerProtocolVersion = 1;
@@ -9,6 +10,8 @@
 export const maximumFrameBytes = 1_200_000;
 
 const maximumMapSize = 20_000;
+/** Two maps of that size, and the other fields. */
+const maximumValues = 100_000;
 const counts = z.record(z.string(), z.number().nonnegative()).refine(map => Object.keys(map).length <= maximumMapSize);
 
 const peerMessage = z.discriminatedUnion("type", [
@@ -38,7 +41,7 @@
 /** Decodes and validates a frame. */
 export function decodePeerMessage(frame: Buffer): Result<PeerMessage, string> {
     try {
-        return Ok(peerMessage.parse(unpack(frame)));
+        return Ok(peerMessage.parse(unpackBounded(frame, maximumValues)));
     }
     catch (error) {
         return Err(error instanceof Error ? error.message.slice(0, 200) : String(error));
