Bound the bytes of calls that a process makes for others

Cause: 200 calls of other processes may be in progress, each with a body of up to 2 MB that is decoded, serialized and waits for one of 24 connections to the store. Watches hold those connections for 10 s, so that a few links could fill the heap.

Change: calls in progress have as many bytes together as messages that have not arrived whole; a call beyond this is answered as never sent, which is true. A single call is always made.

--- a/src/connection/callRelay.ts
+++ b/src/connection/callRelay.ts
@@ -20,7 +20,7 @@
     onListenFailed(reason: string): void;
     /** Creates the server that listens, with limits on its connections; it hands over those that become links. */
     createServer(onUpgrade: (request: http.IncomingMessage, socket: net.Socket, head: Buffer) => void): http.Server;
-    /** Bytes of all messages that have not arrived whole. */
+    /** Bytes of all messages that have not arrived whole, and of all calls in progress. */
     maxPartialBytes: number;
     onPartialBytesExceeded(): void;
 }
@@ -49,20 +49,27 @@
         })
     );
     let callsInProgress = 0;
+    let callBytesInProgress = 0;
 
-    const perform = async (request: JsonRequest): Promise<JsonRequestResult> => {
+    const perform = async (request: JsonRequest, frameBytes: number): Promise<JsonRequestResult> => {
         if (!options.isServed()) {
             return neverSent("the service does not serve the neighbour either");
         }
         if (callsInProgress >= maxRelayedCalls) {
             return neverSent("the neighbour passes on too many calls");
         }
+        if (callsInProgress > 0 && callBytesInProgress + frameBytes > options.maxPartialBytes) {
+            options.onPartialBytesExceeded();
+            return neverSent("the neighbour passes on too many large calls");
+        }
         callsInProgress += 1;
+        callBytesInProgress += frameBytes;
         try {
             return await options.callDirectly(request);
         }
         finally {
             callsInProgress -= 1;
+            callBytesInProgress -= frameBytes;
         }
     };
     /** A larger frame would close the link, and with it all other calls. */
@@ -80,7 +87,7 @@
             return;
         }
         const { callId, ...request } = decoded.val;
-        const result = await perform(request);
+        const result = await perform(request, frame.length);
         if (socket.bufferedAmount > maxUnsentBytes) {
             socket.terminate();
         }
