Bound the results that links have not taken, over all links

Cause: each link of the listener for calls of other processes may leave 4 MB of results unread; nothing bounds their sum.

Change: when the results of all links exceed the bound of messages that have not arrived whole, the link with the most is closed.

--- a/src/connection/callRelay.ts
+++ b/src/connection/callRelay.ts
@@ -20,7 +20,7 @@
     onListenFailed(reason: string): void;
     /** Creates the server that listens, with limits on its connections; it hands over those that become links. */
     createServer(onUpgrade: (request: http.IncomingMessage, socket: net.Socket, head: Buffer) => void): http.Server;
-    /** Bytes of all messages that have not arrived whole, and of all calls in progress. */
+    /** Bytes of all messages that have not arrived whole; also of all calls in progress, and of all results that were not taken. */
     maxPartialBytes: number;
     onPartialBytesExceeded(): void;
 }
@@ -29,7 +29,7 @@
 const maxRelayedCalls = 200;
 /** Processes send a message in one fragment. */
 const maxFragments = 16;
-/** A link whose other end does not read is closed. */
+/** A link whose other end does not read is closed; so is the one with the most when all of them have too much. */
 const maxUnsentBytes = 4_000_000;
 
 /** Accepts calls of other processes until `signal` aborts. */
@@ -79,6 +79,19 @@
             encoded :
             encodeRelayMessage({ callId, result: responseLost(`the response of ${encoded.length} bytes is too large to be passed on`) });
     };
+    const limitUnsent = (): void => {
+        const unread = [...server.clients].filter(each => each.readyState === each.OPEN && each.bufferedAmount > 0)
+            .sort((a, b) => b.bufferedAmount - a.bufferedAmount);
+        let totalBytes = unread.reduce((total, each) => total + each.bufferedAmount, 0);
+        for (const each of unread) {
+            if (totalBytes <= options.maxPartialBytes || unread.length === 1) {
+                return;
+            }
+            totalBytes -= each.bufferedAmount;
+            options.onPartialBytesExceeded();
+            each.terminate();
+        }
+    };
     const receive = async (socket: WebSocket, frame: Buffer): Promise<void> => {
         const decoded = decodeRelayRequest(frame);
         if (decoded.err) {
@@ -93,6 +106,7 @@
         }
         else if (socket.readyState === socket.OPEN) {
             socket.send(encodeResult(callId, result));
+            limitUnsent();
         }
     };
 
