Close links with further large messages before they have sent much

Cause: when the messages that have not arrived whole exceeded their bound, the link with the largest gave way. Each of many links could thus send nearly a whole message of 2 MB before the next one closed it, and what it had sent stayed in memory until a garbage collection. The same held for calls that were received whole and then refused.

Change: large messages are received together as far as there is room beside the calls in progress.

--- a/src/connection/callRelay.ts
+++ b/src/connection/callRelay.ts
@@ -20,7 +20,7 @@
     onListenFailed(reason: string): void;
     /** Creates the server that listens, with limits on its connections; it hands over those that become links. */
     createServer(onUpgrade: (request: http.IncomingMessage, socket: net.Socket, head: Buffer) => void): http.Server;
-    /** Bytes of all messages that have not arrived whole; also of all calls in progress, and of all results that were not taken. */
+    /** Bytes of all messages that have not arrived whole and of all calls in progress; also of all results that were not taken. */
     maxPartialBytes: number;
     onPartialBytesExceeded(): void;
 }
@@ -41,15 +41,20 @@
         maxFragments,
         clientTracking: true,
     });
-    const partialMessages = limitPartialMessages(options.maxPartialBytes, options.onPartialBytesExceeded);
+    let callsInProgress = 0;
+    let callBytesInProgress = 0;
+    const partialMessages = limitPartialMessages({
+        maxBytes: options.maxPartialBytes,
+        maxMessageBytes: maximumRelayFrameBytes,
+        usedBytes: () => callBytesInProgress,
+        onExceeded: options.onPartialBytesExceeded,
+    });
     const listener = options.createServer((request, socket, head) =>
         server.handleUpgrade(request, socket, head, webSocket => {
             partialMessages.watch(socket, webSocket);
             server.emit("connection", webSocket, request);
         })
     );
-    let callsInProgress = 0;
-    let callBytesInProgress = 0;
 
     const perform = async (request: JsonRequest, frameBytes: number): Promise<JsonRequestResult> => {
         if (!options.isServed()) {
