--- a/tests/crowds/fleetTarget.ts
+++ b/tests/crowds/fleetTarget.ts
@@ -1,15 +1,18 @@
 /** A gateway, or a steward, of a small fleet as the target of a crowd of hostile clients. */
 import { request } from "undici";
 import type { Child } from "../../harness/childProcess.js";
-import { startFleet } from "../../harness/fleet.js";
+import { type Fleet, startFleet } from "../../harness/fleet.js";
 import { makeSmallFleet, openService } from "../../harness/smallFleet.js";
 import { environmentName, gatewaySettings } from "../../src/process/settings.js";
+import type { FleetDocument } from "../../src/version/fleetDocument.js";
 import type { CrowdTarget } from "./checkCrowd.js";
 
 export interface FleetCrowdTarget {
     gateway: CrowdTarget;
     steward: CrowdTarget;
     addresses: { callers: string; operators: string; peers: string; steward: string };
+    fleet: Fleet;
+    isOperatorAnswered(): Promise<boolean>;
     stop(): Promise<void>;
 }
 
@@ -17,9 +20,13 @@
     addressPrefix: string;
     limits: { memoryMb: number; maxFds: number };
     heapMb: number;
+    /** Changes the document of the small fleet before it is applied. */
+    changeDocument?: (document: FleetDocument) => FleetDocument;
+    /** Further settings, by environment variable. */
+    environment?: Record<string, string>;
 }
 
-const zone = "az-1";
+export const zone = "az-1";
 const answerTimeoutMs = 20_000;
 const okStatus = 200;
 
@@ -42,17 +49,21 @@
 }
 
 /** Starts a fleet with one gateway, one steward and one backend server. */
-export async function startFleetCrowdTarget({ addressPrefix, limits, heapMb }: FleetCrowdOptions): Promise<FleetCrowdTarget> {
+export async function startFleetCrowdTarget(options: FleetCrowdOptions): Promise<FleetCrowdTarget> {
+    const { addressPrefix, limits, heapMb, changeDocument = unchanged => unchanged } = options;
     const settings = { memoryLimitMb: limits.memoryMb, maxDescriptors: limits.maxFds };
     // A product without these settings refuses to start with them; it is held to the same bounds.
     const known = Object.entries(settings).filter(([name]) => name in gatewaySettings);
+    const document = makeSmallFleet({ addressPrefix, zones: [zone], serversPerZone: 1, slotsPerServer: 8, limits: { vik: 8 } });
     const fleet = await startFleet({
-        document: makeSmallFleet({ addressPrefix, zones: [zone], serversPerZone: 1, slotsPerServer: 8, limits: { vik: 8 } }),
+        document: changeDocument(document),
+        serverDocument: document,
         addressPrefix,
         gatewaysPerZone: 1,
         environment: {
             NODE_OPTIONS: `--max-old-space-size=${heapMb} --max-semi-space-size=4`,
             ...Object.fromEntries(known.map(([name, value]) => [environmentName(name), String(value)])),
+            ...options.environment,
         },
     });
     const { child, callerAddress, adminAddress } = fleet.gateways[0]!;
@@ -62,6 +73,8 @@
         gateway: makeTarget(child, limits, () => isAnswered(`http://${callerAddress}/v1/services/${openService}/a`, "POST")),
         steward: makeTarget(fleet.stewards[0]!, limits, () => isAnswered(`http://${stewardAddress}/healthz`, "GET")),
         addresses: { callers: callerAddress, operators: adminAddress, peers: `${ip}:7003`, steward: stewardAddress },
+        fleet,
+        isOperatorAnswered: () => isAnswered(`http://${adminAddress}/healthz`, "GET"),
         stop: fleet.stop,
     };
 }
