Bound the large messages that a gateway receives from peers

Cause: each peer link may send a message of 1.2 MB, and nothing bounded those that have not arrived whole over all links.

Change: the bound of the links for calls of other processes is used for peers too, with 8 MB.

--- a/src/process/peerManager.ts
+++ b/src/process/peerManager.ts
@@ -1,9 +1,10 @@
 /** Connects the gateways of this zone: they exchange load reports, and configuration versions when the store is unavailable. */
 import type http from "node:http";
-import type { Duplex } from "node:stream";
+import type net from "node:net";
 import { WebSocket, WebSocketServer } from "ws";
 import type { TimerService } from "../common/timerService.js";
 import type { MemberRecord } from "../connection/members.js";
+import { limitPartialMessages } from "../connection/partialMessages.js";
 import { createPeerLink, type PeerLink, type PeerLinkOptions, type PeerPayload } from "../connection/peerLink.js";
 import { maximumFrameBytes } from "../connection/peerMessages.js";
 import { parseVersion } from "../version/fleetVersion.js";
@@ -21,7 +22,7 @@
     requestConfiguration(): void;
     connectedPeerIds(): string[];
     /** Handles a WebSocket upgrade request of the peer listener. */
-    acceptUpgrade(request: http.IncomingMessage, socket: Duplex, head: Buffer): void;
+    acceptUpgrade(request: http.IncomingMessage, socket: net.Socket, head: Buffer): void;
 }
 
 export interface PeerManagerOptions {
@@ -45,6 +46,8 @@
 const minimumReconnectDelayMs = 200;
 const maximumReconnectDelayMs = 5_000;
 const handshakeTimeoutMs = 2_000;
+/** Bytes of all messages that have not arrived whole: a few configurations, and load reports of all peers. */
+const maxPartialBytes = 8_000_000;
 
 interface PeerEndpoint {
     address: string;
@@ -58,6 +61,12 @@
     const links = new Map<string, PeerLink>();
     const endpoints = new Map<string, PeerEndpoint>();
     const server = new WebSocketServer({ noServer: true, maxPayload: maximumFrameBytes });
+    const partialMessages = limitPartialMessages({
+        maxBytes: maxPartialBytes,
+        maxMessageBytes: maximumFrameBytes,
+        usedBytes: () => 0,
+        onExceeded: () => logger.log(logEvents.peerMessageRejected, { reason: "too much of large messages is being received" }),
+    });
     let lastLoad = "";
     let lastLoadMs = -Infinity;
 
@@ -204,7 +213,10 @@
                 socket.end("HTTP/1.1 401 Unauthorized\r\ncontent-length: 0\r\nconnection: close\r\n\r\n", () => socket.destroy());
                 return;
             }
-            server.handleUpgrade(request, socket, head, webSocket => createPeerLink(webSocket, linkOptions(() => undefined)));
+            server.handleUpgrade(request, socket, head, webSocket => {
+                partialMessages.watch(socket, webSocket);
+                createPeerLink(webSocket, linkOptions(() => undefined));
+            });
         },
     };
 }
