--- a/src/connection/callRelay.ts
+++ b/src/connection/callRelay.ts
@@ -20,7 +20,7 @@
     onListenFailed(reason: string): void;
     /** Creates the server that listens, with limits on its connections; it hands over those that become links. */
     createServer(onUpgrade: (request: http.IncomingMessage, socket: net.Socket, head: Buffer) => void): http.Server;
-    /** Bytes of all messages that have not arrived whole. */
+    /** Bytes of all messages that have not arrived whole and of all calls in progress; also of all results that were not taken. */
     maxPartialBytes: number;
     onPartialBytesExceeded(): void;
 }
@@ -29,7 +29,7 @@
 const maxRelayedCalls = 200;
 /** Processes send a message in one fragment. */
 const maxFragments = 16;
-/** A link whose other end does not read is closed. */
+/** A link whose other end does not read is closed; so is the one with the most when all of them have too much. */
 const maxUnsentBytes = 4_000_000;
 
 /** Accepts calls of other processes until `signal` aborts. */
@@ -41,28 +41,40 @@
         maxFragments,
         clientTracking: true,
     });
-    const partialMessages = limitPartialMessages(options.maxPartialBytes, options.onPartialBytesExceeded);
+    let callsInProgress = 0;
+    let callBytesInProgress = 0;
+    const partialMessages = limitPartialMessages({
+        maxBytes: options.maxPartialBytes,
+        maxMessageBytes: maximumRelayFrameBytes,
+        usedBytes: () => callBytesInProgress,
+        onExceeded: options.onPartialBytesExceeded,
+    });
     const listener = options.createServer((request, socket, head) =>
         server.handleUpgrade(request, socket, head, webSocket => {
             partialMessages.watch(socket, webSocket);
             server.emit("connection", webSocket, request);
         })
     );
-    let callsInProgress = 0;
 
-    const perform = async (request: JsonRequest): Promise<JsonRequestResult> => {
+    const perform = async (request: JsonRequest, frameBytes: number): Promise<JsonRequestResult> => {
         if (!options.isServed()) {
             return neverSent("the service does not serve the neighbour either");
         }
         if (callsInProgress >= maxRelayedCalls) {
             return neverSent("the neighbour passes on too many calls");
         }
+        if (callsInProgress > 0 && callBytesInProgress + frameBytes > options.maxPartialBytes) {
+            options.onPartialBytesExceeded();
+            return neverSent("the neighbour passes on too many large calls");
+        }
         callsInProgress += 1;
+        callBytesInProgress += frameBytes;
         try {
             return await options.callDirectly(request);
         }
         finally {
             callsInProgress -= 1;
+            callBytesInProgress -= frameBytes;
         }
     };
     /** A larger frame would close the link, and with it all other calls. */
@@ -72,6 +84,19 @@
             encoded :
             encodeRelayMessage({ callId, result: responseLost(`the response of ${encoded.length} bytes is too large to be passed on`) });
     };
+    const limitUnsent = (): void => {
+        const unread = [...server.clients].filter(each => each.readyState === each.OPEN && each.bufferedAmount > 0)
+            .sort((a, b) => b.bufferedAmount - a.bufferedAmount);
+        let totalBytes = unread.reduce((total, each) => total + each.bufferedAmount, 0);
+        for (const each of unread) {
+            if (totalBytes <= options.maxPartialBytes || unread.length === 1) {
+                return;
+            }
+            totalBytes -= each.bufferedAmount;
+            options.onPartialBytesExceeded();
+            each.terminate();
+        }
+    };
     const receive = async (socket: WebSocket, frame: Buffer): Promise<void> => {
         const decoded = decodeRelayRequest(frame);
         if (decoded.err) {
@@ -80,12 +105,13 @@
             return;
         }
         const { callId, ...request } = decoded.val;
-        const result = await perform(request);
+        const result = await perform(request, frame.length);
         if (socket.bufferedAmount > maxUnsentBytes) {
             socket.terminate();
         }
         else if (socket.readyState === socket.OPEN) {
             socket.send(encodeResult(callId, result));
+            limitUnsent();
         }
     };
 
