Release the slots of pipelined requests whose connection has closed

Callers saw: after clients had sent a few requests ahead and were disconnected, no caller of the service got a slot any more, with a key or without; each was answered 503 'no slot was free before the deadline', for 50 s of a trial without end in sight.

Cause: Node tells only the response that is being sent that its connection has closed. One that waits behind it on the same connection is neither destroyed nor closed, so that its sink waited for ever for it to drain, and the request kept its slot of the backend server.

Change: the sink and the request's check for a disconnected caller look at the connection too.

--- a/src/request/callerHandler.ts
+++ b/src/request/callerHandler.ts
@@ -201,7 +201,7 @@
             rawHeaders: request.rawHeaders,
             body: opened.body,
             deadlineMs: startedMs + call.timeoutMs,
-            isCallerDisconnected: () => response.destroyed,
+            isCallerDisconnected: () => response.destroyed || request.socket.destroyed,
         };
         try {
             await runRequest(runnable, sink, startedMs);
--- a/src/request/responseSink.ts
+++ b/src/request/responseSink.ts
@@ -21,7 +21,9 @@
     response: http.ServerResponse,
     endResponse: () => void = () => void response.end(),
 ): ResponseSink {
-    const isClosed = (): boolean => response.destroyed || response.writableEnded;
+    // A response that waits behind another one on its connection is not told when the connection closes.
+    const { socket } = response.req;
+    const isClosed = (): boolean => response.destroyed || response.writableEnded || socket.destroyed;
     let onDrained: (() => void) | undefined;
     const notifyDrained = (): void => {
         const callback = onDrained;
@@ -30,6 +32,8 @@
     };
     response.on("drain", notifyDrained);
     response.on("close", notifyDrained);
+    socket.on("close", notifyDrained);
+    response.once("close", () => socket.removeListener("close", notifyDrained));
     return {
         start: (statusCode, headers, outcome) => {
             if (!isClosed()) {
