--- a/scripts/generateDocs.ts
+++ b/scripts/generateDocs.ts
@@ -44,6 +44,15 @@
         ["time within a body without a byte", "the configuration's `idleTimeoutMs` and 5 s", "20 s", "408, then closed"],
         ["bodies in chunks of a few bytes at the same time", "fixed", "8", "503, or closed"],
         ["time for which a client takes nothing of a response", "fixed", "20 s", "closed"],
+        [
+            "calls that a process makes for others, with large messages that have not arrived whole",
+            "memory and heap",
+            `${bodyMb} MB`,
+            "not sent, or closed",
+        ],
+        ["results of such calls that the others have not taken", "memory and heap", `${bodyMb} MB`, "closed"],
+        ["large messages of a gateway's peers that have not arrived whole", "fixed", "8 MB", "closed"],
+        ["values in a message of another process", "fixed", "100,000", "closed"],
     ];
     return [
         "## Limits of the listeners",
