--- a/src/scheduling/jobRecord.ts
+++ b/src/scheduling/jobRecord.ts
@@ -200,6 +200,16 @@
     return progress ? crashCountsOf(progress) : noCrashes;
 }
 
+/** Whether the run is known to have failed. */
+export function hasFailed(step: StepRecord, task: number, runId: number): boolean {
+    return step.tasks.get(countingTask(step, task))?.failedRunIds.includes(runId) ?? false;
+}
+
+/** Whether an attempt of the task has failed. */
+export function hasFailures(step: StepRecord, task: number): boolean {
+    return (step.tasks.get(countingTask(step, task))?.failedRunIds.length ?? 0) > 0;
+}
+
 export function crashCountsOf({ crashedRunIds = [], provenCrashRunIds = [] }: TaskProgress): CrashCounts {
     return { provenCount: provenCrashRunIds.length, possibleCount: crashedRunIds.length - provenCrashRunIds.length };
 }
