Send another attempt of a task only once the failures before are stored

Callers could see an attempt more than allowed: a task fails, and is started again on a worker that the store names already, before the failure is stored. The owner is lost, and the next one lists the later run, takes earlier ones for settled, and knows of one failure less. Such a start now waits for the write, and is not planned while the store takes none.

--- a/src/scheduling/dispatchWaitingTasks.ts
+++ b/src/scheduling/dispatchWaitingTasks.ts
@@ -4,7 +4,7 @@
 import { collectWaiting, isSchedulable, type PoolPass, type WaitingStep } from "./collectWaiting.js";
 import { type Suspicion, suspicionOf, suspicions } from "./crashCounts.js";
 import { mayHoldGang } from "./gangRoom.js";
-import { countCrashes, type StepRecord } from "./jobRecord.js";
+import { countCrashes, hasFailures, type StepRecord } from "./jobRecord.js";
 import { reservedResources, type Resources } from "./jobTypes.js";
 import { cancelStaleStarts, sendPersistedStarts } from "./plannedStarts.js";
 import { type Candidate, hasRoom, type HeldRooms, maxUnansweredStarts, noHeldRooms } from "./poolCandidates.js";
@@ -19,10 +19,12 @@
 import { mayStartBeside } from "./workerCrashes.js";
 import { createRun, type Run } from "./workerRecord.js";
 
-/** What the crashes under earlier runs of a task say about it, and the run id if other tasks of its gang have one already. */
+/** What earlier runs of a task say about it, and the run id if other tasks of its gang have one already. */
 interface RunHistory {
     suspicion: Suspicion;
     gangRunId?: number;
+    /** Whether the store must hold earlier failures before the start is sent. */
+    mustBeStored?: boolean;
 }
 
 /** A pool during a pass, with the capacity that is reserved in it. */
@@ -44,7 +46,8 @@
 export function canRun(state: SchedulerState, candidate: Candidate, { spec }: StepRecord, needed: Resources, history: RunHistory): boolean {
     return hasRoom(candidate, needed) && (spec.isGang || candidate.unansweredStartsCount < maxUnansweredStarts) &&
         mayStartBeside(candidate.suspects, history.suspicion, history.gangRunId) &&
-        (state.isStoreWritable || (candidate.isStartRecorded && history.suspicion !== suspicions.nextCrashMayBeLast)) &&
+        (state.isStoreWritable ||
+            (candidate.isStartRecorded && history.suspicion !== suspicions.nextCrashMayBeLast && !history.mustBeStored)) &&
         (spec.requiredLabel === undefined || candidate.worker.entry.labels.includes(spec.requiredLabel)) &&
         (spec.maxTasksPerWorker === undefined || candidate.sameStepCount < spec.maxTasksPerWorker);
 }
@@ -64,7 +67,8 @@
     }
     const needed = reservedResources(spec);
     const needs = runNeeds(job, step, taskIndex);
-    const history = { suspicion: needs.suspicion, gangRunId };
+    const mustBeStored = hasFailures(step, taskIndex);
+    const history = { suspicion: needs.suspicion, gangRunId, mustBeStored };
     const { isLongRunning, isFiller, preferredRack } = spec;
     const requirements = { isLongRunning, isFiller, preferredRack, isSuspect: needs.suspicion !== suspicions.none };
     const best = placeTask(
@@ -88,6 +92,7 @@
         needs,
         pool.nowMs,
     );
+    run.requiredVersion = mustBeStored ? job.version : 0;
     attachRun(state, best.worker, step, run);
     pool.candidates.recordPlanned(best, step);
     pool.gate?.recordChanged(best);
--- a/src/scheduling/plannedStarts.ts
+++ b/src/scheduling/plannedStarts.ts
@@ -104,7 +104,7 @@
 
 /** Whether the store holds what it must before the start is sent. */
 function isStartPersisted(job: JobRecord, run: Run): boolean {
-    return isWorkerPersisted(job, run.workerId) && isSuspectStartPersisted(job, run);
+    return isWorkerPersisted(job, run.workerId) && isSuspectStartPersisted(job, run) && run.requiredVersion <= job.persistedVersion;
 }
 
 /**
--- a/src/scheduling/workerRecord.ts
+++ b/src/scheduling/workerRecord.ts
@@ -65,6 +65,8 @@
     suspicion: Suspicion;
     /** Version of the job's progress that holds the start; only for tasks that the next crash may give up. */
     recordedVersion: number | undefined;
+    /** Version of the job's progress that must be stored before the start is sent. */
+    requiredVersion: number;
     /** The run as it was when the worker restarted, if that was after the start and the worker has not listed the run since. */
     suspectOfRestart: CrashSuspect | undefined;
     /** Known only from a snapshot by an earlier owner; the worker has not responded since. */
@@ -148,10 +150,7 @@
     unexplainedRuns: CrashSuspect[];
     /** Time of the first response in this term: since then, the worker refuses commands of earlier owners. */
     fencedSinceMs: number | undefined;
-    /**
-     * Whether this incarnation has responded while the ownership was proven. A worker forgets all tokens when it restarts, so one that
-     * has responded only since then may obey this process although a newer owner has contacted its previous incarnation.
-     */
+    /** Whether this incarnation has responded while the ownership was proven; it has forgotten which newer owners its former one knew. */
     hasRespondedToProvenOwner: boolean;
     /** After this time, all listed runs on the worker have lost their leases, unless it responds in the meantime. */
     leaseEndsAtMs: number;
@@ -252,6 +251,7 @@
         startValidityMs,
         suspicion: needs.suspicion,
         recordedVersion: undefined,
+        requiredVersion: 0,
         suspectOfRestart: undefined,
         isPresumed: false,
         isStartConfirmed: false,
