Stop the other runs of a task that is done

A run of a task that was lost with its lease and had ended as done after all left the run that was started instead at work, charged to its team. They are stopped now, as planned ones are cancelled. The test 'should be stopped' failed before.

--- a/src/scheduling/schedulerState.ts
+++ b/src/scheduling/schedulerState.ts
@@ -240,14 +240,14 @@
     }
 }
 
-function finishTask(state: SchedulerState, job: JobRecord, step: StepRecord, taskIndex: number, wallMs: number): void {
+function finishTask(state: SchedulerState, job: JobRecord, step: StepRecord, { taskIndex, runId }: EndedRun, wallMs: number): void {
     const indices = step.spec.isGang ? Array.from({ length: step.spec.taskCount }, (_, index) => index) : [taskIndex];
     for (const index of indices) {
         step.done.add(index);
         step.waiting.delete(index);
         step.heldBack.delete(index);
         step.tasks.delete(index);
-        step.runs.get(index)?.filter(run => run.phase === runPhases.planned).forEach(run => detachRun(state, run));
+        step.runs.get(index)?.filter(run => run.runId !== runId).forEach(run => stopRun(state, run, "its task is done"));
     }
     const occurrence = job.occurrences.get(step.occurrence)!;
     if (!isOccurrenceDone(occurrence)) {
@@ -275,7 +275,7 @@
     }
     if (ended.end === runEnds.done && !step.spec.isLongRunning) {
         markChanged(state, job);
-        finishTask(state, job, step, ended.taskIndex, wallMs);
+        finishTask(state, job, step, ended, wallMs);
         return;
     }
     if (ended.checkpoint !== "") {
