Cancel planned starts of a task whose run a worker lists

The listed run was stopped and the planned start sent, so that two could be at work at a time. No way to it without another fault is known.

--- a/src/scheduling/reconcileListing.ts
+++ b/src/scheduling/reconcileListing.ts
@@ -161,6 +161,7 @@
     // An earlier owner gave the task a higher run id only once it was sure that the previous run had ended.
     const knownRuns = step?.runs.get(task.taskIndex) ?? [];
     knownRuns.filter(run => run.isPresumed && run.runId < listed.runId).forEach(run => detachRun(state, run));
+    knownRuns.filter(run => run.phase === runPhases.planned).forEach(run => detachRun(state, run));
     const isWanted = job && step && !isFinalState(job.state) && !step.done.has(task.taskIndex) && !step.runs.has(task.taskIndex);
     const needs = job && step ? runNeeds(job, step, task.taskIndex) : unknownNeeds;
     const { taskName, runId, percent, measured, checkpoint } = listed;
