Send no start that nothing needs any more

A start that waits for a connection to its worker was sent although its job was cancelled, or its task done, meanwhile.

--- a/src/process/workerSession.ts
+++ b/src/process/workerSession.ts
@@ -11,7 +11,7 @@
 import type { Scheduler } from "../scheduling/scheduler.js";
 import { commandKinds, type SchedulerCommand } from "../scheduling/schedulerState.js";
 import { createWorkerClock, logClockDeviation } from "../scheduling/workerClock.js";
-import type { WorkerRecord } from "../scheduling/workerRecord.js";
+import { runPhases, type WorkerRecord } from "../scheduling/workerRecord.js";
 import { createListingPauses } from "./listingPauses.js";
 import { createShortLeaseExtender } from "./shortLeases.js";
 import { createWorkerStops } from "./workerStops.js";
@@ -209,7 +209,8 @@
         const { run: targetRun } = command;
         const clockMs = workerClockMs();
         // The store's response that releases a start may be read late, after a pause, when another process already owns the scheduling.
-        const mayStart = (): boolean => maySendOrders() && scheduler.mayStillStartOn(workerId, timers.nowMs());
+        const mayStart = (): boolean =>
+            targetRun.phase === runPhases.starting && maySendOrders() && scheduler.mayStillStartOn(workerId, timers.nowMs());
         if (clockMs === undefined || !mayStart()) {
             const reason = clockMs === undefined ? "the worker's clock is unknown" : "this process may no longer send the start";
             scheduler.startResponseReceived(targetRun, commandOutcomes.refused, reason, moment());
