--- a/tests/crowds/platform.spec.ts
+++ b/tests/crowds/platform.spec.ts
@@ -91,6 +91,22 @@
     it("should outlive each kind of hostile client at the same time", () => checkCrowd(target, () => openAllCrowds(target)));
 });
 
+describe("a process of the platform build that holds many jobs, with more memory than heap", () => {
+    let target: PlatformCrowdTarget;
+    beforeEach(async () => {
+        target = await startPlatformCrowdTarget({
+            addressPrefix: "127.93.1",
+            limits: { memoryMb: 350, maxFds: 4_100 },
+            heapMb,
+            scheduledJobsCount: 3_000,
+        });
+    });
+    afterEach(() => target.stop());
+
+    it("should outlive each kind of hostile client at the same time, beside a small heap", () =>
+        checkCrowd(target, () => openAllCrowds(target)));
+});
+
 describe("a process of the platform build on a VM with little memory", () => {
     let target: PlatformCrowdTarget;
     beforeEach(async () => {
