Derive which jobs are held back, and give a start one required version

Which former workers of a job are unknown was kept by deleting them once known, and 'hold back again' undid that with a second set; it follows from the workers' records at any time. The version with a suspected start and that with earlier failures were two fields with the same meaning.

--- a/src/process/termReport.ts
+++ b/src/process/termReport.ts
@@ -1,5 +1,6 @@
 /** What the log tells of a term when its scheduler starts and ends: what it knows of earlier owners' work, and what it leaves to the next one. */
 import { isFinalState } from "../scheduling/jobRecord.js";
+import { isHeldBack } from "../scheduling/plannedStarts.js";
 import type { SchedulerState } from "../scheduling/schedulerState.js";
 import { snapshotStates } from "../scheduling/unresponsiveWorkers.js";
 import type { LogFields } from "./logger.js";
@@ -12,13 +13,12 @@
     const { token, unknownWorkersUntilMs } = state.term;
     const jobs = [...state.jobs.values()].filter(job => !isFinalState(job.state));
     const workers = [...state.workers.values()];
-    const isUnknown = (workerId: string): boolean => state.workers.get(workerId)?.isRunStateKnown !== true;
     const snapshotWorkers = workers.filter(({ snapshotState }) => snapshotState !== snapshotStates.none);
     return {
         token,
         mirrorRevision,
         jobsCount: jobs.length,
-        heldBackJobsCount: jobs.filter(job => [...job.formerWorkerIds].some(isUnknown)).length,
+        heldBackJobsCount: jobs.filter(job => isHeldBack(state, job, nowMs)).length,
         workersCount: workers.length,
         snapshotsCount: snapshotWorkers.length,
         snapshotWorkerIds: snapshotWorkers.slice(0, maxNamed).map(({ entry }) => entry.workerId),
@@ -32,7 +32,6 @@
     const jobIds = [...new Set(unsavedEnds.map(({ jobId }) => jobId))];
     return {
         token: state.term.token,
-        unsavedJobsCount: [...state.jobs.values()].filter(({ version, persistedVersion }) => version > persistedVersion).length,
         unsavedEndsCount: unsavedEnds.length,
         unsavedEndJobIds: jobIds.slice(0, maxNamed),
         snapshotsCount: workers.filter(({ snapshotState }) => snapshotState !== snapshotStates.none).length,
--- a/src/scheduling/dispatchWaitingTasks.ts
+++ b/src/scheduling/dispatchWaitingTasks.ts
@@ -4,7 +4,7 @@
 import { collectWaiting, isSchedulable, type PoolPass, type WaitingStep } from "./collectWaiting.js";
 import { type Suspicion, suspicionOf, suspicions } from "./crashCounts.js";
 import { mayHoldGang } from "./gangRoom.js";
-import { countCrashes, hasFailures, type StepRecord } from "./jobRecord.js";
+import { countCrashes, failedRunIdsOf, type StepRecord } from "./jobRecord.js";
 import { reservedResources, type Resources } from "./jobTypes.js";
 import { cancelStaleStarts, sendPersistedStarts } from "./plannedStarts.js";
 import { type Candidate, hasRoom, type HeldRooms, maxUnansweredStarts, noHeldRooms } from "./poolCandidates.js";
@@ -23,8 +23,8 @@
 interface RunHistory {
     suspicion: Suspicion;
     gangRunId?: number;
-    /** Whether the store must hold earlier failures before the start is sent. */
-    mustBeStored?: boolean;
+    /** Whether earlier runs of the task have failed. */
+    hasFailures?: boolean;
 }
 
 /** A pool during a pass, with the capacity that is reserved in it. */
@@ -42,12 +42,16 @@
     return !gate || !placing || gate.mayPlace(candidate, placing);
 }
 
+/** Whether something must be stored before the start is sent, besides the worker. */
+function needsWrite({ suspicion, hasFailures }: RunHistory): boolean {
+    return suspicion === suspicions.nextCrashMayBeLast || hasFailures === true;
+}
+
 /** Whether a task of the step, which reserves the needed resources, can start on the candidate. */
 export function canRun(state: SchedulerState, candidate: Candidate, { spec }: StepRecord, needed: Resources, history: RunHistory): boolean {
     return hasRoom(candidate, needed) && (spec.isGang || candidate.unansweredStartsCount < maxUnansweredStarts) &&
         mayStartBeside(candidate.suspects, history.suspicion, history.gangRunId) &&
-        (state.isStoreWritable ||
-            (candidate.isStartRecorded && history.suspicion !== suspicions.nextCrashMayBeLast && !history.mustBeStored)) &&
+        (state.isStoreWritable || (candidate.isStartRecorded && !needsWrite(history))) &&
         (spec.requiredLabel === undefined || candidate.worker.entry.labels.includes(spec.requiredLabel)) &&
         (spec.maxTasksPerWorker === undefined || candidate.sameStepCount < spec.maxTasksPerWorker);
 }
@@ -67,8 +71,8 @@
     }
     const needed = reservedResources(spec);
     const needs = runNeeds(job, step, taskIndex);
-    const mustBeStored = hasFailures(step, taskIndex);
-    const history = { suspicion: needs.suspicion, gangRunId, mustBeStored };
+    const hasFailures = failedRunIdsOf(step, taskIndex).length > 0;
+    const history = { suspicion: needs.suspicion, gangRunId, hasFailures };
     const { isLongRunning, isFiller, preferredRack } = spec;
     const requirements = { isLongRunning, isFiller, preferredRack, isSuspect: needs.suspicion !== suspicions.none };
     const best = placeTask(
@@ -92,7 +96,7 @@
         needs,
         pool.nowMs,
     );
-    run.requiredVersion = mustBeStored ? job.version : 0;
+    run.requiredVersion = hasFailures ? job.version : 0;
     attachRun(state, best.worker, step, run);
     pool.candidates.recordPlanned(best, step);
     pool.gate?.recordChanged(best);
--- a/src/scheduling/jobRecord.ts
+++ b/src/scheduling/jobRecord.ts
@@ -54,10 +54,8 @@
     /** Incremented by every change that must be stored; the progress in the store has `persistedVersion`. */
     version: number;
     persistedVersion: number;
-    /** Workers on which an earlier owner may have started tasks of the job; cleared once the runs there are known. */
+    /** Workers on which an earlier owner may have started tasks of the job; forgotten once its starts cannot arrive any more. */
     formerWorkerIds: Set<string>;
-    /** Those of them whose runs are known, while a start of an earlier owner may still reach a later incarnation. */
-    listedFormerWorkerIds: Set<string>;
     /** Workers on which tasks of the job may run according to the store; a start is sent to no other worker. */
     persistedWorkerIds: Set<string>;
     /** The worker ids in the write that is in flight. */
@@ -122,7 +120,6 @@
         version: 0,
         persistedVersion: 0,
         formerWorkerIds: new Set(progress?.workerIds),
-        listedFormerWorkerIds: new Set(),
         persistedWorkerIds: new Set(progress?.workerIds),
         workerIdsInFlight: undefined,
     };
@@ -200,14 +197,9 @@
     return progress ? crashCountsOf(progress) : noCrashes;
 }
 
-/** Whether the run is known to have failed. */
-export function hasFailed(step: StepRecord, task: number, runId: number): boolean {
-    return step.tasks.get(countingTask(step, task))?.failedRunIds.includes(runId) ?? false;
-}
-
-/** Whether an attempt of the task has failed. */
-export function hasFailures(step: StepRecord, task: number): boolean {
-    return (step.tasks.get(countingTask(step, task))?.failedRunIds.length ?? 0) > 0;
+/** The runs of the task that are known to have failed. */
+export function failedRunIdsOf(step: StepRecord, task: number): readonly number[] {
+    return step.tasks.get(countingTask(step, task))?.failedRunIds ?? [];
 }
 
 export function crashCountsOf({ crashedRunIds = [], provenCrashRunIds = [] }: TaskProgress): CrashCounts {
--- a/src/scheduling/plannedStarts.ts
+++ b/src/scheduling/plannedStarts.ts
@@ -7,36 +7,25 @@
 import { areRunsKnown } from "./knownRuns.js";
 import { commandKinds, detachRun, findStep, markChanged, type SchedulerState } from "./schedulerState.js";
 import { isStartPermitted, startValidityAt } from "./startPermission.js";
-import { isSuspectStartPersisted, recordSuspectStart } from "./suspectStarts.js";
+import { recordSuspectStart } from "./suspectStarts.js";
 import { type Run, runPhases, type WorkerRecord } from "./workerRecord.js";
 import { isOvercommitted } from "./workerRoom.js";
 
 /**
- * Whether an earlier owner may have started tasks of the job on a worker whose runs are not known yet. Only tasks with a run that has
- * been adopted in this term may then start.
+ * The workers on which an earlier owner may have started tasks of the job, and whose runs are not known. One that restarts is among them
+ * again until it has listed its runs: its new incarnation may carry out starts that were sent to the former one.
  */
-export function isHeldBack(state: SchedulerState, job: JobRecord, nowMs: number): boolean {
-    for (const workerId of job.formerWorkerIds) {
-        if (areRunsKnown(state, workerId, nowMs)) {
-            job.formerWorkerIds.delete(workerId);
-            if (nowMs < state.term.unknownWorkersUntilMs) {
-                job.listedFormerWorkerIds.add(workerId);
-            }
-        }
-    }
-    return job.formerWorkerIds.size > 0;
+export function unknownFormerWorkers(state: SchedulerState, job: JobRecord, nowMs: number): string[] {
+    return [...job.formerWorkerIds].filter(workerId => !areRunsKnown(state, workerId, nowMs));
 }
 
-/** The worker has restarted: its new incarnation has seen no fencing token, and may carry out what an earlier owner sent to the former one. */
-export function holdBackAgain(state: SchedulerState, workerId: string, nowMs: number): void {
+/** Whether there are such workers. Only tasks with a run that has been adopted in this term may then start. */
+export function isHeldBack(state: SchedulerState, job: JobRecord, nowMs: number): boolean {
+    const unknown = unknownFormerWorkers(state, job, nowMs);
     if (nowMs >= state.term.unknownWorkersUntilMs) {
-        return;
-    }
-    for (const job of state.jobs.values()) {
-        if (job.listedFormerWorkerIds.delete(workerId)) {
-            job.formerWorkerIds.add(workerId);
-        }
+        job.formerWorkerIds = new Set(unknown);
     }
+    return unknown.length > 0;
 }
 
 /** Lets the progress of the jobs that list a worker be written without it, since it has left: a next owner could not reach it. */
@@ -44,15 +33,15 @@
     for (const job of state.jobs.values()) {
         if (job.persistedWorkerIds.has(workerId)) {
             job.formerWorkerIds.delete(workerId);
-            job.listedFormerWorkerIds.delete(workerId);
             markChanged(state, job);
         }
     }
 }
 
 /** The worker ids to store with the next write of the job's progress. */
-export function possibleWorkerIds(job: JobRecord): Set<string> {
-    const workerIds = new Set(job.formerWorkerIds);
+export function possibleWorkerIds(state: SchedulerState, job: JobRecord): Set<string> {
+    // Workers without a record count as unknown until `isHeldBack` drops them.
+    const workerIds = new Set(unknownFormerWorkers(state, job, Number.NEGATIVE_INFINITY));
     for (const step of stepsOf(job)) {
         for (const runs of step.runs.values()) {
             runs.forEach(run => workerIds.add(run.workerId));
@@ -104,7 +93,7 @@
 
 /** Whether the store holds what it must before the start is sent. */
 function isStartPersisted(job: JobRecord, run: Run): boolean {
-    return isWorkerPersisted(job, run.workerId) && isSuspectStartPersisted(job, run) && run.requiredVersion <= job.persistedVersion;
+    return isWorkerPersisted(job, run.workerId) && run.requiredVersion <= job.persistedVersion;
 }
 
 /**
--- a/src/scheduling/possibleTeamUsage.ts
+++ b/src/scheduling/possibleTeamUsage.ts
@@ -4,7 +4,7 @@
  */
 import { isFinalState, type JobRecord, readyStepsOf } from "./jobRecord.js";
 import { addResources, fitsInto, noResources, type Resources } from "./jobTypes.js";
-import { isHeldBack } from "./plannedStarts.js";
+import { unknownFormerWorkers } from "./plannedStarts.js";
 import type { Moment } from "./reconcileListing.js";
 import type { SchedulerState } from "./schedulerState.js";
 
@@ -53,15 +53,18 @@
     for (const job of state.jobs.values()) {
         const { teamName } = job.submission;
         if (
-            teamName === undefined || !hasLimit(state, teamName) || job.formerWorkerIds.size === 0 || isFinalState(job.state) ||
-            !isHeldBack(state, job, moment.nowMs)
+            teamName === undefined || !hasLimit(state, teamName) || job.formerWorkerIds.size === 0 || isFinalState(job.state)
         ) {
             continue;
         }
+        const workerIds = unknownFormerWorkers(state, job, moment.nowMs);
+        if (workerIds.length === 0) {
+            continue;
+        }
         const estimate = estimates.get(teamName) ?? { tasks: { ...noResources }, fillersCpuMillicores: 0, workerIds: new Set() };
         estimates.set(teamName, estimate);
         addTasks(estimate, job, moment.wallMs);
-        job.formerWorkerIds.forEach(workerId => estimate.workerIds.add(workerId));
+        workerIds.forEach(workerId => estimate.workerIds.add(workerId));
     }
     state.possibleTeamUsage.clear();
     for (const [teamName, { tasks, fillersCpuMillicores, workerIds }] of estimates) {
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -236,7 +236,7 @@
                 }
                 state.unsavedJobs.delete(jobId);
                 if (job) {
-                    job.workerIdsInFlight = possibleWorkerIds(job);
+                    job.workerIdsInFlight = possibleWorkerIds(state, job);
                     taken.push({ jobId, version: job.version, progress: progressOf(job) });
                 }
             }
--- a/src/scheduling/suspectStarts.ts
+++ b/src/scheduling/suspectStarts.ts
@@ -25,20 +25,13 @@
     const progress = taskProgress(step, run.taskIndex);
     const { workerId, bornWallMs } = worker.entry;
     const recorded = progress.suspectStart;
-    const isOfAnotherIncarnation = recorded?.runId === run.runId && recorded.bornWallMs !== bornWallMs;
-    if (run.recordedVersion === undefined || isOfAnotherIncarnation) {
+    if (recorded?.runId !== run.runId || recorded.workerId !== workerId || recorded.bornWallMs !== bornWallMs) {
         progress.suspectStart = { runId: run.runId, workerId, bornWallMs };
         markChanged(state, job);
-        run.recordedVersion = job.version;
+        run.requiredVersion = job.version;
     }
 }
 
-/** Whether the store holds the start, or need not. */
-export function isSuspectStartPersisted(job: JobRecord, run: Run): boolean {
-    return run.suspicion !== suspicions.nextCrashMayBeLast ||
-        (run.recordedVersion !== undefined && run.recordedVersion <= job.persistedVersion);
-}
-
 function restoreStart(state: SchedulerState, job: JobRecord, step: StepRecord, taskIndex: number, moment: Moment): void {
     const start = step.tasks.get(taskIndex)?.suspectStart;
     const worker = start && state.workers.get(start.workerId);
--- a/src/scheduling/unresponsiveWorkers.ts
+++ b/src/scheduling/unresponsiveWorkers.ts
@@ -4,7 +4,7 @@
  * which tasks to wait for, and until when, and does not have to hold back all others.
  */
 import { ageAtLastContactMs } from "./crashSuspect.js";
-import { hasFailed, isFinalState, type StepRecord } from "./jobRecord.js";
+import { failedRunIdsOf, isFinalState, type StepRecord } from "./jobRecord.js";
 import { markRunsKnown } from "./knownRuns.js";
 import { allLeasesEndAtMs } from "./leases.js";
 import type { Moment } from "./reconcileListing.js";
@@ -132,7 +132,10 @@
         const task = parseTaskName(taskName);
         const step = task && findStep(state, task);
         const job = task && state.jobs.get(task.jobId);
-        if (!task || !step || !job || isFinalState(job.state) || step.done.has(task.taskIndex) || hasFailed(step, task.taskIndex, runId)) {
+        if (!task || !step || !job || isFinalState(job.state) || step.done.has(task.taskIndex)) {
+            return [];
+        }
+        if (failedRunIdsOf(step, task.taskIndex).includes(runId)) {
             return [];
         }
         const run: Run = {
--- a/src/scheduling/workerEnds.ts
+++ b/src/scheduling/workerEnds.ts
@@ -1,7 +1,6 @@
 /** What follows when a worker has ended or restarted, or its leases have ended: its runs are lost. */
 import { raiseToken } from "./commandToken.js";
 import { formerOwnersUnawareUntilMs, holdStrayLeases } from "./leases.js";
-import { holdBackAgain } from "./plannedStarts.js";
 import type { Moment } from "./reconcileListing.js";
 import { applyEnd, commandKinds, detachRun, runEnds, type SchedulerState } from "./schedulerState.js";
 import { crashSuspects, recordCrash } from "./workerCrashes.js";
@@ -71,7 +70,6 @@
     worker.isRunStateKnown = false;
     holdStrayLeases(worker, moment.nowMs, state.maxGrantedLeaseMs);
     holdFormerOwnersLeases(state, worker, moment.nowMs, moment);
-    holdBackAgain(state, worker.entry.workerId, moment.nowMs);
     worker.lastResponseAtMs = undefined;
     worker.fencedSinceMs = undefined;
     worker.lastContactAtMs = undefined;
--- a/src/scheduling/workerRecord.ts
+++ b/src/scheduling/workerRecord.ts
@@ -63,9 +63,7 @@
     startValidityMs: number;
     /** What the crashes under earlier runs of the task say about it. */
     suspicion: Suspicion;
-    /** Version of the job's progress that holds the start; only for tasks that the next crash may give up. */
-    recordedVersion: number | undefined;
-    /** Version of the job's progress that must be stored before the start is sent. */
+    /** Version of the job's progress to store before the start is sent, with earlier failures and what the next crash needs to be counted. */
     requiredVersion: number;
     /** The run as it was when the worker restarted, if that was after the start and the worker has not listed the run since. */
     suspectOfRestart: CrashSuspect | undefined;
@@ -150,7 +148,10 @@
     unexplainedRuns: CrashSuspect[];
     /** Time of the first response in this term: since then, the worker refuses commands of earlier owners. */
     fencedSinceMs: number | undefined;
-    /** Whether this incarnation has responded while the ownership was proven; it has forgotten which newer owners its former one knew. */
+    /**
+     * Whether this incarnation has responded while the ownership was proven. A worker forgets all tokens when it restarts, so one that
+     * has responded only since then may obey this process although a newer owner has contacted its previous incarnation.
+     */
     hasRespondedToProvenOwner: boolean;
     /** After this time, all listed runs on the worker have lost their leases, unless it responds in the meantime. */
     leaseEndsAtMs: number;
@@ -250,7 +251,6 @@
         startedAtMs: nowMs,
         startValidityMs,
         suspicion: needs.suspicion,
-        recordedVersion: undefined,
         requiredVersion: 0,
         suspectOfRestart: undefined,
         isPresumed: false,
--- a/tests/scheduling/schedulingModel.ts
+++ b/tests/scheduling/schedulingModel.ts
@@ -105,7 +105,7 @@
         if (faults.startsBeforeSaving) {
             const { state } = owner.scheduler;
             for (const job of state.jobs.values()) {
-                job.persistedWorkerIds = possibleWorkerIds(job);
+                job.persistedWorkerIds = possibleWorkerIds(state, job);
                 sendPersistedStarts(state, job, nowMs);
             }
         }
