Report closed links of peers as a met limit, and time them by the timer service

A gateway that closed a link because of large messages logged 3004, that it did not understand a message, without a bound on the lines. It is counted and logged as 7144 now, as on the platform. Links read the clock of the process instead of that of its timers.

--- a/src/connection/callRelay.ts
+++ b/src/connection/callRelay.ts
@@ -23,6 +23,7 @@
     /** Bytes of all messages that have not arrived whole and of all calls in progress; also of all results that were not taken. */
     maxPartialBytes: number;
     onPartialBytesExceeded(): void;
+    timers: TimerService;
 }
 
 /** Calls of other processes in progress; watches are most of them, three a process. */
@@ -48,6 +49,7 @@
         maxMessageBytes: maximumRelayFrameBytes,
         usedBytes: () => callBytesInProgress,
         onExceeded: options.onPartialBytesExceeded,
+        nowMs: options.timers.nowMs,
     });
     const listener = options.createServer((request, socket, head) =>
         server.handleUpgrade(request, socket, head, webSocket => {
--- a/src/connection/partialMessages.ts
+++ b/src/connection/partialMessages.ts
@@ -14,7 +14,7 @@
     /** Bytes of `maxBytes` that messages which have arrived whole take. */
     usedBytes(): number;
     onExceeded(): void;
-    nowMs?(): number;
+    nowMs(): number;
 }
 
 /** A message of more bytes is large. */
@@ -33,7 +33,7 @@
  * received for a link that is closed stays in memory until the next garbage collection. Of the small ones, the largest gives way.
  */
 export function limitPartialMessages(options: PartialMessagesOptions): PartialMessages {
-    const { maxBytes, maxMessageBytes, usedBytes, onExceeded, nowMs = () => performance.now() } = options;
+    const { maxBytes, maxMessageBytes, usedBytes, onExceeded, nowMs } = options;
     const partials = new Map<WebSocket, PartialMessage>();
     let smallTotalBytes = 0;
     let largeCount = 0;
--- a/src/daemons/gateway.ts
+++ b/src/daemons/gateway.ts
@@ -5,6 +5,7 @@
 import { delay } from "../common/timerService.js";
 import { closeServer, listenOn } from "../connection/listen.js";
 import type { BodyMemory } from "../listening/bodyMemory.js";
+import { clientLimits, createLimitReport } from "../listening/limitReport.js";
 import { createFleetWriter } from "../process/fleetWriter.js";
 import { createGatewayState, describeGateway, type GatewayState } from "../process/gatewayState.js";
 import { createKeyClaims } from "../process/keyClaims.js";
@@ -195,7 +196,8 @@
 /** Starts a gateway; resolves when it listens on all its addresses. */
 export async function startGateway(settings: GatewaySettings): Promise<Daemon> {
     const context = createProcessContext("gateway", settings);
-    const state = createGatewayState(context, settings);
+    const reportPeers = createLimitReport({ ...context, listener: "peers", nowMs: context.timers.nowMs });
+    const state = createGatewayState(context, settings, { onPartialBytesExceeded: () => reportPeers(clientLimits.bodyBytes) });
     const shutdownState: ShutdownState = { isLeaving: false, openRequestsCount: 0 };
     const listeners = createListeners(context, settings, state, shutdownState);
     const { callerAddress, adminAddress, peerAddress } = settings;
--- a/src/decisions/listenerLimits.ts
+++ b/src/decisions/listenerLimits.ts
@@ -64,7 +64,6 @@
 const usableHeapShare = 0.75;
 /** Hundreds of ordinary requests, however much the process itself holds. */
 const minHeldHeapShare = 0.05;
-
 /** A process that takes over the scheduling loads all jobs at once, and cannot measure before it has. */
 const maxHeldHeapShare = 0.15;
 
--- a/src/listening/limitedServer.ts
+++ b/src/listening/limitedServer.ts
@@ -33,9 +33,9 @@
     lastRequest: http.IncomingMessage | undefined;
     /** When the head of the last request was received, and the bytes before it; before the first one, those of the connection. */
     requestAtMs: number;
+    bytesBeforeRequest: number;
     /** What its requests hold of the heap. */
     heldBytes: number;
-    bytesBeforeRequest: number;
     /** Whether the connection speaks another protocol now. */
     isUpgraded: boolean;
     endSlicing(): void;
@@ -250,8 +250,8 @@
             ignoredCount: 0,
             lastRequest: undefined,
             requestAtMs: nowMs,
-            heldBytes: 0,
             bytesBeforeRequest: 0,
+            heldBytes: 0,
             isUpgraded: false,
             endSlicing: sliceInput(socket),
             isSurplus: connections.size >= limits.maxConnections,
--- a/src/process/gatewayState.ts
+++ b/src/process/gatewayState.ts
@@ -10,7 +10,7 @@
 import { createIdempotencyStore, type IdempotencyStore } from "./idempotencyStore.js";
 import { logEvents } from "./logEvents.js";
 import { createMembership, type Membership } from "./membership.js";
-import { createPeerManager, type PeerManager } from "./peerManager.js";
+import { createPeerManager, type PeerManager, type PeerManagerOptions } from "./peerManager.js";
 import type { ProcessContext } from "./processContext.js";
 import { createServerTable, type ServerTable } from "./serverTable.js";
 import { watchServers } from "./serverWatch.js";
@@ -37,7 +37,11 @@
 const maximumRefreshMs = 2_000;
 
 /** Creates the components. They follow the store, the VM list and the peers immediately, but register nothing yet. */
-export function createGatewayState(context: ProcessContext, settings: GatewaySettings): GatewayState {
+export function createGatewayState(
+    context: ProcessContext,
+    settings: GatewaySettings,
+    { onPartialBytesExceeded }: Pick<PeerManagerOptions, "onPartialBytesExceeded">,
+): GatewayState {
     const { memberId, timers, logger, metrics, signal } = context;
     const { availabilityZone } = settings;
     const configuration = createConfigurationManager(context);
@@ -84,6 +88,7 @@
         usage,
         signal,
         onBytes: (direction, bytes) => metrics.peerBytesTotal.inc({ direction }, bytes),
+        onPartialBytesExceeded,
     });
     const idempotencyStore = createIdempotencyStore({ ownerId: memberId, timers, signal });
     const acceptance = createAcceptanceChecker({ membership, vmList, allotments, configuration, timers });
--- a/src/process/peerManager.ts
+++ b/src/process/peerManager.ts
@@ -36,6 +36,8 @@
     usage: UsageTracker;
     signal: AbortSignal;
     onBytes(direction: "sent" | "received", bytes: number): void;
+    /** A peer was disconnected since too much of large messages is being received. */
+    onPartialBytesExceeded(): void;
 }
 
 const loadIntervalMs = 100;
@@ -65,7 +67,8 @@
         maxBytes: maxPartialBytes,
         maxMessageBytes: maximumFrameBytes,
         usedBytes: () => 0,
-        onExceeded: () => logger.log(logEvents.peerMessageRejected, { reason: "too much of large messages is being received" }),
+        onExceeded: options.onPartialBytesExceeded,
+        nowMs: timers.nowMs,
     });
     let lastLoad = "";
     let lastLoadMs = -Infinity;
--- a/tests/platform/mirrorCompleteness.spec.ts
+++ b/tests/platform/mirrorCompleteness.spec.ts
@@ -57,6 +57,7 @@
             port: 0,
             callDirectly: direct,
             isServed: () => true,
+            timers,
             signal: lifetime.signal,
             createServer: onUpgrade => server.on("upgrade", onUpgrade),
             maxPartialBytes: 10_000_000,
