Use one crowd of requests that arrive byte by byte, and keep the store's calls among the platform's tests

Two crowds did the same; the one with a pause stays, and goes on for 5 s where the other did. The stored jobs of a crowd's target use the default step. What the store is asked over a link moved to tests/platform.

--- a/tests/crowds/relay.spec.ts
+++ b/tests/crowds/relay.spec.ts
@@ -6,8 +6,9 @@
 import { afterEach, beforeEach, describe, it } from "node:test";
 import { createTimerService } from "../../src/common/timerService.js";
 import { openCallRelayLink } from "../../src/connection/callRelay.js";
-import { encodeRelayMessage, type RelayRequest } from "../../src/connection/callRelayMessages.js";
+import { encodeRelayMessage } from "../../src/connection/callRelayMessages.js";
 import { type PlatformCrowdTarget, startPlatformCrowdTarget } from "../platform/crowdTarget.js";
+import { readCall, rejectedWriteCall, type StoreCall, watchCall, writeCall } from "../platform/relayedStoreCalls.js";
 import { checkCrowd } from "./checkCrowd.js";
 import { arrayHead, arrayOfEmptyMaps, binaryFrame, openLinkCrowd } from "./linkCrowd.js";
 
@@ -18,17 +19,9 @@
 const storedBytes = 200_000;
 const timeoutMs = 10_000;
 
-const callFrame = (request: Omit<RelayRequest, "timeoutMs">): Buffer => binaryFrame(encodeRelayMessage({ ...request, timeoutMs }));
-const watchCalls = Array.from(
-    { length: 8 },
-    (_, callId) => callFrame({ callId, method: "GET", path: `/api/kv-watch?prefix=~&after=1000000&waitMs=${timeoutMs}`, body: undefined }),
-);
-const largeCall = callFrame({
-    callId: 100,
-    method: "POST",
-    path: "/api/kv-txn",
-    body: { expectedRev: [{ key: "~a", revision: 1 }], writes: [{ key: "~a", value: "x".repeat(largeBytes) }], deletes: [] },
-});
+const callFrame = (callId: number, call: StoreCall): Buffer => binaryFrame(encodeRelayMessage({ callId, ...call, timeoutMs }));
+const watchCalls = Array.from({ length: 8 }, (_, callId) => callFrame(callId, watchCall(timeoutMs)));
+const largeCall = callFrame(100, rejectedWriteCall("x".repeat(largeBytes)));
 
 describe("a listener for calls of other processes under hostile links", () => {
     let target: PlatformCrowdTarget;
@@ -56,15 +49,10 @@
     it("should outlive answers that are not read", async () => {
         const timers = createTimerService();
         const link = openCallRelayLink({ address: target.addresses.peers, timers, onClosed: () => undefined });
-        const write = { key: "~large", value: "x".repeat(storedBytes) };
-        const written = await link.call({
-            method: "POST",
-            path: "/api/kv-txn",
-            body: { expectedRev: [], writes: [write], deletes: [] },
-            timeoutMs,
-        });
+        const item = { key: "~large", value: "x".repeat(storedBytes) };
+        const written = await link.call({ ...writeCall(item), timeoutMs });
         assert.ok(written.hasResponse && written.response.status === 200, JSON.stringify(written));
-        const read = callFrame({ callId: 1, method: "GET", path: `/api/kv-key?key=${encodeURIComponent(write.key)}`, body: undefined });
+        const read = callFrame(1, readCall(item.key));
         await checkLinks(40, Array.from({ length: 60 }, () => read), 150);
         link.close();
     });
--- a/tests/crowds/slowSides.spec.ts
+++ b/tests/crowds/slowSides.spec.ts
@@ -13,7 +13,7 @@
 import { openCrowd, pipelinedRequests, unfinishedBody } from "./crowd.js";
 import { type FleetCrowdTarget, startFleetCrowdTarget, zone } from "./fleetTarget.js";
 import { binaryFrame, openLinkCrowd } from "./linkCrowd.js";
-import { openPacedCrowd } from "./pacedCrowd.js";
+import { openTricklingCrowd, type TricklingCrowdOptions } from "./tricklingCrowd.js";
 
 /** An idle process has some 100 MB. */
 const limits = { memoryMb: 180, maxFds: 4_100 };
@@ -25,6 +25,8 @@
 const openHead = (service: string): string => `POST /v1/services/${service}/a HTTP/1.1\r\nhost: a\r\nx-token: a\r\n`;
 const largeAnswerRequest = `GET /v1/services/${openService}/a HTTP/1.1\r\nhost: a\r\nx-token: a\r\nx-answer-bytes: 5000000\r\n\r\n`;
 const peerFrameBytes = 1_100_000;
+/** Goes on until the listener is full of such requests. */
+const byteByByte: Pick<TricklingCrowdOptions, "pauseMs" | "firstPiecesCount"> = { pauseMs: 40, firstPiecesCount: 125 };
 
 /** Accepts connections and reads nothing. */
 async function startServerThatDoesNotRead(): Promise<{ stop(): void }> {
@@ -114,34 +116,38 @@
         })]));
 
     it("should answer ordinary callers beside many bodies of known length that come byte by byte", () =>
-        checkCrowd(target.gateway, () => [openPacedCrowd({
+        checkCrowd(target.gateway, () => [openTricklingCrowd({
+            ...byteByByte,
             address: target.addresses.callers,
             connectionsCount: 700,
-            head: `${openHead(openService)}content-length: 60000\r\n\r\n`,
+            start: `${openHead(openService)}content-length: 60000\r\n\r\n`,
             piece: "x",
         })]));
 
     it("should answer ordinary callers beside many bodies in chunks that come byte by byte", () =>
-        checkCrowd(target.gateway, () => [openPacedCrowd({
+        checkCrowd(target.gateway, () => [openTricklingCrowd({
+            ...byteByByte,
             address: target.addresses.callers,
             connectionsCount: 700,
-            head: `${openHead(slowService)}transfer-encoding: chunked\r\n\r\n`,
+            start: `${openHead(slowService)}transfer-encoding: chunked\r\n\r\n`,
             piece: "1\r\nx\r\n",
         })]));
 
     it("should answer operators beside many bodies without a key that come byte by byte", () =>
-        checkCrowd({ ...target.gateway, isOrdinaryRequestAnswered: target.isOperatorAnswered }, () => [openPacedCrowd({
+        checkCrowd({ ...target.gateway, isOrdinaryRequestAnswered: target.isOperatorAnswered }, () => [openTricklingCrowd({
+            ...byteByByte,
             address: target.addresses.operators,
             connectionsCount: 200,
-            head: "PUT /admin/v1/configuration HTTP/1.1\r\nhost: a\r\ncontent-length: 60000\r\n\r\n",
+            start: "PUT /admin/v1/configuration HTTP/1.1\r\nhost: a\r\ncontent-length: 60000\r\n\r\n",
             piece: "x",
         })]));
 
     it("should answer a steward's probe beside many bodies that come byte by byte", () =>
-        checkCrowd(target.steward, () => [openPacedCrowd({
+        checkCrowd(target.steward, () => [openTricklingCrowd({
+            ...byteByByte,
             address: target.addresses.steward,
             connectionsCount: 1_200,
-            head: "POST /readyz HTTP/1.1\r\nhost: a\r\ncontent-length: 60000\r\n\r\n",
+            start: "POST /readyz HTTP/1.1\r\nhost: a\r\ncontent-length: 60000\r\n\r\n",
             piece: "x",
         })]));
 
--- a/tests/crowds/tricklingCrowd.ts
+++ b/tests/crowds/tricklingCrowd.ts
@@ -11,16 +11,18 @@
     /** Sent again and again, as long as the connection is open. */
     piece: string;
     pauseMs: number;
+    /** Pieces that each connection sends before the crowd counts as complete. */
+    firstPiecesCount?: number;
 }
 
-/** Pieces that each connection sends before the crowd counts as complete. */
-const firstPiecesCount = 20;
+const defaultFirstPiecesCount = 20;
 const openedAtOnceCount = 50;
 const openPauseMs = 10;
 const sleep = (durationMs: number): Promise<void> => new Promise(resolve => setTimeout(resolve, durationMs));
 
 /** Opens the connections and starts to send. */
-export function openTricklingCrowd({ address, connectionsCount, start, piece, pauseMs }: TricklingCrowdOptions): Crowd {
+export function openTricklingCrowd(options: TricklingCrowdOptions): Crowd {
+    const { address, connectionsCount, start, piece, pauseMs, firstPiecesCount = defaultFirstPiecesCount } = options;
     const [host, port] = address.split(":");
     const sockets: net.Socket[] = [];
     let isClosed = false;
--- a/tests/platform/crowdTarget.ts
+++ b/tests/platform/crowdTarget.ts
@@ -1,6 +1,7 @@
 /** A process of the platform build as the target of a crowd of hostile clients. */
 import { randomBytes } from "node:crypto";
 import { request } from "undici";
+import { defaultStep } from "../../harness/defaultStep.js";
 import { createSeededRandom } from "../../harness/random.js";
 import { waitUntil } from "../../harness/waitUntil.js";
 import { encodeSubmission, jobKeys } from "../../src/scheduling/jobDocuments.js";
@@ -44,24 +45,7 @@
         queueName: queueNames[0],
         teamName: undefined,
         payload: longestPayload,
-        steps: [{
-            taskCount: 1,
-            request: { cpuMillicores: 100, memoryMb: 1, accelerators: 0 },
-            estimatedDurationMs: 10,
-            dependsOn: [],
-            isGang: false,
-            isRackBound: false,
-            requiredLabel: undefined,
-            preferredRack: undefined,
-            maxTasksPerWorker: undefined,
-            isSpeculative: false,
-            isLongRunning: false,
-            savesProgress: false,
-            image: undefined,
-            latencyTargetMs: undefined,
-            isFiller: false,
-            maxUnavailable: undefined,
-        }],
+        steps: [defaultStep],
         repeat: { firstDueWallMs: submittedWallMs + dueInMs, intervalMs: dueInMs, count: 1 },
         submittedWallMs,
     };
