--- a/tests/scheduling/changedGrounds.spec.ts
+++ b/tests/scheduling/changedGrounds.spec.ts
@@ -5,7 +5,7 @@
 import { createSchedulerHarness, workerLeaseMs } from "./schedulerHarness.js";
 
 describe("a run of a task that is known to have ended as done elsewhere", () => {
-    it("should be stopped", () => {
+    it("should be stopped once that end is listed", () => {
         const owner = createSchedulerHarness({ workers: 2 });
         owner.list("w1", { sentAtMs: 0 });
         owner.submit("job", { taskCount: 1 });
--- a/tests/scheduling/unknownJobs.spec.ts
+++ b/tests/scheduling/unknownJobs.spec.ts
@@ -3,13 +3,12 @@
 import { describe, it } from "node:test";
 import { addStoredJob } from "../../src/process/addStoredJob.js";
 import { createJobDirectory } from "../../src/scheduling/jobDirectory.js";
-import { encodeSubmission } from "../../src/scheduling/jobDocuments.js";
-import { jobKeys } from "../../src/scheduling/jobDocuments.js";
+import { encodeSubmission, jobKeys } from "../../src/scheduling/jobDocuments.js";
 import { modelSubmission } from "./modelJob.js";
 import { createSchedulerHarness } from "./schedulerHarness.js";
 
 describe("an end of a task whose job's progress cannot be read", () => {
-    it("should not be acknowledged", () => {
+    it("should not be acknowledged while nothing of its job can be stored", () => {
         const owner = createSchedulerHarness({ workers: 1, token: 100 });
         const unreadable: string[] = [];
         const directory = createJobDirectory({ onUnreadable: key => unreadable.push(key) });
@@ -23,7 +22,7 @@
 });
 
 describe("a run of a cancelled job in a snapshot", () => {
-    it("should count toward its team's limit until it has ended", () => {
+    it("should count toward its team's limit under the next owner until it has ended", () => {
         const limit = { cpuMillicores: 1_000, memoryMb: 0, accelerators: 0 };
         const owner = createSchedulerHarness({ workers: 2, token: 100, teams: [{ name: "team", limit, weight: 1 }] });
         owner.submit("cancelled", { taskCount: 1, teamName: "team", formerWorkerIds: ["w1"] });
