Log why tasks wait beside free cores

Event 6107 told how many tasks wait and how many cores are free, not which of four causes it is: jobs held back for workers that are not known, planned starts that wait for a write, workers that may get no starts, or the window of starts. It now has all four, for each pool where they differ. The conditions under which a worker gets starts are named one by one for that (startObstacle); they are unchanged.

--- a/src/decisions/startWindow.ts
+++ b/src/decisions/startWindow.ts
@@ -11,6 +11,8 @@
      * owner's timers fire.
      */
     furtherStarts(unansweredStartsCount: number, latenessMs: number, nowMs: number): number;
+    /** How many starts may be without a response at present. */
+    size(): number;
 }
 
 /**
@@ -40,5 +42,6 @@
             }
             return Math.max(0, Math.floor(size) - unansweredStartsCount);
         },
+        size: () => Math.floor(size),
     };
 }
--- a/src/process/schedulingSummary.ts
+++ b/src/process/schedulingSummary.ts
@@ -2,7 +2,10 @@
 import type { TimerService } from "../common/timerService.js";
 import { jobLateness } from "../scheduling/jobLateness.js";
 import { isFinalState, readyStepsOf } from "../scheduling/jobRecord.js";
+import { unknownFormerWorkers } from "../scheduling/plannedStarts.js";
+import type { Moment } from "../scheduling/reconcileListing.js";
 import type { SchedulerState } from "../scheduling/schedulerState.js";
+import { findStartObstacle } from "../scheduling/startObstacle.js";
 import { expectedPathMs } from "../scheduling/taskDurations.js";
 import { freeResources } from "../scheduling/workerRoom.js";
 import { logEvents } from "./logEvents.js";
@@ -22,15 +25,33 @@
     freeCpuMillicores: number;
     capacityCpuMillicores: number;
     runsCount: number;
+    /** Planned starts that wait until the store holds what it must. */
+    plannedCount: number;
+    /** Workers that get no new runs, by the obstacle. */
+    obstacles: Map<string, number>;
     /** Waiting tasks by lateness class. */
     waitingCounts: [number, number, number];
+    /** Those of them that may not start because their job may run on workers whose runs are not known. */
+    heldBackCounts: [number, number, number];
 }
 
-function summarizePools(state: SchedulerState, wallMs: number): Map<string, PoolSummary> {
+function createPoolSummary(): PoolSummary {
+    return {
+        workersCount: 0,
+        freeCpuMillicores: 0,
+        capacityCpuMillicores: 0,
+        runsCount: 0,
+        plannedCount: 0,
+        obstacles: new Map(),
+        waitingCounts: [0, 0, 0],
+        heldBackCounts: [0, 0, 0],
+    };
+}
+
+function summarizePools(state: SchedulerState, { nowMs, wallMs }: Moment): Map<string, PoolSummary> {
     const pools = new Map<string, PoolSummary>();
     const poolOf = (poolName: string): PoolSummary => {
-        const known = pools.get(poolName) ??
-            { workersCount: 0, freeCpuMillicores: 0, capacityCpuMillicores: 0, runsCount: 0, waitingCounts: [0, 0, 0] };
+        const known = pools.get(poolName) ?? createPoolSummary();
         pools.set(poolName, known);
         return known;
     };
@@ -41,6 +62,16 @@
         pool.capacityCpuMillicores += entry.capacity.cpuMillicores;
         pool.freeCpuMillicores += Math.max(0, freeResources(worker).cpuMillicores);
         pool.runsCount += runs.size;
+        const obstacle = findStartObstacle(state, worker, nowMs);
+        if (obstacle !== undefined) {
+            pool.obstacles.set(obstacle, (pool.obstacles.get(obstacle) ?? 0) + 1);
+        }
+    }
+    for (const { workerId } of state.plannedRuns) {
+        const worker = state.workers.get(workerId);
+        if (worker) {
+            poolOf(worker.entry.poolName).plannedCount += 1;
+        }
     }
     for (const job of state.jobs.values()) {
         const queue = state.policy.queues.get(job.submission.queueName);
@@ -48,8 +79,11 @@
             continue;
         }
         const pool = poolOf(queue.poolName);
+        const isJobHeldBack = unknownFormerWorkers(state, job, nowMs).length > 0;
         for (const { occurrence, step } of readyStepsOf(job, wallMs)) {
-            pool.waitingCounts[jobLateness(job, occurrence, queue, expectedPathMs(state, job, step), wallMs)] += step.waiting.size;
+            const lateness = jobLateness(job, occurrence, queue, expectedPathMs(state, job, step), wallMs);
+            pool.waitingCounts[lateness] += step.waiting.size;
+            pool.heldBackCounts[lateness] += isJobHeldBack ? [...step.waiting].filter(task => !step.adopted.has(task)).length : 0;
         }
     }
     return pools;
@@ -73,9 +107,11 @@
 
 function formatPool(poolName: string, pool: PoolSummary): string {
     const [inTime, late, worthless] = pool.waitingCounts;
-    return `${poolName}: ${pool.workersCount} workers, ${pool.runsCount} runs, ` +
+    const obstacles = [...pool.obstacles].map(([obstacle, count]) => `${count} ${obstacle}`).join(", ");
+    return `${poolName}: ${pool.workersCount} workers (without new runs: ${obstacles || "none"}), ` +
+        `${pool.runsCount} runs, ${pool.plannedCount} of them planned, ` +
         `${Math.round(pool.freeCpuMillicores / 1000)} of ${Math.round(pool.capacityCpuMillicores / 1000)} cores free, ` +
-        `tasks waiting: ${inTime} in time, ${late} late, ${worthless} too late`;
+        `tasks waiting: ${inTime} in time, ${late} late, ${worthless} too late; held back: ${pool.heldBackCounts.join(", ")}`;
 }
 
 /** `latenessMs` tells how late this process runs its timers; `takeFigures` returns further figures since it was last called. */
@@ -92,6 +128,8 @@
     let cpuUsage = process.cpuUsage();
 
     const logSummary = (state: SchedulerState): void => {
+        const moment: Moment = { nowMs: timers.nowMs(), wallMs: timers.wallClockMs() };
+        const plannedAgesMs = [...state.plannedRuns].map(({ startedAtMs }) => moment.nowMs - startedAtMs);
         const used = process.cpuUsage(cpuUsage);
         logger.log(logEvents.schedulingSummarized, {
             periodMs: Math.round(timers.nowMs() - loggedAtMs),
@@ -103,8 +141,10 @@
             ...takeFigures(),
             jobsCount: state.jobs.size,
             unsavedJobsCount: state.unsavedJobs.size,
-            pools: [...summarizePools(state, timers.wallClockMs())].map(([name, pool]) => formatPool(name, pool)),
-            missingQueues: describeMissingQueues(state, timers.wallClockMs()),
+            isStoreWritable: state.isStoreWritable,
+            longestPlannedMs: Math.round(Math.max(0, ...plannedAgesMs)),
+            pools: [...summarizePools(state, moment)].map(([name, pool]) => formatPool(name, pool)),
+            missingQueues: describeMissingQueues(state, moment.wallMs),
         });
         passesCount = 0;
         passMs = 0;
--- a/src/process/workerSessions.ts
+++ b/src/process/workerSessions.ts
@@ -21,8 +21,8 @@
     onProgressSaved(): void;
     /** How many more starts may be planned, given those that are planned, those without a response and how late this process is. */
     maxFurtherStarts(plannedStartsCount: number): number;
-    /** Returns how many calls were made to workers since this was last asked. */
-    takeCallCounts(): WorkerCallCounts;
+    /** Returns how many calls were made to workers since this was last asked, and how many starts may be without a response. */
+    takeCallCounts(): WorkerCallCounts & { startWindowSize: number };
     /** Closes all sessions; must be called before `sync` is called with another scheduler. */
     close(): void;
 }
@@ -94,7 +94,7 @@
         onProgressSaved: () => sessions.forEach(({ session }) => session?.onProgressSaved()),
         maxFurtherStarts: plannedStartsCount =>
             startWindow.furtherStarts(plannedStartsCount + calls.openStartsCount(), options.latenessMs(), options.timers.nowMs()),
-        takeCallCounts: calls.take,
+        takeCallCounts: () => ({ ...calls.take(), startWindowSize: startWindow.size() }),
         close: () => {
             sessions.forEach(({ session }) => session?.close());
             sessions.clear();
--- a/src/scheduling/collectWaiting.ts
+++ b/src/scheduling/collectWaiting.ts
@@ -1,17 +1,15 @@
 /** Collects the steps that wait and may fit on a worker, by pool, for one pass. */
 import { isLargeNeed } from "../decisions/chooseReservations.js";
 import type { StepOrderInput } from "../decisions/orderSteps.js";
-import { mustWaitForAcknowledgement } from "./acknowledgedEnds.js";
 import { deadlineWallMs } from "./jobLateness.js";
 import { isFinalState, isStepReady, type JobRecord, type OccurrenceRecord, type StepRecord } from "./jobRecord.js";
 import { isServing, noResources, type QueuePolicy, reservedResources, type Resources, type StepSpec } from "./jobTypes.js";
-import { isFencedByNewerOwner, isHeldBack } from "./plannedStarts.js";
+import { isHeldBack } from "./plannedStarts.js";
 import { createPoolCandidates, type HeldRooms, type PoolCandidates } from "./poolCandidates.js";
 import type { Moment } from "./reconcileListing.js";
 import type { SchedulerState } from "./schedulerState.js";
-import { isStartPermitted } from "./startPermission.js";
+import { findStartObstacle, startObstacles } from "./startObstacle.js";
 import { expectedPathMs } from "./taskDurations.js";
-import { snapshotStates } from "./unresponsiveWorkers.js";
 import type { WorkerRecord } from "./workerRecord.js";
 
 export interface WaitingStep extends StepOrderInput {
@@ -40,16 +38,10 @@
     pool: PoolPass;
 }
 
-/** A worker gets no new runs once its last response is older than this; listings are answered within two seconds. */
-export const responseTimeoutMs = 2_500;
-
-/** Whether new runs may start on the worker now. */
+/** Whether new runs may start on the worker, now or once its ends are acknowledged. */
 export function isSchedulable(state: SchedulerState, worker: WorkerRecord, nowMs: number): boolean {
-    return worker.isRegistered && worker.isEntryCurrent && isFencedByNewerOwner(state, worker) &&
-        worker.snapshotState === snapshotStates.none &&
-        !worker.entry.isDraining && !worker.hasEnded && worker.hasListed && worker.doubtedAtMs === undefined &&
-        !worker.isCordoned && isStartPermitted(state.startPermission, worker, nowMs) &&
-        worker.avoidedUntilMs <= nowMs && worker.lastResponseAtMs !== undefined && nowMs - worker.lastResponseAtMs < responseTimeoutMs;
+    const obstacle = findStartObstacle(state, worker, nowMs);
+    return obstacle === undefined || obstacle === startObstacles.unacknowledged;
 }
 
 function createWaitingStep(
@@ -130,7 +122,7 @@
 export function schedulableWorkersByPool(state: SchedulerState, nowMs: number): Map<string, WorkerRecord[]> {
     const byPool = new Map<string, WorkerRecord[]>();
     for (const worker of state.workers.values()) {
-        if (!isSchedulable(state, worker, nowMs) || mustWaitForAcknowledgement(worker, nowMs)) {
+        if (findStartObstacle(state, worker, nowMs) !== undefined) {
             continue;
         }
         const workers = byPool.get(worker.entry.poolName);
--- a/src/scheduling/plannedStarts.ts
+++ b/src/scheduling/plannedStarts.ts
@@ -55,11 +55,6 @@
     return job.persistedWorkerIds.has(workerId) && (job.workerIdsInFlight?.has(workerId) ?? true);
 }
 
-/** Whether a newer owner would keep this process from starting a task on the worker that it starts too. */
-export function isFencedByNewerOwner(state: SchedulerState, worker: WorkerRecord): boolean {
-    return state.isOwnershipProven || worker.hasRespondedToProvenOwner;
-}
-
 function isPlanned(run: Run): boolean {
     return run.phase === runPhases.planned;
 }
--- a/tests/decisions/paceListings.spec.ts
+++ b/tests/decisions/paceListings.spec.ts
@@ -8,7 +8,7 @@
 import { createManualTimerService } from "../../src/common/timerService.js";
 import { listingPauseMs, listingWaitMs } from "../../src/decisions/paceListings.js";
 import { createLatenessMeter } from "../../src/process/latenessMeter.js";
-import { responseTimeoutMs } from "../../src/scheduling/collectWaiting.js";
+import { responseTimeoutMs } from "../../src/scheduling/startObstacle.js";
 
 const busyWorkersCount = 160;
 const idleWorkersCount = 220;
