Tell listings that show nothing new in the owner's summary

Of the listings after a change of the owner, event 6107 did not tell how many went to addresses that refuse the connection, which count as refused and not as unanswered, and how many returned only ends that wait for their write. It has disconnectedListingsCount and repeatedListingsCount now.

--- a/src/process/workerCallCounts.ts
+++ b/src/process/workerCallCounts.ts
@@ -1,11 +1,15 @@
 /** Counts the owner's calls to workers: in a surge these, and not its decisions, take most of its processor time. */
-import type { ConnectWorker } from "../connection/workerClient.js";
+import type { ConnectWorker, ListResponse } from "../connection/workerClient.js";
 import { type CommandOutcome, commandOutcomes } from "../scheduling/commandOutcomes.js";
 
 export interface WorkerCallCounts {
     startsCount: number;
     stopsCount: number;
     listingsCount: number;
+    /** Listings whose address refused the connection or ended it. */
+    disconnectedListingsCount: number;
+    /** Listings that returned at once with ends of which the owner knew all, since they were not acknowledged. */
+    repeatedListingsCount: number;
     /** Calls of any kind whose response did not arrive in time, or at all. */
     unansweredCount: number;
 }
@@ -19,7 +23,14 @@
 }
 
 function noCalls(): WorkerCallCounts {
-    return { startsCount: 0, stopsCount: 0, listingsCount: 0, unansweredCount: 0 };
+    return {
+        startsCount: 0,
+        stopsCount: 0,
+        listingsCount: 0,
+        disconnectedListingsCount: 0,
+        repeatedListingsCount: 0,
+        unansweredCount: 0,
+    };
 }
 
 export function countWorkerCalls(connectWorker: ConnectWorker): CountedWorkerCalls {
@@ -32,6 +43,15 @@
     return {
         connectWorker: entry => {
             const client = connectWorker(entry);
+            let lastEndNumber = 0;
+            const countListing = ({ isDisconnected, listing }: ListResponse): void => {
+                counts.disconnectedListingsCount += isDisconnected ? 1 : 0;
+                if (listing && listing.ended.length > 0) {
+                    const listedEndNumber = Math.max(...listing.ended.map(({ endNumber }) => endNumber));
+                    counts.repeatedListingsCount += listedEndNumber <= lastEndNumber ? 1 : 0;
+                    lastEndNumber = Math.max(lastEndNumber, listedEndNumber);
+                }
+            };
             return {
                 ...client,
                 start: async order => {
@@ -50,7 +70,9 @@
                 },
                 list: async order => {
                     counts.listingsCount += 1;
-                    return countAnswer(await client.list(order));
+                    const response = countAnswer(await client.list(order));
+                    countListing(response);
+                    return response;
                 },
             };
         },
