--- a/src/process/schedulingSummary.ts
+++ b/src/process/schedulingSummary.ts
@@ -58,9 +58,11 @@
     for (const worker of [...state.workers.values()].filter(each => !each.hasEnded)) {
         const { entry, runs, isRegistered } = worker;
         const pool = poolOf(entry.poolName);
-        pool.workersCount += isRegistered ? 1 : 0;
-        pool.capacityCpuMillicores += entry.capacity.cpuMillicores;
-        pool.freeCpuMillicores += Math.max(0, freeResources(worker).cpuMillicores);
+        if (isRegistered) {
+            pool.workersCount += 1;
+            pool.capacityCpuMillicores += entry.capacity.cpuMillicores;
+            pool.freeCpuMillicores += Math.max(0, freeResources(worker).cpuMillicores);
+        }
         pool.runsCount += runs.size;
         const obstacle = findStartObstacle(state, worker, nowMs);
         if (obstacle !== undefined) {
--- a/tests/process/endedWorkers.spec.ts
+++ b/tests/process/endedWorkers.spec.ts
@@ -68,7 +68,7 @@
         createSchedulingSummary(timers, logger, () => 0).start(new AbortController().signal, () => state);
         endIncarnation(state, state.workers.get("w1")!.entry, "its VM has moved", { nowMs: 0, wallMs: 0 });
         timers.advance(1_000);
-        assert.match(String(pools[0]), /: 1 workers, 0 runs, 16 of 16 cores free/);
+        assert.match(String(pools[0]), /: 1 workers \(without new runs: 1 not listed\), 0 runs, 0 of them planned, 16 of 16 cores free/);
     });
 
     it("should be asked again when they start under the same id", () => {
--- a/tests/process/schedulingSummary.spec.ts
+++ b/tests/process/schedulingSummary.spec.ts
@@ -41,4 +41,11 @@
         assert.match(pool!, /2 runs, 2 of them planned/);
         assert.match(pool!, /held back: 3, 0, 0$/);
     });
+
+    it("should not count the capacity of a worker without an entry as free", () => {
+        const harness = createSchedulerHarness({ workers: 2 });
+        harness.scheduler.unregisterWorker("w1");
+        const [pool] = summarize(harness)["pools"] as readonly string[];
+        assert.match(pool!, /: 1 workers .*, 16 of 16 cores free/);
+    });
 });
