List workers less and less often whose addresses refuse connections

Callers' jobs were late for seconds after a change of the owner in a surge, while nearly all cores were free. A new owner also asks the workers whose entries went within the last 10.4 s; in a surge these are many, since VMs move to the pool that surges.

The delay now doubles with each failure in a row, up to 0.5 s, and up to 2 s for workers without an entry, which get no starts. A worker whose entry returns is listed at once.

--- a/src/decisions/paceListings.ts
+++ b/src/decisions/paceListings.ts
@@ -6,10 +6,26 @@
  * A listing of an idle worker waits longer. After a listing with ended runs, the next one pauses longer the later the owner is, so
  * that it returns several ends at once; an owner that keeps up does not pause.
  *
+ * After a change of the owner, many workers cannot be listed at all: those of a zone that is cut off, and those that left while VMs moved to a surging
+ * pool and that the next owner has to ask all the same. An address that refuses connections answers at once, so it is tried less and less often.
+ *
  * A job whose last end is hidden by a listing without a response is late, and of jobs with many tasks, most are on such a worker if a few per cent
  * of the listings get none. So a worker with a run that should have ended is listed once more, the later the later the owner is.
  */
 
+/**
+ * Longest wait, after a listing with ends, until these are stored and the starts under way have responses. Until then a worker returns the same
+ * ends again at once; new ones are seen that much later while the store or the owner is slow.
+ */
+export const maxAcknowledgementWaitMs = 40;
+
+/** Delay before a worker that could not be listed is tried again; doubles with each failure in a row. */
+const firstRetryDelayMs = 100;
+/** A worker that comes back is found within this time beyond the timeout of a call; until then its free capacity and its ends are not known. */
+const maxRetryDelayMs = 500;
+/** A worker without an entry has left, or its leases end soon: it gets no starts when it comes back. */
+const maxUnregisteredRetryDelayMs = 2_000;
+
 /** How long a listing of a worker with runs waits for an end; each listing also extends the leases. */
 const busyWaitMs = 1_000;
 /** Well below the time after which a worker without a response gets no runs. */
@@ -41,3 +57,8 @@
 export function overdueEndAgeMs(estimatedDurationMs: number, latenessMs: number): number {
     return overdueFactor * estimatedDurationMs + overdueSlackMs + overdueLatenessFactor * latenessMs;
 }
+
+/** Returns how long to wait with the next listing of a worker after so many listings in a row that failed. */
+export function listingRetryDelayMs(failuresCount: number, isRegistered: boolean): number {
+    return Math.min(isRegistered ? maxRetryDelayMs : maxUnregisteredRetryDelayMs, firstRetryDelayMs * 2 ** Math.max(0, failuresCount - 1));
+}
--- a/src/process/listingPauses.ts
+++ b/src/process/listingPauses.ts
@@ -1,10 +1,14 @@
-/** Waits between two listings of a worker, so that the next one can acknowledge the ends that the last one returned. */
+/** Waits between two listings of a worker, so that the next one shows something that the last one did not. */
 import { delay, type TimerService } from "../common/timerService.js";
-import { listingPauseMs } from "../decisions/paceListings.js";
+import { listingPauseMs, listingRetryDelayMs, maxAcknowledgementWaitMs } from "../decisions/paceListings.js";
 
 export interface ListingPauses {
     /** Resolves when the next listing is due; the worker would return the ends of the last one again at once before. */
     afterListing(): Promise<void>;
+    /** Resolves when a worker that could not be listed is tried again, or at once when `onListed` is called. */
+    afterFailure(): Promise<void>;
+    /** Must be called when the worker has responded to a listing. */
+    onListed(): void;
     /** Must be called when progress was saved or a start got its response. */
     onChanged(): void;
 }
@@ -17,18 +21,19 @@
     hasUnsavedEnds(): boolean;
     /** Whether ends can be acknowledged only once the starts under way have responses. */
     isAcknowledgementHeldUp(): boolean;
+    /** Whether the store holds an entry of the worker. */
+    isRegistered(): boolean;
 }
 
-/** Longest wait for ended runs to be saved, and for the responses to starts: new ends are seen that much later. */
-const maxWaitMs = 40;
-
 export function createListingPauses({ timers, signal, ...options }: ListingPausesOptions): ListingPauses {
     let wake: (() => void) | undefined;
+    let wakeRetry: (() => void) | undefined;
+    let failuresCount = 0;
 
     const mayAcknowledge = (): boolean => !options.hasUnsavedEnds() && !options.isAcknowledgementHeldUp();
     const waitForAcknowledgement = async (): Promise<void> => {
         const isReady = new Promise<void>(resolve => wake = () => mayAcknowledge() && resolve());
-        await Promise.race([delay(timers, maxWaitMs, signal), isReady]);
+        await Promise.race([delay(timers, maxAcknowledgementWaitMs, signal), isReady]);
         wake = undefined;
     };
     return {
@@ -40,6 +45,16 @@
                 await (pauseMs > 0 ? Promise.all([ready, delay(timers, pauseMs, signal)]) : ready);
             }
         },
+        afterFailure: async () => {
+            failuresCount += 1;
+            const isListed = new Promise<void>(resolve => wakeRetry = resolve);
+            await Promise.race([delay(timers, listingRetryDelayMs(failuresCount, options.isRegistered()), signal), isListed]);
+            wakeRetry = undefined;
+        },
+        onListed: () => {
+            failuresCount = 0;
+            wakeRetry?.();
+        },
         onChanged: () => wake?.(),
     };
 }
--- a/src/process/workerSession.ts
+++ b/src/process/workerSession.ts
@@ -47,7 +47,8 @@
     latenessMs(): number;
 }
 
-const retryDelayMs = 100;
+/** How often a session that may send nothing looks whether it may again. */
+const permissionCheckMs = 100;
 
 export function createWorkerSession(options: WorkerSessionOptions): WorkerSession {
     const { workerId, bornWallMs, client, scheduler, timers } = options;
@@ -168,6 +169,9 @@
             const lastEndNumber = worker()?.lastEndNumber ?? 0;
             handleListResponse(answer, token, sentAtMs, extendedByMs);
             isListFailing = false;
+            if (answer.outcome === commandOutcomes.accepted) {
+                pauses.onListed();
+            }
             return { outcome: answer.outcome, hasNewEnds: (worker()?.lastEndNumber ?? 0) > lastEndNumber };
         }
         catch (error) {
@@ -181,6 +185,7 @@
         ...{ timers, signal, latenessMs: options.latenessMs },
         hasUnsavedEnds: () => (worker()?.unsavedEnds.length ?? 0) > 0,
         isAcknowledgementHeldUp: () => isConfirmed() && scheduler.isAcknowledgementHeldUp(workerId),
+        isRegistered: () => worker()?.isRegistered === true,
     });
     const poll = (): Promise<CommandOutcome> => {
         const abandoned = new Promise<CommandOutcome>(resolve => abandonPoll = () => resolve(commandOutcomes.accepted));
@@ -190,16 +195,11 @@
     const pollLoop = async (): Promise<void> => {
         while (!signal.aborted) {
             if (!maySendOrders()) {
-                await delay(timers, retryDelayMs, signal);
+                await delay(timers, permissionCheckMs, signal);
                 continue;
             }
             const outcome = await poll();
-            if (outcome !== commandOutcomes.accepted) {
-                await delay(timers, retryDelayMs, signal);
-            }
-            else {
-                await pauses.afterListing();
-            }
+            await (outcome === commandOutcomes.accepted ? pauses.afterListing() : pauses.afterFailure());
         }
     };
     void pollLoop();
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -28,6 +28,7 @@
 import { forgetSavedEnds, type Listing, type Moment } from "./reconcileListing.js";
 import { noRetainedPolicies, type RetainedPolicies } from "./retainedPolicies.js";
 import {
+    commandKinds,
     endJob,
     releaseHeldBack,
     type SchedulerCommand,
@@ -132,6 +133,10 @@
             }
             adoptIncarnation(state, worker, entry, moment);
             if (entry.bornWallMs >= worker.entry.bornWallMs) {
+                if (!worker.isRegistered) {
+                    // Without an entry it was tried seldom.
+                    state.commands.push({ kind: commandKinds.list, workerId: entry.workerId });
+                }
                 worker.entry = entry;
                 worker.isRegistered = true;
                 worker.isEntryCurrent = true;
