Wait for the store before listing a worker again with the same ends

A worker returns ends that are not acknowledged again at once. The owner listed it again after 40 ms although they were not stored or a start had no response, and so on while the store was silent or the owner late: 25 listings a second of each busy worker, which show nothing. The wait is up to 250 ms now and still ends as soon as the ends may be acknowledged; new ends are seen at most that much later.

--- a/src/decisions/paceListings.ts
+++ b/src/decisions/paceListings.ts
@@ -17,7 +17,7 @@
  * Longest wait, after a listing with ends, until these are stored and the starts under way have responses. Until then a worker returns the same
  * ends again at once; new ones are seen that much later while the store or the owner is slow.
  */
-export const maxAcknowledgementWaitMs = 40;
+export const maxAcknowledgementWaitMs = 250;
 
 /** Delay before a worker that could not be listed is tried again; doubles with each failure in a row. */
 const firstRetryDelayMs = 100;
