--- a/harness/simulatedOwner.ts
+++ b/harness/simulatedOwner.ts
@@ -71,6 +71,7 @@
     const startWindow = createStartWindow();
     const overdueEnds = createOverdueEnds();
     let unansweredStartsCount = 0;
+    const calls = { startsCount: 0, callsCount: 0 };
     let busyUntilMs = 0;
     let isPassDue = true;
     let lastPassAtMs = 0;
@@ -96,6 +97,7 @@
             return;
         }
         const sentAtMs = time.nowMs();
+        calls.callsCount += 1;
         if (options.isListingUnanswered?.()) {
             time.after(waitMs + listTimeoutMs, () => {
                 if (findWorker(workerId) && (answeredSentAtMs.get(workerId) ?? 0) <= sentAtMs) {
@@ -192,6 +194,8 @@
             const { run } = command;
             const durationMs = options.runDurationMs(run);
             unansweredStartsCount += 1;
+            calls.startsCount += 1;
+            calls.callsCount += 1;
             handle(() => {
                 time.after(linkMs, () => findWorker(run.workerId)?.start(run, durationMs));
                 time.after(2 * linkMs, () =>
@@ -218,7 +222,7 @@
         lastPassAtMs = time.nowMs();
         scheduler.setStoreWritable(!isStoreAway());
         const startsCount = unansweredStartsCount + scheduler.state.plannedRuns.size;
-        scheduler.step(moment(), startWindow.furtherStarts(startsCount, latenessMs(), time.nowMs()));
+        scheduler.step(moment(), startWindow.furtherStarts(startsCount, { latenessMs: latenessMs(), ...calls }, time.nowMs()));
         if (scheduler.hasPlannedStarts()) {
             flushProgress();
         }
--- a/src/process/workerCallCounts.ts
+++ b/src/process/workerCallCounts.ts
@@ -18,6 +18,8 @@
     connectWorker: ConnectWorker;
     /** Starts without a response so far. */
     openStartsCount(): number;
+    /** All starts and all calls, since the beginning. */
+    totals(): { startsCount: number; callsCount: number };
     /** Returns the counts since they were last taken. */
     take(): WorkerCallCounts;
 }
@@ -36,6 +38,7 @@
 export function countWorkerCalls(connectWorker: ConnectWorker): CountedWorkerCalls {
     let counts = noCalls();
     let openStartsCount = 0;
+    const totals = { startsCount: 0, callsCount: 0 };
     const countAnswer = <Response extends { outcome: CommandOutcome }>(response: Response): Response => {
         counts.unansweredCount += response.outcome === commandOutcomes.unknown ? 1 : 0;
         return response;
@@ -56,6 +59,8 @@
                 ...client,
                 start: async order => {
                     counts.startsCount += 1;
+                    totals.startsCount += 1;
+                    totals.callsCount += 1;
                     openStartsCount += 1;
                     try {
                         return countAnswer(await client.start(order));
@@ -66,10 +71,12 @@
                 },
                 stop: async order => {
                     counts.stopsCount += 1;
+                    totals.callsCount += 1;
                     return countAnswer(await client.stop(order));
                 },
                 list: async order => {
                     counts.listingsCount += 1;
+                    totals.callsCount += 1;
                     const response = countAnswer(await client.list(order));
                     countListing(response);
                     return response;
@@ -77,6 +84,7 @@
             };
         },
         openStartsCount: () => openStartsCount,
+        totals: () => ({ ...totals }),
         take: () => {
             const taken = counts;
             counts = noCalls();
--- a/src/process/workerSessions.ts
+++ b/src/process/workerSessions.ts
@@ -93,7 +93,11 @@
         execute,
         onProgressSaved: () => sessions.forEach(({ session }) => session?.onProgressSaved()),
         maxFurtherStarts: plannedStartsCount =>
-            startWindow.furtherStarts(plannedStartsCount + calls.openStartsCount(), options.latenessMs(), options.timers.nowMs()),
+            startWindow.furtherStarts(
+                plannedStartsCount + calls.openStartsCount(),
+                { latenessMs: options.latenessMs(), ...calls.totals() },
+                options.timers.nowMs(),
+            ),
         takeCallCounts: () => ({ ...calls.take(), startWindowSize: startWindow.size() }),
         close: () => {
             sessions.forEach(({ session }) => session?.close());
