Open the sessions of a new owner some at a time, where tasks wait first

A new owner opened all its sessions in one pass of 130 to 200 ms and sent all first listings at once, in the order of the entries; its first starts came after the responses to all of them. A command to a worker that has no session yet opens it.

takeoverPromises, which passed before, guards what later sessions would break: leases that lapse, stops that are dropped, jobs that wait. It fails with sessions 2 s late, with slots that wait for responses, without sessions for workers that have no entry, and with dropped commands.

--- a/src/process/schedulingService.ts
+++ b/src/process/schedulingService.ts
@@ -108,7 +108,9 @@
             void options.ownership().abandon("a worker's fencing tokens of the term are used up");
             return;
         }
-        sessions.sync(scheduler);
+        if (sessions.sync(scheduler)) {
+            scheduleStep();
+        }
         scheduler.setOwnershipProven(options.ownership().isLeaseValid());
         updateStartPermission(scheduler);
         scheduler.setStoreWritable(progressWriter.isHealthy());
--- a/src/process/workerSessions.ts
+++ b/src/process/workerSessions.ts
@@ -2,19 +2,21 @@
 import { describeError } from "../common/describeError.js";
 import type { ConnectWorker } from "../connection/workerClient.js";
 import { createStartWindow } from "../decisions/startWindow.js";
+import { orderFirstListings } from "../scheduling/firstListings.js";
 import { createOverdueEnds } from "../scheduling/overdueEnds.js";
 import type { Scheduler } from "../scheduling/scheduler.js";
 import { commandKinds } from "../scheduling/schedulerState.js";
-import type { WorkerEntry } from "../scheduling/workerRecord.js";
+import type { WorkerEntry, WorkerRecord } from "../scheduling/workerRecord.js";
 import { countWorkerCalls, type WorkerCallCounts } from "./workerCallCounts.js";
 import { createWorkerSession, type WorkerCommand, type WorkerSession, type WorkerSessionOptions } from "./workerSession.js";
 
 export interface WorkerSessions {
     /**
      * Opens and closes sessions so that there is one with the present incarnation of each worker of the scheduler that has not ended, at
-     * its current address, and lists workers again whose ends may be hidden by a listing without a response. Must be called often.
+     * its current address, and lists workers again whose ends may be hidden by a listing without a response. Must be called often. Returns
+     * whether more sessions are to be opened: a new owner of hundreds of workers opens some at a time, so that it can start tasks in between.
      */
-    sync(scheduler: Scheduler): void;
+    sync(scheduler: Scheduler): boolean;
     /** Sends the command, if there is a session with its worker. */
     execute(command: WorkerCommand): void;
     /** Must be called when progress was saved. */
@@ -35,12 +37,23 @@
 }
 
 const overdueCheckIntervalMs = 100;
+/** An owner opens these in some milliseconds. */
+const maxOpenedAtOnce = 32;
+/**
+ * The last session is opened this long after the first. Leases of a former owner that was silent for two seconds before the takeover have less than
+ * three left; a worker whose first two listings get no response needs more than two of them.
+ */
+const maxOpeningMs = 300;
 
 export function createWorkerSessions(options: WorkerSessionsOptions): WorkerSessions {
     const calls = countWorkerCalls(options.connectWorker);
     const startWindow = createStartWindow();
     const overdueEnds = createOverdueEnds();
     let overdueCheckedAtMs = Number.NEGATIVE_INFINITY;
+    /** The scheduler of the last `sync`. */
+    let followed: Scheduler | undefined;
+    /** Since when workers lack a session; `undefined` if none does. */
+    let openingSinceMs: number | undefined;
     /** The session is `undefined` if none could be opened; it is tried again at another address only. */
     const sessions = new Map<string, { address: string; bornWallMs: number; session: WorkerSession | undefined }>();
 
@@ -62,8 +75,18 @@
             return undefined;
         }
     };
-    const execute = (command: WorkerCommand): void =>
-        sessions.get("run" in command ? command.run.workerId : command.workerId)?.session?.execute(command);
+    const add = ({ entry }: WorkerRecord, scheduler: Scheduler): void => {
+        const { workerId, address, bornWallMs } = entry;
+        sessions.set(workerId, { address, bornWallMs, session: open(entry, scheduler) });
+    };
+    const execute = (command: WorkerCommand): void => {
+        const workerId = "run" in command ? command.run.workerId : command.workerId;
+        const worker = followed?.state.workers.get(workerId);
+        if (followed && worker && !worker.hasEnded && !sessions.has(workerId)) {
+            add(worker, followed);
+        }
+        sessions.get(workerId)?.session?.execute(command);
+    };
     const listOverdueWorkers = ({ state }: Scheduler): void => {
         const nowMs = options.timers.nowMs();
         if (nowMs - overdueCheckedAtMs >= overdueCheckIntervalMs) {
@@ -75,6 +98,7 @@
     return {
         sync: scheduler => {
             const { workers } = scheduler.state;
+            followed = scheduler;
             for (const [workerId, { address, bornWallMs, session }] of sessions) {
                 const worker = workers.get(workerId);
                 if (worker?.entry.address !== address || worker.entry.bornWallMs !== bornWallMs || worker.hasEnded) {
@@ -82,13 +106,15 @@
                     sessions.delete(workerId);
                 }
             }
-            for (const [workerId, { entry, hasEnded }] of workers) {
-                if (!sessions.has(workerId) && !hasEnded) {
-                    const { address, bornWallMs } = entry;
-                    sessions.set(workerId, { address, bornWallMs, session: open(entry, scheduler) });
-                }
-            }
+            const missing = [...workers.values()].filter(({ entry, hasEnded }) => !sessions.has(entry.workerId) && !hasEnded);
+            openingSinceMs = missing.length === 0 ? undefined : openingSinceMs ?? options.timers.nowMs();
+            const isAllDue = missing.length <= maxOpenedAtOnce || options.timers.nowMs() - openingSinceMs! >= maxOpeningMs;
+            const opened = isAllDue ?
+                missing :
+                orderFirstListings(scheduler.state, missing, options.timers.wallClockMs()).slice(0, maxOpenedAtOnce);
+            opened.forEach(worker => add(worker, scheduler));
             listOverdueWorkers(scheduler);
+            return !isAllDue;
         },
         execute,
         onProgressSaved: () => sessions.forEach(({ session }) => session?.onProgressSaved()),
@@ -102,6 +128,8 @@
         close: () => {
             sessions.forEach(({ session }) => session?.close());
             sessions.clear();
+            followed = undefined;
+            openingSinceMs = undefined;
         },
     };
 }
