--- a/src/scheduling/workerLifecycle.ts
+++ b/src/scheduling/workerLifecycle.ts
@@ -1,10 +1,9 @@
 /** Adds, drains and removes workers, and bounds how long their runs may keep their leases. */
-import { isFinalState } from "./jobRecord.js";
 import { markRunsKnown } from "./knownRuns.js";
 import { allLeasesEndAtMs } from "./leases.js";
 import { forgetWorker } from "./plannedStarts.js";
 import type { Moment } from "./reconcileListing.js";
-import { commandKinds, markChanged, type SchedulerState, stopRun } from "./schedulerState.js";
+import { commandKinds, type SchedulerState, stopRun } from "./schedulerState.js";
 import { snapshotStates } from "./unresponsiveWorkers.js";
 import { crashSuspects, recordCrash } from "./workerCrashes.js";
 import { holdFormerOwnersLeases, markLost, markRunsLost } from "./workerEnds.js";
@@ -69,15 +68,7 @@
     if (worker?.entry.bornWallMs !== bornWallMs) {
         return;
     }
-    const jobIds = new Set([...worker.runs.values()].map(({ jobId }) => jobId));
     markRunsLost(state, worker, reason, moment);
-    // Stored without this worker, so that a next owner does not wait for it.
-    jobIds.forEach(jobId => {
-        const job = state.jobs.get(jobId);
-        if (job && !isFinalState(job.state)) {
-            markChanged(state, job);
-        }
-    });
     worker.hasEnded = true;
     worker.unexplainedRuns = [];
     worker.unresponsiveSinceMs = undefined;
