Bound how late a worker that cannot be listed is found again, and repeat stops less often

Only a worker that refuses connections and is not known to run anything is tried so seldom; all others each 0.5 s. - A listing that was asked for, because its entry was back, did not end the wait under way if it failed. It ends the wait now. - A worker whose address was taken by another one was not asked, so that jobs waited for it. It is listed at once. - The pause after a listing with ends did not end when a listing showed what had become of the last start. The same cause elsewhere: stops were repeated each 100 ms for each run of a worker that cannot answer, and a wave listed such workers each 300 ms.

--- a/src/decisions/paceListings.ts
+++ b/src/decisions/paceListings.ts
@@ -23,8 +23,8 @@
 const firstRetryDelayMs = 100;
 /** A worker that comes back is found within this time beyond the timeout of a call; until then its free capacity and its ends are not known. */
 const maxRetryDelayMs = 500;
-/** A worker without an entry has left, or its leases end soon: it gets no starts when it comes back. */
-const maxUnregisteredRetryDelayMs = 2_000;
+/** A worker that refuses connections, has no entry and is not known to run anything has left: nothing waits for what it may tell. */
+const maxDepartedRetryDelayMs = 2_000;
 
 /** How long a listing of a worker with runs waits for an end; each listing also extends the leases. */
 const busyWaitMs = 1_000;
@@ -58,7 +58,7 @@
     return overdueFactor * estimatedDurationMs + overdueSlackMs + overdueLatenessFactor * latenessMs;
 }
 
-/** Returns how long to wait with the next listing of a worker after so many listings in a row that failed. */
-export function listingRetryDelayMs(failuresCount: number, isRegistered: boolean): number {
-    return Math.min(isRegistered ? maxRetryDelayMs : maxUnregisteredRetryDelayMs, firstRetryDelayMs * 2 ** Math.max(0, failuresCount - 1));
+/** Returns how long to wait before a call to a worker is repeated after so many in a row that failed. */
+export function retryDelayMs(failuresCount: number, hasDeparted = false): number {
+    return Math.min(hasDeparted ? maxDepartedRetryDelayMs : maxRetryDelayMs, firstRetryDelayMs * 2 ** Math.max(0, failuresCount - 1));
 }
--- a/src/process/listingPauses.ts
+++ b/src/process/listingPauses.ts
@@ -1,12 +1,14 @@
 /** Waits between two listings of a worker, so that the next one shows something that the last one did not. */
 import { delay, type TimerService } from "../common/timerService.js";
-import { listingPauseMs, listingRetryDelayMs, maxAcknowledgementWaitMs } from "../decisions/paceListings.js";
+import { listingPauseMs, maxAcknowledgementWaitMs, retryDelayMs } from "../decisions/paceListings.js";
 
 export interface ListingPauses {
     /** Resolves when the next listing is due; the worker would return the ends of the last one again at once before. */
     afterListing(): Promise<void>;
-    /** Resolves when a worker that could not be listed is tried again, or at once when `onListed` is called. */
-    afterFailure(): Promise<void>;
+    /** Resolves when a worker that could not be listed is tried again; `isRefused`: its address refused the connection. */
+    afterFailure(isRefused: boolean): Promise<void>;
+    /** Ends the wait after a failure; `false` if none is under way. */
+    retry(): boolean;
     /** Must be called when the worker has responded to a listing. */
     onListed(): void;
     /** Must be called when progress was saved or a start got its response. */
@@ -21,8 +23,8 @@
     hasUnsavedEnds(): boolean;
     /** Whether ends can be acknowledged only once the starts under way have responses. */
     isAcknowledgementHeldUp(): boolean;
-    /** Whether the store holds an entry of the worker. */
-    isRegistered(): boolean;
+    /** Whether the worker has no entry and is not known to run anything. */
+    hasDeparted(): boolean;
 }
 
 export function createListingPauses({ timers, signal, ...options }: ListingPausesOptions): ListingPauses {
@@ -30,6 +32,12 @@
     let wakeRetry: (() => void) | undefined;
     let failuresCount = 0;
 
+    const retry = (): boolean => {
+        failuresCount = 0;
+        const isWaiting = wakeRetry !== undefined;
+        wakeRetry?.();
+        return isWaiting;
+    };
     const mayAcknowledge = (): boolean => !options.hasUnsavedEnds() && !options.isAcknowledgementHeldUp();
     const waitForAcknowledgement = async (): Promise<void> => {
         const isReady = new Promise<void>(resolve => wake = () => mayAcknowledge() && resolve());
@@ -45,15 +53,16 @@
                 await (pauseMs > 0 ? Promise.all([ready, delay(timers, pauseMs, signal)]) : ready);
             }
         },
-        afterFailure: async () => {
+        afterFailure: async isRefused => {
             failuresCount += 1;
-            const isListed = new Promise<void>(resolve => wakeRetry = resolve);
-            await Promise.race([delay(timers, listingRetryDelayMs(failuresCount, options.isRegistered()), signal), isListed]);
+            const isWoken = new Promise<void>(resolve => wakeRetry = resolve);
+            await Promise.race([delay(timers, retryDelayMs(failuresCount, isRefused && options.hasDeparted()), signal), isWoken]);
             wakeRetry = undefined;
         },
+        retry,
         onListed: () => {
-            failuresCount = 0;
-            wakeRetry?.();
+            retry();
+            wake?.();
         },
         onChanged: () => wake?.(),
     };
--- a/src/process/vmManager.ts
+++ b/src/process/vmManager.ts
@@ -88,9 +88,9 @@
     const listWorkersWithUnreadyTasks = (scheduler: Scheduler): void => {
         if (timers.nowMs() - unreadyListedAtMs >= unreadyListIntervalMs) {
             unreadyListedAtMs = timers.nowMs();
-            workersWithUnreadyTasks(scheduler.state).forEach(workerId =>
-                scheduler.state.commands.push({ kind: commandKinds.list, workerId })
-            );
+            workersWithUnreadyTasks(scheduler.state)
+                .filter(workerId => scheduler.state.workers.get(workerId)?.unresponsiveSinceMs === undefined)
+                .forEach(workerId => scheduler.state.commands.push({ kind: commandKinds.list, workerId }));
         }
     };
 
--- a/src/process/workerSession.ts
+++ b/src/process/workerSession.ts
@@ -185,7 +185,7 @@
         ...{ timers, signal, latenessMs: options.latenessMs },
         hasUnsavedEnds: () => (worker()?.unsavedEnds.length ?? 0) > 0,
         isAcknowledgementHeldUp: () => isConfirmed() && scheduler.isAcknowledgementHeldUp(workerId),
-        isRegistered: () => worker()?.isRegistered === true,
+        hasDeparted: () => worker()?.isRegistered === false && worker()?.runs.size === 0,
     });
     const poll = (): Promise<CommandOutcome> => {
         const abandoned = new Promise<CommandOutcome>(resolve => abandonPoll = () => resolve(commandOutcomes.accepted));
@@ -199,7 +199,9 @@
                 continue;
             }
             const outcome = await poll();
-            await (outcome === commandOutcomes.accepted ? pauses.afterListing() : pauses.afterFailure());
+            await (outcome === commandOutcomes.accepted ?
+                pauses.afterListing() :
+                pauses.afterFailure(outcome === commandOutcomes.refused));
         }
     };
     void pollLoop();
@@ -214,6 +216,7 @@
         if (clockMs === undefined || !mayStart()) {
             const reason = clockMs === undefined ? "the worker's clock is unknown" : "this process may no longer send the start";
             scheduler.startResponseReceived(targetRun, commandOutcomes.refused, reason, moment());
+            pauses.onChanged();
             return;
         }
         const token = scheduler.takeStartToken(workerId);
@@ -258,7 +261,7 @@
     };
     const stops = createWorkerStops({ ...options, signal, isCurrent, isCurrentToken, currentOutcome, unconfirm });
     const listImmediately = async (): Promise<void> => {
-        if (!isImmediateListOpen && maySendOrders()) {
+        if (!isImmediateListOpen && maySendOrders() && !pauses.retry()) {
             isImmediateListOpen = true;
             const { hasNewEnds } = await list(0);
             isImmediateListOpen = false;
--- a/src/process/workerStops.ts
+++ b/src/process/workerStops.ts
@@ -1,8 +1,10 @@
 /** Sends the stops of a session with a worker; those that are not accepted are repeated. */
 import { delay } from "../common/timerService.js";
+import { retryDelayMs } from "../decisions/paceListings.js";
 import { type CommandOutcome, commandOutcomes } from "../scheduling/commandOutcomes.js";
 import type { Moment } from "../scheduling/reconcileListing.js";
 import type { SchedulerCommand } from "../scheduling/schedulerState.js";
+import type { Run } from "../scheduling/workerRecord.js";
 import type { WorkerSessionOptions } from "./workerSession.js";
 
 type StopCommand = Extract<SchedulerCommand, { kind: "stop" }>;
@@ -26,7 +28,6 @@
     unconfirm(): void;
 }
 
-const retryDelayMs = 100;
 /**
  * Further stops wait: more than the worker answers within a call's timeout would time out unsent and be repeated, and each takes memory.
  */
@@ -35,6 +36,7 @@
 export function createWorkerStops(options: WorkerStopsOptions): WorkerStops {
     const { workerId, client, scheduler, timers, signal } = options;
     let openCount = 0;
+    const failuresCounts = new WeakMap<Run, number>();
     const waiting = new Set<StopCommand>();
 
     const moment = (): Moment => ({ nowMs: timers.nowMs(), wallMs: timers.wallClockMs() });
@@ -58,7 +60,9 @@
             scheduler.workerReplaced(workerId, moment());
         }
         if (outcome !== commandOutcomes.accepted) {
-            await delay(timers, retryDelayMs, signal);
+            const failuresCount = (failuresCounts.get(targetRun) ?? 0) + 1;
+            failuresCounts.set(targetRun, failuresCount);
+            await delay(timers, retryDelayMs(failuresCount), signal);
             scheduler.setOwnershipProven(options.isLeaseValid());
         }
         scheduler.stopResponseReceived(targetRun, outcome, moment());
--- a/src/scheduling/workerLifecycle.ts
+++ b/src/scheduling/workerLifecycle.ts
@@ -33,6 +33,8 @@
     for (const other of state.workers.values()) {
         if (other !== worker && other.entry.address === entry.address && entry.bornWallMs > other.entry.bornWallMs) {
             other.addressTakenAtMs ??= moment.nowMs;
+            // The response shows that the former worker is gone.
+            state.commands.push({ kind: commandKinds.list, workerId: other.entry.workerId });
         }
     }
     return worker;
--- a/tests/decisions/paceListings.spec.ts
+++ b/tests/decisions/paceListings.spec.ts
@@ -6,7 +6,7 @@
 import { describe, it } from "node:test";
 import { createSeededRandom, type SeededRandom } from "../../harness/random.js";
 import { createManualTimerService } from "../../src/common/timerService.js";
-import { listingPauseMs, listingWaitMs } from "../../src/decisions/paceListings.js";
+import { listingPauseMs, listingWaitMs, retryDelayMs } from "../../src/decisions/paceListings.js";
 import { createLatenessMeter } from "../../src/process/latenessMeter.js";
 import { responseTimeoutMs } from "../../src/scheduling/startObstacle.js";
 
@@ -119,6 +119,13 @@
         });
     }
 
+    it("should be repeated within half a second if they fail, or within two if the worker has left", () => {
+        const delaysMs = (hasDeparted: boolean): number[] =>
+            Array.from({ length: 100 }, (_, index) => retryDelayMs(index + 1, hasDeparted));
+        assert.ok(Math.max(...delaysMs(false)) <= 500 && Math.max(...delaysMs(true)) <= 2_000);
+        assert.equal(delaysMs(true)[0], delaysMs(false)[0], "a single failure says nothing of a worker");
+    });
+
     it("should be answered before a worker gets no more runs, also if the answer takes half a second", () => {
         assert.ok(Math.max(listingWaitMs(0), listingWaitMs(1)) + 500 < responseTimeoutMs);
     });
--- a/tests/process/repeatedListings.spec.ts
+++ b/tests/process/repeatedListings.spec.ts
@@ -174,6 +174,8 @@
     });
 
     it("should not list a worker again and again whose address refuses connections", async context => {
-        assertCount(context, await playListings(context, { endsAtMs: [], isRefusing: true }), maxCountUnstored);
+        const listings = await playListings(context, { endsAtMs: [], isRefusing: true });
+        assertCount(context, listings, maxCountUnstored);
+        assert.ok(listings.count >= durationMs / 600, "it is tried each half a second in the end");
     });
 });
