Spread the opening of sessions by time, not by passes

A late owner has few passes, and opened what was left after 300 ms in one: 283 of 443 sessions with passes 60 ms apart, 187 with 40 ms (openedSessions, failed before). Each pass now opens the part that its time has in the 300 ms.

--- a/src/process/workerSessions.ts
+++ b/src/process/workerSessions.ts
@@ -1,6 +1,7 @@
 /** The owner's sessions with all workers of its scheduler. */
 import { describeError } from "../common/describeError.js";
 import type { ConnectWorker } from "../connection/workerClient.js";
+import { createOpeningSchedule } from "../decisions/paceOpening.js";
 import { createStartWindow } from "../decisions/startWindow.js";
 import { orderFirstListings } from "../scheduling/firstListings.js";
 import { createOverdueEnds } from "../scheduling/overdueEnds.js";
@@ -37,13 +38,8 @@
 }
 
 const overdueCheckIntervalMs = 100;
-/** An owner opens these in some milliseconds. */
+/** An owner opens these in some milliseconds, so they need not be spread. */
 const maxOpenedAtOnce = 32;
-/**
- * The last session is opened this long after the first. Leases of a former owner that was silent for two seconds before the takeover have less than
- * three left; a worker whose first two listings get no response needs more than two of them.
- */
-const maxOpeningMs = 300;
 
 export function createWorkerSessions(options: WorkerSessionsOptions): WorkerSessions {
     const calls = countWorkerCalls(options.connectWorker);
@@ -52,8 +48,7 @@
     let overdueCheckedAtMs = Number.NEGATIVE_INFINITY;
     /** The scheduler of the last `sync`. */
     let followed: Scheduler | undefined;
-    /** Since when workers lack a session; `undefined` if none does. */
-    let openingSinceMs: number | undefined;
+    const opening = createOpeningSchedule();
     /** The session is `undefined` if none could be opened; it is tried again at another address only. */
     const sessions = new Map<string, { address: string; bornWallMs: number; session: WorkerSession | undefined }>();
 
@@ -107,14 +102,13 @@
                 }
             }
             const missing = [...workers.values()].filter(({ entry, hasEnded }) => !sessions.has(entry.workerId) && !hasEnded);
-            openingSinceMs = missing.length === 0 ? undefined : openingSinceMs ?? options.timers.nowMs();
-            const isAllDue = missing.length <= maxOpenedAtOnce || options.timers.nowMs() - openingSinceMs! >= maxOpeningMs;
-            const opened = isAllDue ?
+            const dueCount = Math.max(maxOpenedAtOnce, opening.dueCount(missing.length, options.timers.nowMs()));
+            const due = missing.length <= dueCount ?
                 missing :
-                orderFirstListings(scheduler.state, missing, options.timers.wallClockMs()).slice(0, maxOpenedAtOnce);
-            opened.forEach(worker => add(worker, scheduler));
+                orderFirstListings(scheduler.state, missing, options.timers.wallClockMs()).slice(0, dueCount);
+            due.forEach(worker => add(worker, scheduler));
             listOverdueWorkers(scheduler);
-            return !isAllDue;
+            return due.length < missing.length;
         },
         execute,
         onProgressSaved: () => sessions.forEach(({ session }) => session?.onProgressSaved()),
@@ -129,7 +123,6 @@
             sessions.forEach(({ session }) => session?.close());
             sessions.clear();
             followed = undefined;
-            openingSinceMs = undefined;
         },
     };
 }
--- a/src/scheduling/firstListings.ts
+++ b/src/scheduling/firstListings.ts
@@ -7,7 +7,7 @@
 interface Needs {
     /** Tasks that could start on any worker of the pool. */
     byPool: Map<string, number>;
-    /** Jobs that start nothing before the worker is known. */
+    /** Tasks of jobs that start nothing before the worker is known. */
     byWorker: Map<string, number>;
 }
 
@@ -22,11 +22,12 @@
         if (poolName === undefined || isFinalState(job.state)) {
             continue;
         }
+        const waitingCount = readyStepsOf(job, wallMs).reduce((sum, { step }) => sum + step.waiting.size, 0);
         if (job.formerWorkerIds.size > 0) {
-            job.formerWorkerIds.forEach(workerId => add(needs.byWorker, workerId, 1));
+            job.formerWorkerIds.forEach(workerId => add(needs.byWorker, workerId, waitingCount));
         }
         else {
-            add(needs.byPool, poolName, readyStepsOf(job, wallMs).reduce((sum, { step }) => sum + step.waiting.size, 0));
+            add(needs.byPool, poolName, waitingCount);
         }
     }
     return needs;
