Spread the starts of a late owner over more workers

A worker has two connections for starts. A late owner reads one response a turn from each, and filled a worker before the next: of 14 starts within 10 ms, those at the end waited in the owner's own queue until they timed out after 500 ms. A worker now gets no more unanswered starts than its connections carry in half of that time, and a sixteenth of the window. The specs of startWindow and limitedStarts failed before, as there was no such limit.

--- a/harness/simulatedOwner.ts
+++ b/harness/simulatedOwner.ts
@@ -222,7 +222,11 @@
         lastPassAtMs = time.nowMs();
         scheduler.setStoreWritable(!isStoreAway());
         const startsCount = unansweredStartsCount + scheduler.state.plannedRuns.size;
-        scheduler.step(moment(), startWindow.furtherStarts(startsCount, { latenessMs: latenessMs(), ...calls }, time.nowMs()));
+        scheduler.step(
+            moment(),
+            startWindow.furtherStarts(startsCount, { latenessMs: latenessMs(), ...calls }, time.nowMs()),
+            startWindow.startsPerWorker(latenessMs()),
+        );
         if (scheduler.hasPlannedStarts()) {
             flushProgress();
         }
--- a/src/decisions/startWindow.ts
+++ b/src/decisions/startWindow.ts
@@ -17,6 +17,8 @@
 export interface StartWindow {
     /** Returns how many more starts may be sent or planned, given those without a response and planned ones. */
     furtherStarts(unansweredStartsCount: number, load: OwnerLoad, nowMs: number): number;
+    /** Returns how many starts of one worker may be planned or without a response; a late owner spreads them over more workers. */
+    startsPerWorker(latenessMs: number): number;
     /** How many starts may be without a response at present. */
     size(): number;
 }
@@ -26,6 +28,15 @@
  * that callers allow beyond the work of their jobs.
  */
 export const toleratedLatenessMs = 60;
+/**
+ * A worker gets no further starts while so many have no response. More than it answers within the time for which a start is valid would
+ * only expire and be planned again, and each that waits takes memory.
+ */
+export const maxUnansweredStarts = 64;
+/** Starts to a worker that are on the way at a time; further ones wait in the connections' queue, for a turn of a late owner each. */
+export const concurrentStarts = 2;
+/** No worker gets a larger part of the window. */
+const maxPartPerWorker = 1 / 16;
 const initialSize = 64;
 const minSize = 4;
 const maxSize = 2_000;
@@ -59,6 +70,10 @@
             }
             return Math.max(0, Math.floor(size) - unansweredStartsCount);
         },
+        startsPerWorker: latenessMs => {
+            const answeredInTime = concurrentStarts * maxLatenessMs / Math.max(1, latenessMs);
+            return Math.max(concurrentStarts, Math.floor(Math.min(maxUnansweredStarts, size * maxPartPerWorker, answeredInTime)));
+        },
         size: () => Math.floor(size),
     };
 }
--- a/src/process/schedulingService.ts
+++ b/src/process/schedulingService.ts
@@ -115,7 +115,7 @@
         updateStartPermission(scheduler);
         scheduler.setStoreWritable(progressWriter.isHealthy());
         if (maySendOrders()) {
-            scheduler.step(moment(), sessions.maxFurtherStarts(scheduler.state.plannedRuns.size));
+            scheduler.step(moment(), sessions.maxFurtherStarts(scheduler.state.plannedRuns.size), sessions.maxStartsPerWorker());
         }
         if (scheduler.hasPlannedStarts()) {
             progressWriter.flush();
--- a/src/process/workerSessions.ts
+++ b/src/process/workerSessions.ts
@@ -24,6 +24,8 @@
     onProgressSaved(): void;
     /** How many more starts may be planned, given those that are planned, those without a response and how late this process is. */
     maxFurtherStarts(plannedStartsCount: number): number;
+    /** How many starts of one worker may be planned or without a response. */
+    maxStartsPerWorker(): number;
     /** Returns how many calls were made to workers since this was last asked, and how many starts may be without a response. */
     takeCallCounts(): WorkerCallCounts & { startWindowSize: number };
     /** Closes all sessions; must be called before `sync` is called with another scheduler. */
@@ -118,6 +120,7 @@
                 { latenessMs: options.latenessMs(), ...calls.totals() },
                 options.timers.nowMs(),
             ),
+        maxStartsPerWorker: () => startWindow.startsPerWorker(options.latenessMs()),
         takeCallCounts: () => ({ ...calls.take(), startWindowSize: startWindow.size() }),
         close: () => {
             sessions.forEach(({ session }) => session?.close());
--- a/src/scheduling/dispatchWaitingTasks.ts
+++ b/src/scheduling/dispatchWaitingTasks.ts
@@ -7,7 +7,7 @@
 import { countCrashes, failedRunIdsOf, type StepRecord } from "./jobRecord.js";
 import { reservedResources, type Resources } from "./jobTypes.js";
 import { cancelStaleStarts, sendPersistedStarts } from "./plannedStarts.js";
-import { type Candidate, hasRoom, type HeldRooms, maxUnansweredStarts, noHeldRooms } from "./poolCandidates.js";
+import { type Candidate, hasRoom, type HeldRooms, noHeldRooms } from "./poolCandidates.js";
 import { dropUnusedReservations, updateReservations } from "./poolReservations.js";
 import { updatePossibleTeamUsage } from "./possibleTeamUsage.js";
 import type { Moment } from "./reconcileListing.js";
@@ -49,7 +49,7 @@
 
 /** Whether a task of the step, which reserves the needed resources, can start on the candidate. */
 export function canRun(state: SchedulerState, candidate: Candidate, { spec }: StepRecord, needed: Resources, history: RunHistory): boolean {
-    return hasRoom(candidate, needed) && (spec.isGang || candidate.unansweredStartsCount < maxUnansweredStarts) &&
+    return hasRoom(candidate, needed) && (spec.isGang || candidate.unansweredStartsCount < state.maxStartsPerWorker) &&
         mayStartBeside(candidate.suspects, history.suspicion, history.gangRunId) &&
         (state.isStoreWritable || (candidate.isStartRecorded && !needsWrite(history))) &&
         (spec.requiredLabel === undefined || candidate.worker.entry.labels.includes(spec.requiredLabel)) &&
--- a/src/scheduling/initialState.ts
+++ b/src/scheduling/initialState.ts
@@ -1,5 +1,6 @@
 /** The state of a scheduler when its term begins. */
 import { createDurationLearner } from "../decisions/learnDurations.js";
+import { maxUnansweredStarts } from "../decisions/startWindow.js";
 import type { SchedulingPolicy } from "./jobTypes.js";
 import { maxLeaseMs, startValidityMs } from "./leases.js";
 import { createReservationState } from "./reservationState.js";
@@ -44,6 +45,7 @@
         taskStopMs: options.taskStopMs,
         features: options.features ?? noSchedulingFeatures,
         startPermission: unlimitedStarts,
+        maxStartsPerWorker: maxUnansweredStarts,
         reservations: createReservationState(),
         durations: createDurationLearner(),
         isOwnershipProven: true,
--- a/src/scheduling/poolCandidates.ts
+++ b/src/scheduling/poolCandidates.ts
@@ -16,7 +16,7 @@
     /** Runs on the worker that would be suspected again if it crashed now. */
     suspects: readonly Run[];
     freeAccelerators: number;
-    /** Starts on the worker that were planned or sent and have no response; at most the number of its runs while that is small. */
+    /** Starts on the worker that were planned or sent and have no response. */
     unansweredStartsCount: number;
 }
 
@@ -44,16 +44,7 @@
 /** Needs that fitted nowhere are kept up to this number; further ones are looked for again. */
 const maxMisfits = 16;
 
-/**
- * A worker gets no further starts while so many have no response. More than it answers within the time for which a start is valid would
- * only expire and be planned again, and each that waits takes memory.
- */
-export const maxUnansweredStarts = 64;
-
 function countUnansweredStarts({ runs }: WorkerRecord): number {
-    if (runs.size < maxUnansweredStarts) {
-        return runs.size;
-    }
     let count = 0;
     for (const { phase } of runs.values()) {
         count += phase === runPhases.planned || phase === runPhases.starting ? 1 : 0;
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -2,6 +2,7 @@
  * The scheduler takes events and returns commands. It does no I/O and reads no clock, so that tests and a state-space explorer
  * can drive it. One process at a time owns the scheduling; every command carries the fencing token of that process's term.
  */
+import { maxUnansweredStarts } from "../decisions/startWindow.js";
 import {
     type AcknowledgementFailure,
     describeAcknowledgement,
@@ -278,9 +279,10 @@
         /**
          * Starts the tasks that can start now and gives up runs whose leases have ended. Only an owner with proven ownership may
          * conclude that the leases of an unresponsive worker have ended: another owner may have extended them. At most `maxStarts`
-         * short tasks start, those first that can be in time.
+         * short tasks start, those first that can be in time; a worker gets no more while `maxStartsPerWorker` starts have no response.
          */
-        step: (moment: Moment, maxStarts = Number.POSITIVE_INFINITY): void => {
+        step: (moment: Moment, maxStarts = Number.POSITIVE_INFINITY, maxStartsPerWorker = maxUnansweredStarts): void => {
+            state.maxStartsPerWorker = maxStartsPerWorker;
             if (state.isOwnershipProven) {
                 expireLeases(state, moment);
             }
--- a/src/scheduling/schedulerState.ts
+++ b/src/scheduling/schedulerState.ts
@@ -88,6 +88,8 @@
     taskStopMs: number;
     features: SchedulingFeatures;
     startPermission: StartPermission;
+    /** So many starts of one worker may be planned or without a response. */
+    maxStartsPerWorker: number;
     reservations: ReservationState;
     durations: DurationLearner;
     /** Whether this process is certain to be the owner. If not, lost tasks are not restarted: another owner may have done so. */
--- a/tests/decisions/startWindow.spec.ts
+++ b/tests/decisions/startWindow.spec.ts
@@ -1,7 +1,7 @@
 /** Checks how the number of starts without a response follows the owner's lateness. */
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { createStartWindow, type OwnerLoad } from "../../src/decisions/startWindow.js";
+import { createStartWindow, maxUnansweredStarts, type OwnerLoad } from "../../src/decisions/startWindow.js";
 
 const tickMs = 100;
 
@@ -36,6 +36,17 @@
         assert.deepEqual([1, size, size + 1].map(count => window.furtherStarts(count, load, 0)), [size - 1, 0, 0]);
     });
 
+    it("should give a worker few starts at first and by a late owner, and many by one that keeps up", () => {
+        const window = createStartWindow();
+        const first = window.startsPerWorker(0);
+        Array.from({ length: 60 }, (_, index) => index * tickMs).forEach(nowMs => window.furtherStarts(0, loadAt(nowMs, 0), nowMs));
+        assert.ok(first <= 4, `${first} at first`);
+        assert.equal(window.startsPerWorker(5), maxUnansweredStarts);
+        // Half of the timeout of a start, in turns of 100 ms with two connections.
+        assert.equal(window.startsPerWorker(100), 5);
+        assert.equal(window.startsPerWorker(5_000), 2);
+    });
+
     it("should not collapse while an owner is late because of listings", () => {
         const sizeAfterOneSecond = (startsPerTick: number): number => {
             const window = createStartWindow();
--- a/tests/scheduling/largeJobs.spec.ts
+++ b/tests/scheduling/largeJobs.spec.ts
@@ -1,8 +1,8 @@
 /** Guards against a job of many small tasks that ends the owner by its memory, because all starts that fit are under way at once. */
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { maxUnansweredStarts } from "../../src/decisions/startWindow.js";
 import { commandOutcomes } from "../../src/scheduling/commandOutcomes.js";
-import { maxUnansweredStarts } from "../../src/scheduling/poolCandidates.js";
 import { commandKinds } from "../../src/scheduling/schedulerState.js";
 import { countReads } from "./countReads.js";
 import { createSchedulerHarness, type SchedulerHarness } from "./schedulerHarness.js";
--- a/tests/scheduling/limitedStarts.spec.ts
+++ b/tests/scheduling/limitedStarts.spec.ts
@@ -30,6 +30,15 @@
         assert.deepEqual(plannedTasks(harness, 3), ["overdue.0.0.0", "timely.0.0.0", "timely.0.0.1"]);
     });
 
+    it("should give no worker more starts than may be without a response, but gangs", () => {
+        const counts = [false, true].map(isGang => {
+            const harness = createWaiting(each => each.submit("job", { taskCount: 5, isGang }));
+            harness.scheduler.step({ nowMs: harness.nowMs(), wallMs: harness.nowMs() }, 100, 2);
+            return harness.scheduler.state.plannedRuns.size;
+        });
+        assert.deepEqual(counts, [2, 5]);
+    });
+
     it("should start all long-running tasks", () => {
         const harness = createWaiting(each => {
             each.submit("short", { taskCount: 4 });
