Do not count a job as unfinished whose task has failed as often as it may

The simulated fleet counted every job that was not completed, also one that had ended as failed. A job counts as ended now if a worker has listed that many failures of one of its tasks; one that is given up for another reason still counts as unfinished. The spec passes.

--- a/tests/process/earnedWorth.ts
+++ b/tests/process/earnedWorth.ts
@@ -24,6 +24,8 @@
     objectiveMs: number;
     isOwed: boolean;
     completedAtMs: number | undefined;
+    /** Whether one of its tasks has failed as often as it may, so that the job has ended as failed. */
+    hasFailed: boolean;
 }
 
 const surgeMs = surgeS * 1_000;
@@ -42,7 +44,7 @@
     const queue = load.policy.queues.get(submission.queueName)!;
     const chainMs = taskDurationsMs.reduce((sum, durations) => sum + Math.max(...durations), 0);
     const objectiveMs = queue.criticalPathFactor * chainMs + queue.latencyObjectiveMs;
-    return { submission, taskDurationsMs, objectiveMs, isOwed: true, completedAtMs: undefined };
+    return { submission, taskDurationsMs, objectiveMs, isOwed: true, completedAtMs: undefined, hasFailed: false };
 }
 
 function workOf(job: TrackedJob): number {
@@ -78,6 +80,6 @@
     return {
         surges,
         earnedPartByQueue: new Map(queueNames.map(name => [name, earnedPart(jobs.filter(job => job.submission.queueName === name))])),
-        unfinishedCount: jobs.filter(job => job.completedAtMs === undefined).length,
+        unfinishedCount: jobs.filter(job => job.completedAtMs === undefined && !job.hasFailed).length,
     };
 }
--- a/tests/process/fleetSimulation.ts
+++ b/tests/process/fleetSimulation.ts
@@ -22,7 +22,7 @@
 import { estimateCriticalPathMs, estimateWork, type JobSubmission } from "../../src/scheduling/jobTypes.js";
 import type { Moment } from "../../src/scheduling/reconcileListing.js";
 import { createScheduler } from "../../src/scheduling/scheduler.js";
-import { commandKinds } from "../../src/scheduling/schedulerState.js";
+import { commandKinds, runEnds } from "../../src/scheduling/schedulerState.js";
 import type { SchedulingFeatures } from "../../src/scheduling/schedulingFeatures.js";
 import type { WorkerEntry } from "../../src/scheduling/workerRecord.js";
 import { type EarnedWorth, measureEarnedWorth, type TrackedJob, trackJob } from "./earnedWorth.js";
@@ -95,15 +95,21 @@
         taskStopMs: 900,
         features: options.features,
         onDecision: decision => {
+            const job = jobs.get(decision.jobId ?? "");
             if (decision.what === "job completed") {
-                const job = jobs.get(decision.jobId!);
                 time.after(storeMs, () => job && (job.completedAtMs ??= time.nowMs()));
             }
+            else if (job && decision.what === "run ended" && decision.reason === runEnds.failed) {
+                const failuresCount = (failuresCounts.get(decision.taskName!) ?? 0) + 1;
+                failuresCounts.set(decision.taskName!, failuresCount);
+                job.hasFailed ||= failuresCount >= load.policy.queues.get(job.submission.queueName)!.maxAttempts;
+            }
         },
     });
     const demand = createDemandTracker(time.nowMs);
     const responseRandom = createSeededRandom(options.seed + 2);
     const jobs = new Map<string, TrackedJob>();
+    const failuresCounts = new Map<string, number>();
     const workers = new Map<string, SimulatedWorker>();
     const arrivedWhileAway: JobSubmission[] = [];
     let vmSecondsInPools = 0;
