Open a new owner's sessions in the passes that run anyway

While sessions were missing, each pass asked for another one at once, and each of those ordered all missing workers by all jobs, in just the 300 ms in which the owner has the least processor to spare.

--- a/src/process/schedulingService.ts
+++ b/src/process/schedulingService.ts
@@ -108,9 +108,7 @@
             void options.ownership().abandon("a worker's fencing tokens of the term are used up");
             return;
         }
-        if (sessions.sync(scheduler)) {
-            scheduleStep();
-        }
+        sessions.sync(scheduler);
         scheduler.setOwnershipProven(options.ownership().isLeaseValid());
         updateStartPermission(scheduler);
         scheduler.setStoreWritable(progressWriter.isHealthy());
--- a/src/process/workerSessions.ts
+++ b/src/process/workerSessions.ts
@@ -14,10 +14,10 @@
 export interface WorkerSessions {
     /**
      * Opens and closes sessions so that there is one with the present incarnation of each worker of the scheduler that has not ended, at
-     * its current address, and lists workers again whose ends may be hidden by a listing without a response. Must be called often. Returns
-     * whether more sessions are to be opened: a new owner of hundreds of workers opens some at a time, so that it can start tasks in between.
+     * its current address, and lists workers again whose ends may be hidden by a listing without a response. Must be called often: a new
+     * owner of hundreds of workers opens some sessions at a time, so that it can start tasks in between.
      */
-    sync(scheduler: Scheduler): boolean;
+    sync(scheduler: Scheduler): void;
     /** Sends the command, if there is a session with its worker. */
     execute(command: WorkerCommand): void;
     /** Must be called when progress was saved. */
@@ -110,7 +110,6 @@
                 orderFirstListings(scheduler.state, missing, options.timers.wallClockMs()).slice(0, dueCount);
             due.forEach(worker => add(worker, scheduler));
             listOverdueWorkers(scheduler);
-            return due.length < missing.length;
         },
         execute,
         onProgressSaved: () => sessions.forEach(({ session }) => session?.onProgressSaved()),
--- a/tests/process/openedSessions.spec.ts
+++ b/tests/process/openedSessions.spec.ts
@@ -14,6 +14,8 @@
 const leaseMs = 6_000;
 /** A fifth of the workers: a pass that opens so many takes a few tens of milliseconds. */
 const mostInOnePass = 96;
+/** Later ones would come too late for the leases of a former owner that was silent before. */
+const latestOpeningMs = 360;
 
 const entryOf = (index: number): WorkerEntry => ({
     workerId: `worker${index}`,
@@ -59,9 +61,9 @@
         onFailed: (...failure) => assert.fail(failure.join(" ")),
     });
     const openedCounts: number[] = [];
-    for (let isMore = true; isMore;) {
+    while (openedCount < workersCount && timers.nowMs() <= latestOpeningMs) {
         const openedBefore = openedCount;
-        isMore = sessions.sync(scheduler);
+        sessions.sync(scheduler);
         openedCounts.push(openedCount - openedBefore);
         timers.advance(passIntervalMs);
     }
