Count calls, waiting tasks and tasks that may run elsewhere in one place each

The counts of calls were kept twice, for the log and for the window of starts; what was taken for the log is a difference now. The number of waiting tasks of a job, and of those that an earlier owner may have started, were written out in two places each.

--- a/src/process/listingPauses.ts
+++ b/src/process/listingPauses.ts
@@ -7,7 +7,7 @@
     afterListing(): Promise<void>;
     /** Resolves when a worker that could not be listed is tried again; `isRefused`: its address refused the connection. */
     afterFailure(isRefused: boolean): Promise<void>;
-    /** Ends the wait after a failure; `false` if none is under way. */
+    /** Ends the wait after a failure, so that the worker is polled at once; `false` if none is under way. */
     retry(): boolean;
     /** Must be called when the worker has responded to a listing. */
     onListed(): void;
--- a/src/process/schedulingSummary.ts
+++ b/src/process/schedulingSummary.ts
@@ -1,7 +1,7 @@
 /** Collects the load of the process that owns the scheduling, and what waits and runs in each pool, for the log. */
 import type { TimerService } from "../common/timerService.js";
 import { jobLateness } from "../scheduling/jobLateness.js";
-import { isFinalState, readyStepsOf } from "../scheduling/jobRecord.js";
+import { countPossiblyStarted, countWaitingTasks, isFinalState, readyStepsOf } from "../scheduling/jobRecord.js";
 import { unknownFormerWorkers } from "../scheduling/plannedStarts.js";
 import type { Moment } from "../scheduling/reconcileListing.js";
 import type { SchedulerState } from "../scheduling/schedulerState.js";
@@ -85,7 +85,7 @@
         for (const { occurrence, step } of readyStepsOf(job, wallMs)) {
             const lateness = jobLateness(job, occurrence, queue, expectedPathMs(state, job, step), wallMs);
             pool.waitingCounts[lateness] += step.waiting.size;
-            pool.heldBackCounts[lateness] += isJobHeldBack ? [...step.waiting].filter(task => !step.adopted.has(task)).length : 0;
+            pool.heldBackCounts[lateness] += isJobHeldBack ? countPossiblyStarted(step) : 0;
         }
     }
     return pools;
@@ -102,7 +102,7 @@
         const queue = missing.get(queueName) ?? { jobsCount: 0, waitingCount: 0 };
         missing.set(queueName, queue);
         queue.jobsCount += 1;
-        queue.waitingCount += readyStepsOf(job, wallMs).reduce((sum, { step }) => sum + step.waiting.size, 0);
+        queue.waitingCount += countWaitingTasks(job, wallMs);
     }
     return [...missing].map(([name, { jobsCount, waitingCount }]) => `${name}: ${jobsCount} jobs, ${waitingCount} tasks waiting`);
 }
--- a/src/process/workerCallCounts.ts
+++ b/src/process/workerCallCounts.ts
@@ -36,9 +36,9 @@
 }
 
 export function countWorkerCalls(connectWorker: ConnectWorker): CountedWorkerCalls {
-    let counts = noCalls();
+    const counts = noCalls();
     let openStartsCount = 0;
-    const totals = { startsCount: 0, callsCount: 0 };
+    let taken = noCalls();
     const countAnswer = <Response extends { outcome: CommandOutcome }>(response: Response): Response => {
         counts.unansweredCount += response.outcome === commandOutcomes.unknown ? 1 : 0;
         return response;
@@ -59,8 +59,6 @@
                 ...client,
                 start: async order => {
                     counts.startsCount += 1;
-                    totals.startsCount += 1;
-                    totals.callsCount += 1;
                     openStartsCount += 1;
                     try {
                         return countAnswer(await client.start(order));
@@ -71,12 +69,10 @@
                 },
                 stop: async order => {
                     counts.stopsCount += 1;
-                    totals.callsCount += 1;
                     return countAnswer(await client.stop(order));
                 },
                 list: async order => {
                     counts.listingsCount += 1;
-                    totals.callsCount += 1;
                     const response = countAnswer(await client.list(order));
                     countListing(response);
                     return response;
@@ -84,11 +80,18 @@
             };
         },
         openStartsCount: () => openStartsCount,
-        totals: () => ({ ...totals }),
+        totals: () => ({ startsCount: counts.startsCount, callsCount: counts.startsCount + counts.stopsCount + counts.listingsCount }),
         take: () => {
-            const taken = counts;
-            counts = noCalls();
-            return taken;
+            const before = taken;
+            taken = { ...counts };
+            return {
+                startsCount: counts.startsCount - before.startsCount,
+                stopsCount: counts.stopsCount - before.stopsCount,
+                listingsCount: counts.listingsCount - before.listingsCount,
+                disconnectedListingsCount: counts.disconnectedListingsCount - before.disconnectedListingsCount,
+                repeatedListingsCount: counts.repeatedListingsCount - before.repeatedListingsCount,
+                unansweredCount: counts.unansweredCount - before.unansweredCount,
+            };
         },
     };
 }
--- a/src/process/workerSession.ts
+++ b/src/process/workerSession.ts
@@ -261,7 +261,7 @@
     };
     const stops = createWorkerStops({ ...options, signal, isCurrent, isCurrentToken, currentOutcome, unconfirm });
     const listImmediately = async (): Promise<void> => {
-        if (!isImmediateListOpen && maySendOrders() && !pauses.retry()) {
+        if (!pauses.retry() && !isImmediateListOpen && maySendOrders()) {
             isImmediateListOpen = true;
             const { hasNewEnds } = await list(0);
             isImmediateListOpen = false;
--- a/src/scheduling/firstListings.ts
+++ b/src/scheduling/firstListings.ts
@@ -1,5 +1,5 @@
 /** In which order a new owner asks the workers what they run. */
-import { isFinalState, readyStepsOf } from "./jobRecord.js";
+import { countWaitingTasks, isFinalState } from "./jobRecord.js";
 import type { SchedulerState } from "./schedulerState.js";
 import { snapshotStates } from "./unresponsiveWorkers.js";
 import type { WorkerRecord } from "./workerRecord.js";
@@ -22,7 +22,7 @@
         if (poolName === undefined || isFinalState(job.state)) {
             continue;
         }
-        const waitingCount = readyStepsOf(job, wallMs).reduce((sum, { step }) => sum + step.waiting.size, 0);
+        const waitingCount = countWaitingTasks(job, wallMs);
         if (job.formerWorkerIds.size > 0) {
             job.formerWorkerIds.forEach(workerId => add(needs.byWorker, workerId, waitingCount));
         }
--- a/src/scheduling/jobRecord.ts
+++ b/src/scheduling/jobRecord.ts
@@ -164,6 +164,16 @@
     );
 }
 
+/** How many tasks of the job wait and are due and ready. */
+export function countWaitingTasks(job: JobRecord, wallMs: number): number {
+    return readyStepsOf(job, wallMs).reduce((sum, { step }) => sum + step.waiting.size, 0);
+}
+
+/** How many waiting tasks of the step an earlier owner may have started, as far as workers that are not known may tell. */
+export function countPossiblyStarted(step: StepRecord): number {
+    return [...step.waiting].filter(task => !step.adopted.has(task)).length;
+}
+
 function stepProgress(step: StepRecord): StepProgress {
     const done = isStepDone(step) ? "all" as const : [...step.done];
     const tasks = [...step.tasks].filter(([task]) => !step.done.has(task));
--- a/src/scheduling/possibleTeamUsage.ts
+++ b/src/scheduling/possibleTeamUsage.ts
@@ -2,7 +2,7 @@
  * What each team may be using beyond the known runs: an earlier owner may have started tasks on workers that have not been listed yet. That
  * such a worker has not responded does not show that nothing runs there.
  */
-import { isFinalState, type JobRecord, readyStepsOf } from "./jobRecord.js";
+import { countPossiblyStarted, isFinalState, type JobRecord, readyStepsOf } from "./jobRecord.js";
 import { addResources, fitsInto, noResources, type Resources } from "./jobTypes.js";
 import { unknownFormerWorkers } from "./plannedStarts.js";
 import type { Moment } from "./reconcileListing.js";
@@ -18,8 +18,7 @@
 
 function addTasks(estimate: TeamEstimate, job: JobRecord, wallMs: number): void {
     for (const { step } of readyStepsOf(job, wallMs)) {
-        const knownCount = [...step.adopted].filter(task => step.waiting.has(task)).length;
-        const tasksCount = step.waiting.size - knownCount;
+        const tasksCount = countPossiblyStarted(step);
         addResources(estimate.tasks, step.spec.request, tasksCount);
         if (step.spec.isFiller) {
             estimate.tasks.cpuMillicores -= tasksCount * step.spec.request.cpuMillicores;
